--- /dev/null
+++ b/packages/coordination/src/configuration/index.ts
@@ -0,0 +1,1 @@
+export * from './document.js';
--- /dev/null
+++ b/packages/coordination/src/findings/index.ts
@@ -0,0 +1,1 @@
+export * from './finding.js';
--- /dev/null
+++ b/packages/coordination/src/messages/index.ts
@@ -0,0 +1,3 @@
+export * from './control.js';
+export * from './data.js';
+export * from './identity.js';
--- /dev/null
+++ b/packages/coordination/src/time/index.ts
@@ -0,0 +1,1 @@
+export * from './clock.js';
--- /dev/null
+++ b/packages/coordination/test/messages/identity.test.ts
@@ -0,0 +1,13 @@
+import t from 'tap';
+import {getRequestKey} from '../../src/messages/identity.js';
+
+const cases = [
+  {name: 'differs by origin', a: {origin: 1, sequence: 12}, b: {origin: 11, sequence: 2}},
+  {name: 'differs by sequence', a: {origin: 1, sequence: 1}, b: {origin: 1, sequence: 2}},
+];
+
+void t.test('request keys are unique, so that an answer cannot reach another caller', async t => {
+  for (const c of cases) {
+    t.not(getRequestKey(c.a), getRequestKey(c.b), c.name);
+  }
+});
