--- /dev/null
+++ b/packages/coordination/src/admission/learned-limit.ts
@@ -0,0 +1,69 @@
+/** Options of a `LearnedLimit`. */
+export interface LearnedLimitOptions {
+  readonly initial: number;
+  readonly minimum: number;
+  readonly maximum: number;
+  /** Ratio of short-term to long-term latency that is still taken as undisturbed. */
+  readonly tolerance: number;
+  /** Samples in one short-term window. */
+  readonly windowSamples: number;
+}
+
+const defaults: LearnedLimitOptions = {
+  initial: 8,
+  minimum: 1,
+  maximum: 1024,
+  tolerance: 2,
+  windowSamples: 16,
+};
+
+/**
+ * Concurrency limit learned from the gradient between the long-term and the short-term minimum of the latency.
+ * Latencies are compared within one service, because a change in the mix of short and long requests is no sign
+ * of load.
+ */
+export class LearnedLimit {
+  private readonly options: LearnedLimitOptions;
+  private readonly longTermMs = new Map<string, number>();
+  private limit: number;
+  private minimumRatio = Infinity;
+  private samples = 0;
+  private limited = false;
+
+  constructor(options: Partial<LearnedLimitOptions> = {}) {
+    this.options = {...defaults, ...options};
+    this.limit = this.options.initial;
+  }
+
+  /** Present limit of concurrent requests. */
+  getLimit(): number {
+    return Math.max(this.options.minimum, Math.floor(this.limit));
+  }
+
+  /** Adds the latency of a finished request and the number in flight when it was sent. */
+  addSample(service: string, latencyMs: number, inFlight: number): void {
+    const latency = Math.max(latencyMs, 0.1);
+    const known = this.longTermMs.get(service) ?? latency;
+    // A lower minimum is taken over at once, a higher one slowly, so that a lasting change is learned in the end.
+    const longTerm = latency < known ? latency : known + (latency - known) * 0.001;
+    this.longTermMs.set(service, longTerm);
+    this.minimumRatio = Math.min(this.minimumRatio, latency / longTerm);
+    if (inFlight * 2 >= this.limit) this.limited = true;
+    if (++this.samples >= this.options.windowSamples) this.update();
+  }
+
+  /** Lowers the limit after the target refused or dropped a request. */
+  addDrop(): void {
+    this.limit = Math.max(this.options.minimum, this.limit * 0.95);
+  }
+
+  private update(): void {
+    const gradient = Math.min(1, Math.max(0.5, this.options.tolerance / this.minimumRatio));
+    const target = this.limit * gradient + (this.limited ? Math.sqrt(this.limit) : 0);
+    this.samples = 0;
+    this.minimumRatio = Infinity;
+    this.limited = false;
+    const next = this.limit * 0.8 + target * 0.2;
+    this.limit = Math.min(this.options.maximum, Math.max(this.options.minimum, next));
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/admission/retry-budget.ts
@@ -0,0 +1,32 @@
+/** Options of a `RetryBudget`. */
+export interface RetryBudgetOptions {
+  /** Retries allowed for each first attempt. */
+  readonly ratio: number;
+  /** Retries that may be saved up for a burst. */
+  readonly burst: number;
+}
+
+const defaults: RetryBudgetOptions = {ratio: 0.1, burst: 20};
+
+/** Token bucket that bounds retries to a fraction of recent first attempts. */
+export class RetryBudget {
+  private readonly options: RetryBudgetOptions;
+  private tokens: number;
+
+  constructor(options: Partial<RetryBudgetOptions> = {}) {
+    this.options = {...defaults, ...options};
+    this.tokens = this.options.burst;
+  }
+
+  /** Counts a first attempt, which earns a fraction of a retry. */
+  earn(): void {
+    this.tokens = Math.min(this.options.burst, this.tokens + this.options.ratio);
+  }
+
+  /** Takes one retry and returns whether it is allowed. */
+  spend(): boolean {
+    if (this.tokens < 1) return false;
+    this.tokens -= 1;
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/membership/host-view.ts
@@ -0,0 +1,129 @@
+import {LearnedLimit} from '../admission/learned-limit.js';
+import type {Announce, Hello} from '../messages/control.js';
+
+/** A host as seen by an entry that is connected to its agent. */
+export interface Host {
+  /** Name of the agent process. */
+  readonly peer: string;
+  hello: Hello;
+  announce?: Announce;
+  connected: boolean;
+  /** Time of the last sign of life. */
+  heardAt: number;
+  suspect: boolean;
+  /** In flight at the host over all entries, as last reported. */
+  reportedInFlight: number;
+  /** Own attempts sent since the last report. */
+  sentSinceReport: number;
+  /** Own attempts without a reply. */
+  outstanding: number;
+  /** Own attempts that the agent allows at once. */
+  window: number;
+  /** Own attempts at once that the latency of the host allows. */
+  readonly limit: LearnedLimit;
+  /** Time until which the agent asked for no new work. */
+  heldUntil: number;
+  /** Smoothed latency of answers in milliseconds. */
+  latencyMs: number;
+  /** Failures since the last answer. */
+  failures: number;
+}
+
+const suspectAfterMs = 3500;
+const initialWindow = 2;
+
+/** Hosts that are connected to an entry. */
+export class HostView {
+  private readonly hosts = new Map<string, Host>();
+  private drains: ReadonlySet<string> = new Set();
+
+  /** Records a new connection to an agent. Returns the host. */
+  connect(peer: string, hello: Hello, at: number): Host {
+    const known = this.hosts.get(peer);
+    if (known && known.hello.incarnation === hello.incarnation) {
+      known.hello = hello;
+      known.connected = true;
+      known.suspect = false;
+      known.heardAt = at;
+      return known;
+    }
+    const host: Host = {
+      peer,
+      hello,
+      connected: true,
+      heardAt: at,
+      suspect: false,
+      reportedInFlight: 0,
+      sentSinceReport: 0,
+      outstanding: 0,
+      window: initialWindow,
+      limit: new LearnedLimit(),
+      heldUntil: 0,
+      latencyMs: 0,
+      failures: 0,
+    };
+    this.hosts.set(peer, host);
+    return host;
+  }
+
+  /** Records the loss of the connection. */
+  disconnect(peer: string): void {
+    const host = this.hosts.get(peer);
+    if (host) host.connected = false;
+  }
+
+  /** Records a sign of life, which ends suspicion. */
+  hear(peer: string, at: number): void {
+    const host = this.hosts.get(peer);
+    if (!host) return;
+    host.heardAt = at;
+    host.suspect = false;
+  }
+
+  /** Sets the hosts that the operators drain. */
+  setDrains(drains: ReadonlySet<string>): void {
+    this.drains = drains;
+  }
+
+  /** Marks silent hosts as suspect and forgets those that are long gone. Returns the newly suspect ones. */
+  check(at: number): Host[] {
+    const suspects: Host[] = [];
+    for (const host of this.hosts.values()) {
+      if (!host.suspect && at - host.heardAt > suspectAfterMs) {
+        host.suspect = true;
+        suspects.push(host);
+      }
+      if (!host.connected && at - host.heardAt > 120_000) this.hosts.delete(host.peer);
+    }
+    return suspects;
+  }
+
+  /** Host by the name of its agent. */
+  getHost(peer: string): Host | undefined {
+    return this.hosts.get(peer);
+  }
+
+  /** All known hosts. */
+  getHosts(): IterableIterator<Host> {
+    return this.hosts.values();
+  }
+
+  /** Whether a host may receive new work of a service. */
+  isUsable(host: Host, service: string): boolean {
+    const {announce} = host;
+    if (!host.connected || host.suspect || !announce || announce.draining) return false;
+    if (this.drains.has(announce.host)) return false;
+    return announce.slots > 0 && announce.services.includes(service);
+  }
+
+  /** Slots of all hosts that may receive new work. */
+  getSlots(): number {
+    let slots = 0;
+    for (const host of this.hosts.values()) {
+      const {announce} = host;
+      if (!host.connected || host.suspect || !announce || announce.draining) continue;
+      slots += announce.slots;
+    }
+    return slots;
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/membership/index.ts
@@ -0,0 +1,4 @@
+export * from './backend-view.js';
+export * from './entry-connections.js';
+export * from './host-view.js';
+export * from './peer-view.js';
--- /dev/null
+++ b/packages/coordination/src/requests/agent-exchanges.ts
@@ -0,0 +1,396 @@
+import {FairQueue} from '../admission/fair-queue.js';
+import {applyShares} from '../admission/shares.js';
+import type {Configuration} from '../configuration/document.js';
+import {BackendView} from '../membership/backend-view.js';
+import {EntryConnections} from '../membership/entry-connections.js';
+import type {Announce, Hello} from '../messages/control.js';
+import type {Cancel, Dispatch, NotRunReason, Recover} from '../messages/data.js';
+import {getRequestKey, type Resources} from '../messages/identity.js';
+import type {Reducer} from '../reducer.js';
+import type {
+  AgentExchangesEffect,
+  AgentExchangesEvent,
+  AgentSend,
+  ExchangeFailed,
+  ExchangeFinished,
+} from './agent-events.js';
+import type {AgentWork, Waiter} from './agent-work.js';
+import type {PeerMessage} from './entry-events.js';
+import {KeptAnswers, type KeptAnswer} from './kept-answers.js';
+import {Outbox} from './outbox.js';
+
+/** Options of `AgentExchanges`. */
+export interface AgentExchangesOptions {
+  readonly host: string;
+  readonly rack: string;
+  /** What the host offers; `slots` bounds the exchanges that are open at once. */
+  readonly capacity: Resources;
+  /** Longest wait for a slot. */
+  readonly queueMs: number;
+  readonly maxAnswerBytes: number;
+  readonly heartbeatMs: number;
+  /** Time after `drain` in which entries that have not heard of it are still served. */
+  readonly drainGraceMs: number;
+}
+
+/** Values of the options that a caller need not give. */
+export const agentExchangesDefaults = {
+  queueMs: 50,
+  maxAnswerBytes: 4 * 1024 * 1024,
+  heartbeatMs: 1000,
+  drainGraceMs: 1000,
+};
+
+/** Options of `AgentExchanges` with defaults for all but the identity and size of the host. */
+export type AgentExchangesSettings = Pick<AgentExchangesOptions, 'host' | 'rack' | 'capacity'> &
+  Partial<AgentExchangesOptions>;
+
+const busyHoldMs = 10;
+/** Time past the deadline after which an exchange that the edge has not ended is aborted. */
+const abortAfterMs = 100;
+
+/** Exchanges of a host with its backend servers: limits, order, duplicates and recovery. */
+export class AgentExchanges implements Reducer<AgentExchangesEvent, AgentExchangesEffect> {
+  private readonly options: AgentExchangesOptions;
+  private readonly outbox = new Outbox<AgentExchangesEffect>();
+  private readonly backends: BackendView;
+  private readonly queue: FairQueue<AgentWork>;
+  private readonly kept = new KeptAnswers();
+  private readonly works = new Map<string, AgentWork>();
+  private readonly exchanges = new Map<number, AgentWork>();
+  private readonly peers = new EntryConnections();
+  private configuration?: Configuration;
+  private lastExchange = 0;
+  private lastAnnounce = '';
+  private heartbeatAt = -Infinity;
+  private drainAt?: number;
+  private drainReported = false;
+
+  constructor(settings: AgentExchangesSettings) {
+    this.options = {...agentExchangesDefaults, ...settings};
+    this.backends = new BackendView(this.options.capacity.slots);
+    this.queue = new FairQueue({standingMs: this.options.queueMs});
+  }
+
+  /** Applies an event. */
+  reduce(event: AgentExchangesEvent, at: number): readonly AgentExchangesEffect[] {
+    this.apply(event, at);
+    this.pump(at);
+    this.announceChange(at);
+    this.reportDrained(at);
+    return this.outbox.take();
+  }
+
+  private apply(event: AgentExchangesEvent, at: number): void {
+    switch (event.kind) {
+      case 'message':
+        return this.receiveMessage(event, at);
+      case 'peer-up':
+        return this.connect(event.peer, event.hello, at);
+      case 'peer-down':
+        return this.disconnect(event.peer, at);
+      case 'backend-announced':
+        return this.backends.announce(event, at);
+      case 'backend-lapsed':
+        return this.backends.lapse(event.url);
+      case 'exchange-finished':
+        return this.finish(event, at);
+      case 'exchange-failed':
+        return this.fail(event, at);
+      case 'configuration':
+        this.configuration = event.configuration;
+        return this.refreshShares(at);
+      case 'drain':
+        this.drainAt ??= at;
+        return;
+      case 'tick':
+        return this.tick(at);
+    }
+  }
+
+  private receiveMessage(event: PeerMessage, at: number): void {
+    const {peer, message, body} = event;
+    switch (message.kind) {
+      case 'dispatch':
+        return this.receiveDispatch(peer, message, body ?? new Uint8Array(), at);
+      case 'cancel':
+        return this.cancel(peer, message, at);
+      case 'recover':
+        return this.recover(peer, message, at);
+      default:
+        this.outbox.count('messages-refused');
+    }
+  }
+
+  private receiveDispatch(peer: string, dispatch: Dispatch, body: Uint8Array, at: number): void {
+    const key = getRequestKey(dispatch.id);
+    const waiter: Waiter = {peer, attempt: dispatch.attempt, cancelled: false};
+    const work: AgentWork = {
+      key,
+      dispatch,
+      body,
+      deadline: at + dispatch.remainingMs,
+      waiters: [waiter],
+      startedAt: 0,
+      aborted: false,
+    };
+    if (this.kept.isRefused(key, peer, dispatch.attempt))
+      return this.reject(work, waiter, 'refused-id', 0, at);
+    if (this.answerDuplicate(key, dispatch, waiter, at)) return;
+    const refusal = this.getRefusal(work, at);
+    if (refusal) return this.reject(work, waiter, refusal, 0, at);
+    this.defineClass(work);
+    const {service} = dispatch;
+    if (!this.queue.push(service, work, at, work.deadline, body.byteLength))
+      return this.reject(work, waiter, 'busy', busyHoldMs, at);
+    this.works.set(key, work);
+    this.peers.addInFlight(peer, 1);
+  }
+
+  /** A second copy joins the first one; it never runs beside it. */
+  private answerDuplicate(key: string, dispatch: Dispatch, waiter: Waiter, at: number): boolean {
+    const work = this.works.get(key);
+    if (work) {
+      this.outbox.count('dispatches-duplicate');
+      const {peer, attempt} = waiter;
+      if (work.waiters.some(w => w.peer === peer && w.attempt === attempt)) return true;
+      work.waiters.push(waiter);
+      this.peers.addInFlight(peer, 1);
+      return true;
+    }
+    const answer = this.kept.getAnswer(key);
+    if (!answer || (answer.kind === 'failed' && dispatch.idempotent)) return false;
+    this.outbox.count('dispatches-duplicate');
+    this.sendAnswer(dispatch, waiter, answer, at);
+    return true;
+  }
+
+  private getRefusal(work: AgentWork, at: number): NotRunReason | undefined {
+    const {dispatch, body} = work;
+    if (body.byteLength !== dispatch.bodyLength) return 'bad-request';
+    if (dispatch.remainingMs <= 0) return 'deadline';
+    const {drainGraceMs} = this.options;
+    if (this.drainAt !== undefined && at - this.drainAt > drainGraceMs) return 'draining';
+    if (!this.backends.offers(dispatch.service, at)) return 'no-backend';
+    return undefined;
+  }
+
+  private cancel(peer: string, message: Cancel, at: number): void {
+    const work = this.works.get(getRequestKey(message.id));
+    const waiter = work?.waiters.find(w => w.peer === peer && w.attempt === message.attempt);
+    if (!work || !waiter) return;
+    waiter.cancelled = true;
+    if (work.exchange !== undefined || work.waiters.some(w => !w.cancelled)) return;
+    this.outbox.count('dispatches-cancelled');
+    this.drop(work, 'cancelled', 0, at);
+  }
+
+  private recover(peer: string, message: Recover, at: number): void {
+    const {id, attempt} = message;
+    const key = getRequestKey(id);
+    const work = this.works.get(key);
+    const answer = this.kept.getAnswer(key);
+    const state = work ? 'running' : answer ? 'finished' : 'absent';
+    this.sendTo(peer, {kind: 'recovered', id, attempt, state});
+    const waiter: Waiter = {peer, attempt, cancelled: false};
+    if (work && !work.waiters.some(w => w.peer === peer && w.attempt === attempt)) {
+      work.waiters.push(waiter);
+      this.peers.addInFlight(peer, 1);
+    }
+    if (state === 'finished') this.sendAnswer(message, waiter, answer!, at);
+    if (state === 'absent') this.kept.refuse(key, peer, attempt, at);
+  }
+
+  private connect(peer: string, hello: Hello, at: number): void {
+    if (hello.role !== 'entry') return;
+    this.peers.add(peer);
+    this.outbox.add({kind: 'send', peer, message: this.getAnnounce(at)});
+    this.sendHeartbeat(peer, at);
+  }
+
+  /** Work that only the lost entry waits for is dropped if it has not begun. */
+  private disconnect(peer: string, at: number): void {
+    this.peers.remove(peer);
+    for (const work of [...this.works.values()]) {
+      if (work.exchange !== undefined) continue;
+      if (work.waiters.every(w => w.peer === peer || w.cancelled))
+        this.drop(work, 'cancelled', 0, at);
+    }
+  }
+
+  private finish(event: ExchangeFinished, at: number): void {
+    const {status, headers, body} = event;
+    const tooLarge = body.byteLength > this.options.maxAnswerBytes;
+    const answer: KeptAnswer = tooLarge
+      ? {kind: 'failed', detail: 'answer larger than the limit'}
+      : {kind: 'answer', status, headers, body};
+    const work = this.closeExchange(event.exchange, at);
+    if (work) this.conclude(work, answer, at);
+  }
+
+  private fail(event: ExchangeFailed, at: number): void {
+    const work = this.closeExchange(event.exchange, at);
+    if (!work) return;
+    this.outbox.count(event.begun ? 'exchanges-failed' : 'exchanges-refused');
+    if (event.begun) return this.conclude(work, {kind: 'failed', detail: event.detail}, at);
+    this.backends.pause(work.url!, at);
+    this.drop(work, 'no-backend', busyHoldMs * 10, at);
+  }
+
+  private closeExchange(exchange: number, at: number): AgentWork | undefined {
+    const work = this.exchanges.get(exchange);
+    if (!work) {
+      this.outbox.count('exchanges-unmatched');
+      return undefined;
+    }
+    this.exchanges.delete(exchange);
+    this.backends.end(work.url!);
+    this.queue.release(work.dispatch.service);
+    this.outbox.observe('exchange', at - work.startedAt);
+    return work;
+  }
+
+  private conclude(work: AgentWork, answer: KeptAnswer, at: number): void {
+    this.works.delete(work.key);
+    this.kept.keep(work.key, answer, at);
+    for (const waiter of work.waiters) this.peers.addInFlight(waiter.peer, -1);
+    for (const waiter of work.waiters) {
+      // A caller who has gone costs the link a short message, not the answer.
+      const told = waiter.cancelled ? {kind: 'failed', detail: 'cancelled'} : answer;
+      this.sendAnswer(work.dispatch, waiter, told as KeptAnswer, at);
+    }
+  }
+
+  /** Ends work that has not begun and tells those who wait for it. */
+  private drop(work: AgentWork, reason: NotRunReason, holdMs: number, at: number): void {
+    this.queue.remove(work);
+    this.works.delete(work.key);
+    for (const waiter of work.waiters) this.peers.addInFlight(waiter.peer, -1);
+    for (const waiter of work.waiters) {
+      if (waiter.cancelled) this.kept.refuse(work.key, waiter.peer, waiter.attempt, at);
+      this.reject(work, waiter, waiter.cancelled ? 'cancelled' : reason, holdMs, at);
+    }
+  }
+
+  private pump(at: number): void {
+    for (;;) {
+      const taken = this.queue.take(at, work =>
+        work.deadline <= at ? undefined : this.backends.choose(work.dispatch.service, at),
+      );
+      if (!taken) return;
+      const {item: work, target} = taken;
+      this.backends.begin(target);
+      work.exchange = ++this.lastExchange;
+      work.url = target.announced.url;
+      work.startedAt = at;
+      this.exchanges.set(work.exchange, work);
+      const {service, method, path, headers} = work.dispatch;
+      const {exchange, url, body} = work;
+      const timeoutMs = work.deadline - at;
+      this.outbox.add({
+        kind: 'open-exchange',
+        ...{exchange, url, service, method, path, headers, body, timeoutMs},
+      });
+      this.outbox.record({id: work.key, step: 'exchange', detail: url});
+    }
+  }
+
+  private tick(at: number): void {
+    for (const work of this.queue.shed(at))
+      this.drop(work, work.deadline <= at ? 'deadline' : 'busy', busyHoldMs, at);
+    for (const work of this.exchanges.values()) {
+      if (work.aborted || at < work.deadline + abortAfterMs) continue;
+      work.aborted = true;
+      this.outbox.add({kind: 'abort-exchange', exchange: work.exchange!});
+    }
+    this.kept.trim(at);
+    if (at - this.heartbeatAt < this.options.heartbeatMs) return;
+    this.heartbeatAt = at;
+    this.refreshShares(at);
+    for (const peer of this.peers.getNames()) this.sendHeartbeat(peer, at);
+  }
+
+  private refreshShares(at: number): void {
+    if (!this.configuration) return;
+    applyShares(this.queue, this.configuration, this.backends.getSlots(at), 0);
+  }
+
+  private defineClass(work: AgentWork): void {
+    const {service, class: requestClass} = work.dispatch;
+    if (this.queue.hasClass(service)) return;
+    this.queue.setClass(service, {urgency: requestClass.urgency, guaranteed: 0, weight: 1});
+  }
+
+  private getAnnounce(at: number): Announce {
+    const {host, rack, capacity} = this.options;
+    const services = this.backends.getServices(at);
+    const slots = this.backends.getSlots(at);
+    const connections = this.backends.getConnections(at);
+    const draining = this.drainAt !== undefined;
+    return {kind: 'announce', host, rack, capacity, services, slots, connections, draining};
+  }
+
+  private announceChange(at: number): void {
+    const message = this.getAnnounce(at);
+    const text = `${message.services.join()} ${message.slots} ${message.connections} ${message.draining}`;
+    if (text === this.lastAnnounce) return;
+    this.lastAnnounce = text;
+    this.refreshShares(at);
+    this.outbox.add({kind: 'announce', message});
+  }
+
+  private sendHeartbeat(peer: string, at: number): void {
+    const configVersion = this.configuration?.version ?? 0;
+    const inFlight = this.works.size;
+    this.outbox.add({
+      kind: 'send',
+      peer,
+      message: {kind: 'heartbeat', stamp: at, configVersion, inFlight},
+    });
+  }
+
+  private sendAnswer(to: Dispatch | Recover, waiter: Waiter, answer: KeptAnswer, at: number): void {
+    const {id} = to;
+    const {peer, attempt} = waiter;
+    const credit = this.getCredit(peer, at);
+    if (answer.kind === 'failed') {
+      this.sendTo(peer, {kind: 'failed', id, attempt, detail: answer.detail, credit});
+      return;
+    }
+    const {status, headers, body} = answer;
+    const bodyLength = body.byteLength;
+    this.sendTo(peer, {kind: 'reply', id, attempt, status, headers, bodyLength, credit}, body);
+  }
+
+  private reject(
+    work: AgentWork,
+    waiter: Waiter,
+    reason: NotRunReason,
+    holdMs: number,
+    at: number,
+  ): void {
+    const {peer, attempt} = waiter;
+    const credit = this.getCredit(peer, at);
+    const {id} = work.dispatch;
+    this.outbox.count(`dispatches-rejected-${reason}`);
+    this.sendTo(peer, {kind: 'rejected', id, attempt, reason, holdMs, credit});
+  }
+
+  private sendTo(peer: string, message: AgentSend['message'], body?: Uint8Array): void {
+    if (!this.peers.has(peer)) return;
+    const whole = body && body.byteLength > 0 ? {body} : {};
+    this.outbox.add({kind: 'send', peer, message, ...whole});
+  }
+
+  private getCredit(peer: string, at: number): number {
+    const slots = this.backends.getSlots(at);
+    return this.peers.getCredit(peer, slots, slots - this.works.size);
+  }
+
+  private reportDrained(at: number): void {
+    if (this.drainAt === undefined || this.drainReported) return;
+    if (at - this.drainAt <= this.options.drainGraceMs || this.works.size > 0) return;
+    this.drainReported = true;
+    this.outbox.add({kind: 'drained'});
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/requests/attempt-results.ts
@@ -0,0 +1,273 @@
+import type {FairQueue} from '../admission/fair-queue.js';
+import type {RetryBudget} from '../admission/retry-budget.js';
+import type {Failed, NotRunReason, Recovered, Rejected, Reply} from '../messages/data.js';
+import {getRequestKey} from '../messages/identity.js';
+import type {HedgePolicy} from '../routing/hedge-policy.js';
+import type {Conclusions} from './conclusions.js';
+import type {EntryRequestsEffect} from './entry-events.js';
+import type {EntryRoutes} from '../routing/entry-routes.js';
+import type {Outbox} from './outbox.js';
+import type {Attempt, PendingRequest} from './pending-request.js';
+import type {RequestTable} from './request-table.js';
+
+/** What `AttemptResults` works on. */
+export interface AttemptResultParts {
+  readonly outbox: Outbox<EntryRequestsEffect>;
+  readonly table: RequestTable;
+  readonly queue: FairQueue<PendingRequest>;
+  readonly routes: EntryRoutes;
+  readonly conclusions: Conclusions;
+  readonly budget: RetryBudget;
+  readonly hedges: HedgePolicy;
+  readonly recoverMs: number;
+}
+
+type Result = Reply | Rejected | Failed | Recovered;
+
+/** Reasons after which another target may serve the request. */
+const retriableReasons: ReadonlySet<NotRunReason> = new Set([
+  'busy',
+  'draining',
+  'no-backend',
+  'refused-id',
+  'configuration-unknown',
+]);
+/** Attempts that a request may use up, whatever the budget allows. */
+const maxAttempts = 4;
+
+/** Matches answers with attempts and decides on retries and recovery. */
+export class AttemptResults {
+  /** Requests with an attempt on a lost connection. */
+  private readonly lost = new Set<PendingRequest>();
+
+  constructor(private readonly parts: AttemptResultParts) {}
+
+  /** Handles an answer of an agent or of another entry. */
+  receive(peer: string, message: Result, body: Uint8Array | undefined, at: number): void {
+    const key = getRequestKey(message.id);
+    const request = this.parts.table.getRequest(key);
+    const attempt = request?.attempts.get(message.attempt);
+    if (!request || !attempt || attempt.peer !== peer) {
+      return this.receiveLate(key, peer, message, at);
+    }
+    switch (message.kind) {
+      case 'reply':
+        this.end(request, attempt, 'reply', message.credit, at);
+        return this.receiveReply(request, attempt, message, body, at);
+      case 'rejected':
+        this.end(request, attempt, 'rejected', message.credit, at);
+        this.hold(request, attempt, message, at);
+        return this.receiveNotRun(request, attempt, message.reason, at);
+      case 'failed':
+        this.end(request, attempt, 'failed', message.credit, at);
+        return this.receiveFailed(request, attempt, message.detail, at);
+      case 'recovered':
+        return this.receiveRecovered(request, attempt, message, at);
+    }
+  }
+
+  /** Puts the attempts at a peer in doubt after its connection was lost. */
+  loseConnection(peer: string, at: number): void {
+    for (const orphan of this.parts.table.takeOrphansOf(peer))
+      this.parts.routes.end(orphan.attempt);
+    for (const request of [...this.parts.table.getRequests()]) {
+      for (const attempt of request.attempts.values()) {
+        if (attempt.peer === peer && attempt.state === 'sent') this.lose(request, attempt, at);
+      }
+    }
+  }
+
+  /** Sends idempotent requests elsewhere when their host has gone silent; its answers still count. */
+  suspect(peer: string, at: number): void {
+    for (const request of [...this.parts.table.getRequests()]) {
+      if (!request.idempotent || !request.taken || request.attempts.size !== 1) continue;
+      const [attempt] = request.attempts.values();
+      if (attempt!.peer !== peer || attempt!.replaced) continue;
+      request.avoided.add(peer);
+      if (this.retry(request, false, at)) attempt!.replaced = true;
+    }
+  }
+
+  /** Asks a peer that is back what became of the attempts in doubt. */
+  recoverAfterConnect(peer: string, incarnation: number, at: number): void {
+    for (const request of [...this.lost]) {
+      for (const attempt of [...request.attempts.values()]) {
+        if (attempt.peer !== peer || attempt.state !== 'lost') continue;
+        if (attempt.incarnation !== incarnation) {
+          this.giveUp(request, attempt, 'the target restarted', at);
+          continue;
+        }
+        const message = {kind: 'recover', id: request.id, attempt: attempt.number} as const;
+        this.parts.outbox.add({kind: 'send', peer, message});
+        this.parts.outbox.record({
+          id: request.key,
+          step: 'recover',
+          peer,
+          attempt: attempt.number,
+        });
+      }
+    }
+  }
+
+  /** Gives up attempts that stayed in doubt for too long. */
+  tick(at: number): void {
+    for (const orphan of this.parts.table.takeExpiredOrphans(at))
+      this.parts.routes.end(orphan.attempt);
+    for (const request of [...this.lost]) {
+      if (this.parts.table.getRequest(request.key) !== request) {
+        this.lost.delete(request);
+        continue;
+      }
+      for (const attempt of [...request.attempts.values()]) {
+        if (attempt.state === 'lost' && at - attempt.lostAt > this.parts.recoverMs)
+          this.giveUp(request, attempt, 'the target did not come back', at);
+      }
+    }
+  }
+
+  /** Requests whose only attempt is slow enough for a hedge. */
+  getHedgeable(at: number): PendingRequest[] {
+    const slow: PendingRequest[] = [];
+    for (const request of this.parts.table.getRequests()) {
+      if (!request.idempotent || request.hedged || request.attempts.size !== 1) continue;
+      const [attempt] = request.attempts.values();
+      if (attempt!.via !== 'dispatch' || attempt!.state !== 'sent') continue;
+      const delayMs = this.parts.hedges.getDelayMs(request.service);
+      if (delayMs !== undefined && at - attempt!.sentAt > delayMs) slow.push(request);
+    }
+    return slow;
+  }
+
+  private receiveLate(key: string, peer: string, message: Result, at: number): void {
+    if (message.kind === 'recovered') return;
+    const orphan = this.parts.table.takeOrphan(key, message.attempt, peer);
+    this.parts.outbox.count(orphan ? 'answers-late' : 'answers-unmatched');
+    if (!orphan) return;
+    this.parts.routes.end(orphan.attempt);
+    this.parts.routes.learn(orphan.attempt, orphan.service, message.kind, message.credit, at);
+  }
+
+  private receiveReply(
+    request: PendingRequest,
+    attempt: Attempt,
+    message: Reply,
+    body: Uint8Array | undefined,
+    at: number,
+  ): void {
+    if ((body?.byteLength ?? 0) !== message.bodyLength) {
+      this.parts.outbox.count('answers-cut-short');
+      return this.receiveFailed(request, attempt, 'answer cut short', at);
+    }
+    this.parts.hedges.addSample(request.service, at - attempt.sentAt);
+    const {status, headers} = message;
+    this.parts.conclusions.answer(request, status, headers, body ?? new Uint8Array(), at);
+  }
+
+  private receiveNotRun(
+    request: PendingRequest,
+    attempt: Attempt,
+    reason: NotRunReason,
+    at: number,
+  ): void {
+    const {outbox, conclusions} = this.parts;
+    outbox.record({
+      id: request.key,
+      step: 'rejected',
+      peer: attempt.peer,
+      attempt: attempt.number,
+      detail: reason,
+    });
+    request.avoided.add(attempt.peer);
+    request.lastReason = reason;
+    if (request.attempts.size > 0 || attempt.replaced) return;
+    if (reason === 'deadline' || request.deadline <= at)
+      return conclusions.notRun(request, 'deadline', at);
+    if (!retriableReasons.has(reason) || !this.retry(request, reason === 'draining', at))
+      conclusions.notRun(request, reason, at);
+  }
+
+  private receiveFailed(
+    request: PendingRequest,
+    attempt: Attempt,
+    detail: string,
+    at: number,
+  ): void {
+    request.mayHaveRun = true;
+    request.avoided.add(attempt.peer);
+    if (request.attempts.size > 0 || attempt.replaced) return;
+    if (!request.idempotent || !this.retry(request, false, at))
+      this.parts.conclusions.unknown(request, detail, at);
+  }
+
+  private receiveRecovered(
+    request: PendingRequest,
+    attempt: Attempt,
+    message: Recovered,
+    at: number,
+  ): void {
+    if (attempt.state !== 'lost') return;
+    if (message.state === 'absent') {
+      this.end(request, attempt, undefined, 0, at);
+      return this.receiveNotRun(request, attempt, 'refused-id', at);
+    }
+    attempt.state = 'sent';
+  }
+
+  /** An idempotent request goes elsewhere at once; any other waits for the recovery query. */
+  private lose(request: PendingRequest, attempt: Attempt, at: number): void {
+    attempt.state = 'lost';
+    attempt.lostAt = at;
+    this.lost.add(request);
+    const {key} = request;
+    this.parts.outbox.record({id: key, step: 'lost', peer: attempt.peer, attempt: attempt.number});
+    request.avoided.add(attempt.peer);
+    const alone = [...request.attempts.values()].every(other => other.state === 'lost');
+    if (!request.idempotent || !alone || !request.taken) return;
+    if (this.retry(request, false, at)) attempt.replaced = true;
+  }
+
+  private giveUp(request: PendingRequest, attempt: Attempt, detail: string, at: number): void {
+    this.end(request, attempt, undefined, 0, at);
+    this.receiveFailed(request, attempt, detail, at);
+  }
+
+  /** Queues a request again; returns false when it may not be retried. */
+  private retry(request: PendingRequest, free: boolean, at: number): boolean {
+    const {queue, routes, budget, outbox} = this.parts;
+    const {service, deadline, body} = request;
+    const mayForward = request.client.kind === 'caller';
+    if (request.nextAttempt > maxAttempts || deadline <= at) return false;
+    if (!routes.isServed(service, mayForward)) return false;
+    if (!free && !budget.spend()) {
+      outbox.count('retries-over-budget');
+      return false;
+    }
+    if (!queue.push(service, request, at, deadline, body.byteLength)) return false;
+    if (request.taken) {
+      request.taken = false;
+      queue.release(service);
+    }
+    outbox.count('retries');
+    return true;
+  }
+
+  private end(
+    request: PendingRequest,
+    attempt: Attempt,
+    result: 'reply' | 'rejected' | 'failed' | undefined,
+    credit: number,
+    at: number,
+  ): void {
+    request.attempts.delete(attempt.number);
+    this.parts.routes.end(attempt);
+    if (result) this.parts.routes.learn(attempt, request.service, result, credit, at);
+  }
+
+  private hold(request: PendingRequest, attempt: Attempt, message: Rejected, at: number): void {
+    if (message.holdMs <= 0) return;
+    const until = at + message.holdMs;
+    const host = this.parts.routes.hosts.getHost(attempt.peer);
+    if (host) host.heldUntil = until;
+    this.parts.routes.peers.getPeer(attempt.peer)?.heldUntil.set(request.service, until);
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/requests/conclusions.ts
@@ -0,0 +1,244 @@
+import type {FairQueue} from '../admission/fair-queue.js';
+import type {Failed, Forward, Headers, NotRunReason, Recover, Rejected} from '../messages/data.js';
+import {getRequestKey} from '../messages/identity.js';
+import type {EntryRequestsEffect, Outcome} from './entry-events.js';
+import type {EntryRoutes} from '../routing/entry-routes.js';
+import type {KeptAnswer, KeptAnswers} from './kept-answers.js';
+import type {Outbox} from './outbox.js';
+import type {PendingRequest} from './pending-request.js';
+import type {RequestTable} from './request-table.js';
+
+const empty = new Uint8Array();
+/** Time for which a first entry keeps a class back after this entry shed one of its requests. */
+const shedHoldMs = 20;
+
+/** Status that tells a caller why its request did not run. */
+export function getNotRunStatus(reason: NotRunReason): number {
+  if (reason === 'deadline') return 504;
+  if (reason === 'too-large') return 413;
+  if (reason === 'bad-request') return 400;
+  return 503;
+}
+
+/** What `Conclusions` works on. */
+export interface ConclusionParts {
+  readonly outbox: Outbox<EntryRequestsEffect>;
+  readonly table: RequestTable;
+  readonly queue: FairQueue<PendingRequest>;
+  readonly routes: EntryRoutes;
+  readonly kept: KeptAnswers;
+}
+
+/** Ends requests: exactly one outcome to the caller or to the first entry. */
+export class Conclusions {
+  constructor(private readonly parts: ConclusionParts) {}
+
+  /** Ends a request with the whole answer of a backend server. */
+  answer(
+    request: PendingRequest,
+    status: number,
+    headers: Headers,
+    body: Uint8Array,
+    at: number,
+  ): void {
+    const {client, key} = request;
+    if (client.kind === 'caller') {
+      this.tellCaller(request, 'answered', status, headers, body, undefined, at);
+    } else {
+      this.parts.kept.keep(key, {kind: 'answer', status, headers, body}, at);
+      this.sendReply(request, status, headers, body);
+    }
+    this.close(request, at);
+  }
+
+  /** Ends a request that was proven not to have run; an earlier attempt in doubt makes it unknown. */
+  notRun(request: PendingRequest, reason: NotRunReason, at: number): void {
+    if (request.mayHaveRun || request.attempts.size > 0) return this.unknown(request, reason, at);
+    const {client} = request;
+    if (client.kind === 'caller') {
+      const status = getNotRunStatus(reason);
+      const headers: Headers = status === 503 ? [['retry-after', '1']] : [];
+      this.tellCaller(request, 'not-run', status, headers, empty, reason, at);
+    } else {
+      const holdMs = reason === 'shed' ? shedHoldMs : 0;
+      const {attempt} = client;
+      const credit = this.getCredit();
+      const message: Rejected = {kind: 'rejected', id: request.id, attempt, reason, holdMs, credit};
+      this.parts.outbox.add({kind: 'send', peer: client.peer, message});
+    }
+    this.parts.outbox.count(`requests-not-run-${reason}`);
+    this.close(request, at);
+  }
+
+  /** Ends a request whose fate cannot be told. */
+  unknown(request: PendingRequest, detail: string, at: number): void {
+    const {client} = request;
+    if (client.kind === 'caller') {
+      this.tellCaller(request, 'unknown', 502, [], empty, undefined, at);
+    } else {
+      this.parts.kept.keep(request.key, {kind: 'failed', detail}, at);
+      const {attempt} = client;
+      const credit = this.getCredit();
+      const message: Failed = {kind: 'failed', id: request.id, attempt, detail, credit};
+      this.parts.outbox.add({kind: 'send', peer: client.peer, message});
+    }
+    this.close(request, at);
+  }
+
+  /** Ends a request whose deadline has passed. */
+  expire(request: PendingRequest, at: number): void {
+    if (request.attempts.size > 0 || request.mayHaveRun)
+      this.unknown(request, 'deadline passed', at);
+    else this.notRun(request, 'deadline', at);
+  }
+
+  /** Ends a request whose caller has gone; nobody is told. */
+  abandon(request: PendingRequest, at: number): void {
+    this.parts.outbox.count('requests-abandoned');
+    this.parts.outbox.record({id: request.key, step: 'abandoned'});
+    const {client} = request;
+    if (client.kind === 'entry') {
+      // Without attempts it is proven not run, and stays so: a copy that arrives late is refused.
+      if (request.attempts.size === 0 && !request.mayHaveRun)
+        this.parts.kept.refuse(request.key, client.peer, client.attempt, at);
+      else this.parts.kept.keep(request.key, {kind: 'failed', detail: 'cancelled'}, at);
+    }
+    this.close(request, at);
+  }
+
+  /** Answers a forward that was received before. Returns false when the request is new. */
+  answerDuplicate(peer: string, message: Forward, key: string): boolean {
+    const {id, attempt} = message;
+    if (this.parts.kept.isRefused(key, peer, attempt)) {
+      const credit = this.getCredit();
+      const refused: Rejected = {
+        kind: 'rejected',
+        id,
+        attempt,
+        reason: 'refused-id',
+        holdMs: 0,
+        credit,
+      };
+      this.parts.outbox.add({kind: 'send', peer, message: refused});
+      return true;
+    }
+    const pending = this.parts.table.getRequest(key);
+    if (pending) {
+      this.parts.outbox.count('forwards-duplicate');
+      if (pending.client.kind !== 'entry') return true;
+      pending.client.peer = peer;
+      pending.client.attempt = attempt;
+      return true;
+    }
+    const kept = this.parts.kept.getAnswer(key);
+    if (!kept || (kept.kind === 'failed' && message.idempotent)) return false;
+    this.parts.outbox.count('forwards-duplicate');
+    this.sendKept(peer, message, kept);
+    return true;
+  }
+
+  /** Answers a recovery query about a forwarded request. */
+  recover(peer: string, message: Recover, at: number): void {
+    const {id, attempt} = message;
+    const key = getRequestKey(id);
+    const pending = this.parts.table.getRequest(key);
+    const kept = this.parts.kept.getAnswer(key);
+    const state = pending ? 'running' : kept ? 'finished' : 'absent';
+    this.parts.outbox.add({
+      kind: 'send',
+      peer,
+      message: {kind: 'recovered', id, attempt, state},
+    });
+    if (pending?.client.kind === 'entry') {
+      pending.client.peer = peer;
+      pending.client.attempt = attempt;
+    }
+    if (state === 'finished') this.sendKept(peer, message, kept!);
+    if (state === 'absent') this.parts.kept.refuse(key, peer, attempt, at);
+  }
+
+  private tellCaller(
+    request: PendingRequest,
+    outcome: Outcome,
+    status: number,
+    headers: Headers,
+    body: Uint8Array,
+    reason: NotRunReason | undefined,
+    at: number,
+  ): void {
+    const {client, key} = request;
+    if (client.kind !== 'caller') return;
+    const {outbox} = this.parts;
+    const {caller} = client;
+    outbox.add({
+      kind: 'answer',
+      caller,
+      outcome,
+      status,
+      headers,
+      body,
+      ...(reason && {reason}),
+    });
+    outbox.count(`requests-${outcome}`);
+    if (outcome === 'answered') outbox.observe('request', at - request.receivedAt);
+    outbox.record({id: key, step: outcome, ...(reason && {detail: reason})});
+  }
+
+  private sendReply(
+    request: PendingRequest,
+    status: number,
+    headers: Headers,
+    body: Uint8Array,
+  ): void {
+    const {client, id} = request;
+    if (client.kind !== 'entry') return;
+    const {peer, attempt} = client;
+    const bodyLength = body.byteLength;
+    const credit = this.getCredit();
+    this.parts.outbox.add({
+      kind: 'send',
+      peer,
+      message: {kind: 'reply', id, attempt, status, headers, bodyLength, credit},
+      ...(bodyLength > 0 && {body}),
+    });
+  }
+
+  private sendKept(peer: string, to: Forward | Recover, kept: KeptAnswer): void {
+    const {id, attempt} = to;
+    const credit = this.getCredit();
+    if (kept.kind === 'failed') {
+      const {detail} = kept;
+      const message: Failed = {kind: 'failed', id, attempt, detail, credit};
+      this.parts.outbox.add({kind: 'send', peer, message});
+      return;
+    }
+    const {status, headers, body} = kept;
+    const bodyLength = body.byteLength;
+    this.parts.outbox.add({
+      kind: 'send',
+      peer,
+      message: {kind: 'reply', id, attempt, status, headers, bodyLength, credit},
+      ...(bodyLength > 0 && {body}),
+    });
+  }
+
+  private getCredit(): number {
+    return this.parts.routes.getCreditForPeer(this.parts.queue.getSize());
+  }
+
+  private close(request: PendingRequest, at: number): void {
+    if (request.taken) {
+      request.taken = false;
+      this.parts.queue.release(request.service);
+    } else {
+      this.parts.queue.remove(request);
+    }
+    for (const attempt of request.attempts.values()) {
+      if (attempt.state !== 'sent') continue;
+      const {peer, number} = attempt;
+      const message = {kind: 'cancel', id: request.id, attempt: number} as const;
+      this.parts.outbox.add({kind: 'send', peer, message});
+    }
+    this.parts.table.remove(request, at);
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/requests/entry-requests.ts
@@ -0,0 +1,380 @@
+import {FairQueue} from '../admission/fair-queue.js';
+import {RetryBudget} from '../admission/retry-budget.js';
+import {applyShares} from '../admission/shares.js';
+import type {Configuration} from '../configuration/document.js';
+import type {Announce, Hello} from '../messages/control.js';
+import type {Dispatch, Forward, NotRunReason} from '../messages/data.js';
+import {getRequestKey} from '../messages/identity.js';
+import type {Reducer} from '../reducer.js';
+import {HedgePolicy} from '../routing/hedge-policy.js';
+import {AttemptResults} from './attempt-results.js';
+import {Conclusions} from './conclusions.js';
+import type {
+  CallerRequest,
+  EntryRequestsEffect,
+  EntryRequestsEvent,
+  PeerMessage,
+} from './entry-events.js';
+import {EntryRoutes, type Target} from '../routing/entry-routes.js';
+import {KeptAnswers} from './kept-answers.js';
+import {Outbox} from './outbox.js';
+import {isIdempotent, type Attempt, type PendingRequest} from './pending-request.js';
+import {RequestTable} from './request-table.js';
+
+/** Options of `EntryRequests`. */
+export interface EntryRequestsOptions {
+  /** Incarnation of this process; the origin of the ids that it assigns. */
+  readonly incarnation: number;
+  readonly dataCentre: string;
+  readonly region: string;
+  /** Seed of the choice between hosts. */
+  readonly seed: number;
+  /** Time after `drain` in which late arrivals are still served. */
+  readonly settleMs: number;
+  readonly maxTimeoutMs: number;
+  readonly maxRequestBytes: number;
+  /** Time without a connection to the target after which a lost attempt counts as unknown. */
+  readonly recoverMs: number;
+}
+
+/** Values of the options that a caller need not give. */
+export const entryRequestsDefaults = {
+  seed: 1,
+  settleMs: 2000,
+  maxTimeoutMs: 60_000,
+  maxRequestBytes: 1024 * 1024,
+  recoverMs: 5000,
+};
+
+/** Options of `EntryRequests` with defaults for all but the identity of the process. */
+export type EntryRequestsSettings = Pick<
+  EntryRequestsOptions,
+  'incarnation' | 'dataCentre' | 'region'
+> &
+  Partial<EntryRequestsOptions>;
+
+const shareRefreshMs = 200;
+const summaryEveryMs = 1000;
+
+/** Life of a request at an entry, from its arrival to exactly one outcome. */
+export class EntryRequests implements Reducer<EntryRequestsEvent, EntryRequestsEffect> {
+  private readonly options: EntryRequestsOptions;
+  private readonly outbox = new Outbox<EntryRequestsEffect>();
+  private readonly routes: EntryRoutes;
+  private readonly table = new RequestTable();
+  private readonly queue = new FairQueue<PendingRequest>();
+  private readonly budget = new RetryBudget();
+  private readonly hedges = new HedgePolicy();
+  private readonly kept = new KeptAnswers();
+  private readonly conclusions: Conclusions;
+  private readonly results: AttemptResults;
+  private configuration?: Configuration;
+  private sequence = 0;
+  private drainedAt?: number;
+  private drainReported = false;
+  private sharesAt = -Infinity;
+  private summaryAt = -Infinity;
+
+  constructor(settings: EntryRequestsSettings) {
+    this.options = {...entryRequestsDefaults, ...settings};
+    const {dataCentre, region, seed} = this.options;
+    this.routes = new EntryRoutes(dataCentre, region, seed);
+    const {outbox, table, queue, routes, kept} = this;
+    this.conclusions = new Conclusions({outbox, table, queue, routes, kept});
+    this.results = new AttemptResults({
+      outbox,
+      table,
+      queue,
+      routes,
+      conclusions: this.conclusions,
+      budget: this.budget,
+      hedges: this.hedges,
+      recoverMs: this.options.recoverMs,
+    });
+  }
+
+  /** Applies an event. */
+  reduce(event: EntryRequestsEvent, at: number): readonly EntryRequestsEffect[] {
+    this.apply(event, at);
+    this.pump(at);
+    this.reportDrained(at);
+    return this.outbox.take();
+  }
+
+  private apply(event: EntryRequestsEvent, at: number): void {
+    switch (event.kind) {
+      case 'caller-request':
+        return this.receive(event, at);
+      case 'caller-gone':
+        return this.dropCaller(event.caller, at);
+      case 'message':
+        return this.receiveMessage(event, at);
+      case 'peer-up':
+        return this.connect(event.peer, event.hello, at);
+      case 'peer-down':
+        return this.disconnect(event.peer, at);
+      case 'announce':
+        return this.announce(event.peer, event.message, at);
+      case 'heartbeat': {
+        this.routes.hosts.hear(event.peer, at);
+        const host = this.routes.hosts.getHost(event.peer);
+        if (!host) return;
+        host.reportedInFlight = event.message.inFlight;
+        host.sentSinceReport = 0;
+        return;
+      }
+      case 'summary': {
+        const peer = this.routes.peers.getPeer(event.peer);
+        if (peer) peer.summary = event.message;
+        return;
+      }
+      case 'configuration':
+        this.configuration = event.configuration;
+        this.routes.hosts.setDrains(event.configuration.drains);
+        return this.refreshShares(at);
+      case 'drain':
+        this.drainedAt ??= at;
+        return this.sendSummary(at);
+      case 'tick':
+        return this.tick(at);
+    }
+  }
+
+  private receive(event: CallerRequest, at: number): void {
+    const id = {origin: this.options.incarnation, sequence: ++this.sequence};
+    const workload = this.configuration?.workloads.get(event.service);
+    const request: PendingRequest = {
+      ...event,
+      id,
+      key: getRequestKey(id),
+      client: {kind: 'caller', caller: event.caller},
+      class: {
+        team: workload?.team ?? '',
+        kind: workload?.kind ?? 'service',
+        urgency: workload?.urgency ?? 'background',
+      },
+      idempotent: isIdempotent(event.method, event.idempotent, workload?.idempotentMethods),
+      receivedAt: at,
+      deadline: at + Math.max(0, Math.min(event.timeoutMs, this.options.maxTimeoutMs)),
+      attempts: new Map(),
+      nextAttempt: 1,
+      mayHaveRun: false,
+      avoided: new Set(),
+      hedged: false,
+      taken: false,
+    };
+    this.admit(request, at);
+  }
+
+  private admit(request: PendingRequest, at: number): void {
+    this.table.add(request);
+    this.outbox.count('requests-received');
+    const refusal = this.getRefusal(request, at);
+    if (refusal) return this.conclusions.notRun(request, refusal, at);
+    this.budget.earn();
+    this.hedges.earn();
+    const {service, body, deadline} = request;
+    if (!this.queue.push(service, request, at, deadline, body.byteLength))
+      this.conclusions.notRun(request, 'shed', at);
+  }
+
+  private getRefusal(request: PendingRequest, at: number): NotRunReason | undefined {
+    const {settleMs, maxRequestBytes} = this.options;
+    if (this.drainedAt !== undefined && at - this.drainedAt > settleMs) return 'draining';
+    if (request.body.byteLength > maxRequestBytes) return 'too-large';
+    if (!this.configuration) return 'configuration-unknown';
+    if (request.deadline <= at) return 'deadline';
+    if (!this.configuration.workloads.has(request.service)) return 'no-backend';
+    if (!this.routes.isServed(request.service, request.client.kind === 'caller'))
+      return 'no-backend';
+    return undefined;
+  }
+
+  private dropCaller(caller: number, at: number): void {
+    const request = this.table.getByCaller(caller);
+    if (request) this.conclusions.abandon(request, at);
+  }
+
+  private receiveMessage(event: PeerMessage, at: number): void {
+    const {peer, message, body} = event;
+    switch (message.kind) {
+      case 'forward':
+        return this.receiveForward(peer, message, body, at);
+      case 'cancel': {
+        const request = this.table.getRequest(getRequestKey(message.id));
+        if (request?.client.kind !== 'entry' || request.client.peer !== peer) return;
+        if (request.client.attempt === message.attempt) this.conclusions.abandon(request, at);
+        return;
+      }
+      case 'recover':
+        return this.conclusions.recover(peer, message, at);
+      case 'reply':
+      case 'rejected':
+      case 'failed':
+      case 'recovered':
+        return this.results.receive(peer, message, body, at);
+      default:
+        this.outbox.count('messages-refused');
+    }
+  }
+
+  /** Takes a request over from its first entry; it is not forwarded again. */
+  private receiveForward(
+    peer: string,
+    message: Forward,
+    body: Uint8Array | undefined,
+    at: number,
+  ): void {
+    const key = getRequestKey(message.id);
+    if (this.conclusions.answerDuplicate(peer, message, key)) return;
+    const whole = (body?.byteLength ?? 0) === message.bodyLength;
+    const request: PendingRequest = {
+      ...message,
+      key,
+      client: {kind: 'entry', peer, attempt: message.attempt},
+      body: body ?? new Uint8Array(),
+      receivedAt: at,
+      deadline: at + message.remainingMs,
+      attempts: new Map(),
+      nextAttempt: 1,
+      mayHaveRun: false,
+      avoided: new Set(),
+      hedged: false,
+      taken: false,
+    };
+    if (whole) return this.admit(request, at);
+    this.table.add(request);
+    this.conclusions.notRun(request, 'bad-request', at);
+  }
+
+  private connect(peer: string, hello: Hello, at: number): void {
+    const before =
+      hello.role === 'agent'
+        ? this.routes.hosts.getHost(peer)?.hello.incarnation
+        : this.routes.peers.getPeer(peer)?.hello.incarnation;
+    if (hello.role === 'agent') {
+      this.routes.hosts.connect(peer, hello, at);
+    } else {
+      this.routes.peers.connect(peer, hello);
+      this.routes.forgetSummary();
+      this.sendSummary(at);
+    }
+    this.results.recoverAfterConnect(peer, hello.incarnation, at);
+    if (before !== hello.incarnation) this.refreshShares(at);
+  }
+
+  private disconnect(peer: string, at: number): void {
+    this.routes.hosts.disconnect(peer);
+    this.routes.peers.disconnect(peer);
+    this.results.loseConnection(peer, at);
+  }
+
+  private announce(peer: string, message: Announce, at: number): void {
+    const host = this.routes.hosts.getHost(peer);
+    if (!host) return;
+    const before = host.announce?.slots;
+    host.announce = message;
+    this.routes.hosts.hear(peer, at);
+    if (before !== message.slots) this.refreshShares(at);
+  }
+
+  private tick(at: number): void {
+    for (const request of this.table.getDue(at)) this.conclusions.expire(request, at);
+    for (const request of this.queue.shed(at)) this.conclusions.notRun(request, 'shed', at);
+    for (const host of this.routes.hosts.check(at)) {
+      this.outbox.count('hosts-suspected');
+      this.results.suspect(host.peer, at);
+    }
+    this.results.tick(at);
+    this.hedge(at);
+    this.kept.trim(at);
+    if (at - this.sharesAt >= shareRefreshMs) this.refreshShares(at);
+    if (at - this.summaryAt >= summaryEveryMs) this.sendSummary(at);
+  }
+
+  private refreshShares(at: number): void {
+    if (!this.configuration) return;
+    this.sharesAt = at;
+    const {available, slots} = this.routes.getCapacity();
+    applyShares(this.queue, this.configuration, available, slots);
+  }
+
+  private sendSummary(at: number): void {
+    this.summaryAt = at;
+    const summary = this.routes.getChangedSummary();
+    if (!summary) return;
+    // A draining entry offers nothing, so that the others stop forwarding to it.
+    const services = this.drainedAt === undefined ? summary.services : [];
+    this.outbox.add({kind: 'summary', message: {...summary, services}});
+  }
+
+  private pump(at: number): void {
+    for (;;) {
+      const taken = this.queue.take(at, request =>
+        request.deadline <= at ? undefined : this.route(request, at),
+      );
+      if (!taken) return;
+      taken.item.taken = true;
+      this.outbox.observe('queue-wait', at - taken.item.receivedAt);
+      this.send(taken.item, taken.target, at);
+    }
+  }
+
+  private route(request: PendingRequest, at: number): Target | undefined {
+    const mayForward = request.client.kind === 'caller';
+    return this.routes.choose(request.service, at, mayForward, request.avoided);
+  }
+
+  private send(request: PendingRequest, target: Target, at: number): void {
+    this.routes.begin(target);
+    const {peer, hello, outstanding} = this.routes.getTargetState(target);
+    const attempt: Attempt = {
+      number: request.nextAttempt++,
+      peer,
+      incarnation: hello.incarnation,
+      via: target.via,
+      sentAt: at,
+      inFlightWhenSent: outstanding,
+      state: 'sent',
+      lostAt: 0,
+      replaced: false,
+    };
+    request.attempts.set(attempt.number, attempt);
+    const message: Dispatch | Forward = {
+      kind: target.via,
+      id: request.id,
+      attempt: attempt.number,
+      service: request.service,
+      class: request.class,
+      idempotent: request.idempotent,
+      remainingMs: Math.max(1, request.deadline - at - this.routes.getHalfTripMs(attempt)),
+      method: request.method,
+      path: request.path,
+      headers: request.headers,
+      bodyLength: request.body.byteLength,
+    };
+    const {body} = request;
+    this.outbox.add({kind: 'send', peer, message, ...(body.byteLength > 0 && {body})});
+    this.outbox.count('attempts-sent');
+    this.outbox.record({id: request.key, step: target.via, peer, attempt: attempt.number});
+  }
+
+  /** Sends a second copy of idempotent requests that are slow, within the hedge budget. */
+  private hedge(at: number): void {
+    for (const request of this.results.getHedgeable(at)) {
+      const first = [...request.attempts.values()][0]!;
+      const target = this.routes.choose(request.service, at, false, new Set([first.peer]));
+      if (!target || !this.hedges.spend()) continue;
+      request.hedged = true;
+      this.outbox.count('requests-hedged');
+      this.send(request, target, at);
+    }
+  }
+
+  private reportDrained(at: number): void {
+    if (this.drainedAt === undefined || this.drainReported) return;
+    if (at - this.drainedAt <= this.options.settleMs || this.table.getSize() > 0) return;
+    this.drainReported = true;
+    this.outbox.add({kind: 'drained'});
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/requests/index.ts
@@ -0,0 +1,6 @@
+export * from './agent-events.js';
+export * from './agent-exchanges.js';
+export * from './entry-events.js';
+export * from './entry-requests.js';
+export * from './kept-answers.js';
+export * from './pending-request.js';
--- /dev/null
+++ b/packages/coordination/src/routing/entry-routes.ts
@@ -0,0 +1,193 @@
+import {HostView, type Host} from '../membership/host-view.js';
+import {PeerView, type PeerEntry} from '../membership/peer-view.js';
+import type {Hello, Summary} from '../messages/control.js';
+import {HostChoice, getAllowed} from './host-choice.js';
+import {SeededRandom} from './seeded-random.js';
+import type {Attempt} from '../requests/pending-request.js';
+
+/** Bound on the estimated one-way time, because the least latency also holds the service time. */
+const maxHalfTripMs = 40;
+
+/** Where an attempt is sent. */
+export type Target =
+  | {readonly via: 'dispatch'; readonly host: Host}
+  | {readonly via: 'forward'; readonly peer: PeerEntry};
+
+/** Hosts and entries that an entry can send to, and the choice between them. */
+export class EntryRoutes {
+  readonly hosts = new HostView();
+  readonly peers = new PeerView();
+  private readonly random: SeededRandom;
+  private readonly choice: HostChoice;
+  private lastSummary = '';
+
+  constructor(
+    private readonly dataCentre: string,
+    private readonly region: string,
+    seed: number,
+  ) {
+    this.random = new SeededRandom(seed);
+    this.choice = new HostChoice(this.hosts, this.random, dataCentre);
+  }
+
+  /** Whether anything could serve a request of a service, whatever its load. */
+  isServed(service: string, mayForward: boolean): boolean {
+    if (this.choice.isServed(service)) return true;
+    return mayForward && this.getPeersOf(service).length > 0;
+  }
+
+  /** Chooses a target with room: a connected host, or an entry elsewhere if there is no host at all. */
+  choose(
+    service: string,
+    at: number,
+    mayForward: boolean,
+    avoided: ReadonlySet<string>,
+  ): Target | undefined {
+    const host = this.choice.choose(service, at, avoided);
+    if (host) return {via: 'dispatch', host};
+    if (!mayForward || this.choice.isServed(service)) return undefined;
+    const open = this.getPeersOf(service).filter(
+      peer =>
+        peer.outstanding < peer.window &&
+        (peer.heldUntil.get(service) ?? 0) <= at &&
+        !avoided.has(peer.peer),
+    );
+    const peer = this.pickPeer(open);
+    return peer && {via: 'forward', peer};
+  }
+
+  /** Counts an attempt at its target. */
+  begin(target: Target): void {
+    if (target.via === 'forward') {
+      target.peer.outstanding += 1;
+      return;
+    }
+    target.host.outstanding += 1;
+    target.host.sentSinceReport += 1;
+  }
+
+  /** Ends an attempt at its target. */
+  end(attempt: Attempt): void {
+    if (attempt.via === 'forward') {
+      const peer = this.peers.getPeer(attempt.peer);
+      if (peer && peer.hello.incarnation === attempt.incarnation) peer.outstanding -= 1;
+      return;
+    }
+    const host = this.hosts.getHost(attempt.peer);
+    if (host && host.hello.incarnation === attempt.incarnation) host.outstanding -= 1;
+  }
+
+  /** Learns from the answer to an attempt that was ended before. */
+  learn(
+    attempt: Attempt,
+    service: string,
+    result: 'reply' | 'rejected' | 'failed',
+    credit: number,
+    at: number,
+  ): void {
+    const latencyMs = at - attempt.sentAt;
+    const peer = this.peers.getPeer(attempt.peer);
+    if (attempt.via === 'forward') {
+      if (!peer) return;
+      this.peers.adapt(peer, credit, latencyMs, at);
+      peer.minimumLatencyMs = Math.min(peer.minimumLatencyMs ?? Infinity, latencyMs);
+      return;
+    }
+    const host = this.hosts.getHost(attempt.peer);
+    if (!host) return;
+    host.window = Math.max(1, host.outstanding + credit);
+    host.heardAt = at;
+    if (result === 'rejected') host.limit.addDrop();
+    if (result === 'failed') host.failures += 1;
+    if (result !== 'reply') return;
+    host.failures = 0;
+    host.limit.addSample(service, latencyMs, attempt.inFlightWhenSent);
+    host.latencyMs += (latencyMs - host.latencyMs) * (host.latencyMs === 0 ? 1 : 0.1);
+  }
+
+  /** Incarnation and load of the target of an attempt. */
+  getTargetState(target: Target): {peer: string; hello: Hello; outstanding: number} {
+    return target.via === 'forward' ? target.peer : target.host;
+  }
+
+  /** Estimated one-way time to the target of an attempt, by which its deadline is shortened. */
+  getHalfTripMs(attempt: Attempt): number {
+    if (attempt.via === 'dispatch') {
+      const host = this.hosts.getHost(attempt.peer);
+      return host && host.latencyMs > 0 ? Math.min(2, host.latencyMs / 2) : 1;
+    }
+    const peer = this.peers.getPeer(attempt.peer);
+    return Math.min(maxHalfTripMs, (peer?.minimumLatencyMs ?? maxHalfTripMs) / 2);
+  }
+
+  /** Requests that this entry may have in flight, and the slots of the hosts behind it. */
+  getCapacity(): {available: number; slots: number} {
+    const slots = this.hosts.getSlots();
+    if (slots > 0) {
+      const entries = 1 + this.peers.countConnected(this.region);
+      return {available: slots / entries, slots};
+    }
+    let remoteSlots = 0;
+    let window = 0;
+    for (const peer of this.peers.getPeers()) {
+      if (!peer.connected || peer.hello.region === this.region) continue;
+      window += peer.window;
+      for (const s of peer.summary?.services ?? []) remoteSlots = Math.max(remoteSlots, s.slots);
+    }
+    return {available: window, slots: remoteSlots};
+  }
+
+  /** Room for another forward from another entry, given the number of requests that are queued here. */
+  getCreditForPeer(queued: number): number {
+    const slots = this.hosts.getSlots();
+    const sharers = Math.max(1, this.peers.countConnected(this.region) + 1);
+    return Math.max(0, Math.min(64, Math.ceil((slots / sharers - queued) / 2)));
+  }
+
+  /** Summary of the connected hosts if it differs from the last one. */
+  getChangedSummary(): Summary | undefined {
+    const services = new Map<string, {hosts: number; slots: number; free: number}>();
+    for (const host of this.hosts.getHosts()) {
+      for (const service of host.announce?.services ?? []) {
+        if (!this.hosts.isUsable(host, service)) continue;
+        const sum = services.get(service) ?? {hosts: 0, slots: 0, free: 0};
+        sum.hosts += 1;
+        sum.slots += host.announce!.slots;
+        sum.free += Math.max(0, getAllowed(host) - host.outstanding);
+        services.set(service, sum);
+      }
+    }
+    // The free slots change with every request; in eighths of the slots they cost little on the link.
+    const list = [...services].map(([service, sum]) => {
+      const step = Math.max(1, sum.slots / 8);
+      return {service, ...sum, free: Math.floor(Math.floor(sum.free / step) * step)};
+    });
+    const summary: Summary = {kind: 'summary', dataCentre: this.dataCentre, services: list};
+    const text = JSON.stringify(summary);
+    if (text === this.lastSummary) return undefined;
+    this.lastSummary = text;
+    return summary;
+  }
+
+  /** Makes the next summary be sent even when nothing changed, for a new peer. */
+  forgetSummary(): void {
+    this.lastSummary = '';
+  }
+
+  private getPeersOf(service: string): PeerEntry[] {
+    const near: PeerEntry[] = [];
+    const far: PeerEntry[] = [];
+    for (const peer of this.peers.getPeers()) {
+      if (!this.peers.hasService(peer, service)) continue;
+      (peer.hello.region === this.region ? near : far).push(peer);
+    }
+    return near.length > 0 ? near : far;
+  }
+
+  private pickPeer(peers: readonly PeerEntry[]): PeerEntry | undefined {
+    if (peers.length < 2) return peers[0];
+    const a = peers[this.random.nextInteger(peers.length)]!;
+    const b = peers[this.random.nextInteger(peers.length)]!;
+    return a.outstanding / a.window <= b.outstanding / b.window ? a : b;
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/routing/hedge-policy.ts
@@ -0,0 +1,36 @@
+import {RetryBudget} from '../admission/retry-budget.js';
+
+/** Decides when a second copy of a slow idempotent request may be sent. */
+export class HedgePolicy {
+  private readonly budget = new RetryBudget({ratio: 0.05, burst: 5});
+  private readonly quantiles = new Map<string, {p95Ms: number; samples: number}>();
+
+  /** Counts a first attempt. */
+  earn(): void {
+    this.budget.earn();
+  }
+
+  /** Adds the latency of an answered attempt of a service. */
+  addSample(service: string, latencyMs: number): void {
+    const known = this.quantiles.get(service);
+    if (!known) {
+      this.quantiles.set(service, {p95Ms: latencyMs, samples: 1});
+      return;
+    }
+    known.samples += 1;
+    // Stochastic quantile estimate: equilibrium where 5% of the samples lie above.
+    const step = Math.max(known.p95Ms, 0.1) * 0.02;
+    known.p95Ms += latencyMs > known.p95Ms ? step * 19 * 0.5 : -step * 0.5;
+  }
+
+  /** Time after which an attempt of the service counts as slow, or undefined while too little is known. */
+  getDelayMs(service: string): number | undefined {
+    const known = this.quantiles.get(service);
+    return known && known.samples >= 50 ? known.p95Ms : undefined;
+  }
+
+  /** Takes one hedge from the budget and returns whether it is allowed. */
+  spend(): boolean {
+    return this.budget.spend();
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/routing/index.ts
@@ -0,0 +1,4 @@
+export * from './entry-routes.js';
+export * from './hedge-policy.js';
+export * from './host-choice.js';
+export * from './seeded-random.js';
--- /dev/null
+++ b/packages/coordination/test/requests/entry-requests.test.ts
@@ -0,0 +1,284 @@
+import t from 'tap';
+import type {DataMessage, NotRunReason} from '../../src/messages/data.js';
+import type {
+  CallerAnswer,
+  EntryRequestsEffect,
+  EntryRequestsEvent,
+  SendData,
+} from '../../src/requests/entry-events.js';
+import {announce, callerRequest, entryWithHosts, hello} from './support.js';
+
+type Step = (sent: readonly SendData[]) => EntryRequestsEvent;
+
+const tick: Step = () => ({kind: 'tick'});
+const down: Step = sent => ({kind: 'peer-down', peer: sent[0]!.peer});
+const up =
+  (incarnation: number): Step =>
+  sent => ({
+    kind: 'peer-up',
+    peer: sent[0]!.peer,
+    hello: hello('agent', sent[0]!.peer, incarnation),
+  });
+
+/** Answer to the n-th sent attempt, with parts of it replaced. */
+function answer(n: number, change: Partial<DataMessage> & {peer?: string} = {}): Step {
+  return sent => {
+    const {id, attempt} = sent[n]!.message;
+    const {peer = sent[n]!.peer, ...rest} = change;
+    const reply = {kind: 'reply', status: 200, headers: [], bodyLength: 0, credit: 1};
+    return {kind: 'message', peer, message: {...reply, id, attempt, ...rest} as DataMessage};
+  };
+}
+
+const rejected = (n: number, reason: NotRunReason): Step =>
+  answer(n, {kind: 'rejected', reason, holdMs: 0} as Partial<DataMessage>);
+const failed = (n: number): Step =>
+  answer(n, {kind: 'failed', detail: 'cut'} as Partial<DataMessage>);
+const recovered = (n: number, state: 'absent' | 'running'): Step =>
+  answer(n, {kind: 'recovered', state} as Partial<DataMessage>);
+
+interface Case {
+  readonly guards: string;
+  readonly method: string;
+  readonly steps: ReadonlyArray<readonly [number, Step]>;
+  readonly outcomes: readonly string[];
+  readonly dispatches: number;
+}
+
+const cases: Case[] = [
+  {
+    guards: 'a caller gets two answers when the reply is duplicated',
+    method: 'GET',
+    steps: [
+      [1, answer(0)],
+      [2, answer(0)],
+    ],
+    outcomes: ['answered'],
+    dispatches: 1,
+  },
+  {
+    guards: 'the reply to another attempt number is taken for an answer',
+    method: 'GET',
+    steps: [[1, answer(0, {attempt: 9})]],
+    outcomes: [],
+    dispatches: 1,
+  },
+  {
+    guards: 'a reply of a peer that was not asked is taken for an answer',
+    method: 'GET',
+    steps: [[1, answer(0, {peer: 'stranger'})]],
+    outcomes: [],
+    dispatches: 1,
+  },
+  {
+    guards: 'a body cut short is delivered as a whole answer',
+    method: 'POST',
+    steps: [[1, answer(0, {bodyLength: 5} as Partial<DataMessage>)]],
+    outcomes: ['unknown'],
+    dispatches: 1,
+  },
+  {
+    guards: 'a rejected non-idempotent request is not retried although it did not run',
+    method: 'POST',
+    steps: [
+      [1, rejected(0, 'busy')],
+      [2, answer(1)],
+    ],
+    outcomes: ['answered'],
+    dispatches: 2,
+  },
+  {
+    guards: 'a non-idempotent request that may have run is sent again',
+    method: 'POST',
+    steps: [[1, failed(0)]],
+    outcomes: ['unknown'],
+    dispatches: 1,
+  },
+  {
+    guards: 'an idempotent request is given up although it may run twice',
+    method: 'GET',
+    steps: [
+      [1, failed(0)],
+      [2, answer(1)],
+    ],
+    outcomes: ['answered'],
+    dispatches: 2,
+  },
+  {
+    guards: 'a request is called not run although an earlier attempt may have run',
+    method: 'GET',
+    steps: [
+      [1, failed(0)],
+      [2, rejected(1, 'shed')],
+    ],
+    outcomes: ['unknown'],
+    dispatches: 2,
+  },
+  {
+    guards: 'a lost connection leads to a second run of a non-idempotent request',
+    method: 'POST',
+    steps: [
+      [1, down],
+      [2, tick],
+    ],
+    outcomes: [],
+    dispatches: 1,
+  },
+  {
+    guards: 'the recovery answer `absent` is not used to run the request elsewhere',
+    method: 'POST',
+    steps: [
+      [1, down],
+      [2, up(7)],
+      [3, recovered(0, 'absent')],
+      [4, answer(2)],
+    ],
+    outcomes: ['answered'],
+    dispatches: 2,
+  },
+  {
+    guards: 'an answer on the renewed connection is dropped',
+    method: 'POST',
+    steps: [
+      [1, down],
+      [2, up(7)],
+      [3, recovered(0, 'running')],
+      [4, answer(0)],
+    ],
+    outcomes: ['answered'],
+    dispatches: 1,
+  },
+  {
+    guards: 'a restarted agent that knows nothing is taken as proof of not-run',
+    method: 'POST',
+    steps: [
+      [1, down],
+      [2, up(8)],
+    ],
+    outcomes: ['unknown'],
+    dispatches: 1,
+  },
+  {
+    guards: 'a request in doubt never gets an outcome',
+    method: 'POST',
+    steps: [
+      [1, down],
+      [1100, tick],
+    ],
+    outcomes: ['unknown'],
+    dispatches: 1,
+  },
+  {
+    guards: 'a deadline that passes after dispatch is called not run',
+    method: 'GET',
+    steps: [[1001, tick]],
+    outcomes: ['unknown'],
+    dispatches: 1,
+  },
+  {
+    guards: 'an answer after the deadline reaches the caller a second time',
+    method: 'GET',
+    steps: [
+      [1001, tick],
+      [1002, answer(0)],
+    ],
+    outcomes: ['unknown'],
+    dispatches: 1,
+  },
+  {
+    guards: 'a caller who has gone is answered',
+    method: 'GET',
+    steps: [
+      [1, () => ({kind: 'caller-gone', caller: 1})],
+      [2, answer(0)],
+    ],
+    outcomes: [],
+    dispatches: 1,
+  },
+];
+
+function isSend(effect: EntryRequestsEffect): effect is SendData {
+  return effect.kind === 'send' && effect.message.kind !== 'cancel';
+}
+
+function isAnswer(effect: EntryRequestsEffect): effect is CallerAnswer {
+  return effect.kind === 'answer';
+}
+
+void t.test('each request ends in at most one outcome, and a true one', async t => {
+  for (const c of cases) {
+    const entry = entryWithHosts('a', 'b');
+    const effects = [...entry.reduce(callerRequest(1, c.method), 0)];
+    for (const [at, step] of c.steps) {
+      effects.push(...entry.reduce(step(effects.filter(isSend)), at));
+    }
+    const outcomes = effects.filter(isAnswer).map(e => e.outcome);
+    t.same(outcomes, c.outcomes, c.guards);
+    const sent = effects.filter(isSend).filter(e => e.message.kind === 'dispatch');
+    t.equal(sent.length, c.dispatches, `${c.guards}: dispatches`);
+  }
+});
+
+const refusals: ReadonlyArray<{
+  guards: string;
+  before: EntryRequestsEvent[];
+  at: number;
+  bytes: number;
+  status: number;
+}> = [
+  {
+    guards: 'a request for which there is no host waits for its deadline',
+    before: [{kind: 'peer-down', peer: 'a'}],
+    at: 1,
+    bytes: 0,
+    status: 503,
+  },
+  {
+    guards: 'a draining host receives new work',
+    before: [{kind: 'announce', peer: 'a', message: announce('a', true)}],
+    at: 1,
+    bytes: 0,
+    status: 503,
+  },
+  {
+    guards: 'a silent host receives new work',
+    before: [{kind: 'tick'}],
+    at: 4000,
+    bytes: 0,
+    status: 503,
+  },
+  {
+    guards: 'a body beyond the bound is buffered',
+    before: [],
+    at: 1,
+    bytes: 1024 * 1024 + 1,
+    status: 413,
+  },
+];
+
+void t.test('requests that cannot run are refused at once', async t => {
+  for (const c of refusals) {
+    const entry = entryWithHosts('a');
+    for (const event of c.before) entry.reduce(event, c.at);
+    const request = callerRequest(1, 'GET', {body: new Uint8Array(c.bytes)});
+    const answers = entry.reduce(request, c.at).filter(isAnswer);
+    t.same([answers[0]?.outcome, answers[0]?.status], ['not-run', c.status], c.guards);
+  }
+});
+
+void t.test('drain cuts off no request in flight', async t => {
+  const entry = entryWithHosts('a');
+  const sent = entry.reduce(callerRequest(1, 'GET', {timeoutMs: 9000}), 0).filter(isSend);
+  entry.reduce({kind: 'drain'}, 1);
+  const early = entry.reduce({kind: 'tick'}, 5000);
+  t.notOk(
+    early.some(e => e.kind === 'drained'),
+    'the process closes while a request is in flight',
+  );
+  const late = entry.reduce(answer(0)(sent), 5001);
+  t.ok(late.some(isAnswer), 'the answer is lost');
+  t.ok(
+    late.some(e => e.kind === 'drained'),
+    'the process never closes',
+  );
+});
