Add a harness with a virtual clock and the flood experiment

Cause: decisions on requests need figures, and the proofs need the same reducers over a model network.

Change: packages/lab/src/harness connects the real entry and agent reducers over modelled links (30 ms, 20 Mbit/s between regions) with modelled backend servers; packages/lab/src/measure runs experiments with fixed seeds and writes JSON and HTML. The order of the queue became an interface with three baselines.

--- a/packages/coordination/src/admission/fair-queue.ts
+++ b/packages/coordination/src/admission/fair-queue.ts
@@ -1,13 +1,5 @@
-import {urgencies, type Urgency} from '../messages/identity.js';
-
-/** Share and order of a class in a `FairQueue`. */
-export interface QueueClass {
-  readonly urgency: Urgency;
-  /** Requests in flight that the class may always have. */
-  readonly guaranteed: number;
-  /** Weight among classes of the same urgency. */
-  readonly weight: number;
-}
+import {urgencies} from '../messages/identity.js';
+import {GuaranteedOrder, type QueueClass, type QueueOrder} from './queue-order.js';
 
 /** Options of a `FairQueue`. */
 export interface FairQueueOptions {
@@ -16,12 +8,14 @@
   readonly maxItemsPerClass: number;
   /** Bound on the bodies of all queued requests. */
   readonly maxBytes: number;
+  readonly order: QueueOrder;
 }
 
 const defaults: FairQueueOptions = {
   standingMs: 100,
   maxItemsPerClass: 2000,
   maxBytes: 32 * 1024 * 1024,
+  order: new GuaranteedOrder(),
 };
 
 interface Queued<Item> {
@@ -39,6 +33,7 @@
   head: number;
   size: number;
   inFlight: number;
+  oldestAt: number;
   /** Virtual service received, for fairness among equals. */
   virtual: number;
   /** Last time at which the queue was empty or a request left it after a short wait. */
@@ -53,11 +48,7 @@
   readonly target: Target;
 }
 
-/**
- * Queue over classes: those below their guaranteed share first, then by urgency, then fairly by weight.
- * Strict urgency alone starves the rest under a flood of urgent work, and equal shares alone let a flood of
- * background work take the share of urgent work.
- */
+/** Queue over classes, bounded by time, number and bytes. Its order decides which class is served next. */
 export class FairQueue<Item> {
   private readonly options: FairQueueOptions;
   private readonly classes = new Map<string, ClassState<Item>>();
@@ -99,6 +90,7 @@
       head: 0,
       size: 0,
       inFlight: 0,
+      oldestAt: 0,
       virtual: 0,
       shortAt: -Infinity,
       takenPerMs: 0,
@@ -216,7 +208,10 @@
     let best: ClassState<Item> | undefined;
     for (const state of this.classes.values()) {
       if (state.size === 0 || tried.has(state)) continue;
-      if (!best || isBefore(state, best)) best = state;
+      const head = this.getHead(state);
+      if (!head) continue;
+      state.oldestAt = head.since;
+      if (!best || this.options.order.isBefore(state, best)) best = state;
     }
     return best;
   }
@@ -249,12 +244,3 @@
     return state;
   }
 }
-
-function isBefore<Item>(a: ClassState<Item>, b: ClassState<Item>): boolean {
-  const aBelow = a.inFlight < a.share.guaranteed;
-  const bBelow = b.inFlight < b.share.guaranteed;
-  if (aBelow !== bBelow) return aBelow;
-  if (aBelow) return a.inFlight / a.share.guaranteed < b.inFlight / b.share.guaranteed;
-  if (a.level !== b.level) return a.level < b.level;
-  return a.virtual < b.virtual;
-}
--- /dev/null
+++ b/packages/coordination/src/admission/queue-order.ts
@@ -0,0 +1,69 @@
+import type {Urgency} from '../messages/identity.js';
+
+/** Share and order of a class in a `FairQueue`. */
+export interface QueueClass {
+  readonly urgency: Urgency;
+  /** Requests in flight that the class may always have. */
+  readonly guaranteed: number;
+  /** Weight among classes of the same urgency. */
+  readonly weight: number;
+}
+
+/** What an order knows of a class with queued requests. */
+export interface WaitingClass {
+  readonly share: QueueClass;
+  /** Urgency as a number, 0 highest. */
+  readonly level: number;
+  readonly inFlight: number;
+  /** Virtual service received, for fairness among equals. */
+  readonly virtual: number;
+  /** Arrival of the oldest queued request. */
+  readonly oldestAt: number;
+}
+
+/** Decides which class is served next. */
+export interface QueueOrder {
+  /** Whether `a` is served before `b`. */
+  isBefore(a: WaitingClass, b: WaitingClass): boolean;
+}
+
+/**
+ * Classes below their guaranteed share first, then by urgency, then fairly by weight. Strict urgency alone starves
+ * the rest under a flood of urgent work, and equal shares alone let a flood of background work take the share of
+ * urgent work.
+ */
+export class GuaranteedOrder implements QueueOrder {
+  /** Whether `a` is served before `b`. */
+  isBefore(a: WaitingClass, b: WaitingClass): boolean {
+    const aBelow = a.inFlight < a.share.guaranteed;
+    const bBelow = b.inFlight < b.share.guaranteed;
+    if (aBelow !== bBelow) return aBelow;
+    if (aBelow) return a.inFlight / a.share.guaranteed < b.inFlight / b.share.guaranteed;
+    if (a.level !== b.level) return a.level < b.level;
+    return a.virtual < b.virtual;
+  }
+}
+
+/** Baseline: the oldest request first, whatever its class. */
+export class FirstComeOrder implements QueueOrder {
+  /** Whether `a` is served before `b`. */
+  isBefore(a: WaitingClass, b: WaitingClass): boolean {
+    return a.oldestAt < b.oldestAt;
+  }
+}
+
+/** Baseline: strict urgency. */
+export class UrgencyOrder implements QueueOrder {
+  /** Whether `a` is served before `b`. */
+  isBefore(a: WaitingClass, b: WaitingClass): boolean {
+    return a.level !== b.level ? a.level < b.level : a.oldestAt < b.oldestAt;
+  }
+}
+
+/** Baseline: equal shares of the requests in flight. */
+export class EqualOrder implements QueueOrder {
+  /** Whether `a` is served before `b`. */
+  isBefore(a: WaitingClass, b: WaitingClass): boolean {
+    return a.inFlight < b.inFlight;
+  }
+}
--- a/packages/coordination/src/requests/agent-exchanges.ts
+++ b/packages/coordination/src/requests/agent-exchanges.ts
@@ -131,6 +131,7 @@
       body,
       deadline: at + dispatch.remainingMs,
       waiters: [waiter],
+      receivedAt: at,
       startedAt: 0,
       aborted: false,
     };
@@ -282,6 +283,7 @@
       this.backends.begin(target);
       work.exchange = ++this.lastExchange;
       work.url = target.announced.url;
+      this.outbox.observe('agent-wait', at - work.receivedAt);
       work.startedAt = at;
       this.exchanges.set(work.exchange, work);
       const {service, method, path, headers} = work.dispatch;
--- a/packages/coordination/src/requests/agent-work.ts
+++ b/packages/coordination/src/requests/agent-work.ts
@@ -16,6 +16,7 @@
   readonly waiters: Waiter[];
   exchange?: number;
   url?: string;
+  readonly receivedAt: number;
   startedAt: number;
   aborted: boolean;
 }
--- a/packages/coordination/src/requests/entry-requests.ts
+++ b/packages/coordination/src/requests/entry-requests.ts
@@ -1,4 +1,4 @@
-import {FairQueue} from '../admission/fair-queue.js';
+import {FairQueue, type FairQueueOptions} from '../admission/fair-queue.js';
 import {RetryBudget} from '../admission/retry-budget.js';
 import {applyShares} from '../admission/shares.js';
 import type {Configuration} from '../configuration/document.js';
@@ -35,6 +35,10 @@
   readonly maxRequestBytes: number;
   /** Time without a connection to the target after which a lost attempt counts as unknown. */
   readonly recoverMs: number;
+  /** Bounds and order of the queue. */
+  readonly queue: Partial<FairQueueOptions>;
+  /** Whether the concurrency per host is learned from latency. */
+  readonly learnLimits: boolean;
 }
 
 /** Values of the options that a caller need not give. */
@@ -44,6 +48,8 @@
   maxTimeoutMs: 60_000,
   maxRequestBytes: 1024 * 1024,
   recoverMs: 5000,
+  queue: {},
+  learnLimits: true,
 };
 
 /** Options of `EntryRequests` with defaults for all but the identity of the process. */
@@ -62,7 +68,7 @@
   private readonly outbox = new Outbox<EntryRequestsEffect>();
   private readonly routes: EntryRoutes;
   private readonly table = new RequestTable();
-  private readonly queue = new FairQueue<PendingRequest>();
+  private readonly queue: FairQueue<PendingRequest>;
   private readonly budget = new RetryBudget();
   private readonly hedges = new HedgePolicy();
   private readonly kept = new KeptAnswers();
@@ -77,8 +83,8 @@
 
   constructor(settings: EntryRequestsSettings) {
     this.options = {...entryRequestsDefaults, ...settings};
-    const {dataCentre, region, seed} = this.options;
-    this.routes = new EntryRoutes(dataCentre, region, seed);
+    this.queue = new FairQueue(this.options.queue);
+    this.routes = new EntryRoutes(this.options);
     const {outbox, table, queue, routes, kept} = this;
     this.conclusions = new Conclusions({outbox, table, queue, routes, kept});
     this.results = new AttemptResults({
--- a/packages/coordination/src/routing/entry-routes.ts
+++ b/packages/coordination/src/routing/entry-routes.ts
@@ -8,6 +8,14 @@
 /** Bound on the estimated one-way time, because the least latency also holds the service time. */
 const maxHalfTripMs = 40;
 
+/** Options of `EntryRoutes`. */
+export interface RouteOptions {
+  readonly dataCentre: string;
+  readonly region: string;
+  readonly seed: number;
+  readonly learnLimits: boolean;
+}
+
 /** Where an attempt is sent. */
 export type Target =
   | {readonly via: 'dispatch'; readonly host: Host}
@@ -21,13 +29,9 @@
   private readonly choice: HostChoice;
   private lastSummary = '';
 
-  constructor(
-    private readonly dataCentre: string,
-    private readonly region: string,
-    seed: number,
-  ) {
-    this.random = new SeededRandom(seed);
-    this.choice = new HostChoice(this.hosts, this.random, dataCentre);
+  constructor(private readonly options: RouteOptions) {
+    this.random = new SeededRandom(options.seed);
+    this.choice = new HostChoice(this.hosts, this.random, options.dataCentre);
   }
 
   /** Whether anything could serve a request of a service, whatever its load. */
@@ -97,11 +101,12 @@
     if (!host) return;
     host.window = Math.max(1, host.outstanding + credit);
     host.heardAt = at;
-    if (result === 'rejected') host.limit.addDrop();
+    const {learnLimits} = this.options;
+    if (result === 'rejected' && learnLimits) host.limit.addDrop();
     if (result === 'failed') host.failures += 1;
     if (result !== 'reply') return;
     host.failures = 0;
-    host.limit.addSample(service, latencyMs, attempt.inFlightWhenSent);
+    if (learnLimits) host.limit.addSample(service, latencyMs, attempt.inFlightWhenSent);
     host.latencyMs += (latencyMs - host.latencyMs) * (host.latencyMs === 0 ? 1 : 0.1);
   }
 
@@ -124,13 +129,13 @@
   getCapacity(): {available: number; slots: number} {
     const slots = this.hosts.getSlots();
     if (slots > 0) {
-      const entries = 1 + this.peers.countConnected(this.region);
+      const entries = 1 + this.peers.countConnected(this.options.region);
       return {available: slots / entries, slots};
     }
     let remoteSlots = 0;
     let window = 0;
     for (const peer of this.peers.getPeers()) {
-      if (!peer.connected || peer.hello.region === this.region) continue;
+      if (!peer.connected || peer.hello.region === this.options.region) continue;
       window += peer.window;
       for (const s of peer.summary?.services ?? []) remoteSlots = Math.max(remoteSlots, s.slots);
     }
@@ -140,7 +145,7 @@
   /** Room for another forward from another entry, given the number of requests that are queued here. */
   getCreditForPeer(queued: number): number {
     const slots = this.hosts.getSlots();
-    const sharers = Math.max(1, this.peers.countConnected(this.region) + 1);
+    const sharers = Math.max(1, this.peers.countConnected(this.options.region) + 1);
     return Math.max(0, Math.min(64, Math.ceil((slots / sharers - queued) / 2)));
   }
 
@@ -162,7 +167,7 @@
       const step = Math.max(1, sum.slots / 8);
       return {service, ...sum, free: Math.floor(Math.floor(sum.free / step) * step)};
     });
-    const summary: Summary = {kind: 'summary', dataCentre: this.dataCentre, services: list};
+    const summary: Summary = {kind: 'summary', dataCentre: this.options.dataCentre, services: list};
     const text = JSON.stringify(summary);
     if (text === this.lastSummary) return undefined;
     this.lastSummary = text;
@@ -179,7 +184,7 @@
     const far: PeerEntry[] = [];
     for (const peer of this.peers.getPeers()) {
       if (!this.peers.hasService(peer, service)) continue;
-      (peer.hello.region === this.region ? near : far).push(peer);
+      (peer.hello.region === this.options.region ? near : far).push(peer);
     }
     return near.length > 0 ? near : far;
   }
--- /dev/null
+++ b/packages/lab/src/harness/caller-load.ts
@@ -0,0 +1,86 @@
+import {SeededRandom, type Outcome} from '@chervilbeam/coordination';
+import type {RequestFleet} from './request-fleet.js';
+
+/** One kind of callers. */
+export interface LoadOptions {
+  readonly service: string;
+  /** Entries over which the balancer spreads the requests. */
+  readonly entries: readonly string[];
+  readonly method: string;
+  /** Requests a second at a virtual time. */
+  readonly rate: (atMs: number) => number;
+  readonly timeoutMs: number;
+  readonly bodyBytes: number;
+  /** Further tries of a caller whose request was not answered. */
+  readonly callerRetries: number;
+  readonly callerRetryMs: number;
+  /** One-way time between caller and entry. */
+  readonly clientMs: number;
+}
+
+/** What became of one request as the caller sees it, over all its tries. */
+export interface Sample {
+  readonly startedAt: number;
+  readonly latencyMs: number;
+  readonly outcome: Outcome | 'gave-up';
+  readonly tries: number;
+}
+
+const step = 50;
+
+/** Callers that arrive at random whatever the answers (open loop), and retry if told to. */
+export class CallerLoad {
+  readonly samples: Sample[] = [];
+  private readonly random: SeededRandom;
+  private readonly body: Uint8Array;
+  private count = 0;
+
+  constructor(
+    private readonly fleet: RequestFleet,
+    readonly options: LoadOptions,
+    seed: number,
+  ) {
+    this.random = new SeededRandom(seed);
+    this.body = new Uint8Array(options.bodyBytes);
+    this.scheduleNext();
+  }
+
+  private scheduleNext(): void {
+    const {loop} = this.fleet;
+    const rate = this.options.rate(loop.now());
+    // A rate of zero is looked at again a little later.
+    if (rate <= 0) return loop.after(step, () => this.scheduleNext());
+    const gapMs = (-Math.log(1 - this.random.next()) * 1000) / rate;
+    loop.after(Math.min(gapMs, step), () => {
+      if (gapMs <= step) this.start();
+      this.scheduleNext();
+    });
+  }
+
+  private start(): void {
+    const index = this.count++;
+    this.try(index, this.fleet.loop.now(), 1);
+  }
+
+  private try(index: number, startedAt: number, tries: number): void {
+    const {entries, service, method, timeoutMs, clientMs, callerRetries, callerRetryMs} =
+      this.options;
+    const {loop} = this.fleet;
+    const entry = entries[this.random.nextInteger(entries.length)]!;
+    const path = `/${service}/${index}`;
+    const request = {service, method, path, headers: [], body: this.body, timeoutMs};
+    loop.after(clientMs, () => {
+      this.fleet.call(entry, request, answer =>
+        loop.after(clientMs, () => {
+          const again = answer.outcome !== 'answered' && tries <= callerRetries;
+          if (again) {
+            loop.after(callerRetryMs, () => this.try(index, startedAt, tries + 1));
+            return;
+          }
+          const latencyMs = loop.now() - startedAt;
+          this.samples.push({startedAt, latencyMs, outcome: answer.outcome, tries});
+        }),
+      );
+    });
+  }
+}
--- /dev/null
+++ b/packages/lab/src/harness/model-network.ts
@@ -0,0 +1,183 @@
+import type {ControlMessage, DataMessage, Hello} from '@chervilbeam/coordination';
+import type {VirtualLoop} from './virtual-loop.js';
+
+/** A process in the model. */
+export interface ModelProcess {
+  readonly hello: Hello;
+  peerUp(peer: string, hello: Hello): void;
+  peerDown(peer: string): void;
+  receive(peer: string, message: ModelMessage, body?: Uint8Array): void;
+}
+
+/** Every message that the model carries. */
+export type ModelMessage = DataMessage | ControlMessage;
+
+/** Size of a message on the wire, with framing. */
+export type WireSize = (message: ModelMessage) => number;
+
+/** Speeds of the model. */
+export interface NetworkOptions {
+  readonly betweenRegionsMs: number;
+  readonly betweenDataCentresMs: number;
+  readonly withinDataCentreMs: number;
+  /** Bytes a millisecond between two regions in one direction. */
+  readonly bytesPerMs: number;
+  /** Time until both ends notice that a connection was cut. */
+  readonly noticeMs: number;
+  readonly wireSize: WireSize;
+}
+
+/** Bytes that crossed between regions. */
+export interface LinkTraffic {
+  data: number;
+  control: number;
+  bodies: number;
+  messages: number;
+}
+
+interface Connection {
+  epoch: number;
+  up: boolean;
+}
+
+const dataKinds: ReadonlySet<string> = new Set([
+  ...['dispatch', 'forward', 'reply', 'rejected', 'failed', 'cancel', 'recover', 'recovered'],
+]);
+
+/** Connections between processes over links with latency and, between regions, a shared narrow bandwidth. */
+export class ModelNetwork {
+  /** Traffic between regions. */
+  readonly traffic: LinkTraffic = {data: 0, control: 0, bodies: 0, messages: 0};
+  private readonly options: NetworkOptions;
+  private readonly processes = new Map<string, ModelProcess>();
+  private readonly connections = new Map<string, Connection>();
+  private readonly linkFreeAt = new Map<string, number>();
+
+  constructor(
+    private readonly loop: VirtualLoop,
+    options: Partial<NetworkOptions> = {},
+  ) {
+    this.options = {
+      betweenRegionsMs: 30,
+      betweenDataCentresMs: 1.5,
+      withinDataCentreMs: 0.1,
+      bytesPerMs: 2500,
+      noticeMs: 1,
+      wireSize: estimateWireSize,
+      ...options,
+    };
+  }
+
+  /** Adds a process or replaces one that was restarted. */
+  add(process: ModelProcess): void {
+    this.processes.set(process.hello.name, process);
+  }
+
+  /** Opens a connection; both ends learn of it. */
+  connect(a: string, b: string): void {
+    const connection = this.getConnection(a, b);
+    if (connection.up) return;
+    connection.up = true;
+    connection.epoch += 1;
+    const [first, second] = [this.processes.get(a)!, this.processes.get(b)!];
+    first.peerUp(b, second.hello);
+    second.peerUp(a, first.hello);
+  }
+
+  /** Cuts a connection; messages on the way are lost and the ends in `notified` learn of it a little later. */
+  cut(a: string, b: string, notified: readonly string[] = [a, b]): void {
+    const connection = this.getConnection(a, b);
+    if (!connection.up) return;
+    connection.up = false;
+    connection.epoch += 1;
+    for (const [end, other] of [
+      [a, b],
+      [b, a],
+    ] as const) {
+      if (!notified.includes(end)) continue;
+      this.loop.after(this.options.noticeMs, () => this.processes.get(end)?.peerDown(other));
+    }
+  }
+
+  /** Cuts all connections of a process that died. */
+  cutAll(name: string): void {
+    for (const other of this.processes.keys()) {
+      if (other !== name) this.cut(name, other, [other]);
+    }
+  }
+
+  /** Whether two processes are connected. */
+  isUp(a: string, b: string): boolean {
+    return this.getConnection(a, b).up;
+  }
+
+  /** Sends a message; it is lost if the connection is down now or is cut before it arrives. */
+  send(from: string, to: string, message: ModelMessage, body?: Uint8Array): void {
+    const connection = this.getConnection(from, to);
+    if (!connection.up) return;
+    const {epoch} = connection;
+    this.loop.after(this.getDelayMs(from, to, message, body), () => {
+      if (connection.epoch === epoch) this.processes.get(to)?.receive(from, message, body);
+    });
+  }
+
+  private getDelayMs(from: string, to: string, message: ModelMessage, body?: Uint8Array): number {
+    const a = this.processes.get(from)!.hello;
+    const b = this.processes.get(to)!.hello;
+    if (a.region === b.region) {
+      const near = a.dataCentre === b.dataCentre;
+      return near ? this.options.withinDataCentreMs : this.options.betweenDataCentresMs;
+    }
+    const overhead = this.options.wireSize(message);
+    const bytes = overhead + (body?.byteLength ?? 0);
+    if (dataKinds.has(message.kind)) this.traffic.data += overhead;
+    else this.traffic.control += overhead;
+    this.traffic.bodies += body?.byteLength ?? 0;
+    this.traffic.messages += 1;
+    const link = `${a.region}>${b.region}`;
+    const now = this.loop.now();
+    const free = Math.max(now, this.linkFreeAt.get(link) ?? 0) + bytes / this.options.bytesPerMs;
+    this.linkFreeAt.set(link, free);
+    return free - now + this.options.betweenRegionsMs;
+  }
+
+  private getConnection(a: string, b: string): Connection {
+    const key = a < b ? `${a}|${b}` : `${b}|${a}`;
+    let connection = this.connections.get(key);
+    if (!connection) {
+      connection = {epoch: 0, up: false};
+      this.connections.set(key, connection);
+    }
+    return connection;
+  }
+}
+
+/**
+ * Estimates the size of a message as a CBOR record with integer keys in a 4-byte frame: one byte for each key,
+ * strings with a length byte, numbers by magnitude.
+ */
+export function estimateWireSize(message: ModelMessage): number {
+  return 4 + estimateValue(message);
+}
+
+function estimateValue(value: unknown): number {
+  if (typeof value === 'number') return estimateNumber(value);
+  if (typeof value === 'string') return value.length + (value.length < 24 ? 1 : 2);
+  if (value instanceof Uint8Array) return value.byteLength + 3;
+  if (Array.isArray(value)) return value.reduce((sum: number, v) => sum + estimateValue(v), 1);
+  if (value === null || typeof value !== 'object') return 1;
+  let size = 1;
+  for (const [key, member] of Object.entries(value)) {
+    size += 1 + (key === 'kind' ? 1 : estimateValue(member));
+  }
+  return size;
+}
+
+function estimateNumber(value: number): number {
+  if (!Number.isInteger(value)) return 9;
+  const magnitude = Math.abs(value);
+  if (magnitude < 24) return 1;
+  if (magnitude < 256) return 2;
+  if (magnitude < 65536) return 3;
+  return magnitude < 2 ** 32 ? 5 : 9;
+}
--- /dev/null
+++ b/packages/lab/src/harness/virtual-loop.ts
@@ -0,0 +1,73 @@
+interface Timer {
+  readonly at: number;
+  readonly order: number;
+  readonly run: () => void;
+}
+
+/** Virtual clock with an agenda; actions at the same time run in the order in which they were added. */
+export class VirtualLoop {
+  private readonly heap: Timer[] = [];
+  private time = 0;
+  private order = 0;
+
+  /** Virtual milliseconds since the start. */
+  now(): number {
+    return this.time;
+  }
+
+  /** Runs an action after a delay. */
+  after(delayMs: number, run: () => void): void {
+    this.push({at: this.time + Math.max(0, delayMs), order: this.order++, run});
+  }
+
+  /** Runs an action again and again until it returns false. */
+  every(periodMs: number, run: () => boolean | void): void {
+    this.after(periodMs, () => {
+      if (run() !== false) this.every(periodMs, run);
+    });
+  }
+
+  /** Runs all actions up to a time. */
+  runUntil(time: number): void {
+    while (this.heap.length > 0 && this.heap[0]!.at <= time) {
+      const timer = this.pop();
+      this.time = timer.at;
+      timer.run();
+    }
+    this.time = time;
+  }
+
+  private push(timer: Timer): void {
+    const {heap} = this;
+    let index = heap.push(timer) - 1;
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if (!isBefore(timer, heap[parent]!)) break;
+      heap[index] = heap[parent]!;
+      index = parent;
+    }
+    heap[index] = timer;
+  }
+
+  private pop(): Timer {
+    const {heap} = this;
+    const top = heap[0]!;
+    const last = heap.pop()!;
+    if (heap.length === 0) return top;
+    let index = 0;
+    for (;;) {
+      let child = index * 2 + 1;
+      if (child >= heap.length) break;
+      if (child + 1 < heap.length && isBefore(heap[child + 1]!, heap[child]!)) child += 1;
+      if (!isBefore(heap[child]!, last)) break;
+      heap[index] = heap[child]!;
+      index = child;
+    }
+    heap[index] = last;
+    return top;
+  }
+}
+
+function isBefore(a: Timer, b: Timer): boolean {
+  return a.at < b.at || (a.at === b.at && a.order < b.order);
+}
--- a/packages/lab/src/index.ts
+++ b/packages/lab/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './harness/index.js';
--- /dev/null
+++ b/packages/lab/src/measure/flood.ts
@@ -0,0 +1,206 @@
+import {
+  EqualOrder,
+  FirstComeOrder,
+  UrgencyOrder,
+  type Configuration,
+  type EntryRequestsSettings,
+  type Urgency,
+  type Workload,
+  type WorkloadKind,
+} from '@chervilbeam/coordination';
+import {CallerLoad, RequestFleet, VirtualLoop, getWindowFigures} from '../harness/index.js';
+import type {Experiment, Measure, RunResult, Series, Target} from './experiment.js';
+
+const serviceMs = {alert: 20, lookup: 20, watch: 20, proof: 100};
+type Service = keyof typeof serviceMs;
+
+const slotsPerHost = 8;
+const hostCount = 4;
+const slots = slotsPerHost * hostCount;
+const [floodStartMs, floodEndMs, endMs] = [6000, 12_000, 22_000];
+/** Slots that the usual load of each service keeps busy; all are within their grants. */
+const usualSlots: Record<Service, number> = {alert: 2, lookup: 6, watch: 2, proof: 4};
+const services = Object.keys(serviceMs) as Service[];
+
+function workload(
+  name: Service,
+  team: string,
+  kind: WorkloadKind,
+  urgency: Urgency,
+  grant: number,
+): [string, Workload] {
+  const resources = {processors: 1000, memoryMb: 1000, accelerators: 0, slots: 8};
+  const rest = {grant: {slots: grant, processors: 0}, resources, tasks: 1};
+  return [name, {kind, name, team, urgency, ...rest}];
+}
+
+const configuration: Configuration = {
+  version: 1,
+  workloads: new Map([
+    workload('alert', 'safety', 'service', 'critical', 4),
+    workload('lookup', 'registry', 'service', 'urgent', 12),
+    workload('watch', 'registry', 'watch', 'normal', 4),
+    workload('proof', 'print', 'batch', 'background', 8),
+  ]),
+  teams: new Map(),
+  drains: new Set(),
+};
+
+const floods: Readonly<Record<string, readonly Service[]>> = {
+  'least urgent': ['proof'],
+  'most urgent': ['alert'],
+  both: ['proof', 'alert'],
+  'one kind': ['watch'],
+};
+
+const policies: Readonly<Record<string, Partial<EntryRequestsSettings>>> = {
+  current: {},
+  'baseline first-come': {queue: {order: new FirstComeOrder(), standingMs: Infinity}},
+  'baseline urgency': {queue: {order: new UrgencyOrder()}},
+  'baseline equal': {queue: {order: new EqualOrder()}},
+  'baseline unlearned': {learnLimits: false},
+};
+
+interface Scenario {
+  readonly flood: string;
+  readonly times: number;
+}
+
+/** Runs one flood; callers and their entry are in one region, hosts in another. */
+function runFlood(scenario: Scenario, policy: string, seed: number): RunResult {
+  const loop = new VirtualLoop();
+  const fleet = new RequestFleet(loop, {
+    seed,
+    entries: [
+      {name: 'entry-far', dataCentre: 'a1', region: 'a'},
+      {name: 'entry-1', dataCentre: 'v1', region: 'v'},
+      {name: 'entry-2', dataCentre: 'v2', region: 'v'},
+    ],
+    hosts: Array.from({length: hostCount}, (_, i) => ({
+      name: `host-${i}`,
+      dataCentre: i % 2 === 0 ? 'v1' : 'v2',
+      region: 'v',
+    })),
+    configuration,
+    backend: {
+      services,
+      slots: slotsPerHost,
+      connections: 64,
+      processors: slotsPerHost,
+      serviceMs,
+      deviation: 0.4,
+      answerBytes: 200,
+    },
+    entrySettings: policies[policy],
+  });
+  const flooded = floods[scenario.flood]!;
+  const loads = services.map((service, i) => {
+    const usual = (usualSlots[service] * 1000) / serviceMs[service];
+    const flood = flooded.includes(service)
+      ? (scenario.times * slots * 1000) / serviceMs[service] / flooded.length
+      : 0;
+    const rate = (at: number) => (at >= floodStartMs && at < floodEndMs ? usual + flood : usual);
+    const options = {service, entries: ['entry-far'], method: 'GET', rate, timeoutMs: 2000};
+    const caller = {bodyBytes: 100, callerRetries: 2, callerRetryMs: 300, clientMs: 3};
+    return new CallerLoad(fleet, {...options, ...caller}, seed * 31 + i);
+  });
+  const busy: number[] = [];
+  for (const at of [floodStartMs + 1000, floodEndMs, endMs]) {
+    loop.runUntil(at);
+    busy.push(fleet.getBusyMs());
+  }
+  const measures = getMeasures(loads, flooded, fleet);
+  const floodSlots = (busy[1]! - busy[0]!) / (floodEndMs - floodStartMs - 1000);
+  measures.push(
+    {name: 'slots in use', unit: 'ratio', value: floodSlots / slots, target: {atLeast: 0.9}},
+    getGoodput(loads),
+  );
+  const name = `${scenario.flood} x${scenario.times}`;
+  return {scenario: name, policy, measures, series: [getSeries(loads[1]!)]};
+}
+
+/** Slot time of the answers to callers during the flood, as a part of all slots. */
+function getGoodput(loads: readonly CallerLoad[]): Measure {
+  let slotMs = 0;
+  const [from, to] = [floodStartMs + 1000, floodEndMs];
+  for (const {samples, options} of loads) {
+    const done = samples.filter(s => {
+      const end = s.startedAt + s.latencyMs;
+      return s.outcome === 'answered' && end >= from && end < to;
+    });
+    slotMs += done.length * serviceMs[options.service as Service];
+  }
+  const value = slotMs / (to - from) / slots;
+  return {name: 'goodput of capacity', unit: 'ratio', value, target: {atLeast: 0.9}};
+}
+
+/** Figures of the work within its grant (the worst class counts) and of the flooded work. */
+function getMeasures(
+  loads: readonly CallerLoad[],
+  flooded: readonly Service[],
+  fleet: RequestFleet,
+): Measure[] {
+  const worst = {goodput: 1, p99: 0, p999: 0, after: 0, goodputAfter: 1};
+  let floodGoodput = 1;
+  for (const {options, samples} of loads) {
+    const quiet = getWindowFigures(samples, 2000, floodStartMs);
+    const during = getWindowFigures(samples, floodStartMs + 500, floodEndMs);
+    const after = getWindowFigures(samples, floodEndMs + 5000, endMs - 2500);
+    worst.after = Math.max(worst.after, after.p99Ms / quiet.p99Ms);
+    worst.goodputAfter = Math.min(worst.goodputAfter, after.goodput);
+    if (flooded.includes(options.service as Service)) {
+      floodGoodput = Math.min(floodGoodput, during.goodput);
+      continue;
+    }
+    worst.goodput = Math.min(worst.goodput, during.goodput);
+    worst.p99 = Math.max(worst.p99, during.p99Ms / quiet.p99Ms);
+    worst.p999 = Math.max(worst.p999, during.p999Ms / quiet.p999Ms);
+  }
+  const ratio = (name: string, value: number, target?: Target): Measure => ({
+    name,
+    unit: 'ratio',
+    value,
+    target,
+  });
+  const received = fleet.getCount('requests-received');
+  const answered = Math.max(1, fleet.getCount('requests-answered'));
+  return [
+    ratio('granted goodput', worst.goodput, {atLeast: 0.95}),
+    ratio('granted p99 / quiet', worst.p99, {atMost: 1.5}),
+    ratio('granted p99.9 / quiet', worst.p999),
+    ratio('flooded goodput', floodGoodput),
+    ratio('p99 5 s after', worst.after, {atMost: 1.2}),
+    ratio('goodput 5 s after', worst.goodputAfter, {atLeast: 0.99}),
+    ratio('retries', fleet.getCount('retries') / received, {atMost: 0.1}),
+    {name: 'link messages', unit: 'per answer', value: fleet.network.traffic.messages / answered},
+  ];
+}
+
+/** Latency p99 of each half second. */
+function getSeries(load: CallerLoad): Series {
+  const points: Array<readonly [number, number]> = [];
+  for (let at = 0; at < endMs; at += 500) {
+    points.push([at, getWindowFigures(load.samples, at, at + 500).p99Ms]);
+  }
+  return {name: `${load.options.service} p99`, unit: 'ms', points};
+}
+
+/** Floods of one kind of work or two, against the baselines. */
+export const floodExperiment: Experiment = {
+  name: 'flood',
+  title: 'Floods of 2, 5 and 20 times the capacity',
+  seeds: [11, 12, 13],
+  run(seed) {
+    const results: RunResult[] = [];
+    for (const flood of Object.keys(floods)) {
+      for (const times of [2, 5, 20]) {
+        for (const policy of Object.keys(policies)) {
+          // The baselines run at the middle load only, to keep the experiment short.
+          if (policy !== 'current' && times !== 5) continue;
+          results.push(runFlood({flood, times}, policy, seed));
+        }
+      }
+    }
+    return results;
+  },
+};
--- /dev/null
+++ b/packages/lab/src/measure/registry.ts
@@ -0,0 +1,5 @@
+import type {Experiment} from './experiment.js';
+import {floodExperiment} from './flood.js';
+
+/** All experiments; add one line for each. */
+export const experiments: readonly Experiment[] = [floodExperiment];
--- /dev/null
+++ b/packages/lab/src/measure/summary.ts
@@ -0,0 +1,63 @@
+import type {Experiment, RunResult, Series, Target} from './experiment.js';
+import {isMet} from './experiment.js';
+
+/** Median and spread of one measure over the seeds. */
+export interface MeasureSummary {
+  readonly scenario: string;
+  readonly policy: string;
+  readonly measure: string;
+  readonly unit: string;
+  readonly median: number;
+  readonly lowest: number;
+  readonly highest: number;
+  readonly target?: Target;
+  /** Whether the median keeps the target. */
+  readonly met?: boolean;
+}
+
+/** Summary of an experiment. */
+export interface ExperimentSummary {
+  readonly name: string;
+  readonly title: string;
+  readonly seeds: readonly number[];
+  readonly measures: readonly MeasureSummary[];
+  readonly series: ReadonlyArray<{scenario: string; policy: string; series: Series}>;
+}
+
+/** Runs an experiment with all its seeds. */
+export function runExperiment(experiment: Experiment): ExperimentSummary {
+  const runs = experiment.seeds.map(seed => experiment.run(seed));
+  return {
+    name: experiment.name,
+    title: experiment.title,
+    seeds: experiment.seeds,
+    measures: summarize(runs.flat()),
+    // The plots show the first seed only.
+    series: (runs[0] ?? []).flatMap(({scenario, policy, series}) =>
+      (series ?? []).map(s => ({scenario, policy, series: s})),
+    ),
+  };
+}
+
+/** Median and spread per scenario, policy and measure. */
+export function summarize(results: readonly RunResult[]): MeasureSummary[] {
+  const groups = new Map<
+    string,
+    {first: Omit<MeasureSummary, 'median' | 'met'>; values: number[]}
+  >();
+  for (const {scenario, policy, measures} of results) {
+    for (const {name, unit, value, target} of measures) {
+      const key = JSON.stringify([scenario, policy, name]);
+      const first = {scenario, policy, measure: name, unit, lowest: 0, highest: 0, target};
+      const group: {first: typeof first; values: number[]} = groups.get(key) ?? {first, values: []};
+      group.values.push(value);
+      groups.set(key, group);
+    }
+  }
+  return [...groups.values()].map(({first, values}) => {
+    values.sort((a, b) => a - b);
+    const median = values[Math.floor(values.length / 2)]!;
+    const met = first.target && isMet(first.target, median);
+    return {...first, median, lowest: values[0]!, highest: values.at(-1)!, met};
+  });
+}
