--- a/packages/lab/src/measure/report.ts
+++ b/packages/lab/src/measure/report.ts
@@ -54,7 +54,7 @@
       formatPlots(s),
   );
   return (
-    `<!doctype html><meta charset="utf-8"><title>chervilbeam measurements</title>` +
+    '<!doctype html><meta charset="utf-8"><title>chervilbeam measurements</title>' +
     `<style>${style}</style><h1>chervilbeam measurements</h1>${parts.join('')}\n`
   );
 }
--- a/packages/lab/src/measure/summary.ts
+++ b/packages/lab/src/measure/summary.ts
@@ -24,6 +24,11 @@
   readonly series: ReadonlyArray<{scenario: string; policy: string; series: Series}>;
 }
 
+interface Group {
+  readonly first: Omit<MeasureSummary, 'median' | 'met'>;
+  readonly values: number[];
+}
+
 /** Runs an experiment with all its seeds. */
 export function runExperiment(experiment: Experiment): ExperimentSummary {
   const runs = experiment.seeds.map(seed => experiment.run(seed));
@@ -49,7 +54,7 @@
     for (const {name, unit, value, target} of measures) {
       const key = JSON.stringify([scenario, policy, name]);
       const first = {scenario, policy, measure: name, unit, lowest: 0, highest: 0, target};
-      const group: {first: typeof first; values: number[]} = groups.get(key) ?? {first, values: []};
+      const group: Group = groups.get(key) ?? {first, values: []};
       group.values.push(value);
       groups.set(key, group);
     }
