Give each class its own forward window, and try a reserve of slots

Cause: under a flood of background work the first entry forwarded 8,672 requests for 1,044 that were dispatched; the shared window filled with them and granted requests waited up to 97 ms (p99) at each entry.

Change: a forward window per class and peer, adapted by the credit in the answers of the other entry (0 while the class would wait more than 25 ms there). Long exchanges on lent slots must leave 6% over.

--- a/packages/coordination/src/admission/fair-queue.ts
+++ b/packages/coordination/src/admission/fair-queue.ts
@@ -74,6 +74,13 @@
     return this.classes.get(key)?.size ?? 0;
   }
 
+  /** Expected wait of a request that would join a class now. */
+  getClassWaitMs(key: string): number {
+    const state = this.classes.get(key);
+    if (!state || state.size === 0) return 0;
+    return state.takenPerMs > 0 ? state.size / state.takenPerMs : Infinity;
+  }
+
   /** Defines or changes a class. */
   setClass(key: string, share: QueueClass): void {
     const level = urgencies.indexOf(share.urgency);
@@ -119,10 +126,13 @@
     return true;
   }
 
-  /** Takes the next request for whose class `pick` finds a target and counts it as in flight. */
+  /**
+   * Takes the next request for whose class `pick` finds a target and counts it as in flight. A request is `lent` a
+   * place when its class is at or above its guaranteed share.
+   */
   take<Target>(
     at: number,
-    pick: (item: Item) => Target | undefined,
+    pick: (item: Item, lent: boolean) => Target | undefined,
   ): Taken<Item, Target> | undefined {
     const tried = new Set<ClassState<Item>>();
     for (;;) {
@@ -131,7 +141,7 @@
       tried.add(state);
       const queued = this.getHead(state);
       if (!queued) continue;
-      const target = pick(queued.item);
+      const target = pick(queued.item, state.inFlight >= state.share.guaranteed);
       if (target === undefined) continue;
       this.remove(queued.item);
       this.noteTaken(state, queued, at);
--- a/packages/coordination/src/membership/peer-view.ts
+++ b/packages/coordination/src/membership/peer-view.ts
@@ -1,4 +1,5 @@
 import type {Hello, Summary} from '../messages/control.js';
+import {ForwardWindow} from './forward-window.js';
 
 /** Another entry as seen by an entry. */
 export interface PeerEntry {
@@ -6,20 +7,14 @@
   hello: Hello;
   connected: boolean;
   summary?: Summary;
-  /** Own forwards without an answer. */
-  outstanding: number;
-  /** Forwards that may be outstanding at once, adapted by the credit in the answers. */
-  window: number;
-  loweredAt: number;
   /** Least latency of an answer so far. */
   minimumLatencyMs?: number;
+  /** Own forwards by service. */
+  readonly windows: Map<string, ForwardWindow>;
   /** Time until which the peer asked for no more requests of a service. */
   readonly heldUntil: Map<string, number>;
 }
 
-const initialWindow = 16;
-const maximumWindow = 4096;
-
 /** Entries that are connected to an entry. */
 export class PeerView {
   private readonly peers = new Map<string, PeerEntry>();
@@ -36,9 +31,7 @@
       peer,
       hello,
       connected: true,
-      outstanding: 0,
-      window: initialWindow,
-      loweredAt: 0,
+      windows: new Map(),
       heldUntil: new Map(),
     };
     this.peers.set(peer, entry);
@@ -78,15 +71,13 @@
     return peer.summary.services.some(s => s.service === service && s.hosts > 0);
   }
 
-  /** Adapts the window to the credit of an answer: slow growth while there is room, one cut a round trip. */
-  adapt(peer: PeerEntry, credit: number, latencyMs: number, at: number): void {
-    if (credit > 0) {
-      if (peer.outstanding * 2 >= peer.window)
-        peer.window = Math.min(maximumWindow, peer.window + Math.min(1, credit / 4));
-      return;
+  /** Window of a service at an entry. */
+  getWindow(peer: PeerEntry, service: string): ForwardWindow {
+    let window = peer.windows.get(service);
+    if (!window) {
+      window = new ForwardWindow();
+      peer.windows.set(service, window);
     }
-    if (at - peer.loweredAt < latencyMs) return;
-    peer.loweredAt = at;
-    peer.window = Math.max(2, peer.window * 0.9);
+    return window;
   }
 }
--- a/packages/coordination/src/requests/attempt-results.ts
+++ b/packages/coordination/src/requests/attempt-results.ts
@@ -69,7 +69,7 @@
   /** Puts the attempts at a peer in doubt after its connection was lost. */
   loseConnection(peer: string, at: number): void {
     for (const orphan of this.parts.table.takeOrphansOf(peer))
-      this.parts.routes.end(orphan.attempt);
+      this.parts.routes.end(orphan.attempt, orphan.service);
     for (const request of [...this.parts.table.getRequests()]) {
       for (const attempt of request.attempts.values()) {
         if (attempt.peer === peer && attempt.state === 'sent') this.lose(request, attempt, at);
@@ -112,7 +112,7 @@
   /** Gives up attempts that stayed in doubt for too long. */
   tick(at: number): void {
     for (const orphan of this.parts.table.takeExpiredOrphans(at))
-      this.parts.routes.end(orphan.attempt);
+      this.parts.routes.end(orphan.attempt, orphan.service);
     for (const request of [...this.lost]) {
       if (this.parts.table.getRequest(request.key) !== request) {
         this.lost.delete(request);
@@ -143,7 +143,7 @@
     const orphan = this.parts.table.takeOrphan(key, message.attempt, peer);
     this.parts.outbox.count(orphan ? 'answers-late' : 'answers-unmatched');
     if (!orphan) return;
-    this.parts.routes.end(orphan.attempt);
+    this.parts.routes.end(orphan.attempt, orphan.service);
     this.parts.routes.learn(orphan.attempt, orphan.service, message.kind, message.credit, at);
   }
 
@@ -259,7 +259,7 @@
     at: number,
   ): void {
     request.attempts.delete(attempt.number);
-    this.parts.routes.end(attempt);
+    this.parts.routes.end(attempt, request.service);
     if (result) this.parts.routes.learn(attempt, request.service, result, credit, at);
   }
 
--- a/packages/coordination/src/requests/conclusions.ts
+++ b/packages/coordination/src/requests/conclusions.ts
@@ -9,6 +9,8 @@
 import type {RequestTable} from './request-table.js';
 
 const empty = new Uint8Array();
+/** Expected wait of a class above which first entries should send less of it. */
+const standingWaitMs = 25;
 /** Time for which a first entry keeps a class back after this entry shed one of its requests. */
 const shedHoldMs = 20;
 
@@ -62,7 +64,7 @@
     } else {
       const holdMs = reason === 'shed' ? shedHoldMs : 0;
       const {attempt} = client;
-      const credit = this.getCredit();
+      const credit = this.getCredit(request.service);
       const message: Rejected = {kind: 'rejected', id: request.id, attempt, reason, holdMs, credit};
       this.parts.outbox.add({kind: 'send', peer: client.peer, message});
     }
@@ -78,7 +80,7 @@
     } else {
       this.parts.kept.keep(request.key, {kind: 'failed', detail}, at);
       const {attempt} = client;
-      const credit = this.getCredit();
+      const credit = this.getCredit(request.service);
       const message: Failed = {kind: 'failed', id: request.id, attempt, detail, credit};
       this.parts.outbox.add({kind: 'send', peer: client.peer, message});
     }
@@ -110,7 +112,7 @@
   answerDuplicate(peer: string, message: Forward, key: string): boolean {
     const {id, attempt} = message;
     if (this.parts.kept.isRefused(key, peer, attempt)) {
-      const credit = this.getCredit();
+      const credit = this.getCredit(message.service);
       const refused: Rejected = {
         kind: 'rejected',
         id,
@@ -194,7 +196,7 @@
     if (client.kind !== 'entry') return;
     const {peer, attempt} = client;
     const bodyLength = body.byteLength;
-    const credit = this.getCredit();
+    const credit = this.getCredit(request.service);
     this.parts.outbox.add({
       kind: 'send',
       peer,
@@ -205,7 +207,7 @@
 
   private sendKept(peer: string, to: Forward | Recover, kept: KeptAnswer): void {
     const {id, attempt} = to;
-    const credit = this.getCredit();
+    const credit = 1;
     if (kept.kind === 'failed') {
       const {detail} = kept;
       const message: Failed = {kind: 'failed', id, attempt, detail, credit};
@@ -222,8 +224,10 @@
     });
   }
 
-  private getCredit(): number {
-    return this.parts.routes.getCreditForPeer(this.parts.queue.getSize());
+  /** Tells a first entry whether more requests of a class would only stand in the queue here. */
+  private getCredit(service: string): number {
+    const waitMs = this.parts.queue.getClassWaitMs(service);
+    return waitMs > standingWaitMs ? 0 : 1;
   }
 
   private close(request: PendingRequest, at: number): void {
--- a/packages/coordination/src/requests/entry-requests.ts
+++ b/packages/coordination/src/requests/entry-requests.ts
@@ -39,6 +39,8 @@
   readonly queue: Partial<FairQueueOptions>;
   /** Whether the concurrency per host is learned from latency. */
   readonly learnLimits: boolean;
+  /** Part of the slots that long exchanges are not lent. */
+  readonly reserve: number;
 }
 
 /** Values of the options that a caller need not give. */
@@ -50,6 +52,7 @@
   recoverMs: 5000,
   queue: {},
   learnLimits: true,
+  reserve: 0.06,
 };
 
 /** Options of `EntryRequests` with defaults for all but the identity of the process. */
@@ -316,8 +319,8 @@
 
   private pump(at: number): void {
     for (;;) {
-      const taken = this.queue.take(at, request =>
-        request.deadline <= at ? undefined : this.route(request, at),
+      const taken = this.queue.take(at, (request, lent) =>
+        request.deadline <= at ? undefined : this.route(request, lent, at),
       );
       if (!taken) return;
       taken.item.taken = true;
@@ -326,13 +329,14 @@
     }
   }
 
-  private route(request: PendingRequest, at: number): Target | undefined {
-    const mayForward = request.client.kind === 'caller';
-    return this.routes.choose(request.service, at, mayForward, request.avoided);
+  private route(request: PendingRequest, lent: boolean, at: number): Target | undefined {
+    const {service, client, avoided} = request;
+    const reserve = lent ? this.routes.getReserve(service) : 0;
+    return this.routes.choose(service, at, client.kind === 'caller', avoided, reserve);
   }
 
   private send(request: PendingRequest, target: Target, at: number): void {
-    this.routes.begin(target);
+    this.routes.begin(target, request.service);
     const {peer, hello, outstanding} = this.routes.getTargetState(target);
     const attempt: Attempt = {
       number: request.nextAttempt++,
--- a/packages/coordination/src/routing/entry-routes.ts
+++ b/packages/coordination/src/routing/entry-routes.ts
@@ -8,12 +8,17 @@
 /** Bound on the estimated one-way time, because the least latency also holds the service time. */
 const maxHalfTripMs = 40;
 
+/** A service is long if its exchanges take this many times those of the shortest service. */
+const longRatio = 2;
+
 /** Options of `EntryRoutes`. */
 export interface RouteOptions {
   readonly dataCentre: string;
   readonly region: string;
   readonly seed: number;
   readonly learnLimits: boolean;
+  /** Part of the slots that long exchanges are not lent. */
+  readonly reserve: number;
 }
 
 /** Where an attempt is sent. */
@@ -27,6 +32,8 @@
   readonly peers = new PeerView();
   private readonly random: SeededRandom;
   private readonly choice: HostChoice;
+  /** Smoothed latency of the answers of agents by service. */
+  private readonly latencies = new Map<string, number>();
   private lastSummary = '';
 
   constructor(private readonly options: RouteOptions) {
@@ -46,24 +53,25 @@
     at: number,
     mayForward: boolean,
     avoided: ReadonlySet<string>,
+    reserve = 0,
   ): Target | undefined {
-    const host = this.choice.choose(service, at, avoided);
+    const host = this.choice.choose(service, at, avoided, reserve);
     if (host) return {via: 'dispatch', host};
     if (!mayForward || this.choice.isServed(service)) return undefined;
     const open = this.getPeersOf(service).filter(
       peer =>
-        peer.outstanding < peer.window &&
+        this.peers.getWindow(peer, service).hasRoom() &&
         (peer.heldUntil.get(service) ?? 0) <= at &&
         !avoided.has(peer.peer),
     );
-    const peer = this.pickPeer(open);
+    const peer = this.pickPeer(open, service);
     return peer && {via: 'forward', peer};
   }
 
   /** Counts an attempt at its target. */
-  begin(target: Target): void {
+  begin(target: Target, service: string): void {
     if (target.via === 'forward') {
-      target.peer.outstanding += 1;
+      this.peers.getWindow(target.peer, service).outstanding += 1;
       return;
     }
     target.host.outstanding += 1;
@@ -71,10 +79,11 @@
   }
 
   /** Ends an attempt at its target. */
-  end(attempt: Attempt): void {
+  end(attempt: Attempt, service: string): void {
     if (attempt.via === 'forward') {
       const peer = this.peers.getPeer(attempt.peer);
-      if (peer && peer.hello.incarnation === attempt.incarnation) peer.outstanding -= 1;
+      if (peer && peer.hello.incarnation === attempt.incarnation)
+        this.peers.getWindow(peer, service).outstanding -= 1;
       return;
     }
     const host = this.hosts.getHost(attempt.peer);
@@ -93,7 +102,7 @@
     const peer = this.peers.getPeer(attempt.peer);
     if (attempt.via === 'forward') {
       if (!peer) return;
-      this.peers.adapt(peer, credit, latencyMs, at);
+      this.peers.getWindow(peer, service).adapt(credit, latencyMs, at);
       peer.minimumLatencyMs = Math.min(peer.minimumLatencyMs ?? Infinity, latencyMs);
       return;
     }
@@ -106,13 +115,28 @@
     if (result === 'failed') host.failures += 1;
     if (result !== 'reply') return;
     host.failures = 0;
+    const known = this.latencies.get(service) ?? latencyMs;
+    this.latencies.set(service, known + (latencyMs - known) * 0.05);
     if (learnLimits) host.limit.addSample(service, latencyMs, attempt.inFlightWhenSent);
     host.latencyMs += (latencyMs - host.latencyMs) * (host.latencyMs === 0 ? 1 : 0.1);
   }
 
   /** Incarnation and load of the target of an attempt. */
   getTargetState(target: Target): {peer: string; hello: Hello; outstanding: number} {
-    return target.via === 'forward' ? target.peer : target.host;
+    if (target.via === 'dispatch') return target.host;
+    return {...target.peer, outstanding: 0};
+  }
+
+  /**
+   * Room that a lent place must leave over. Long exchanges on lent slots make short requests within their grant
+   * wait for the next free slot; short ones give their slot back soon and need no reserve.
+   */
+  getReserve(service: string): number {
+    let shortest = Infinity;
+    for (const latencyMs of this.latencies.values()) shortest = Math.min(shortest, latencyMs);
+    const own = this.latencies.get(service) ?? 0;
+    if (own < shortest * longRatio) return 0;
+    return this.getCapacity().available * this.options.reserve;
   }
 
   /** Estimated one-way time to the target of an attempt, by which its deadline is shortened. */
@@ -133,20 +157,11 @@
       return {available: slots / entries, slots};
     }
     let remoteSlots = 0;
-    let window = 0;
     for (const peer of this.peers.getPeers()) {
       if (!peer.connected || peer.hello.region === this.options.region) continue;
-      window += peer.window;
       for (const s of peer.summary?.services ?? []) remoteSlots = Math.max(remoteSlots, s.slots);
     }
-    return {available: window, slots: remoteSlots};
-  }
-
-  /** Room for another forward from another entry, given the number of requests that are queued here. */
-  getCreditForPeer(queued: number): number {
-    const slots = this.hosts.getSlots();
-    const sharers = Math.max(1, this.peers.countConnected(this.options.region) + 1);
-    return Math.max(0, Math.min(64, Math.ceil((slots / sharers - queued) / 2)));
+    return {available: remoteSlots, slots: remoteSlots};
   }
 
   /** Summary of the connected hosts if it differs from the last one. */
@@ -189,10 +204,11 @@
     return near.length > 0 ? near : far;
   }
 
-  private pickPeer(peers: readonly PeerEntry[]): PeerEntry | undefined {
+  private pickPeer(peers: readonly PeerEntry[], service: string): PeerEntry | undefined {
     if (peers.length < 2) return peers[0];
     const a = peers[this.random.nextInteger(peers.length)]!;
     const b = peers[this.random.nextInteger(peers.length)]!;
-    return a.outstanding / a.window <= b.outstanding / b.window ? a : b;
+    const load = (peer: PeerEntry) => this.peers.getWindow(peer, service).getLoad();
+    return load(a) <= load(b) ? a : b;
   }
 }
--- a/packages/lab/src/harness/tally.ts
+++ b/packages/lab/src/harness/tally.ts
@@ -7,6 +7,7 @@
   /** Answered part of the offered requests. */
   readonly goodput: number;
   readonly p50Ms: number;
+  readonly p95Ms: number;
   readonly p99Ms: number;
   readonly p999Ms: number;
 }
@@ -25,6 +26,7 @@
     answered: latencies.length,
     goodput: inWindow.length === 0 ? 1 : latencies.length / inWindow.length,
     p50Ms: getQuantile(latencies, 0.5),
+    p95Ms: getQuantile(latencies, 0.95),
     p99Ms: getQuantile(latencies, 0.99),
     p999Ms: getQuantile(latencies, 0.999),
   };
