--- a/packages/coordination/src/admission/fair-queue.ts
+++ b/packages/coordination/src/admission/fair-queue.ts
@@ -126,13 +126,10 @@
     return true;
   }
 
-  /**
-   * Takes the next request for whose class `pick` finds a target and counts it as in flight. A request is `lent` a
-   * place when its class is at or above its guaranteed share.
-   */
+  /** Takes the next request for whose class `pick` finds a target and counts it as in flight. */
   take<Target>(
     at: number,
-    pick: (item: Item, lent: boolean) => Target | undefined,
+    pick: (item: Item) => Target | undefined,
   ): Taken<Item, Target> | undefined {
     const tried = new Set<ClassState<Item>>();
     for (;;) {
@@ -141,7 +138,7 @@
       tried.add(state);
       const queued = this.getHead(state);
       if (!queued) continue;
-      const target = pick(queued.item, state.inFlight >= state.share.guaranteed);
+      const target = pick(queued.item);
       if (target === undefined) continue;
       this.remove(queued.item);
       this.noteTaken(state, queued, at);
--- a/packages/coordination/src/requests/entry-requests.ts
+++ b/packages/coordination/src/requests/entry-requests.ts
@@ -39,8 +39,6 @@
   readonly queue: Partial<FairQueueOptions>;
   /** Whether the concurrency per host is learned from latency. */
   readonly learnLimits: boolean;
-  /** Part of the slots that long exchanges are not lent. */
-  readonly reserve: number;
 }
 
 /** Values of the options that a caller need not give. */
@@ -52,7 +50,6 @@
   recoverMs: 5000,
   queue: {},
   learnLimits: true,
-  reserve: 0.06,
 };
 
 /** Options of `EntryRequests` with defaults for all but the identity of the process. */
@@ -319,8 +316,8 @@
 
   private pump(at: number): void {
     for (;;) {
-      const taken = this.queue.take(at, (request, lent) =>
-        request.deadline <= at ? undefined : this.route(request, lent, at),
+      const taken = this.queue.take(at, request =>
+        request.deadline <= at ? undefined : this.route(request, at),
       );
       if (!taken) return;
       taken.item.taken = true;
@@ -329,10 +326,9 @@
     }
   }
 
-  private route(request: PendingRequest, lent: boolean, at: number): Target | undefined {
+  private route(request: PendingRequest, at: number): Target | undefined {
     const {service, client, avoided} = request;
-    const reserve = lent ? this.routes.getReserve(service) : 0;
-    return this.routes.choose(service, at, client.kind === 'caller', avoided, reserve);
+    return this.routes.choose(service, at, client.kind === 'caller', avoided);
   }
 
   private send(request: PendingRequest, target: Target, at: number): void {
--- a/packages/coordination/src/routing/entry-routes.ts
+++ b/packages/coordination/src/routing/entry-routes.ts
@@ -8,17 +8,12 @@
 /** Bound on the estimated one-way time, because the least latency also holds the service time. */
 const maxHalfTripMs = 40;
 
-/** A service is long if its exchanges take this many times those of the shortest service. */
-const longRatio = 2;
-
 /** Options of `EntryRoutes`. */
 export interface RouteOptions {
   readonly dataCentre: string;
   readonly region: string;
   readonly seed: number;
   readonly learnLimits: boolean;
-  /** Part of the slots that long exchanges are not lent. */
-  readonly reserve: number;
 }
 
 /** Where an attempt is sent. */
@@ -32,8 +27,6 @@
   readonly peers = new PeerView();
   private readonly random: SeededRandom;
   private readonly choice: HostChoice;
-  /** Smoothed latency of the answers of agents by service. */
-  private readonly latencies = new Map<string, number>();
   private lastSummary = '';
 
   constructor(private readonly options: RouteOptions) {
@@ -53,9 +46,8 @@
     at: number,
     mayForward: boolean,
     avoided: ReadonlySet<string>,
-    reserve = 0,
   ): Target | undefined {
-    const host = this.choice.choose(service, at, avoided, reserve);
+    const host = this.choice.choose(service, at, avoided);
     if (host) return {via: 'dispatch', host};
     if (!mayForward || this.choice.isServed(service)) return undefined;
     const open = this.getPeersOf(service).filter(
@@ -115,8 +107,6 @@
     if (result === 'failed') host.failures += 1;
     if (result !== 'reply') return;
     host.failures = 0;
-    const known = this.latencies.get(service) ?? latencyMs;
-    this.latencies.set(service, known + (latencyMs - known) * 0.05);
     if (learnLimits) host.limit.addSample(service, latencyMs, attempt.inFlightWhenSent);
     host.latencyMs += (latencyMs - host.latencyMs) * (host.latencyMs === 0 ? 1 : 0.1);
   }
@@ -127,18 +117,6 @@
     return {...target.peer, outstanding: 0};
   }
 
-  /**
-   * Room that a lent place must leave over. Long exchanges on lent slots make short requests within their grant
-   * wait for the next free slot; short ones give their slot back soon and need no reserve.
-   */
-  getReserve(service: string): number {
-    let shortest = Infinity;
-    for (const latencyMs of this.latencies.values()) shortest = Math.min(shortest, latencyMs);
-    const own = this.latencies.get(service) ?? 0;
-    if (own < shortest * longRatio) return 0;
-    return this.getCapacity().available * this.options.reserve;
-  }
-
   /** Estimated one-way time to the target of an attempt, by which its deadline is shortened. */
   getHalfTripMs(attempt: Attempt): number {
     if (attempt.via === 'dispatch') {
--- a/packages/coordination/src/routing/host-choice.ts
+++ b/packages/coordination/src/routing/host-choice.ts
@@ -17,23 +17,15 @@
     return false;
   }
 
-  /** Chooses a host with room for a service; at least `reserve` requests of room are left over. */
-  choose(
-    service: string,
-    at: number,
-    excluded?: ReadonlySet<string>,
-    reserve = 0,
-  ): Host | undefined {
+  /** Chooses a host with room for a service, or undefined when there is none. */
+  choose(service: string, at: number, excluded?: ReadonlySet<string>): Host | undefined {
     const local: Host[] = [];
     const remote: Host[] = [];
-    let spare = 0;
     for (const host of this.hosts.getHosts()) {
       if (host.outstanding >= getAllowed(host) || host.heldUntil > at) continue;
       if (!this.hosts.isUsable(host, service) || excluded?.has(host.peer)) continue;
-      spare += getAllowed(host) - host.outstanding;
       (host.hello.dataCentre === this.dataCentre ? local : remote).push(host);
     }
-    if (spare - 1 < reserve) return undefined;
     const near = this.pickOfTwo(local);
     const far = this.pickOfTwo(remote);
     if (!near || !far) return near ?? far;
