Refuse requests of a shedding class before anything is kept of them

Hedge candidates are kept in order of sending. An entry tells first entries to slow down at an expected wait of 50 ms instead of 25 ms.

--- a/packages/coordination/src/admission/fair-queue.ts
+++ b/packages/coordination/src/admission/fair-queue.ts
@@ -81,6 +81,15 @@
     return state.takenPerMs > 0 ? state.size / state.takenPerMs : Infinity;
   }
 
+  /** Whether a request that joins a class now would be shed for its wait. */
+  isShedding(key: string, at: number): boolean {
+    const state = this.classes.get(key);
+    if (!state || state.size === 0) return false;
+    const {standingMs} = this.options;
+    // Twice the bound, because the rate is an estimate; a request that is refused wrongly costs goodput.
+    return at - state.shortAt > standingMs && this.getExpectedWaitMs(state, at) > 2 * standingMs;
+  }
+
   /** Defines or changes a class. */
   setClass(key: string, share: QueueClass): void {
     const level = urgencies.indexOf(share.urgency);
--- a/packages/coordination/src/requests/attempt-results.ts
+++ b/packages/coordination/src/requests/attempt-results.ts
@@ -22,6 +22,12 @@
   readonly recoverMs: number;
 }
 
+/** A request and the attempt for which a hedge may be sent. */
+export interface SentAttempt {
+  readonly request: PendingRequest;
+  readonly attempt: Attempt;
+}
+
 type Result = Reply | Rejected | Failed | Recovered;
 
 /** Reasons after which another target may serve the request. */
@@ -40,6 +46,9 @@
   /** Requests with an attempt on a lost connection. */
   private readonly lost = new Set<PendingRequest>();
 
+  /** Attempts that may be hedged, by service, oldest first. */
+  private readonly sent = new Map<string, Set<SentAttempt>>();
+
   constructor(private readonly parts: AttemptResultParts) {}
 
   /** Handles an answer of an agent or of another entry. */
@@ -125,15 +134,28 @@
     }
   }
 
-  /** Requests whose only attempt is slow enough for a hedge. */
-  getHedgeable(at: number): PendingRequest[] {
-    const slow: PendingRequest[] = [];
-    for (const request of this.parts.table.getRequests()) {
-      if (!request.idempotent || request.hedged || request.attempts.size !== 1) continue;
-      const [attempt] = request.attempts.values();
-      if (attempt!.via !== 'dispatch' || attempt!.state !== 'sent') continue;
-      const delayMs = this.parts.hedges.getDelayMs(request.service);
-      if (delayMs !== undefined && at - attempt!.sentAt > delayMs) slow.push(request);
+  /** Records a sent attempt for hedging. */
+  noteSent(request: PendingRequest, attempt: Attempt): void {
+    if (!request.idempotent || request.hedged || attempt.via !== 'dispatch') return;
+    let sent = this.sent.get(request.service);
+    if (!sent) this.sent.set(request.service, (sent = new Set()));
+    sent.add({request, attempt});
+  }
+
+  /** Removes and returns the requests whose only attempt is slow enough for a hedge. */
+  takeHedgeable(at: number): SentAttempt[] {
+    const slow: SentAttempt[] = [];
+    for (const [service, sent] of this.sent) {
+      const delayMs = this.parts.hedges.getDelayMs(service) ?? Infinity;
+      for (const entry of sent) {
+        const {request, attempt} = entry;
+        const open = request.attempts.get(attempt.number) === attempt;
+        const pending = this.parts.table.getRequest(request.key) === request;
+        if (open && pending && at - attempt.sentAt <= delayMs) break;
+        sent.delete(entry);
+        const alone = request.attempts.size === 1 && attempt.state === 'sent';
+        if (open && pending && alone && !request.hedged) slow.push(entry);
+      }
     }
     return slow;
   }
--- a/packages/coordination/src/requests/conclusions.ts
+++ b/packages/coordination/src/requests/conclusions.ts
@@ -9,8 +9,10 @@
 import type {RequestTable} from './request-table.js';
 
 const empty = new Uint8Array();
+const none: Headers = [];
+const retryLater: Headers = [['retry-after', '1']];
 /** Expected wait of a class above which first entries should send less of it. */
-const standingWaitMs = 25;
+const standingWaitMs = 50;
 /** Time for which a first entry keeps a class back after this entry shed one of its requests. */
 const shedHoldMs = 20;
 
@@ -53,13 +55,33 @@
     this.close(request, at);
   }
 
+  /** Refuses a request of which nothing is kept. */
+  refuseCaller(caller: number, reason: NotRunReason): void {
+    const status = getNotRunStatus(reason);
+    const headers = status === 503 ? retryLater : none;
+    const {outbox} = this.parts;
+    outbox.add({kind: 'answer', caller, outcome: 'not-run', status, headers, body: empty, reason});
+    outbox.count('requests-not-run');
+    outbox.count(`requests-not-run-${reason}`);
+  }
+
+  /** Refuses a forward of which nothing is kept. */
+  rejectForward(peer: string, forward: Forward, reason: NotRunReason): void {
+    const {id, attempt, service} = forward;
+    const holdMs = reason === 'shed' ? shedHoldMs : 0;
+    const credit = this.getCredit(service);
+    const message: Rejected = {kind: 'rejected', id, attempt, reason, holdMs, credit};
+    this.parts.outbox.add({kind: 'send', peer, message});
+    this.parts.outbox.count(`requests-not-run-${reason}`);
+  }
+
   /** Ends a request that was proven not to have run; an earlier attempt in doubt makes it unknown. */
   notRun(request: PendingRequest, reason: NotRunReason, at: number): void {
     if (request.mayHaveRun || request.attempts.size > 0) return this.unknown(request, reason, at);
     const {client} = request;
     if (client.kind === 'caller') {
       const status = getNotRunStatus(reason);
-      const headers: Headers = status === 503 ? [['retry-after', '1']] : [];
+      const headers = status === 503 ? retryLater : none;
       this.tellCaller(request, 'not-run', status, headers, empty, reason, at);
     } else {
       const holdMs = reason === 'shed' ? shedHoldMs : 0;
--- a/packages/coordination/src/requests/entry-requests.ts
+++ b/packages/coordination/src/requests/entry-requests.ts
@@ -18,7 +18,7 @@
 import {EntryRoutes, type Target} from '../routing/entry-routes.js';
 import {KeptAnswers} from './kept-answers.js';
 import {Outbox} from './outbox.js';
-import {isIdempotent, type Attempt, type PendingRequest} from './pending-request.js';
+import {isIdempotent, newCourse, type Attempt, type PendingRequest} from './pending-request.js';
 import {RequestTable} from './request-table.js';
 
 /** Options of `EntryRequests`. */
@@ -147,36 +147,35 @@
   }
 
   private receive(event: CallerRequest, at: number): void {
+    const {service, method, path, headers, body, caller} = event;
+    const deadline = at + Math.max(0, Math.min(event.timeoutMs, this.options.maxTimeoutMs));
+    this.outbox.count('requests-received');
+    const refusal = this.getRefusal(service, body.byteLength, deadline, true, at);
+    if (refusal) return this.conclusions.refuseCaller(caller, refusal);
     const id = {origin: this.options.incarnation, sequence: ++this.sequence};
-    const workload = this.configuration?.workloads.get(event.service);
-    const request: PendingRequest = {
-      ...event,
-      id,
-      key: getRequestKey(id),
-      client: {kind: 'caller', caller: event.caller},
-      class: {
-        team: workload?.team ?? '',
-        kind: workload?.kind ?? 'service',
-        urgency: workload?.urgency ?? 'background',
+    const {team, kind, urgency, idempotentMethods} = this.configuration!.workloads.get(service)!;
+    this.admit(
+      {
+        id,
+        key: getRequestKey(id),
+        client: {kind: 'caller', caller},
+        service,
+        class: {team, kind, urgency},
+        idempotent: isIdempotent(method, event.idempotent, idempotentMethods),
+        method,
+        path,
+        headers,
+        body,
+        receivedAt: at,
+        deadline,
+        ...newCourse(),
       },
-      idempotent: isIdempotent(event.method, event.idempotent, workload?.idempotentMethods),
-      receivedAt: at,
-      deadline: at + Math.max(0, Math.min(event.timeoutMs, this.options.maxTimeoutMs)),
-      attempts: new Map(),
-      nextAttempt: 1,
-      mayHaveRun: false,
-      avoided: new Set(),
-      hedged: false,
-      taken: false,
-    };
-    this.admit(request, at);
+      at,
+    );
   }
 
   private admit(request: PendingRequest, at: number): void {
     this.table.add(request);
-    this.outbox.count('requests-received');
-    const refusal = this.getRefusal(request, at);
-    if (refusal) return this.conclusions.notRun(request, refusal, at);
     this.budget.earn();
     this.hedges.earn();
     const {service, body, deadline} = request;
@@ -184,16 +183,22 @@
       this.conclusions.notRun(request, 'shed', at);
   }
 
-  private getRefusal(request: PendingRequest, at: number): NotRunReason | undefined {
+  /** Reason for which a request is refused before anything is kept of it, so that a refusal is cheap. */
+  private getRefusal(
+    service: string,
+    bytes: number,
+    deadline: number,
+    mayForward: boolean,
+    at: number,
+  ): NotRunReason | undefined {
     const {settleMs, maxRequestBytes} = this.options;
     if (this.drainedAt !== undefined && at - this.drainedAt > settleMs) return 'draining';
-    if (request.body.byteLength > maxRequestBytes) return 'too-large';
+    if (bytes > maxRequestBytes) return 'too-large';
     if (!this.configuration) return 'configuration-unknown';
-    if (request.deadline <= at) return 'deadline';
-    if (!this.configuration.workloads.has(request.service)) return 'no-backend';
-    if (!this.routes.isServed(request.service, request.client.kind === 'caller'))
-      return 'no-backend';
-    return undefined;
+    if (deadline <= at) return 'deadline';
+    if (!this.configuration.workloads.has(service)) return 'no-backend';
+    if (!this.routes.isServed(service, mayForward)) return 'no-backend';
+    return this.queue.isShedding(service, at) ? 'shed' : undefined;
   }
 
   private dropCaller(caller: number, at: number): void {
@@ -233,24 +238,33 @@
   ): void {
     const key = getRequestKey(message.id);
     if (this.conclusions.answerDuplicate(peer, message, key)) return;
-    const whole = (body?.byteLength ?? 0) === message.bodyLength;
-    const request: PendingRequest = {
-      ...message,
-      key,
-      client: {kind: 'entry', peer, attempt: message.attempt},
-      body: body ?? new Uint8Array(),
-      receivedAt: at,
-      deadline: at + message.remainingMs,
-      attempts: new Map(),
-      nextAttempt: 1,
-      mayHaveRun: false,
-      avoided: new Set(),
-      hedged: false,
-      taken: false,
-    };
-    if (whole) return this.admit(request, at);
-    this.table.add(request);
-    this.conclusions.notRun(request, 'bad-request', at);
+    const bytes = body?.byteLength ?? 0;
+    const deadline = at + message.remainingMs;
+    this.outbox.count('forwards-received');
+    const refusal =
+      bytes === message.bodyLength
+        ? this.getRefusal(message.service, bytes, deadline, false, at)
+        : 'bad-request';
+    if (refusal) return this.conclusions.rejectForward(peer, message, refusal);
+    const {id, service, idempotent, method, path, headers} = message;
+    this.admit(
+      {
+        id,
+        key,
+        client: {kind: 'entry', peer, attempt: message.attempt},
+        service,
+        class: message.class,
+        idempotent,
+        method,
+        path,
+        headers,
+        body: body ?? new Uint8Array(),
+        receivedAt: at,
+        deadline,
+        ...newCourse(),
+      },
+      at,
+    );
   }
 
   private connect(peer: string, hello: Hello, at: number): void {
@@ -346,6 +360,7 @@
       replaced: false,
     };
     request.attempts.set(attempt.number, attempt);
+    this.results.noteSent(request, attempt);
     const message: Dispatch | Forward = {
       kind: target.via,
       id: request.id,
@@ -367,9 +382,8 @@
 
   /** Sends a second copy of idempotent requests that are slow, within the hedge budget. */
   private hedge(at: number): void {
-    for (const request of this.results.getHedgeable(at)) {
-      const first = [...request.attempts.values()][0]!;
-      const target = this.routes.choose(request.service, at, false, new Set([first.peer]));
+    for (const {request, attempt} of this.results.takeHedgeable(at)) {
+      const target = this.routes.choose(request.service, at, false, new Set([attempt.peer]));
       if (!target || !this.hedges.spend()) continue;
       request.hedged = true;
       this.outbox.count('requests-hedged');
--- a/packages/coordination/src/requests/pending-request.ts
+++ b/packages/coordination/src/requests/pending-request.ts
@@ -22,8 +22,35 @@
   replaced: boolean;
 }
 
+/** What has happened to a request so far. */
+export interface RequestCourse {
+  /** Attempts that are neither answered nor proven not run. */
+  readonly attempts: Map<number, Attempt>;
+  nextAttempt: number;
+  /** An earlier attempt may have run without a whole answer. */
+  mayHaveRun: boolean;
+  /** Peers that refused or failed this request. */
+  readonly avoided: Set<string>;
+  hedged: boolean;
+  /** Counted as in flight by the queue, so not queued. */
+  taken: boolean;
+  lastReason?: NotRunReason;
+}
+
+/** Course of a request that has just arrived. */
+export function newCourse(): RequestCourse {
+  return {
+    attempts: new Map(),
+    nextAttempt: 1,
+    mayHaveRun: false,
+    avoided: new Set(),
+    hedged: false,
+    taken: false,
+  };
+}
+
 /** A request between its arrival at an entry and its outcome. */
-export interface PendingRequest {
+export interface PendingRequest extends RequestCourse {
   readonly id: RequestId;
   readonly key: string;
   readonly client: Client;
@@ -36,17 +63,6 @@
   readonly body: Uint8Array;
   readonly receivedAt: number;
   readonly deadline: number;
-  /** Attempts that are neither answered nor proven not run. */
-  readonly attempts: Map<number, Attempt>;
-  nextAttempt: number;
-  /** An earlier attempt may have run without a whole answer. */
-  mayHaveRun: boolean;
-  /** Peers that refused or failed this request. */
-  readonly avoided: Set<string>;
-  hedged: boolean;
-  /** Counted as in flight by the queue, so not queued. */
-  taken: boolean;
-  lastReason?: NotRunReason;
 }
 
 const idempotentMethods: ReadonlySet<string> = new Set(['GET', 'HEAD', 'PUT', 'DELETE', 'OPTIONS']);
