Add the history checks, the fit of slopes and the list of known failures

Change: a check for each promise over recorded events, with a broken history for each; a least-squares fit that classifies growth as constant, linear, sublinear or superlinear from four sizes or more; a reader of test output that lets the build pass over exactly the tests in KNOWN-RED.txt and fails when a listed test passes or does not run.

Conclusion: the checks catch each broken promise on hand-written histories. They are not yet run on the reducers.

--- /dev/null
+++ b/packages/lab/src/capacity/slope.ts
@@ -0,0 +1,83 @@
+/** One measured value at one size. */
+export interface Sample {
+  readonly size: number;
+  readonly value: number;
+  readonly seed: number;
+}
+
+/** Straight line through samples, with what speaks for and against it. */
+export interface Slope {
+  readonly intercept: number;
+  /** Growth of the value per unit of size. */
+  readonly perUnit: number;
+  /** Share of the variance that the line explains, 0 to 1. */
+  readonly fit: number;
+  /** Exponent of the growth between the two largest sizes; 0 is constant, 1 is linear. */
+  readonly exponent: number;
+  /** Half the distance between the largest and smallest value at the largest size, relative to their mean. */
+  readonly spread: number;
+  readonly shape: 'constant' | 'linear' | 'sublinear' | 'superlinear';
+}
+
+/** Fewest different sizes that a slope may rest on. */
+export const minSizes = 4;
+
+/** Largest deviation of the growth exponent from 0 or 1 that still counts as constant or linear. */
+const exponentTolerance = 0.25;
+
+/** Fits a line by least squares; needs samples at four sizes or more. */
+export function fitSlope(samples: readonly Sample[]): Slope {
+  const sizes = [...new Set(samples.map(sample => sample.size))].sort((a, b) => a - b);
+  if (sizes.length < minSizes) {
+    throw new RangeError(`A slope needs ${minSizes} sizes, got ${sizes.length}`);
+  }
+  const meanSize = getMean(samples.map(sample => sample.size));
+  const meanValue = getMean(samples.map(sample => sample.value));
+  let covariance = 0;
+  let sizeVariance = 0;
+  let valueVariance = 0;
+  for (const {size, value} of samples) {
+    covariance += (size - meanSize) * (value - meanValue);
+    sizeVariance += (size - meanSize) ** 2;
+    valueVariance += (value - meanValue) ** 2;
+  }
+  const perUnit = covariance / sizeVariance;
+  const intercept = meanValue - perUnit * meanSize;
+  let residual = 0;
+  for (const {size, value} of samples) residual += (value - intercept - perUnit * size) ** 2;
+  const last = samples.filter(sample => sample.size === sizes.at(-1)).map(sample => sample.value);
+  const former = samples.filter(sample => sample.size === sizes.at(-2)).map(s => s.value);
+  const largest = getMean(last);
+  const exponent = getExponent(sizes.at(-2)!, getMean(former), sizes.at(-1)!, largest);
+  return {
+    intercept,
+    perUnit,
+    fit: valueVariance === 0 ? 1 : 1 - residual / valueVariance,
+    exponent,
+    spread: largest === 0 ? 0 : (Math.max(...last) - Math.min(...last)) / 2 / Math.abs(largest),
+    shape: getShape(exponent),
+  };
+}
+
+/** Returns the middle value, or the mean of the two middle values. */
+export function getMedian(values: readonly number[]): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  const middle = sorted.length >> 1;
+  if (sorted.length === 0) return NaN;
+  return sorted.length % 2 ? sorted[middle]! : (sorted[middle - 1]! + sorted[middle]!) / 2;
+}
+
+function getMean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
+function getExponent(size: number, value: number, largerSize: number, larger: number): number {
+  if (value <= 0 || larger <= 0) return value === larger ? 0 : NaN;
+  return Math.log(larger / value) / Math.log(largerSize / size);
+}
+
+function getShape(exponent: number): Slope['shape'] {
+  if (Math.abs(exponent) <= exponentTolerance) return 'constant';
+  if (Math.abs(exponent - 1) <= exponentTolerance) return 'linear';
+  return exponent > 1 ? 'superlinear' : 'sublinear';
+}
--- /dev/null
+++ b/packages/lab/src/histories/checks/resume-once.ts
@@ -0,0 +1,62 @@
+import {type History} from '../history.js';
+import type {HistoryEvent, HistoryEventOf} from '../history-event.js';
+import type {Violation} from '../promise.js';
+
+/** Time after the end of the faults by which evicted work must run again. */
+export const resumeWithinMs = 60_000;
+
+interface Eviction {
+  readonly event: HistoryEventOf<'run-ended'>;
+  resumes: number;
+  /** Whether the last resume is over without a newer checkpoint, so that the checkpoint may be used again. */
+  reusable: boolean;
+}
+
+/**
+ * P3: after an eviction the next run starts from its checkpoint, and only one does. A run that is lost may be
+ * repeated from the same checkpoint. A task that the ledger records as finished never runs again.
+ */
+export function checkResumeOnce(history: History, withinMs = resumeWithinMs): Violation[] {
+  const evictions = new Map<string, Eviction>();
+  const closed = new Set<string>();
+  const violations: Violation[] = [];
+  const add = (event: HistoryEvent, task: string, detail: string) =>
+    violations.push({promise: 'resume-once', at: event.at, subject: task, detail});
+  for (const event of history.events) {
+    if (event.kind === 'task-cancelled') {
+      evictions.delete(event.task);
+    } else if (event.kind === 'task-recorded-finished') {
+      closed.add(event.task);
+      evictions.delete(event.task);
+    } else if (event.kind === 'run-started') {
+      if (closed.has(event.task)) add(event, event.task, 'runs again although it is finished');
+      const eviction = evictions.get(event.task);
+      if (!eviction) continue;
+      if (event.checkpoint !== eviction.event.checkpoint) {
+        const from = event.checkpoint ?? 'nothing';
+        add(event, event.task, `starts from ${from}, not from ${eviction.event.checkpoint}`);
+      } else if (eviction.resumes > 0 && !eviction.reusable) {
+        add(event, event.task, `resumes again from ${event.checkpoint}`);
+      }
+      eviction.resumes++;
+      eviction.reusable = false;
+    } else if (event.kind === 'run-ended') {
+      const eviction = evictions.get(event.task);
+      if (event.end === 'checkpointed') {
+        evictions.set(event.task, {event, resumes: 0, reusable: false});
+      } else if (event.end === 'finished') {
+        evictions.delete(event.task);
+      } else if (eviction) {
+        eviction.reusable = true;
+        if (event.checkpoint !== undefined) evictions.delete(event.task);
+      }
+    }
+  }
+  const due = history.getEnd() - withinMs;
+  for (const [task, {event, resumes}] of evictions) {
+    if (resumes === 0 && Math.max(event.at, history.getQuietSince()) < due) {
+      add(event, task, `evicted with ${event.checkpoint} and not resumed within ${withinMs} ms`);
+    }
+  }
+  return violations;
+}
--- /dev/null
+++ b/packages/lab/src/histories/history-event.ts
@@ -0,0 +1,90 @@
+import type {Resources} from '@chervilbeam/coordination';
+
+/** Outcome of a request as the caller saw it. */
+export type RequestOutcome = 'answered' | 'not-run' | 'unknown';
+
+/** How a run of a task ended at the worker. */
+export type RunEnd = 'finished' | 'checkpointed' | 'stopped' | 'lost';
+
+/**
+ * What an outside observer records during a run. Exchanges and task runs are recorded by the backend server
+ * and the worker, so they show what happened and not what the system believes. All times are on one clock.
+ */
+export type HistoryEvent = {readonly at: number} & (
+  | {
+      readonly kind: 'request-submitted';
+      readonly request: string;
+      readonly entry: string;
+      readonly service: string;
+      readonly idempotent: boolean;
+    }
+  | {
+      readonly kind: 'request-answered';
+      readonly request: string;
+      readonly outcome: RequestOutcome;
+      readonly status: number;
+      readonly body: string;
+    }
+  | {readonly kind: 'request-abandoned'; readonly request: string}
+  | {
+      readonly kind: 'exchange-started';
+      readonly request: string;
+      readonly host: string;
+      readonly exchange: string;
+    }
+  | {
+      readonly kind: 'exchange-ended';
+      readonly exchange: string;
+      /** Whole body of the answer; absent when the exchange was cut before its answer. */
+      readonly body?: string;
+      /** Why an exchange without answer ended. */
+      readonly cut?: 'aborted' | 'killed' | 'deadline';
+    }
+  | {
+      readonly kind: 'run-started';
+      readonly task: string;
+      readonly attempt: number;
+      readonly host: string;
+      readonly resources: Resources;
+      readonly checkpoint?: string;
+    }
+  | {
+      readonly kind: 'run-ended';
+      readonly task: string;
+      readonly attempt: number;
+      readonly host: string;
+      readonly end: RunEnd;
+      readonly checkpoint?: string;
+    }
+  | {readonly kind: 'task-recorded-finished'; readonly task: string}
+  | {readonly kind: 'task-cancelled'; readonly task: string}
+  | {readonly kind: 'host-capacity'; readonly host: string; readonly capacity: Resources}
+  | {readonly kind: 'host-leaving'; readonly host: string}
+  | {readonly kind: 'host-returned'; readonly host: string}
+  | {readonly kind: 'process-started'; readonly process: string}
+  | {readonly kind: 'process-killed'; readonly process: string}
+  | {readonly kind: 'shutdown-began'; readonly process: string}
+  | {readonly kind: 'process-exited'; readonly process: string}
+  | {
+      readonly kind: 'configuration-accepted';
+      readonly version: number;
+      readonly changeId: string;
+    }
+  | {
+      readonly kind: 'configuration-in-force';
+      readonly process: string;
+      readonly version: number;
+      /** Digest of the whole configuration at this version. */
+      readonly digest: string;
+    }
+  | {readonly kind: 'configuration-log'; readonly changeIds: readonly string[]}
+  /** From here on no fault is active, and what was disturbed must recover. */
+  | {readonly kind: 'faults-over'}
+  | {readonly kind: 'history-ended'}
+);
+
+/** Selects the events of one kind. */
+export type HistoryEventOf<Kind extends HistoryEvent['kind']> = Extract<
+  HistoryEvent,
+  {readonly kind: Kind}
+>;
--- /dev/null
+++ b/packages/lab/src/histories/history.ts
@@ -0,0 +1,41 @@
+import type {HistoryEvent, HistoryEventOf} from './history-event.js';
+
+/** Recorded events of one run in time order, with the look-ups that checks need. */
+export class History {
+  readonly events: readonly HistoryEvent[];
+
+  constructor(events: readonly HistoryEvent[]) {
+    // The sort is stable, so events with equal times keep the order in which they were recorded.
+    this.events = [...events].sort((a, b) => a.at - b.at);
+  }
+
+  /** Returns the events of one kind in time order. */
+  select<Kind extends HistoryEvent['kind']>(kind: Kind): ReadonlyArray<HistoryEventOf<Kind>> {
+    return this.events.filter((event): event is HistoryEventOf<Kind> => event.kind === kind);
+  }
+
+  /** Returns the time from which on no fault was active; the start of the history when none is recorded. */
+  getQuietSince(): number {
+    return this.select('faults-over').at(-1)?.at ?? 0;
+  }
+
+  /** Returns the time of the last event. */
+  getEnd(): number {
+    return this.events.at(-1)?.at ?? 0;
+  }
+}
+
+/** Groups values by a key in insertion order. */
+export function groupBy<Value>(
+  values: Iterable<Value>,
+  getKey: (value: Value) => string,
+): Map<string, Value[]> {
+  const groups = new Map<string, Value[]>();
+  for (const value of values) {
+    const key = getKey(value);
+    const group = groups.get(key);
+    if (group) group.push(value);
+    else groups.set(key, [value]);
+  }
+  return groups;
+}
--- /dev/null
+++ b/packages/lab/src/histories/promise.ts
@@ -0,0 +1,29 @@
+/** The promises of the design page, section 1. */
+export const promises = [
+  'host-limits',
+  'single-placement',
+  'resume-once',
+  'whole-own-answer',
+  'not-run-is-true',
+  'at-most-once',
+  'drained-no-new-work',
+  'graceful-shutdown',
+  'configuration-in-force',
+] as const;
+
+/** Name of one promise. */
+export type PromiseName = (typeof promises)[number];
+
+/** Returns the short id of a promise, `P1` to `P9`. */
+export function getPromiseId(promise: PromiseName): string {
+  return `P${promises.indexOf(promise) + 1}`;
+}
+
+/** One broken promise found in a history. */
+export interface Violation {
+  readonly promise: PromiseName;
+  readonly at: number;
+  /** Request, task, host or process that the violation concerns. */
+  readonly subject: string;
+  readonly detail: string;
+}
--- /dev/null
+++ b/packages/lab/src/known-red/index.ts
@@ -0,0 +1,2 @@
+export * from './known-red-list.js';
+export * from './tap-results.js';
--- /dev/null
+++ b/packages/lab/test/capacity/slope.test.ts
@@ -0,0 +1,31 @@
+import t from 'tap';
+import {fitSlope, getMedian} from '../../src/capacity/slope.js';
+
+const sample = (value: (size: number) => number, sizes = [100, 200, 400, 800]) =>
+  sizes.flatMap(size => [1, 2].map(seed => ({size, value: value(size), seed})));
+
+const cases = [
+  {name: 'constant', value: () => 7, shape: 'constant', perUnit: 0},
+  {name: 'linear', value: (n: number) => 3 * n, shape: 'linear', perUnit: 3},
+  {name: 'logarithmic', value: (n: number) => Math.sqrt(n), shape: 'sublinear'},
+  {name: 'quadratic', value: (n: number) => n * n, shape: 'superlinear'},
+] as const;
+
+void t.test('growth is classified, so that a quadratic cost is not printed as a line', async t => {
+  for (const c of cases) {
+    const slope = fitSlope(sample(c.value));
+    t.equal(slope.shape, c.shape, c.name);
+    if ('perUnit' in c) t.ok(Math.abs(slope.perUnit - c.perUnit) < 1e-9, `${c.name}: slope`);
+  }
+});
+
+void t.test('a slope from three sizes is refused', async t => {
+  t.throws(() => fitSlope(sample(n => n, [1, 2, 3])), RangeError);
+});
+
+void t.test('the spread is taken at the largest size', async t => {
+  const samples = sample(n => n).map(s => ({...s, value: s.value * (s.seed === 1 ? 0.9 : 1.1)}));
+  t.ok(Math.abs(fitSlope(samples).spread - 0.1) < 1e-9);
+  t.equal(getMedian([3, 1, 2]), 2);
+  t.equal(getMedian([4, 1, 2, 3]), 2.5);
+});
--- /dev/null
+++ b/packages/lab/test/histories/check-history.test.ts
@@ -0,0 +1,301 @@
+import t from 'tap';
+import {checkHistory} from '../../src/histories/check-history.js';
+import type {HistoryEvent} from '../../src/histories/history-event.js';
+import {promises, type PromiseName} from '../../src/histories/promise.js';
+
+const small = {processors: 1000, memoryMb: 1000, accelerators: 0, slots: 1};
+const request = (at: number, name: string, idempotent = false): HistoryEvent => ({
+  kind: 'request-submitted',
+  at,
+  request: name,
+  entry: 'e1',
+  service: 's',
+  idempotent,
+});
+const answer = (
+  at: number,
+  name: string,
+  outcome: 'answered' | 'not-run' | 'unknown',
+  body = '',
+): HistoryEvent => ({kind: 'request-answered', at, request: name, outcome, status: 200, body});
+const begin = (at: number, name: string, exchange: string, host = 'h1'): HistoryEvent => ({
+  kind: 'exchange-started',
+  at,
+  request: name,
+  host,
+  exchange,
+});
+const end = (at: number, exchange: string, body: string): HistoryEvent => ({
+  kind: 'exchange-ended',
+  at,
+  exchange,
+  body,
+});
+const cut = (
+  at: number,
+  exchange: string,
+  reason: 'aborted' | 'killed' | 'deadline',
+): HistoryEvent => ({kind: 'exchange-ended', at, exchange, cut: reason});
+const run = (at: number, attempt: number, host: string, checkpoint?: string): HistoryEvent => ({
+  kind: 'run-started',
+  at,
+  task: 'b/0',
+  attempt,
+  host,
+  resources: small,
+  checkpoint,
+});
+const halt = (
+  at: number,
+  attempt: number,
+  host: string,
+  how: 'finished' | 'checkpointed' | 'stopped' | 'lost',
+  checkpoint?: string,
+): HistoryEvent => ({kind: 'run-ended', at, task: 'b/0', attempt, host, end: how, checkpoint});
+const force = (
+  at: number,
+  process: string,
+  version: number,
+  digest = `d${version}`,
+): HistoryEvent => ({
+  kind: 'configuration-in-force',
+  at,
+  process,
+  version,
+  digest,
+});
+const accept = (at: number, version: number, changeId: string): HistoryEvent => ({
+  kind: 'configuration-accepted',
+  at,
+  version,
+  changeId,
+});
+const started: HistoryEvent = {kind: 'process-started', at: 0, process: 'e1'};
+const ended: HistoryEvent = {kind: 'history-ended', at: 100_000};
+const leaving: HistoryEvent = {kind: 'host-leaving', at: 10, host: 'h1'};
+const capacity: HistoryEvent = {kind: 'host-capacity', at: 0, host: 'h1', capacity: small};
+const shutdown = (process: string): HistoryEvent => ({kind: 'shutdown-began', at: 20, process});
+const exited = (process: string): HistoryEvent => ({kind: 'process-exited', at: 90, process});
+
+interface Case {
+  readonly name: string;
+  readonly broken?: PromiseName;
+  readonly events: readonly HistoryEvent[];
+}
+
+const cases: readonly Case[] = [
+  {
+    name: 'an answered request',
+    events: [
+      request(1, 'r'),
+      begin(2, 'r', 'x'),
+      end(3, 'x', 'b'),
+      answer(4, 'r', 'answered', 'b'),
+    ],
+  },
+  {
+    name: 'a non-idempotent request that runs twice',
+    broken: 'at-most-once',
+    events: [request(1, 'r'), begin(2, 'r', 'x'), begin(3, 'r', 'y', 'h2')],
+  },
+  {
+    name: 'an idempotent request that runs twice',
+    events: [request(1, 'r', true), begin(2, 'r', 'x'), begin(3, 'r', 'y', 'h2')],
+  },
+  {
+    name: 'a request told not-run that had run',
+    broken: 'not-run-is-true',
+    events: [request(1, 'r'), begin(2, 'r', 'x'), answer(3, 'r', 'not-run')],
+  },
+  {
+    name: 'a request told not-run that runs later',
+    broken: 'not-run-is-true',
+    events: [request(1, 'r'), answer(3, 'r', 'not-run'), begin(9, 'r', 'x')],
+  },
+  {
+    name: 'the answer of another request',
+    broken: 'whole-own-answer',
+    events: [
+      request(1, 'r'),
+      request(1, 'q'),
+      begin(2, 'q', 'x'),
+      end(3, 'x', 'b'),
+      answer(4, 'r', 'answered', 'b'),
+    ],
+  },
+  {
+    name: 'an answer cut short',
+    broken: 'whole-own-answer',
+    events: [
+      request(1, 'r'),
+      begin(2, 'r', 'x'),
+      end(3, 'x', 'body'),
+      answer(4, 'r', 'answered', 'bo'),
+    ],
+  },
+  {
+    name: 'two answers to one caller',
+    broken: 'whole-own-answer',
+    events: [request(1, 'r'), answer(4, 'r', 'unknown'), answer(5, 'r', 'not-run')],
+  },
+  {
+    name: 'a run after the end of the former one',
+    events: [run(1, 1, 'h1'), halt(2, 1, 'h1', 'lost'), run(3, 2, 'h2')],
+  },
+  {
+    name: 'two runs of one task',
+    broken: 'single-placement',
+    events: [run(1, 1, 'h1'), run(3, 2, 'h2')],
+  },
+  {
+    name: 'a resume from the checkpoint',
+    events: [run(1, 1, 'h1'), halt(2, 1, 'h1', 'checkpointed', 'c'), run(3, 2, 'h2', 'c'), ended],
+  },
+  {
+    name: 'a repeated resume after a loss',
+    events: [
+      run(1, 1, 'h1'),
+      halt(2, 1, 'h1', 'checkpointed', 'c'),
+      run(3, 2, 'h2', 'c'),
+      halt(4, 2, 'h2', 'lost'),
+      run(5, 3, 'h1', 'c'),
+      ended,
+    ],
+  },
+  {
+    name: 'a resume from nothing',
+    broken: 'resume-once',
+    events: [run(1, 1, 'h1'), halt(2, 1, 'h1', 'checkpointed', 'c'), run(3, 2, 'h2'), ended],
+  },
+  {
+    name: 'evicted work that never resumes',
+    broken: 'resume-once',
+    events: [run(1, 1, 'h1'), halt(2, 1, 'h1', 'checkpointed', 'c'), ended],
+  },
+  {
+    name: 'a cancelled task that does not resume',
+    events: [
+      run(1, 1, 'h1'),
+      halt(2, 1, 'h1', 'checkpointed', 'c'),
+      {kind: 'task-cancelled', at: 3, task: 'b/0'},
+      ended,
+    ],
+  },
+  {
+    name: 'a run after the recorded end',
+    broken: 'resume-once',
+    events: [
+      run(1, 1, 'h1'),
+      halt(2, 1, 'h1', 'finished'),
+      {kind: 'task-recorded-finished', at: 3, task: 'b/0'},
+      run(9, 2, 'h1'),
+    ],
+  },
+  {
+    name: 'a full host',
+    events: [capacity, run(1, 1, 'h1'), halt(2, 1, 'h1', 'finished'), run(2, 2, 'h1')],
+  },
+  {
+    name: 'runs beyond the capacity',
+    broken: 'host-limits',
+    events: [capacity, run(1, 1, 'h1'), {...run(2, 2, 'h1'), task: 'b/1'} as HistoryEvent],
+  },
+  {
+    name: 'exchanges beyond the slots',
+    broken: 'host-limits',
+    events: [capacity, begin(1, 'q', 'x'), begin(2, 'r', 'y')],
+  },
+  {name: 'work within the drain time', events: [leaving, begin(3_000, 'r', 'x')]},
+  {
+    name: 'an exchange on a host that left',
+    broken: 'drained-no-new-work',
+    events: [leaving, begin(6_000, 'r', 'x')],
+  },
+  {
+    name: 'a run on a host that left',
+    broken: 'drained-no-new-work',
+    events: [leaving, run(6_000, 1, 'h1')],
+  },
+  {
+    name: 'work on a host that returned',
+    events: [leaving, {kind: 'host-returned', at: 5_000, host: 'h1'}, begin(6_000, 'r', 'x')],
+  },
+  {
+    name: 'a shutdown that answers all',
+    events: [request(1, 'r'), shutdown('e1'), answer(30, 'r', 'not-run'), exited('e1')],
+  },
+  {
+    name: 'an exit with an open request',
+    broken: 'graceful-shutdown',
+    events: [request(1, 'r'), shutdown('e1'), exited('e1')],
+  },
+  {
+    name: 'an agent that cuts its exchange off',
+    broken: 'graceful-shutdown',
+    events: [request(1, 'r'), begin(2, 'r', 'x'), shutdown('h1'), cut(30, 'x', 'aborted')],
+  },
+  {
+    name: 'an unknown outcome during a shutdown',
+    broken: 'graceful-shutdown',
+    events: [request(1, 'r'), begin(2, 'r', 'x'), shutdown('e1'), answer(30, 'r', 'unknown')],
+  },
+  {
+    name: 'a backend server killed during a shutdown',
+    events: [
+      request(1, 'r'),
+      begin(2, 'r', 'x'),
+      shutdown('e1'),
+      cut(25, 'x', 'killed'),
+      answer(30, 'r', 'unknown'),
+      exited('e1'),
+    ],
+  },
+  {name: 'a version in force', events: [started, accept(1, 1, 'c1'), force(9, 'e1', 1), ended]},
+  {
+    name: 'a version that arrives late',
+    broken: 'configuration-in-force',
+    events: [started, accept(1, 1, 'c1'), force(9_000, 'e1', 1), ended],
+  },
+  {
+    name: 'a late version while faults are active',
+    events: [
+      started,
+      accept(1, 1, 'c1'),
+      {kind: 'faults-over', at: 8_000},
+      force(9_000, 'e1', 1),
+      ended,
+    ],
+  },
+  {
+    name: 'a process that goes back',
+    broken: 'configuration-in-force',
+    events: [force(1, 'e1', 2), force(2, 'e1', 1)],
+  },
+  {
+    name: 'two contents of one version',
+    broken: 'configuration-in-force',
+    events: [force(1, 'e1', 2), force(2, 'e2', 2, 'other')],
+  },
+  {
+    name: 'two changes accepted as one version',
+    broken: 'configuration-in-force',
+    events: [accept(1, 1, 'c1'), accept(2, 1, 'c2')],
+  },
+  {
+    name: 'an accepted change that is not in the log',
+    broken: 'configuration-in-force',
+    events: [accept(1, 1, 'c1'), {kind: 'configuration-log', at: 5, changeIds: ['c2']}],
+  },
+];
+
+void t.test('checks catch each broken promise and accept what is allowed', async t => {
+  for (const c of cases) {
+    const found = new Set(checkHistory(c.events).map(violation => violation.promise));
+    t.same([...found], c.broken ? [c.broken] : [], c.name);
+  }
+});
+
+void t.test('every promise has a broken history, so that no check is empty', async t => {
+  const covered = new Set(cases.map(c => c.broken));
+  for (const promise of promises) t.ok(covered.has(promise), promise);
+});
--- /dev/null
+++ b/packages/lab/test/known-red/known-red-list.test.ts
@@ -0,0 +1,103 @@
+import t from 'tap';
+import {isGreen, judge, parseKnownRed} from '../../src/known-red/known-red-list.js';
+import {parseTapResults} from '../../src/known-red/tap-results.js';
+
+const file = (
+  name: string,
+  tests: ReadonlyArray<readonly [string, boolean]>,
+  planned = tests.length,
+) =>
+  [
+    `# Subtest: ${name}`,
+    ...tests.map(([test, ok], i) => `    ${ok ? '' : 'not '}ok ${i + 1} - ${test} # time=1ms`),
+    `    1..${planned}`,
+    `${tests.every(([, ok]) => ok) && planned === tests.length ? '' : 'not '}ok 1 - ${name} # time=2ms`,
+  ].join('\n');
+const path = 'packages/a/dist/test/x.test.js';
+const output = (body: string, planned = 1) => `TAP version 14\n${body}\n1..${planned}\n`;
+const list = parseKnownRed(
+  '# Comment\n\ntest: packages/a/test/x.test.ts > second\ncommand: npm test, seed 3\nissue: late\n',
+);
+
+const cases = [
+  {
+    name: 'all pass, nothing listed',
+    text: output(file(path, [['first', true]])),
+    list: [],
+    green: true,
+  },
+  {
+    name: 'an unlisted failure fails',
+    text: output(file(path, [['first', false]])),
+    list: [],
+    green: false,
+  },
+  {
+    name: 'a listed failure passes',
+    text: output(
+      file(path, [
+        ['first', true],
+        ['second', false],
+      ]),
+    ),
+    list,
+    green: true,
+  },
+  {
+    name: 'a listed test that passes fails',
+    text: output(
+      file(path, [
+        ['first', true],
+        ['second', true],
+      ]),
+    ),
+    list,
+    green: false,
+  },
+  {
+    name: 'a listed test that did not run fails',
+    text: output(file(path, [['first', true]])),
+    list,
+    green: false,
+  },
+  {
+    name: 'another failure beside a listed one fails',
+    text: output(
+      file(path, [
+        ['first', false],
+        ['second', false],
+      ]),
+    ),
+    list,
+    green: false,
+  },
+  {
+    name: 'a file that stops after a listed failure fails',
+    text: output(file(path, [['second', false]], 2)),
+    list,
+    green: false,
+  },
+  {
+    name: 'a missing file fails',
+    text: output(file(path, [['first', true]]), 2),
+    list: [],
+    green: false,
+  },
+  {name: 'no output fails', text: '', list: [], green: false},
+];
+
+void t.test('the build passes over exactly the listed failures', async t => {
+  for (const c of cases) {
+    t.equal(isGreen(judge(parseTapResults(c.text), c.list)), c.green, c.name);
+  }
+});
+
+void t.test(
+  'an entry without a test name is refused, so that no failure is listed by mistake',
+  async t => {
+    t.throws(() => parseKnownRed('something else\n'));
+    t.same(list, [
+      {test: 'packages/a/test/x.test.ts > second', note: 'command: npm test, seed 3\nissue: late'},
+    ]);
+  },
+);
