Add the configuration view, intent parsing and the store stand-in

Cause: the daemon and the command need event and effect types, a store to talk to, and a document to put in force.

Change: ConfigurationView with watch, poll, relay, gap filling, confirmation by compare-and-swap and compaction; the document with apply and difference; intent files whose problems are reported together; the store stand-in as a process with limits and faults on demand, and its client.

A store call answers ok, mismatch, limited, unavailable (certainly not carried out) or unknown. Only the last forces a writer to read back.

--- /dev/null
+++ b/packages/coordination/src/configuration/view/compaction.ts
@@ -0,0 +1,129 @@
+import type {ViewContext} from './context.js';
+import type {StoreAnswer} from './events.js';
+import {
+  getInlineCount,
+  getSnapshotKey,
+  inlineChangeLimit,
+  retainedChanges,
+  type Head,
+  type SnapshotReference,
+} from './head.js';
+import {getJsonBytes, splitSnapshot} from './snapshot.js';
+
+/** Delay after a compaction that failed. */
+const retryMs = 5000;
+
+const defaultCompactAtChanges = 64;
+const defaultCompactAtBytes = 192 * 1024;
+
+/** What compaction needs from the view. */
+export interface CompactionAccess {
+  /** Takes in a head that was read; returns undefined when the value is not a head. */
+  acceptHead(value: unknown, revision: number, at: number): Head | undefined;
+  /** Takes in a head that this process has written. */
+  acceptOwnHead(head: Head, revision: number, at: number): void;
+}
+
+/** Moves the changes of the head into a snapshot. */
+export class Compaction {
+  #isRunning = false;
+  #notBefore = Number.NEGATIVE_INFINITY;
+  #waiting: Array<(at: number) => void> = [];
+  /** Whether this process owns the first cell. */
+  isActive = false;
+
+  constructor(
+    private readonly context: ViewContext,
+    private readonly access: CompactionAccess,
+  ) {}
+
+  /** Starts a compaction if this process is in charge of it and the log is long. */
+  consider(head: Head, at: number): void {
+    if (!this.isActive || this.#isRunning || this.#notBefore > at) return;
+    const {compactAtChanges = defaultCompactAtChanges, compactAtBytes = defaultCompactAtBytes} =
+      this.context.options;
+    const count = getInlineCount(head);
+    if (count === 0) return;
+    if (count < Math.min(compactAtChanges, inlineChangeLimit)) {
+      if (getJsonBytes(head) < compactAtBytes) return;
+    }
+    this.run(at, () => {});
+  }
+
+  /** Compacts now; a running compaction is shared. Calls back when it has ended, well or not. */
+  run(at: number, done: (at: number) => void): void {
+    this.#waiting.push(done);
+    if (this.#isRunning) return;
+    this.#isRunning = true;
+    this.context.readHead(at, (answer, answeredAt) => {
+      if (answer.result !== 'ok') return this.#end(false, answeredAt);
+      const head = this.access.acceptHead(answer.value, answer.revision, answeredAt);
+      if (!head || head.version !== this.context.log.version || getInlineCount(head) === 0) {
+        return this.#end(false, answeredAt);
+      }
+      this.#writeParts(head, answer.revision, answeredAt);
+    });
+  }
+
+  #writeParts(head: Head, revision: number, at: number): void {
+    const parts = splitSnapshot(this.context.log.configuration);
+    const snapshot = {version: head.version, parts: parts.length};
+    const writeNext = (index: number, nextAt: number) => {
+      const part = parts[index];
+      if (!part) return this.#swap(head, snapshot, revision, nextAt);
+      const key = getSnapshotKey(head.version, index);
+      this.context.writeSnapshot(key, part, 0, nextAt, (answer, answeredAt) => {
+        // A part that exists was written for the same version and so has the same content.
+        if (isInPlace(answer)) writeNext(index + 1, answeredAt);
+        else this.#end(false, answeredAt);
+      });
+    };
+    writeNext(0, at);
+  }
+
+  #swap(head: Head, snapshot: SnapshotReference, revision: number, at: number): void {
+    const next: Head = {
+      version: head.version,
+      snapshot,
+      previousSnapshot: head.snapshot,
+      changes: head.changes.slice(-retainedChanges),
+    };
+    this.context.swapHead(next, revision, at, (answer, answeredAt) => {
+      if (answer.result === 'ok') {
+        this.context.count('compacted');
+        const event = {kind: 'configuration-compacted', version: head.version};
+        this.context.emit({kind: 'record', event});
+        this.access.acceptOwnHead(next, answer.revision, answeredAt);
+        this.#emptyParts(head.previousSnapshot, answeredAt);
+      }
+      this.#end(answer.result === 'ok', answeredAt);
+    });
+  }
+
+  /** Empties the parts of a snapshot that no head refers to; the store has no call that removes a key. */
+  #emptyParts(snapshot: SnapshotReference | null, at: number): void {
+    if (!snapshot) return;
+    for (let part = 0; part < snapshot.parts; part++) {
+      const key = getSnapshotKey(snapshot.version, part);
+      this.context.readSnapshot(key, at, (answer, answeredAt) => {
+        if (answer.result !== 'ok' || answer.revision === 0) return;
+        this.context.writeSnapshot(key, null, answer.revision, answeredAt, () => {});
+      });
+    }
+  }
+
+  #end(succeeded: boolean, at: number): void {
+    this.#isRunning = false;
+    if (!succeeded) {
+      this.#notBefore = at + retryMs;
+      this.context.count('compaction-failed');
+    }
+    const waiting = this.#waiting;
+    this.#waiting = [];
+    for (const done of waiting) done(at);
+  }
+}
+
+function isInPlace(answer: StoreAnswer): boolean {
+  return answer.result === 'ok' || answer.result === 'mismatch';
+}
--- /dev/null
+++ b/packages/coordination/src/configuration/view/configuration-view.ts
@@ -0,0 +1,152 @@
+import type {Reducer} from '../../reducer.js';
+import type {Configuration, ConfigurationChange} from '../document.js';
+import {ChangeLog} from './change-log.js';
+import {Compaction} from './compaction.js';
+import {Confirmations} from './confirmations.js';
+import {ViewContext} from './context.js';
+import type {ConfigurationEffect, ConfigurationEvent, ConfigurationViewOptions} from './events.js';
+import {getInlineCount, inlineByteLimit, inlineChangeLimit, parseHead, type Head} from './head.js';
+import {Jitter} from './jitter.js';
+import {Relay} from './relay.js';
+import {getJsonBytes} from './snapshot.js';
+import {SnapshotReader} from './snapshot-reader.js';
+import {WatchDuty} from './watch-duty.js';
+
+/**
+ * The configuration as one process sees it: watches or polls the store, relays changes to connected
+ * processes, and appends confirmed plans. The version in force here never goes down.
+ */
+export class ConfigurationView implements Reducer<ConfigurationEvent, ConfigurationEffect> {
+  readonly #context: ViewContext;
+  readonly #log = new ChangeLog();
+  readonly #relay: Relay;
+  readonly #duty: WatchDuty;
+  readonly #reader: SnapshotReader;
+  readonly #compaction: Compaction;
+  readonly #confirmations: Confirmations;
+
+  constructor(options: ConfigurationViewOptions) {
+    this.#context = new ViewContext(options, this.#log, new Jitter(options.seed));
+    this.#relay = new Relay(this.#context);
+    this.#reader = new SnapshotReader(this.#context, this.#relay, {
+      publish: at => this.#publish(true, at),
+      readHead: at => this.#poll(at, () => {}),
+    });
+    this.#duty = new WatchDuty(this.#context, this.#relay, (at, done) => this.#poll(at, done));
+    const access = {
+      acceptHead: this.#acceptHead.bind(this),
+      acceptOwnHead: this.#acceptOwnHead.bind(this),
+    };
+    this.#compaction = new Compaction(this.#context, access);
+    this.#confirmations = new Confirmations(this.#context, {
+      ...access,
+      isFull: isHeadFull,
+      compact: (at, done) => this.#compaction.run(at, done),
+    });
+  }
+
+  /** The configuration in force here; version 0 when it is not known. */
+  get configuration(): Configuration {
+    return this.#log.configuration;
+  }
+
+  /** Returns the changes after a version, or undefined when they are no longer kept. */
+  getChangesAfter(version: number): readonly ConfigurationChange[] | undefined {
+    return this.#log.getChangesAfter(version);
+  }
+
+  reduce(event: ConfigurationEvent, at: number): readonly ConfigurationEffect[] {
+    this.#handle(event, at);
+    return this.#context.takeEffects();
+  }
+
+  #handle(event: ConfigurationEvent, at: number): void {
+    switch (event.kind) {
+      case 'tick':
+        return this.#tick(at);
+      case 'head':
+        this.#acceptHead(event.value, event.revision, at);
+        return this.#duty.finishWatch(at);
+      case 'watch-quiet':
+        return this.#duty.finishWatch(at);
+      case 'watch-failed':
+        return this.#duty.failWatch(at);
+      case 'store-result':
+        return this.#context.settle(event.request, event.answer, at);
+      case 'config':
+        if (this.#relay.receive(event.peer, event.message, at)) this.#publish(false, at);
+        return this.#reader.tick(at);
+      case 'config-request':
+        return this.#relay.serve(event.peer, event.message.after);
+      case 'heartbeat':
+        return this.#relay.noteVersion(event.peer, event.message.configVersion, at);
+      case 'peer-up':
+        return this.#relay.addPeer(event.peer, event.hello, at);
+      case 'peer-down':
+        return this.#relay.removePeer(event.peer, at);
+      case 'compactor':
+        this.#compaction.isActive = event.active;
+        return;
+      case 'confirm':
+        return this.#confirmations.start(event.request, event.plan, at);
+    }
+  }
+
+  #tick(at: number): void {
+    this.#context.expireCalls(at);
+    this.#relay.tick(at);
+    if (this.#context.options.role === 'agent') return;
+    this.#reader.tick(at);
+    this.#confirmations.tick(at);
+    this.#duty.tick(at);
+  }
+
+  #poll(at: number, done: (answered: boolean, at: number) => void): void {
+    this.#context.readHead(at, (answer, answeredAt) => {
+      if (answer.result === 'ok') this.#acceptHead(answer.value, answer.revision, answeredAt);
+      done(answer.result === 'ok', answeredAt);
+    });
+  }
+
+  /** Takes in a head from the store. Returns it even when it is older than what is in force here. */
+  #acceptHead(value: unknown, revision: number, at: number): Head | undefined {
+    // Even a head that is of no use moves the revision; else the next watch would return it at once.
+    this.#duty.revision = Math.max(this.#duty.revision, revision);
+    const head = parseHead(value);
+    if (!head) {
+      this.#context.count('head-invalid');
+      return undefined;
+    }
+    if (head.version < this.#log.version) {
+      this.#context.count('stale-head');
+      return head;
+    }
+    const result = this.#log.advance(head.changes);
+    if (result === 'advanced') this.#publish(true, at);
+    if (result === 'fork') this.#context.count('head-fork');
+    if (this.#log.version < head.version && result !== 'fork') this.#reader.open(head, at);
+    this.#compaction.consider(head, at);
+    return head;
+  }
+
+  #acceptOwnHead(head: Head, revision: number, at: number): void {
+    this.#acceptHead(head, revision, at);
+  }
+
+  /** Tells the process and its peers of a new version. */
+  #publish(fromStore: boolean, at: number): void {
+    const {configuration} = this.#log;
+    this.#context.emit({kind: 'configuration', configuration});
+    const event = {kind: 'configuration-in-force', version: configuration.version};
+    this.#context.emit({kind: 'record', event});
+    this.#relay.distribute(fromStore);
+    this.#reader.tick(at);
+  }
+}
+
+function isHeadFull(head: Head, change: ConfigurationChange): boolean {
+  return (
+    getInlineCount(head) >= inlineChangeLimit ||
+    getJsonBytes(head) + getJsonBytes(change) > inlineByteLimit
+  );
+}
--- /dev/null
+++ b/packages/coordination/src/configuration/view/confirmations.ts
@@ -0,0 +1,169 @@
+import type {ConfigurationChange} from '../document.js';
+import type {ViewContext} from './context.js';
+import type {ConfirmationOutcome, ConfirmedPlan, StoreAnswer} from './events.js';
+import type {Head} from './head.js';
+
+/** Time within which a confirmation is answered. */
+export const confirmationMs = 5000;
+
+/** Delay before a call of a confirmation is made again, plus as much jitter. */
+const retryMs = 100;
+
+interface Pending {
+  readonly request: number;
+  readonly plan: ConfirmedPlan;
+  readonly startedAt: number;
+  /** Whether a swap was sent whose effect is not known. */
+  isSwapUnknown: boolean;
+  retryAt?: number;
+}
+
+/** What confirmations need from the view. */
+export interface HeadAccess {
+  /** Takes in a head that was read; returns undefined when the value is not a head. */
+  acceptHead(value: unknown, revision: number, at: number): Head | undefined;
+  /** Takes in a head that this process has written. */
+  acceptOwnHead(head: Head, revision: number, at: number): void;
+  /** Tells whether the log must be compacted before a change fits. */
+  isFull(head: Head, change: ConfigurationChange): boolean;
+  /** Compacts the log and calls back when that has ended, well or not. */
+  compact(at: number, done: (at: number) => void): void;
+}
+
+/** Appends confirmed plans to the log of changes by compare-and-swap on the head. */
+export class Confirmations {
+  readonly #pending = new Map<number, Pending>();
+
+  constructor(
+    private readonly context: ViewContext,
+    private readonly access: HeadAccess,
+  ) {}
+
+  /** Begins a confirmation. */
+  start(request: number, plan: ConfirmedPlan, at: number): void {
+    const pending: Pending = {request, plan, startedAt: at, isSwapUnknown: false};
+    this.#pending.set(request, pending);
+    if (this.context.options.role === 'agent') return this.#finish(pending, 'unavailable', at);
+    const accepted = this.context.log.getChange(plan.planId);
+    if (accepted) return this.#finish(pending, 'accepted', at, {version: accepted.version});
+    this.#read(pending, at);
+  }
+
+  /** Makes delayed calls again and ends confirmations whose time is over. */
+  tick(at: number): void {
+    for (const pending of this.#pending.values()) {
+      if (pending.startedAt + confirmationMs <= at) {
+        this.#giveUp(pending, at);
+      } else if (pending.retryAt !== undefined && pending.retryAt <= at) {
+        pending.retryAt = undefined;
+        this.#read(pending, at);
+      }
+    }
+  }
+
+  #read(pending: Pending, at: number): void {
+    this.context.readHead(at, (answer, answeredAt) => {
+      if (!this.#pending.has(pending.request)) return;
+      if (answer.result === 'ok') this.#decide(pending, answer.value, answer.revision, answeredAt);
+      else this.#retry(pending, answer, answeredAt);
+    });
+  }
+
+  #decide(pending: Pending, value: unknown, revision: number, at: number): void {
+    const {plan} = pending;
+    const head = this.access.acceptHead(value, revision, at);
+    if (!head) return this.#giveUp(pending, at);
+    const accepted =
+      head.changes.find(change => change.changeId === plan.planId) ??
+      this.context.log.getChange(plan.planId);
+    if (accepted) return this.#finish(pending, 'accepted', at, {version: accepted.version});
+    // A head below a version in force here is a stale read: appending to it would fork the log.
+    if (head.version < Math.max(this.context.log.version, plan.baseVersion)) {
+      this.context.count('stale-confirmation');
+      return this.#delay(pending, at);
+    }
+    if (head.version > plan.baseVersion) return this.#refuse(pending, head, at);
+    const change: ConfigurationChange = {
+      version: head.version + 1,
+      changeId: plan.planId,
+      author: plan.author,
+      operations: plan.operations,
+    };
+    if (this.access.isFull(head, change)) {
+      this.access.compact(at, compactedAt => {
+        if (this.#pending.has(pending.request)) this.#delay(pending, compactedAt);
+      });
+      return;
+    }
+    this.#swap(pending, head, change, revision, at);
+  }
+
+  #swap(
+    pending: Pending,
+    head: Head,
+    change: ConfigurationChange,
+    revision: number,
+    at: number,
+  ): void {
+    const next: Head = {...head, version: change.version, changes: [...head.changes, change]};
+    const wasUnknown = pending.isSwapUnknown;
+    // Until the answer says otherwise, the effect of the swap is not known.
+    pending.isSwapUnknown = true;
+    this.context.swapHead(next, revision, at, (answer, answeredAt) => {
+      if (answer.result === 'ok') this.access.acceptOwnHead(next, answer.revision, answeredAt);
+      if (!this.#pending.has(pending.request)) return;
+      if (answer.result !== 'unknown') pending.isSwapUnknown = wasUnknown;
+      if (answer.result === 'ok') {
+        this.#finish(pending, 'accepted', answeredAt, {version: change.version});
+      } else if (answer.result === 'mismatch') {
+        this.#read(pending, answeredAt);
+      } else {
+        if (answer.result === 'unknown') this.context.count('swap-answer-lost');
+        this.#retry(pending, answer, answeredAt);
+      }
+    });
+  }
+
+  /** Refuses a plan whose base has moved, unless an earlier swap may have been accepted unseen. */
+  #refuse(pending: Pending, head: Head, at: number): void {
+    const {baseVersion} = pending.plan;
+    const first = head.version - head.changes.length + 1;
+    const difference =
+      first <= baseVersion + 1
+        ? head.changes.slice(baseVersion + 1 - first)
+        : this.context.log.getChangesAfter(baseVersion);
+    if (pending.isSwapUnknown && !difference) return this.#finish(pending, 'unknown', at);
+    this.#finish(pending, 'refused', at, difference && {difference});
+  }
+
+  #retry(pending: Pending, answer: StoreAnswer, at: number): void {
+    if (answer.result === 'unavailable' && !pending.isSwapUnknown) {
+      return this.#finish(pending, 'unavailable', at);
+    }
+    this.#delay(pending, at);
+  }
+
+  #delay(pending: Pending, at: number): void {
+    pending.retryAt = at + retryMs + this.context.jitter.below(retryMs);
+  }
+
+  #giveUp(pending: Pending, at: number): void {
+    this.#finish(pending, pending.isSwapUnknown ? 'unknown' : 'unavailable', at);
+  }
+
+  #finish(
+    pending: Pending,
+    outcome: ConfirmationOutcome,
+    at: number,
+    more: {version?: number; difference?: readonly ConfigurationChange[]} = {},
+  ): void {
+    this.#pending.delete(pending.request);
+    const changeId = pending.plan.planId;
+    this.context.emit({kind: 'confirmed', request: pending.request, outcome, changeId, ...more});
+    this.context.count(`confirmed-${outcome}`);
+    const valueMs = at - pending.startedAt;
+    this.context.emit({kind: 'observe', name: 'configuration.confirmation', valueMs});
+    const event = {kind: `change-${outcome}`, changeId, version: more.version};
+    this.context.emit({kind: 'record', event});
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/configuration/view/events.ts
@@ -0,0 +1,121 @@
+import type {Config, ConfigRequest, Hello} from '../../messages/control.js';
+import type {Configuration, ConfigurationChange, ConfigurationOperation} from '../document.js';
+
+/** Answer of the store to one call, as the store client reports it. */
+export type StoreAnswer =
+  | {readonly result: 'ok'; readonly revision: number; readonly value?: unknown}
+  /** The expected revision or lease no longer holds; the call had no effect. */
+  | {readonly result: 'mismatch'; readonly revision?: number}
+  /** The store refused the call because of its rate; the call had no effect. */
+  | {readonly result: 'limited'}
+  /** The call was certainly not carried out. */
+  | {readonly result: 'unavailable'}
+  /** No answer: the call may have taken effect, may still take effect, or may not. */
+  | {readonly result: 'unknown'};
+
+/** A change that an operator confirms. */
+export interface ConfirmedPlan {
+  /** Becomes the change id. */
+  readonly planId: string;
+  readonly baseVersion: number;
+  readonly author: string;
+  readonly operations: readonly ConfigurationOperation[];
+}
+
+/** Outcome of a confirmation. */
+export type ConfirmationOutcome = 'accepted' | 'refused' | 'unknown' | 'unavailable';
+
+/** Events of `ConfigurationView`. */
+export type ConfigurationEvent =
+  | {readonly kind: 'tick'}
+  /** Result of a watch whose key has a newer revision; `value` is undefined when the key is absent. */
+  | {readonly kind: 'head'; readonly value: unknown; readonly revision: number}
+  /** The watch ended without a newer revision. */
+  | {readonly kind: 'watch-quiet'}
+  /** The watch ended without an answer, or the store refused it. */
+  | {readonly kind: 'watch-failed'}
+  /** Answer to a `read-head`, `swap-head`, `read-snapshot` or `write-snapshot` effect. */
+  | {readonly kind: 'store-result'; readonly request: number; readonly answer: StoreAnswer}
+  | {readonly kind: 'config'; readonly peer: string; readonly message: Config}
+  | {readonly kind: 'config-request'; readonly peer: string; readonly message: ConfigRequest}
+  /** Only the version is read; optional for the owner of the loop to pass on. */
+  | {
+      readonly kind: 'heartbeat';
+      readonly peer: string;
+      readonly message: {readonly configVersion: number};
+    }
+  | {readonly kind: 'peer-up'; readonly peer: string; readonly hello: Hello}
+  | {readonly kind: 'peer-down'; readonly peer: string}
+  /** Whether this process owns the first cell and so compacts the log. */
+  | {readonly kind: 'compactor'; readonly active: boolean}
+  | {readonly kind: 'confirm'; readonly request: number; readonly plan: ConfirmedPlan};
+
+/** Effects of `ConfigurationView`. */
+export type ConfigurationEffect =
+  /** Waits for a revision of the key above `after`. At most one is outstanding. */
+  | {
+      readonly kind: 'watch';
+      readonly key: string;
+      readonly after: number;
+      readonly waitMs: number;
+    }
+  | {readonly kind: 'read-head'; readonly request: number; readonly key: string}
+  | {
+      readonly kind: 'swap-head';
+      readonly request: number;
+      readonly key: string;
+      readonly value: unknown;
+      /** 0 when the key must be absent. */
+      readonly expectedRevision: number;
+    }
+  | {readonly kind: 'read-snapshot'; readonly request: number; readonly key: string}
+  | {
+      readonly kind: 'write-snapshot';
+      readonly request: number;
+      readonly key: string;
+      readonly value: unknown;
+      /** 0 when the key must be absent. */
+      readonly expectedRevision: number;
+    }
+  | {readonly kind: 'send'; readonly peer: string; readonly message: Config | ConfigRequest}
+  /** The configuration in force here has changed. */
+  | {readonly kind: 'configuration'; readonly configuration: Configuration}
+  | {
+      readonly kind: 'confirmed';
+      readonly request: number;
+      readonly outcome: ConfirmationOutcome;
+      readonly changeId: string;
+      /** Version of the accepted change. */
+      readonly version?: number;
+      /** Changes since the base version, when the base has moved and they are still known. */
+      readonly difference?: readonly ConfigurationChange[];
+    }
+  | {readonly kind: 'count'; readonly name: string; readonly by: number}
+  | {readonly kind: 'observe'; readonly name: string; readonly valueMs: number}
+  | {readonly kind: 'record'; readonly event: ConfigurationRecord};
+
+/** What the timeline keeps of a configuration. */
+export interface ConfigurationRecord {
+  readonly kind: string;
+  readonly version?: number;
+  readonly changeId?: string;
+  readonly peer?: string;
+  readonly detail?: string;
+}
+
+/** Options of `ConfigurationView`. */
+export interface ConfigurationViewOptions {
+  readonly role: 'entry' | 'agent';
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly region: string;
+  readonly incarnation: number;
+  /** Seed of the jitter; 0 is replaced by 1. */
+  readonly seed: number;
+  /** Longest wait of one watch. It bounds how long a connection that died unnoticed hides a change. */
+  readonly watchWaitMs?: number;
+  /** Inline changes from which the owner of the first cell compacts the log. */
+  readonly compactAtChanges?: number;
+  /** Size of the inline log in bytes from which it is compacted. */
+  readonly compactAtBytes?: number;
+}
--- /dev/null
+++ b/packages/coordination/src/configuration/view/jitter.ts
@@ -0,0 +1,23 @@
+/** Small seeded generator (xorshift32) for delays; not for identities. */
+export class Jitter {
+  #state: number;
+
+  constructor(seed: number) {
+    this.#state = (seed ^ (seed / 0x100000000)) >>> 0 || 1;
+    for (let i = 0; i < 4; i++) this.#step();
+  }
+
+  /** Returns a number from 0 to below `limit`. */
+  below(limit: number): number {
+    return (this.#step() / 0x100000000) * limit;
+  }
+
+  #step(): number {
+    let x = this.#state;
+    x ^= x << 13;
+    x ^= x >>> 17;
+    x ^= x << 5;
+    this.#state = x >>> 0;
+    return this.#state;
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/configuration/view/snapshot.ts
@@ -0,0 +1,90 @@
+import {isRecord} from '../../findings/object-reader.js';
+import type {Configuration, Team, Workload} from '../document.js';
+
+/** Largest snapshot part in the store. */
+export const snapshotPartBytes = 512 * 1024;
+
+/** One part of a snapshot: a share of the sorted entries of the document. */
+export interface SnapshotPart {
+  readonly version: number;
+  readonly workloads: readonly Workload[];
+  readonly teams: readonly Team[];
+  readonly drains: readonly string[];
+}
+
+const encoder = new TextEncoder();
+
+/** Returns the size of a value as JSON in UTF-8. */
+export function getJsonBytes(value: unknown): number {
+  return encoder.encode(JSON.stringify(value)).length;
+}
+
+/**
+ * Splits a configuration into parts that stay below the limit. Entries are sorted, so that two
+ * processes write equal parts for one version.
+ */
+export function splitSnapshot(
+  configuration: Configuration,
+  limit = snapshotPartBytes,
+): SnapshotPart[] {
+  const {version} = configuration;
+  const envelope = getJsonBytes({version, workloads: [], teams: [], drains: []});
+  const parts: SnapshotPart[] = [];
+  let part = {version, workloads: [] as Workload[], teams: [] as Team[], drains: [] as string[]};
+  let size = envelope;
+  const reserve = (entry: unknown) => {
+    const bytes = getJsonBytes(entry) + 1;
+    if (size + bytes > limit) {
+      parts.push(part);
+      part = {version, workloads: [], teams: [], drains: []};
+      size = envelope;
+    }
+    size += bytes;
+  };
+  for (const team of sortByName(configuration.teams)) {
+    reserve(team);
+    part.teams.push(team);
+  }
+  for (const workload of sortByName(configuration.workloads)) {
+    reserve(workload);
+    part.workloads.push(workload);
+  }
+  for (const host of [...configuration.drains].sort()) {
+    reserve(host);
+    part.drains.push(host);
+  }
+  parts.push(part);
+  return parts;
+}
+
+/** Joins parts, or returns undefined when a part is missing, emptied or of another version. */
+export function joinSnapshot(
+  version: number,
+  parts: readonly unknown[],
+): Configuration | undefined {
+  const workloads = new Map<string, Workload>();
+  const teams = new Map<string, Team>();
+  const drains = new Set<string>();
+  for (const part of parts) {
+    if (!isPart(part) || part.version !== version) return undefined;
+    for (const workload of part.workloads) workloads.set(workload.name, workload);
+    for (const team of part.teams) teams.set(team.name, team);
+    for (const host of part.drains) drains.add(host);
+  }
+  return {version, workloads, teams, drains};
+}
+
+function isPart(value: unknown): value is SnapshotPart {
+  return (
+    isRecord(value) &&
+    Array.isArray(value.workloads) &&
+    Array.isArray(value.teams) &&
+    Array.isArray(value.drains)
+  );
+}
+
+function sortByName<Entry extends {readonly name: string}>(
+  entries: ReadonlyMap<string, Entry>,
+): Entry[] {
+  return [...entries.values()].sort((a, b) => (a.name < b.name ? -1 : 1));
+}
--- a/packages/coordination/src/findings/index.ts
+++ b/packages/coordination/src/findings/index.ts
@@ -1,1 +1,2 @@
 export * from './finding.js';
+export * from './object-reader.js';
--- /dev/null
+++ b/packages/runtime/src/store/index.ts
@@ -0,0 +1,1 @@
+export * from './store-client.js';
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './store/index.js';
--- /dev/null
+++ b/packages/standins/src/store/main.ts
@@ -0,0 +1,16 @@
+#!/usr/bin/env node
+import {StoreServer} from './store-server.js';
+
+const [host = '127.0.0.1', port = '0'] = (process.argv[2] ?? '127.0.0.1:0').split(':');
+const server = new StoreServer({host, port: Number(port)});
+console.log(JSON.stringify({store: await server.listen()}));
+
+// SIGUSR2 switches an outage on and off; SIGUSR1 belongs to the debugger of Node.js.
+process.on('SIGUSR2', () => {
+  server.setFaults({outage: server.faults.outage === 'none' ? 'refuse' : 'none'});
+});
+for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+  process.once(signal, () => {
+    void server.close().then(() => process.exit(0));
+  });
+}
