Add the fault matrix over the configuration protocol

Cause: the promises must hold under every fault at every step.

Change: a virtual-time kernel (processes, links, store), the faults of the design page, cases, the matrix and its printing, and the configuration world.

--- /dev/null
+++ b/packages/lab/src/faults/kernel/simulated-store.ts
@@ -0,0 +1,249 @@
+import {
+  createCarriage,
+  type Carriage,
+  type InteractionListener,
+  type Point,
+} from './interaction.js';
+import type {SimulatedProcess} from './simulated-process.js';
+import type {Simulation} from './simulation.js';
+
+/** A call to the store. */
+export type StoreCall =
+  | {readonly kind: 'get'; readonly key: string}
+  | {
+      readonly kind: 'put';
+      readonly key: string;
+      readonly value: unknown;
+      /** Revision that the key must have; 0 when it must be absent. */
+      readonly expect?: number;
+      readonly lease?: string;
+    }
+  | {readonly kind: 'delete'; readonly key: string; readonly expect?: number}
+  | {readonly kind: 'create-lease'; readonly ttlMs: number}
+  | {readonly kind: 'renew-lease'; readonly lease: string}
+  | {readonly kind: 'delete-lease'; readonly lease: string}
+  | {
+      readonly kind: 'watch';
+      readonly key: string;
+      readonly after: number;
+      readonly waitMs: number;
+    };
+
+/** What the caller of the store learns. */
+export type StoreReply =
+  | {
+      readonly result: 'ok';
+      readonly revision: number;
+      readonly value?: unknown;
+      readonly lease?: string;
+    }
+  | {readonly result: 'mismatch'; readonly revision?: number}
+  | {readonly result: 'unavailable'}
+  | {readonly result: 'unknown'};
+
+interface Entry {
+  value: unknown;
+  revision: number;
+  lease?: string;
+}
+
+interface Lease {
+  readonly ttlMs: number;
+  endsAt: number;
+}
+
+/** Time after which a client of the store gives up on an answer. */
+export const storeTimeoutMs = 1_000;
+
+/** Key-value store with compare-and-swap, leases and watches; its values survive every process. */
+export class SimulatedStore {
+  listener: InteractionListener = () => {};
+  /** Calls that took effect, by kind. */
+  readonly calls = new Map<string, number>();
+  /** Told of each value that is written. */
+  onWrite: (key: string, value: unknown) => void = () => {};
+  latencyMs = 3;
+  outageUntil = 0;
+  slowUntil = 0;
+  readonly #entries = new Map<string, Entry>();
+  readonly #leases = new Map<string, Lease>();
+  readonly #watchers = new Map<string, Set<() => void>>();
+  readonly #cutUntil = new Map<string, number>();
+  readonly #loseAnswer = new Set<string>();
+  #revision = 0;
+
+  constructor(private readonly simulation: Simulation) {}
+
+  /** Value of a key for checks after a run. */
+  peek(key: string): unknown {
+    return this.#entries.get(key)?.value;
+  }
+
+  /** Breaks the path between one process and the store for a time. */
+  cut(process: string, durationMs: number): void {
+    this.#cutUntil.set(process, this.simulation.now + durationMs);
+  }
+
+  /** Loses the answer of the next call of a process after it took effect. */
+  loseAnswer(process: string): void {
+    this.#loseAnswer.add(process);
+  }
+
+  /** Carries out a call and tells the present life of the process what came of it. */
+  call(process: SimulatedProcess, call: StoreCall, onReply: (reply: StoreReply) => void): void {
+    const step = `store:${call.kind}:${getKeyGroup(call)}`;
+    const carriage = createCarriage();
+    const tell = (point: Point, of: Carriage = carriage) =>
+      this.listener({step, point, from: process.name, to: 'store', carriage: of});
+    const life = process.life;
+    tell('before-send');
+    if (!process.alive || process.life !== life) return;
+    let settled = false;
+    const settle = (reply: StoreReply) => {
+      if (settled || process.life !== life) return;
+      settled = true;
+      process.deliver(() => {
+        if (process.life !== life) return;
+        onReply(reply);
+        tell('after-answer');
+      });
+    };
+    const wait = call.kind === 'watch' ? call.waitMs : 0;
+    this.simulation.schedule(wait + storeTimeoutMs, () => settle({result: 'unknown'}));
+    const apply = () => {
+      tell('before-effect');
+      if (carriage.lost || this.#isCut(process.name)) return;
+      if (this.outageUntil > this.simulation.now) {
+        this.simulation.schedule(this.#getLatency(), () => settle({result: 'unavailable'}));
+        return;
+      }
+      this.#apply(call, reply => {
+        const after = createCarriage();
+        tell('before-answer', after);
+        const lost = this.#loseAnswer.delete(process.name) || after.lost;
+        if (lost || this.#isCut(process.name)) return;
+        this.simulation.schedule(this.#getLatency() + after.delayMs, () => settle(reply));
+      });
+    };
+    const delay = this.#getLatency() + carriage.delayMs;
+    for (let copy = 0; copy <= carriage.copies; copy++) {
+      this.simulation.schedule(delay + copy * 50, apply);
+    }
+  }
+
+  #apply(call: StoreCall, answer: (reply: StoreReply) => void): void {
+    this.calls.set(call.kind, (this.calls.get(call.kind) ?? 0) + 1);
+    switch (call.kind) {
+      case 'get': {
+        const entry = this.#entries.get(call.key);
+        answer({result: 'ok', revision: entry?.revision ?? 0, value: copyOf(entry?.value)});
+        break;
+      }
+      case 'put': {
+        const entry = this.#entries.get(call.key);
+        const stale = call.expect !== undefined && (entry?.revision ?? 0) !== call.expect;
+        if (stale || (call.lease !== undefined && !this.#leases.has(call.lease))) {
+          answer({result: 'mismatch', revision: entry?.revision ?? 0});
+          break;
+        }
+        const revision = ++this.#revision;
+        this.#entries.set(call.key, {value: copyOf(call.value), revision, lease: call.lease});
+        this.onWrite(call.key, call.value);
+        answer({result: 'ok', revision});
+        this.#notify(call.key);
+        break;
+      }
+      case 'delete': {
+        const entry = this.#entries.get(call.key);
+        if (call.expect !== undefined && (entry?.revision ?? 0) !== call.expect) {
+          answer({result: 'mismatch', revision: entry?.revision ?? 0});
+          break;
+        }
+        this.#entries.delete(call.key);
+        answer({result: 'ok', revision: ++this.#revision});
+        this.#notify(call.key);
+        break;
+      }
+      case 'create-lease': {
+        const lease = `lease-${++this.#revision}`;
+        this.#leases.set(lease, {ttlMs: call.ttlMs, endsAt: this.simulation.now + call.ttlMs});
+        this.#watchLease(lease);
+        answer({result: 'ok', revision: this.#revision, lease});
+        break;
+      }
+      case 'renew-lease': {
+        const lease = this.#leases.get(call.lease);
+        if (lease) lease.endsAt = this.simulation.now + lease.ttlMs;
+        answer(lease ? {result: 'ok', revision: this.#revision} : {result: 'mismatch'});
+        break;
+      }
+      case 'delete-lease':
+        this.#endLease(call.lease);
+        answer({result: 'ok', revision: this.#revision});
+        break;
+      case 'watch':
+        this.#watch(call.key, call.after, call.waitMs, answer);
+    }
+  }
+
+  #watch(key: string, after: number, waitMs: number, answer: (reply: StoreReply) => void): void {
+    const watchers = this.#watchers.get(key) ?? new Set();
+    this.#watchers.set(key, watchers);
+    let open = true;
+    const check = () => {
+      const entry = this.#entries.get(key);
+      if (!open || (entry?.revision ?? 0) <= after) return;
+      close({result: 'ok', revision: entry!.revision, value: copyOf(entry!.value)});
+    };
+    const close = (reply: StoreReply) => {
+      if (!open) return;
+      open = false;
+      watchers.delete(check);
+      answer(reply);
+    };
+    watchers.add(check);
+    this.simulation.schedule(waitMs, () => close({result: 'ok', revision: after}));
+    check();
+  }
+
+  #notify(key: string): void {
+    for (const check of [...(this.#watchers.get(key) ?? [])]) check();
+  }
+
+  #watchLease(name: string): void {
+    const lease = this.#leases.get(name);
+    if (!lease) return;
+    // A store that is down cannot tell its leases apart from lapsed ones; it keeps them until it returns.
+    const end = Math.max(lease.endsAt, this.outageUntil);
+    if (end <= this.simulation.now) this.#endLease(name);
+    else this.simulation.schedule(end - this.simulation.now, () => this.#watchLease(name));
+  }
+
+  #endLease(name: string): void {
+    this.#leases.delete(name);
+    for (const [key, entry] of this.#entries) {
+      if (entry.lease !== name) continue;
+      this.#entries.delete(key);
+      this.#revision++;
+      this.#notify(key);
+    }
+  }
+
+  #isCut(process: string): boolean {
+    return (this.#cutUntil.get(process) ?? 0) > this.simulation.now;
+  }
+
+  #getLatency(): number {
+    const slow = this.slowUntil > this.simulation.now;
+    return slow ? this.simulation.random.between(200, 1_500) : this.latencyMs;
+  }
+}
+
+function copyOf(value: unknown): unknown {
+  return value === undefined ? undefined : (JSON.parse(JSON.stringify(value)) as unknown);
+}
+
+function getKeyGroup(call: StoreCall): string {
+  if (!('key' in call)) return 'lease';
+  return call.key.split('/').at(call.key.startsWith('cell/') ? -1 : 0)!;
+}
--- a/packages/lab/src/histories/checks/configuration-in-force.ts
+++ b/packages/lab/src/histories/checks/configuration-in-force.ts
@@ -49,6 +49,11 @@
       add(log.at, change.changeId, 'was accepted and is not in the log');
     }
   }
+  for (const refused of history.select('configuration-refused')) {
+    if (log?.changeIds.includes(refused.changeId)) {
+      add(log.at, refused.changeId, 'is in the log although it was refused');
+    }
+  }
   for (const life of getLives(history)) {
     for (const change of accepted) {
       const due = Math.max(change.at, history.getQuietSince(), life.from) + withinMs;
--- a/packages/lab/src/histories/checks/graceful-shutdown.ts
+++ b/packages/lab/src/histories/checks/graceful-shutdown.ts
@@ -15,7 +15,8 @@
   const violations: Violation[] = [];
   const add = (event: HistoryEvent, process: string, detail: string) =>
     violations.push({promise: 'graceful-shutdown', at: event.at, subject: process, detail});
-  for (const event of history.events) {
+  for (const recorded of history.events) {
+    const event = withoutLife(recorded);
     switch (event.kind) {
       case 'shutdown-began':
         stopping.add(event.process);
@@ -74,3 +75,8 @@
   }
   return violations;
 }
+
+/** Removes the number of the life (`#2`) from the name of a process, as hosts and entries are named without. */
+function withoutLife(event: HistoryEvent): HistoryEvent {
+  return 'process' in event ? {...event, process: event.process.replace(/#\d+$/, '')} : event;
+}
--- a/packages/lab/src/histories/history-event.ts
+++ b/packages/lab/src/histories/history-event.ts
@@ -70,6 +70,8 @@
       readonly version: number;
       readonly changeId: string;
     }
+  /** The operator was told that the change is not accepted. */
+  | {readonly kind: 'configuration-refused'; readonly changeId: string}
   | {
       readonly kind: 'configuration-in-force';
       readonly process: string;
--- a/packages/lab/test/histories/check-history.test.ts
+++ b/packages/lab/test/histories/check-history.test.ts
@@ -286,6 +286,14 @@
     broken: 'configuration-in-force',
     events: [accept(1, 1, 'c1'), {kind: 'configuration-log', at: 5, changeIds: ['c2']}],
   },
+  {
+    name: 'a refused change that is in the log',
+    broken: 'configuration-in-force',
+    events: [
+      {kind: 'configuration-refused', at: 2, changeId: 'c2'},
+      {kind: 'configuration-log', at: 5, changeIds: ['c2']},
+    ],
+  },
 ];
 
 void t.test('checks catch each broken promise and accept what is allowed', async t => {
