Test the configuration view over a fleet in virtual time

Cause: the view had no tests. The first table found that an entry which had just polled waited up to 4 s more before it took over the watch, because the poll interval and the retry delay shared one variable.

Change: ConfigurationFleet runs the real reducers over a simulated store and network (lost, late and stale answers, outages, cut paths, deaths). The poll interval has a variable of its own.

--- a/packages/coordination/src/configuration/view/watch-duty.ts
+++ b/packages/coordination/src/configuration/view/watch-duty.ts
@@ -27,7 +27,9 @@
 export class WatchDuty {
   #lowestSince: number | undefined;
   #watchExpiresAt: number | undefined;
+  /** Time before which the store is not called, after a failure or the start. */
   #retryAt: number | undefined;
+  #pollAt = Number.NEGATIVE_INFINITY;
   #failures = 0;
   #beatAt = Number.NEGATIVE_INFINITY;
   #polling = false;
@@ -95,13 +97,13 @@
 
   #pollIfDue(at: number): void {
     const isRelayed = this.relay.heardAt + pollMs > at;
-    if (this.#polling || isRelayed || (this.#retryAt ?? at) > at) return;
+    if (this.#polling || isRelayed || this.#pollAt > at || (this.#retryAt ?? at) > at) return;
     this.#polling = true;
     this.readHead(at, (answered, answeredAt) => {
       this.#polling = false;
       if (!answered) return this.#fail(answeredAt);
       this.#succeed();
-      this.#retryAt = answeredAt + pollMs * (0.75 + this.context.jitter.below(0.25));
+      this.#pollAt = answeredAt + pollMs * (0.75 + this.context.jitter.below(0.25));
     });
   }
 
--- /dev/null
+++ b/packages/lab/src/fleet/configuration-fleet.ts
@@ -0,0 +1,273 @@
+import {
+  Jitter,
+  type ConfigurationEffect,
+  type ConfigurationOperation,
+} from '@chervilbeam/coordination';
+import {FleetProcess, type Confirmed} from './fleet-process.js';
+import {FleetStore} from './fleet-store.js';
+import {FleetTraffic, type Place} from './fleet-traffic.js';
+import {VirtualTime} from './virtual-time.js';
+
+/** Options of `ConfigurationFleet`. */
+export interface FleetOptions {
+  readonly dataCentres: readonly Place[];
+  readonly entriesPerDataCentre?: number;
+  readonly agentsPerDataCentre?: number;
+  readonly seed?: number;
+  readonly watchWaitMs?: number;
+  readonly compactAtChanges?: number;
+}
+
+/** A confirmation and what became of it. */
+export interface FleetConfirmation {
+  readonly planId: string;
+  readonly startedAt: number;
+  readonly finishedAt: number;
+  readonly answer: Confirmed;
+}
+
+const tickMs = 100;
+const reconnectMs = 250;
+
+/** Regions and data centres of one deployment at present: the store is in the first region. */
+export const presentDataCentres: readonly Place[] = [
+  {region: 'vestland', dataCentre: 'vestland-1'},
+  {region: 'vestland', dataCentre: 'vestland-2'},
+  {region: 'austland', dataCentre: 'austland-1'},
+];
+
+/** Returns data centres spread over regions as in two years: 24 over 7. */
+export function getDataCentres(count: number, regions: number): Place[] {
+  return Array.from({length: count}, (_, index) => ({
+    region: `region-${index % regions}`,
+    dataCentre: `data-centre-${index}`,
+  }));
+}
+
+/** Real configuration reducers of many processes over a simulated store and network. */
+export class ConfigurationFleet {
+  readonly time = new VirtualTime();
+  readonly traffic = new FleetTraffic();
+  readonly store: FleetStore;
+  readonly processes: FleetProcess[] = [];
+  readonly confirmations: FleetConfirmation[] = [];
+  readonly random: Jitter;
+  readonly #byName = new Map<string, FleetProcess>();
+  readonly #open = new Map<string, {readonly planId: string; readonly startedAt: number}>();
+  #nextRequest = 1;
+
+  constructor(readonly options: FleetOptions) {
+    const {dataCentres, seed = 1} = options;
+    this.random = new Jitter(seed);
+    this.store = new FleetStore(this.time, this.traffic, dataCentres[0] as Place, this.random);
+    for (const place of dataCentres) this.#addDataCentre(place);
+    for (const process of this.processes) this.#startTicks(process);
+    for (const process of this.processes) this.#connect(process);
+    this.#appointCompactor();
+  }
+
+  /** Living entries. */
+  get entries(): FleetProcess[] {
+    return this.processes.filter(process => process.role === 'entry' && process.isAlive);
+  }
+
+  /** Lets virtual time pass. */
+  run(durationMs: number): void {
+    this.time.runUntil(this.time.now + durationMs);
+  }
+
+  /** Confirms a plan through an entry, against the version that the entry has in force. */
+  confirm(
+    entry: FleetProcess,
+    planId: string,
+    operations: readonly ConfigurationOperation[],
+    baseVersion = entry.version,
+  ): void {
+    const request = this.#nextRequest++;
+    this.#open.set(`${entry.name}#${entry.life}/${request}`, {
+      planId,
+      startedAt: this.time.now,
+    });
+    const plan = {planId, baseVersion, author: `operator of ${planId}`, operations};
+    this.#carryOut(entry, entry.reduce({kind: 'confirm', request, plan}));
+  }
+
+  /** Ends a process; its peers notice after `noticeMs`. */
+  kill(process: FleetProcess, noticeMs = 1): void {
+    if (!process.isAlive) return;
+    process.isAlive = false;
+    const {life} = process;
+    this.time.schedule(noticeMs, () => {
+      if (process.life !== life) return;
+      for (const peer of process.connected) this.#tellDown(this.#byName.get(peer), process.name);
+    });
+    this.#appointCompactor();
+  }
+
+  /** Starts a dead process without memory. */
+  restart(process: FleetProcess): void {
+    if (process.isAlive) return;
+    for (const peer of process.connected) this.#tellDown(this.#byName.get(peer), process.name);
+    process.restart();
+    this.time.schedule(reconnectMs, () => this.#connect(process));
+    this.#appointCompactor();
+  }
+
+  /** Tells whether every living process has the version of the head in force. */
+  isInForceEverywhere(): boolean {
+    const version = this.store.getHead()?.version;
+    return this.processes.every(process => !process.isAlive || process.version === version);
+  }
+
+  /** Returns the time at which every living process had the version in force; undefined before. */
+  getInForceAt(version: number): number | undefined {
+    let latest = 0;
+    for (const process of this.processes) {
+      if (!process.isAlive) continue;
+      const at = process.inForce.get(version);
+      if (at === undefined) return undefined;
+      latest = Math.max(latest, at);
+    }
+    return latest;
+  }
+
+  /** Adds up a counter over all processes. */
+  getCount(name: string): number {
+    return this.processes.reduce((sum, process) => sum + (process.counts.get(name) ?? 0), 0);
+  }
+
+  #addDataCentre(place: Place): void {
+    const {entriesPerDataCentre = 2, agentsPerDataCentre = 3, watchWaitMs} = this.options;
+    for (const role of ['entry', 'agent'] as const) {
+      const count = role === 'entry' ? entriesPerDataCentre : agentsPerDataCentre;
+      for (let index = 0; index < count; index++) {
+        const incarnation = Math.floor(this.random.below(2 ** 30)) * 1000 + this.processes.length;
+        const name = `${place.dataCentre}-${role}-${index}`;
+        const {compactAtChanges} = this.options;
+        const identity = {role, name, ...place, incarnation, seed: incarnation};
+        const process = new FleetProcess(
+          {...identity, watchWaitMs, compactAtChanges},
+          () => this.time.now,
+        );
+        this.processes.push(process);
+        this.#byName.set(name, process);
+      }
+    }
+  }
+
+  #startTicks(process: FleetProcess): void {
+    const tick = () => {
+      if (process.isAlive) this.#carryOut(process, process.reduce({kind: 'tick'}));
+      this.time.schedule(tickMs, tick);
+    };
+    this.time.schedule(this.random.below(tickMs), tick);
+  }
+
+  /** Connects entries with each other, and agents with the entries of their region. */
+  #connect(process: FleetProcess): void {
+    for (const other of this.processes) {
+      if (!process.isAlive || !other.isAlive || other === process) continue;
+      if (process.connected.has(other.name) || !isLinked(process, other)) continue;
+      process.connected.add(other.name);
+      other.connected.add(process.name);
+      const latency = this.traffic.getLatency(process, other);
+      for (const [to, from] of [
+        [process, other],
+        [other, process],
+      ] as const) {
+        const hello = from.getHello();
+        this.#later(to, latency * 2, () => to.reduce({kind: 'peer-up', peer: from.name, hello}));
+      }
+    }
+  }
+
+  #tellDown(process: FleetProcess | undefined, peer: string): void {
+    if (!process?.connected.delete(peer) || !process.isAlive) return;
+    this.#carryOut(process, process.reduce({kind: 'peer-down', peer}));
+  }
+
+  /** The first living entry stands for the owner of the first cell. */
+  #appointCompactor(): void {
+    this.entries.forEach((entry, index) => {
+      this.#carryOut(entry, entry.reduce({kind: 'compactor', active: index === 0}));
+    });
+  }
+
+  #later(
+    process: FleetProcess,
+    delayMs: number,
+    reduce: () => readonly ConfigurationEffect[],
+  ): void {
+    const {life} = process;
+    this.time.schedule(delayMs, () => {
+      if (process.isAlive && process.life === life) this.#carryOut(process, reduce());
+    });
+  }
+
+  #carryOut(process: FleetProcess, effects: readonly ConfigurationEffect[]): void {
+    for (const effect of effects) this.#apply(process, effect);
+  }
+
+  #apply(process: FleetProcess, effect: ConfigurationEffect): void {
+    const {life} = process;
+    const caller = {
+      ...getPlace(process),
+      isReachable: () => process.isAlive && process.life === life && !process.isCutFromStore,
+    };
+    switch (effect.kind) {
+      case 'watch':
+        return this.store.watch(caller, effect, answer => {
+          this.#later(process, 0, () => {
+            if (answer.result === 'ok') {
+              const {value, revision} = answer;
+              return process.reduce({kind: 'head', value, revision});
+            }
+            const kind = answer.result === 'quiet' ? 'watch-quiet' : 'watch-failed';
+            return process.reduce({kind});
+          });
+        });
+      case 'read-head':
+      case 'swap-head':
+      case 'read-snapshot':
+      case 'write-snapshot':
+        return this.store.call(caller, effect, answer => {
+          const {request} = effect;
+          this.#later(process, 0, () => process.reduce({kind: 'store-result', request, answer}));
+        });
+      case 'send':
+        return this.#send(process, effect);
+      case 'confirmed':
+        return this.#noteConfirmed(process, effect);
+    }
+  }
+
+  #send(process: FleetProcess, effect: Extract<ConfigurationEffect, {kind: 'send'}>): void {
+    const to = this.#byName.get(effect.peer);
+    if (!to || !process.connected.has(to.name)) return;
+    const message = structuredClone(effect.message);
+    this.traffic.addMessage(process, to, message);
+    const latency = this.traffic.getLatency(process, to);
+    this.#later(to, latency, () => {
+      if (!to.connected.has(process.name)) return [];
+      return message.kind === 'config'
+        ? to.reduce({kind: 'config', peer: process.name, message})
+        : to.reduce({kind: 'config-request', peer: process.name, message});
+    });
+  }
+
+  #noteConfirmed(process: FleetProcess, answer: Confirmed): void {
+    const key = `${process.name}#${process.life}/${answer.request}`;
+    const open = this.#open.get(key);
+    this.#open.delete(key);
+    if (open) this.confirmations.push({...open, finishedAt: this.time.now, answer});
+  }
+}
+
+function getPlace(process: FleetProcess): Place {
+  return {region: process.region, dataCentre: process.dataCentre};
+}
+
+function isLinked(a: FleetProcess, b: FleetProcess): boolean {
+  if (a.role === 'entry' && b.role === 'entry') return true;
+  return a.role !== b.role && a.region === b.region;
+}
--- /dev/null
+++ b/packages/lab/src/fleet/fleet-store.ts
@@ -0,0 +1,236 @@
+import {
+  headKey,
+  Jitter,
+  parseHead,
+  type ConfigurationChange,
+  type ConfigurationEffect,
+  type StoreAnswer,
+} from '@chervilbeam/coordination';
+import {StoreState, type StoreReply} from '@chervilbeam/standins';
+import type {FleetTraffic} from './fleet-traffic.js';
+import type {VirtualTime} from './virtual-time.js';
+
+/** Faults of the simulated store; shares are probabilities for each call. */
+export interface FleetStoreFaults {
+  /** Writes that take effect and whose answer is lost. */
+  readonly lostAnswers: number;
+  /** Writes that take effect only after the caller has given up. */
+  readonly lateWrites: number;
+  /** Reads that answer with the value before the latest write. */
+  readonly staleReads: number;
+  /** Longest added delay of a call. */
+  readonly slowMs: number;
+}
+
+const noFaults: FleetStoreFaults = {lostAnswers: 0, lateWrites: 0, staleReads: 0, slowMs: 0};
+
+/** Time after which the client gives up; the runtime's store client uses the same. */
+const timeoutMs = 2000;
+
+/** Time beyond its wait after which the client gives up on a watch. */
+const watchGraceMs = 1000;
+
+const slotMs = 100;
+
+type StoreEffect = Extract<ConfigurationEffect, {key: string}>;
+
+/** What a caller of the simulated store must say of itself. */
+export interface StoreCaller {
+  readonly region: string;
+  readonly dataCentre: string;
+  /** Whether it still runs and its path to the store is whole. */
+  isReachable(): boolean;
+}
+
+/** Store in virtual time on the state of the stand-in, with latency, outages, and lost and late answers. */
+export class FleetStore {
+  readonly state: StoreState;
+  /** Every change ever accepted, by version. */
+  readonly accepted = new Map<number, ConfigurationChange>();
+  faults = noFaults;
+  isDown = false;
+  /** An outage that answers nothing in place of refusing. */
+  isHanging = false;
+  /** Calls that reached the store, by slot of 100 ms. */
+  readonly #callsBySlot = new Map<number, number>();
+  #previousHead: StoreReply | undefined;
+  readonly #cuts = new Set<() => void>();
+
+  constructor(
+    private readonly time: VirtualTime,
+    private readonly traffic: FleetTraffic,
+    private readonly home: {readonly region: string; readonly dataCentre: string},
+    private readonly random: Jitter,
+  ) {
+    this.state = new StoreState();
+  }
+
+  /** Starts or ends an outage; its start ends the waiting watches. */
+  setDown(isDown: boolean): void {
+    this.isDown = isDown;
+    if (isDown) for (const cut of [...this.#cuts]) cut();
+  }
+
+  /** Reads the head as it stands. */
+  getHead(): ReturnType<typeof parseHead> {
+    return parseHead(JSON.parse(this.state.peek(headKey).text ?? 'null'));
+  }
+
+  /** Returns the calls of the busiest slot of 100 ms between two times. */
+  getBusiestSlot(from: number, to: number): number {
+    const slots = [...this.#callsBySlot].filter(
+      ([slot]) => slot * slotMs >= from && slot * slotMs < to,
+    );
+    return Math.max(0, ...slots.map(([, calls]) => calls));
+  }
+
+  /** Returns the calls that reached the store between two times. */
+  getCalls(from: number, to: number): number {
+    let sum = 0;
+    for (const [slot, calls] of this.#callsBySlot) {
+      if (slot * slotMs >= from && slot * slotMs < to) sum += calls;
+    }
+    return sum;
+  }
+
+  /** Carries out a watch; `done` receives `quiet` when nothing changed. */
+  watch(
+    caller: StoreCaller,
+    effect: Extract<StoreEffect, {kind: 'watch'}>,
+    done: (answer: StoreAnswer | {readonly result: 'quiet'}) => void,
+  ): void {
+    const settle = this.#once(done, effect.waitMs + watchGraceMs);
+    this.#travel(caller, settle, () => {
+      const answer = (reply: StoreReply | undefined) =>
+        this.#return(caller, reply ? getBytes(reply) : 0, () =>
+          settle(reply ? toAnswer(reply) : {result: 'quiet'}),
+        );
+      const immediate = this.state.beginWatch(effect.key, effect.after, this.time.now);
+      if (immediate) return answer(immediate);
+      let open = true;
+      const end = (reply: StoreReply | undefined) => {
+        if (!open) return;
+        open = false;
+        unsubscribe();
+        this.#cuts.delete(cut);
+        answer(reply);
+      };
+      const cut = () => (this.isHanging ? unsubscribe() : end({status: 503}));
+      const unsubscribe = this.state.onChange(effect.key, () => end(this.state.peek(effect.key)));
+      this.#cuts.add(cut);
+      this.time.schedule(effect.waitMs, () => end(undefined));
+    });
+  }
+
+  /** Carries out a read or write. */
+  call(
+    caller: StoreCaller,
+    effect: Exclude<StoreEffect, {kind: 'watch'}>,
+    done: (answer: StoreAnswer) => void,
+  ): void {
+    const settle = this.#once(done, timeoutMs);
+    const isWrite = effect.kind === 'swap-head' || effect.kind === 'write-snapshot';
+    const text = isWrite ? JSON.stringify(effect.value) : '';
+    const apply = () => {
+      if (!isWrite) {
+        const stale = this.#previousHead;
+        const reply = this.state.call({kind: 'read', key: effect.key}, this.time.now);
+        const isStale = stale && effect.key === headKey && this.#happens(this.faults.staleReads);
+        return isStale ? stale : reply;
+      }
+      const before = this.state.peek(effect.key);
+      const expect = effect.expectedRevision;
+      const call = {kind: 'write' as const, key: effect.key, text, expect};
+      const reply = this.state.call(call, this.time.now);
+      if (reply.status === 200 && effect.key === headKey) this.#noteHead(before);
+      return reply;
+    };
+    if (isWrite && this.#happens(this.faults.lateWrites)) {
+      this.time.schedule(timeoutMs + this.random.below(3000), () => this.isDown || apply());
+      return;
+    }
+    this.#travel(
+      caller,
+      settle,
+      () => {
+        const reply = apply();
+        if (isWrite && this.#happens(this.faults.lostAnswers)) return;
+        this.#return(caller, getBytes(reply), () => settle(toAnswer(reply)));
+      },
+      text.length,
+    );
+  }
+
+  #noteHead(before: StoreReply): void {
+    this.#previousHead = before;
+    for (const change of this.getHead()?.changes ?? []) {
+      const known = this.accepted.get(change.version);
+      if (known && known.changeId !== change.changeId) {
+        throw new Error(`version ${change.version} was accepted twice`);
+      }
+      this.accepted.set(change.version, change);
+    }
+  }
+
+  #travel(
+    caller: StoreCaller,
+    settle: (answer: StoreAnswer) => void,
+    arrive: () => void,
+    bytes = 0,
+  ): void {
+    if (!caller.isReachable()) return;
+    this.traffic.addStoreCall(caller, this.home, bytes, 'request');
+    this.time.schedule(this.#getLatency(caller), () => {
+      if (!caller.isReachable()) return;
+      const slot = Math.floor(this.time.now / slotMs);
+      this.#callsBySlot.set(slot, (this.#callsBySlot.get(slot) ?? 0) + 1);
+      if (!this.isDown) return arrive();
+      if (this.isHanging) return;
+      this.#return(caller, 0, () => settle({result: 'unavailable'}));
+    });
+  }
+
+  #return(caller: StoreCaller, bytes: number, arrive: () => void): void {
+    this.traffic.addStoreCall(caller, this.home, bytes, 'answer');
+    this.time.schedule(this.#getLatency(caller), () => {
+      if (caller.isReachable()) arrive();
+    });
+  }
+
+  #getLatency(caller: StoreCaller): number {
+    return (
+      1 + this.traffic.getLatency(caller, this.home) + this.random.below(this.faults.slowMs / 2)
+    );
+  }
+
+  #once<Answer>(
+    done: (answer: Answer | StoreAnswer) => void,
+    limitMs: number,
+  ): (answer: Answer | StoreAnswer) => void {
+    let open = true;
+    const settle = (answer: Answer | StoreAnswer) => {
+      if (open) done(answer);
+      open = false;
+    };
+    this.time.schedule(limitMs, () => settle({result: 'unknown'}));
+    return settle;
+  }
+
+  #happens(share: number): boolean {
+    return share > 0 && this.random.below(1) < share;
+  }
+}
+
+function getBytes(reply: StoreReply): number {
+  return reply.text?.length ?? 0;
+}
+
+function toAnswer(reply: StoreReply): StoreAnswer {
+  const revision = reply.revision ?? 0;
+  if (reply.status === 200) {
+    const value = reply.text === undefined ? undefined : (JSON.parse(reply.text) as unknown);
+    return {result: 'ok', revision, value: value ?? undefined};
+  }
+  if (reply.status === 409) return {result: 'mismatch', revision};
+  return {result: reply.status === 429 ? 'limited' : 'unavailable'};
+}
--- /dev/null
+++ b/packages/lab/src/fleet/virtual-time.ts
@@ -0,0 +1,65 @@
+interface Scheduled {
+  readonly at: number;
+  readonly sequence: number;
+  readonly action: () => void;
+}
+
+/** Virtual time: actions run in order of their time, and equal times in the order of scheduling. */
+export class VirtualTime {
+  readonly #heap: Scheduled[] = [];
+  #now = 0;
+  #sequence = 0;
+
+  /** Present virtual time in milliseconds. */
+  get now(): number {
+    return this.#now;
+  }
+
+  /** Runs an action after a delay. */
+  schedule(delayMs: number, action: () => void): void {
+    const heap = this.#heap;
+    heap.push({at: this.#now + Math.max(0, delayMs), sequence: this.#sequence++, action});
+    for (let child = heap.length - 1; child > 0;) {
+      const parent = (child - 1) >> 1;
+      if (!this.#swapIfBefore(child, parent)) break;
+      child = parent;
+    }
+  }
+
+  /** Runs all actions up to a time. */
+  runUntil(end: number): void {
+    for (let next = this.#heap[0]; next && next.at <= end; next = this.#heap[0]) {
+      this.#removeFirst();
+      this.#now = next.at;
+      next.action();
+    }
+    this.#now = end;
+  }
+
+  #removeFirst(): void {
+    const heap = this.#heap;
+    const last = heap.pop();
+    if (heap.length === 0 || !last) return;
+    heap[0] = last;
+    for (let parent = 0; ;) {
+      let child = parent * 2 + 1;
+      if (child >= heap.length) return;
+      if (child + 1 < heap.length && this.#isBefore(child + 1, child)) child++;
+      if (!this.#swapIfBefore(child, parent)) return;
+      parent = child;
+    }
+  }
+
+  #isBefore(a: number, b: number): boolean {
+    const [x, y] = [this.#heap[a] as Scheduled, this.#heap[b] as Scheduled];
+    return x.at < y.at || (x.at === y.at && x.sequence < y.sequence);
+  }
+
+  #swapIfBefore(a: number, b: number): boolean {
+    if (!this.#isBefore(a, b)) return false;
+    const held = this.#heap[a] as Scheduled;
+    this.#heap[a] = this.#heap[b] as Scheduled;
+    this.#heap[b] = held;
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/lab/test/fleet/configuration-fleet.test.ts
@@ -0,0 +1,253 @@
+import {headKey} from '@chervilbeam/coordination';
+import t, {type Test} from 'tap';
+import {
+  ConfigurationFleet,
+  getDataCentres,
+  presentDataCentres,
+  type FleetOptions,
+  type FleetProcess,
+} from '../../src/fleet/index.js';
+
+const inForceMs = 5000;
+
+function start(options: Partial<FleetOptions> = {}): ConfigurationFleet {
+  const fleet = new ConfigurationFleet({dataCentres: presentDataCentres, seed: 3, ...options});
+  fleet.run(3000);
+  return fleet;
+}
+
+function getEntry(fleet: ConfigurationFleet, dataCentre: string, rank: number): FleetProcess {
+  const entries = fleet.entries.filter(entry => entry.dataCentre === dataCentre);
+  entries.sort((a, b) => a.getHello().incarnation - b.getHello().incarnation);
+  return entries[rank] as FleetProcess;
+}
+
+function confirm(fleet: ConfigurationFleet, entry: FleetProcess, planId: string): void {
+  fleet.confirm(entry, planId, [{kind: 'drain-host', host: planId}]);
+}
+
+function getOutcomes(fleet: ConfigurationFleet): string[] {
+  return fleet.confirmations.map(confirmation => confirmation.answer.outcome);
+}
+
+/** Confirms changes one after the other through the first entry. */
+function fill(fleet: ConfigurationFleet, count: number): void {
+  for (let index = 0; index < count; index++) {
+    confirm(fleet, fleet.entries[0] as FleetProcess, `fill-${fleet.store.accepted.size}`);
+    fleet.run(300);
+  }
+}
+
+const cases: Array<{name: string; check: (t: Test) => void}> = [
+  {
+    name: 'a lost answer is read back and the change is accepted once',
+    check: t => {
+      const fleet = start();
+      fleet.store.faults = {...fleet.store.faults, lostAnswers: 1};
+      confirm(fleet, getEntry(fleet, 'austland-1', 0), 'a');
+      fleet.run(inForceMs);
+      t.same(getOutcomes(fleet), ['accepted']);
+      t.equal(fleet.store.accepted.size, 1);
+      t.ok(fleet.isInForceEverywhere());
+    },
+  },
+  {
+    name: 'a lost answer followed by an outage is unknown, never reported as not accepted',
+    check: t => {
+      const fleet = start();
+      fleet.store.faults = {...fleet.store.faults, lostAnswers: 1};
+      confirm(fleet, getEntry(fleet, 'vestland-1', 0), 'a');
+      fleet.run(200);
+      fleet.store.setDown(true);
+      fleet.run(6000);
+      t.same(getOutcomes(fleet), ['unknown']);
+      fleet.store.setDown(false);
+      fleet.run(inForceMs);
+      t.equal(fleet.store.accepted.get(1)?.changeId, 'a');
+      fleet.store.faults = {...fleet.store.faults, lostAnswers: 0};
+      confirm(fleet, getEntry(fleet, 'austland-1', 0), 'a');
+      fleet.run(1000);
+      t.same(getOutcomes(fleet), ['unknown', 'accepted'], 'confirming again tells');
+      t.equal(fleet.store.accepted.size, 1);
+    },
+  },
+  {
+    name: 'a late write that is overtaken is refused, because the log shows another change there',
+    check: t => {
+      const fleet = start();
+      fleet.store.faults = {...fleet.store.faults, lateWrites: 1};
+      confirm(fleet, getEntry(fleet, 'vestland-1', 0), 'late');
+      fleet.run(200);
+      fleet.store.faults = {...fleet.store.faults, lateWrites: 0};
+      confirm(fleet, getEntry(fleet, 'vestland-2', 0), 'other');
+      fleet.run(8000);
+      t.same(getOutcomes(fleet).sort(), ['accepted', 'refused']);
+      t.same(
+        [...fleet.store.accepted.values()].map(change => change.changeId),
+        ['other'],
+      );
+    },
+  },
+  {
+    name: 'a refused operator sees the changes since the base',
+    check: t => {
+      const fleet = start();
+      fill(fleet, 2);
+      const entry = getEntry(fleet, 'austland-1', 1);
+      fleet.confirm(entry, 'old', [{kind: 'drain-host', host: 'x'}], 1);
+      fleet.run(1000);
+      t.match(fleet.confirmations.at(-1)?.answer, {
+        outcome: 'refused',
+        difference: [{version: 2, changeId: 'fill-1'}],
+      });
+    },
+  },
+  {
+    name: 'in an outage a confirmation is refused at once and nothing is accepted',
+    check: t => {
+      const fleet = start();
+      fleet.store.setDown(true);
+      confirm(fleet, getEntry(fleet, 'vestland-1', 0), 'a');
+      fleet.run(500);
+      t.same(getOutcomes(fleet), ['unavailable']);
+      t.equal(fleet.store.accepted.size, 0);
+    },
+  },
+  {
+    name: 'the death of the watcher delays a change by no more than the takeover',
+    check: t => {
+      const fleet = start();
+      fleet.kill(getEntry(fleet, 'austland-1', 0));
+      confirm(fleet, getEntry(fleet, 'vestland-1', 0), 'a');
+      fleet.run(inForceMs);
+      t.ok(fleet.isInForceEverywhere());
+    },
+  },
+  {
+    name: 'a watcher that hangs unnoticed is bypassed by polling',
+    check: t => {
+      const fleet = start();
+      fleet.kill(getEntry(fleet, 'austland-1', 0), 600_000);
+      confirm(fleet, getEntry(fleet, 'vestland-1', 0), 'a');
+      fleet.run(inForceMs + 500);
+      t.ok(fleet.isInForceEverywhere());
+    },
+  },
+  {
+    name: 'a watcher whose path to the store is cut leaves its data centre to polling',
+    check: t => {
+      const fleet = start();
+      getEntry(fleet, 'austland-1', 0).isCutFromStore = true;
+      fleet.run(20_000);
+      confirm(fleet, getEntry(fleet, 'vestland-1', 0), 'a');
+      fleet.run(inForceMs);
+      t.ok(fleet.isInForceEverywhere());
+    },
+  },
+  {
+    name: 'a data centre whose entries all lost the store learns from an entry elsewhere',
+    check: t => {
+      const fleet = start();
+      for (const rank of [0, 1]) getEntry(fleet, 'austland-1', rank).isCutFromStore = true;
+      fleet.run(20_000);
+      confirm(fleet, getEntry(fleet, 'vestland-1', 0), 'a');
+      fleet.run(inForceMs);
+      t.ok(fleet.isInForceEverywhere());
+    },
+  },
+  {
+    name: 'all entries restart with the store down and learn from the agents',
+    check: t => {
+      const fleet = start();
+      fill(fleet, 3);
+      fleet.store.setDown(true);
+      for (const entry of fleet.entries) fleet.kill(entry);
+      fleet.run(1000);
+      for (const process of fleet.processes) fleet.restart(process);
+      fleet.run(inForceMs);
+      t.same([...new Set(fleet.processes.map(process => process.version))], [3]);
+    },
+  },
+  {
+    name: 'all processes restart with the store down: none invents a configuration, all get it on return',
+    check: t => {
+      const fleet = start();
+      fill(fleet, 3);
+      fleet.store.setDown(true);
+      for (const process of fleet.processes) fleet.kill(process);
+      fleet.run(1000);
+      for (const process of fleet.processes) fleet.restart(process);
+      confirm(fleet, fleet.entries[0] as FleetProcess, 'too-early');
+      fleet.run(60_000);
+      t.same([...new Set(fleet.processes.map(process => process.version))], [0]);
+      fleet.store.setDown(false);
+      fleet.run(inForceMs);
+      t.ok(fleet.isInForceEverywhere());
+      t.equal(fleet.store.accepted.size, 3);
+    },
+  },
+  {
+    name: 'a store that comes back with an older head is not appended to, which would fork the log',
+    check: t => {
+      const fleet = start();
+      fill(fleet, 2);
+      const old = fleet.store.getHead();
+      fill(fleet, 1);
+      const text = JSON.stringify(old);
+      fleet.store.state.call(
+        {kind: 'write', key: headKey, text, expect: undefined},
+        fleet.time.now,
+      );
+      confirm(fleet, fleet.entries[0] as FleetProcess, 'fork');
+      fleet.run(8000);
+      t.equal(getOutcomes(fleet).at(-1), 'unavailable');
+      t.same([...new Set(fleet.processes.map(process => process.version))], [3]);
+    },
+  },
+  {
+    name: 'a process that was away longer than the log reaches reads the snapshot',
+    check: t => {
+      const fleet = start({entriesPerDataCentre: 1, agentsPerDataCentre: 1});
+      const entry = getEntry(fleet, 'austland-1', 0);
+      fleet.kill(entry);
+      fill(fleet, 200);
+      t.ok(fleet.getCount('configuration.compacted') > 0);
+      for (const other of fleet.entries) fleet.kill(other);
+      fleet.restart(entry);
+      fleet.run(inForceMs);
+      t.equal(entry.version, 200);
+      t.ok(entry.counts.get('configuration.snapshot-read'));
+      t.equal(entry.view.configuration.drains.size, 200);
+    },
+  },
+  {
+    name: 'a full log is compacted by the confirming entry when no owner does it',
+    check: t => {
+      const fleet = start({entriesPerDataCentre: 2, agentsPerDataCentre: 0});
+      for (const entry of fleet.entries) entry.reduce({kind: 'compactor', active: false});
+      fill(fleet, 130);
+      t.equal(fleet.store.getHead()?.version, 130);
+      t.same([...new Set(getOutcomes(fleet))], ['accepted']);
+      t.ok((fleet.store.getHead()?.snapshot?.version ?? 0) >= 100);
+    },
+  },
+  {
+    name: 'the return of the store meets no herd: calls of 48 entries are spread over 2 s',
+    check: t => {
+      const fleet = start({dataCentres: getDataCentres(24, 7), agentsPerDataCentre: 0});
+      fleet.store.setDown(true);
+      fleet.run(60_000);
+      const returnedAt = fleet.time.now;
+      fleet.store.setDown(false);
+      fleet.run(3000);
+      const busiest = fleet.store.getBusiestSlot(returnedAt, returnedAt + 2500);
+      t.ok(busiest <= 12, `busiest 100 ms after the return: ${busiest} calls`);
+      t.ok(fleet.entries.every(entry => entry.counts.get('configuration.store-failed')));
+      t.equal(fleet.store.state.counts.limited, 0);
+    },
+  },
+];
+
+for (const c of cases) {
+  void t.test(c.name, async t => c.check(t));
+}
