--- /dev/null
+++ b/packages/coordination/src/ownership/index.ts
@@ -0,0 +1,2 @@
+export * from './cell-ownership.js';
+export * from './events.js';
--- /dev/null
+++ b/packages/coordination/src/tasks/agent-tasks.ts
@@ -0,0 +1,400 @@
+import type {
+  Acknowledge,
+  AttemptReport,
+  Grant,
+  Hello,
+  Report,
+  Start,
+  Stop,
+  Throttle,
+} from '../messages/control.js';
+import type {Resources} from '../messages/identity.js';
+import type {Reducer} from '../reducer.js';
+import {addAmounts, createAmounts, fits} from './amounts.js';
+import {AgentAttempt} from './agent-attempt.js';
+import type {AgentTasksEffect, AgentTasksEvent, WorkerAction, WorkerTask} from './events.js';
+import {ForgottenAttempts} from './forgotten-attempts.js';
+import {taskHeartbeatMs, taskLeaseMs} from './timing.js';
+
+/** Time between two reads of the worker's tasks. */
+const workerReadMs = 1_000;
+
+/** Time after which an unanswered read or call is repeated. */
+const repeatMs = 3_000;
+
+/** Time after which an unacknowledged terminal report is sent again. */
+const reportRepeatMs = 6_000;
+
+/**
+ * Supervises the tasks of one host through its worker. Leases are judged on the agent's own clock, and the
+ * capacity of the host is enforced whatever a scheduler asks for.
+ */
+export class AgentTasks implements Reducer<AgentTasksEvent, AgentTasksEffect> {
+  private readonly attempts = new Map<string, AgentAttempt>();
+  private readonly peers = new Set<string>();
+  private readonly forgotten = new ForgottenAttempts();
+  private owner?: string;
+  private term = 0;
+  private capacity?: Resources;
+  private heartbeatAt = Number.NEGATIVE_INFINITY;
+  private readAt = Number.NEGATIVE_INFINITY;
+  private reading = false;
+  private inFlight = 0;
+  private configVersion = 0;
+  private effects: AgentTasksEffect[] = [];
+  private readonly changed = new Set<AgentAttempt>();
+
+  /** @inheritdoc */
+  reduce(event: AgentTasksEvent, at: number): readonly AgentTasksEffect[] {
+    this.effects = [];
+    this.apply(event, at);
+    this.reportChanges(at);
+    return this.effects;
+  }
+
+  /** Attempts on the host, for status displays and checks. */
+  getAttempts(): readonly AgentAttempt[] {
+    return [...this.attempts.values()];
+  }
+
+  private apply(event: AgentTasksEvent, at: number): void {
+    switch (event.kind) {
+      case 'tick':
+        this.inFlight = event.inFlight ?? this.inFlight;
+        this.configVersion = event.configVersion ?? this.configVersion;
+        this.tick(at);
+        break;
+      case 'message':
+        this.receive(event.peer, event.message, at);
+        break;
+      case 'peer-up':
+        this.peerUp(event.peer, event.hello, at);
+        break;
+      case 'peer-down':
+        this.peers.delete(event.peer);
+        break;
+      case 'worker-state':
+        this.readWorker(event.tasks, event.capacity, event.term, at);
+        break;
+      case 'worker-unreachable':
+        this.reading = false;
+        break;
+      case 'worker-result':
+        this.applyResult(event, at);
+        break;
+      case 'worker-usage':
+        for (const {task, attempt, usage} of event.usages) {
+          const entry = this.attempts.get(task);
+          if (entry?.attempt !== attempt || entry.terminal) continue;
+          entry.usage = usage;
+          this.changed.add(entry);
+        }
+        break;
+    }
+  }
+
+  private tick(at: number): void {
+    if (at - this.readAt >= (this.reading ? repeatMs : workerReadMs)) {
+      this.readAt = at;
+      this.reading = true;
+      this.effects.push({kind: 'read-worker'});
+    }
+    for (const entry of this.attempts.values()) this.checkLease(entry, at);
+    if (at - this.heartbeatAt >= taskHeartbeatMs) {
+      this.heartbeatAt = at;
+      for (const peer of this.peers) this.sendHeartbeat(peer, at);
+    }
+  }
+
+  /** The worker stops a task by itself at the end of its lease, so after the allowance it has ended. */
+  private checkLease(entry: AgentAttempt, at: number): void {
+    if (entry.terminal) {
+      if (at - entry.reportedAt >= reportRepeatMs) this.changed.add(entry);
+      return;
+    }
+    if (at < entry.leaseUntil) {
+      const pending = entry.stopping ?? entry.calling;
+      if (pending && at - entry.calledAt >= repeatMs) this.call(entry, pending, at);
+      return;
+    }
+    entry.detail ??= 'lease-ended';
+    if (at >= entry.getCertainEnd()) this.end(entry, 'stopped');
+    else if (entry.stopping !== 'stop') this.call(entry, 'stop', at);
+  }
+
+  private peerUp(peer: string, _hello: Hello | undefined, at: number): void {
+    this.peers.add(peer);
+    this.sendHeartbeat(peer, at);
+    if (this.capacity) this.sendFull(peer);
+  }
+
+  private sendHeartbeat(peer: string, at: number): void {
+    const {configVersion, inFlight} = this;
+    const message = {kind: 'heartbeat', stamp: at, configVersion, inFlight} as const;
+    this.effects.push({kind: 'send', peer, message});
+  }
+
+  private sendFull(peer: string): void {
+    const attempts = [...this.attempts.values()].map(entry => entry.toReport());
+    this.effects.push({kind: 'send', peer, message: {kind: 'report', full: true, attempts}});
+  }
+
+  private reportChanges(at: number): void {
+    if (this.changed.size === 0) return;
+    const attempts: AttemptReport[] = [];
+    for (const entry of this.changed) {
+      entry.reportedAt = at;
+      attempts.push(entry.toReport());
+    }
+    this.changed.clear();
+    if (this.owner === undefined || !this.peers.has(this.owner)) return;
+    const message: Report = {kind: 'report', full: false, attempts};
+    this.effects.push({kind: 'send', peer: this.owner, message});
+  }
+
+  private receive(
+    peer: string,
+    message: Grant | Start | Stop | Throttle | Acknowledge,
+    at: number,
+  ): void {
+    if (message.kind === 'acknowledge') {
+      for (const {task, attempt} of message.attempts) this.forget(task, attempt);
+      return;
+    }
+    if (message.term < this.term) {
+      this.count('stale-term-refused');
+      return;
+    }
+    if (message.term > this.term || this.owner !== peer) {
+      this.term = message.term;
+      this.owner = peer;
+      if (this.capacity && message.kind !== 'grant') this.sendFull(peer);
+    }
+    switch (message.kind) {
+      case 'grant':
+        this.extend(message, at);
+        break;
+      case 'start':
+        this.start(message, at);
+        break;
+      case 'stop':
+        this.stop(message, at);
+        break;
+      case 'throttle': {
+        const entry = this.attempts.get(message.task);
+        if (entry?.attempt !== message.attempt || entry.terminal) break;
+        entry.fraction = message.fraction;
+        this.call(entry, 'throttle', at);
+        break;
+      }
+    }
+  }
+
+  /** A stamp from the future belongs to an earlier incarnation; an old one to a sender that was paused. */
+  private isFresh(stamp: number, at: number): boolean {
+    return stamp <= at && at - stamp < taskLeaseMs;
+  }
+
+  private extend(message: Grant, at: number): void {
+    if (message.leaseMs <= 0) {
+      // A new owner asks for the state before it extends anything.
+      if (this.capacity && this.owner !== undefined) this.sendFull(this.owner);
+      return;
+    }
+    if (!this.isFresh(message.stamp, at)) {
+      this.count('stale-grant-refused');
+      return;
+    }
+    const until = message.stamp + Math.min(message.leaseMs, taskLeaseMs);
+    for (const entry of this.attempts.values()) {
+      if (entry.terminal || entry.stopping || at >= entry.leaseUntil) continue;
+      if (until <= entry.leaseUntil) continue;
+      entry.leaseUntil = until;
+      if (!entry.calling) this.call(entry, 'renew', at);
+    }
+  }
+
+  private start(message: Start, at: number): void {
+    const present = this.attempts.get(message.task);
+    if (present && present.attempt >= message.attempt) return;
+    if (this.forgotten.has(message.task, message.attempt)) return;
+    const entry = new AgentAttempt(message.task, message.attempt, message.workload);
+    entry.resources = message.resources;
+    entry.checkpoint = message.checkpoint;
+    entry.leaseUntil = message.stamp + Math.min(message.leaseMs, taskLeaseMs);
+    const refusal = this.getRefusal(message, present, at);
+    if (refusal !== undefined) {
+      this.count('start-refused');
+      // The attempt that still runs stays the one that is kept; the refusal is told once.
+      if (present && !present.terminal) {
+        this.sendRefusal(message, refusal);
+        return;
+      }
+      this.attempts.set(message.task, entry);
+      entry.detail = refusal;
+      this.end(entry, 'refused');
+      return;
+    }
+    this.attempts.set(message.task, entry);
+    this.changed.add(entry);
+    this.call(entry, 'start', at);
+  }
+
+  private sendRefusal(message: Start, detail: string): void {
+    if (this.owner === undefined) return;
+    const {task, attempt} = message;
+    const attempts = [{task, attempt, state: 'refused' as const, detail}];
+    const report: Report = {kind: 'report', full: false, attempts};
+    this.effects.push({kind: 'send', peer: this.owner, message: report});
+  }
+
+  private getRefusal(
+    message: Start,
+    present: AgentAttempt | undefined,
+    at: number,
+  ): string | undefined {
+    if (!this.isFresh(message.stamp, at)) return 'stale-stamp';
+    if (!this.capacity) return 'worker-unknown';
+    if (present && !present.terminal) return 'task-present';
+    const used = createAmounts();
+    for (const entry of this.attempts.values()) {
+      if (!entry.terminal) addAmounts(used, entry.resources);
+    }
+    return fits(this.capacity, used, message.resources) ? undefined : 'over-capacity';
+  }
+
+  private stop(message: Stop, at: number): void {
+    const entry = this.attempts.get(message.task);
+    if (!entry || entry.attempt < message.attempt) {
+      // The start never arrived or its report was forgotten: in both cases nothing runs.
+      const {task, attempt} = message;
+      const attempts = [{task, attempt, state: 'stopped' as const, detail: 'absent'}];
+      this.effects.push({
+        kind: 'send',
+        peer: this.owner ?? '',
+        message: {kind: 'report', full: false, attempts},
+      });
+      return;
+    }
+    if (entry.attempt !== message.attempt) return;
+    if (entry.terminal) {
+      this.changed.add(entry);
+      return;
+    }
+    if (entry.stopping === 'stop') return;
+    entry.detail ??= message.reason;
+    this.call(entry, message.checkpoint ? 'checkpoint' : 'stop', at);
+  }
+
+  private call(entry: AgentAttempt, action: WorkerAction, at: number): void {
+    this.effects.push(entry.createCall(action, this.term, at));
+  }
+
+  private applyResult(event: Extract<AgentTasksEvent, {kind: 'worker-result'}>, at: number): void {
+    const entry = this.attempts.get(event.task);
+    if (entry?.attempt !== event.attempt || entry.terminal) return;
+    if (entry.calling === event.action) entry.calling = undefined;
+    switch (event.action) {
+      case 'start':
+        if (event.ok) this.confirm(entry, at);
+        else if (!entry.stopping) {
+          // The call may have taken effect although it failed, so the worker is told to stop it.
+          entry.failed = true;
+          entry.detail = event.detail ?? 'start-failed';
+          this.call(entry, 'stop', at);
+        }
+        break;
+      case 'checkpoint':
+        if (event.ok && event.checkpoint !== undefined) entry.checkpoint = event.checkpoint;
+        if (entry.stopping === 'checkpoint') this.call(entry, 'stop', at);
+        break;
+      case 'stop':
+        if (event.ok) this.end(entry, entry.failed ? 'failed' : 'stopped');
+        break;
+      case 'renew':
+      case 'throttle':
+        break;
+    }
+  }
+
+  private confirm(entry: AgentAttempt, at: number): void {
+    entry.confirmedAt = at;
+    if (entry.state !== 'starting') return;
+    entry.state = 'running';
+    this.changed.add(entry);
+  }
+
+  private readWorker(
+    tasks: readonly WorkerTask[],
+    capacity: Resources,
+    term: number,
+    at: number,
+  ): void {
+    const first = this.capacity === undefined;
+    this.capacity = capacity;
+    this.reading = false;
+    this.term = Math.max(this.term, term);
+    const listed = new Map(tasks.map(task => [task.task, task]));
+    for (const task of tasks) this.noteWorkerTask(task, at);
+    for (const entry of this.attempts.values()) {
+      if (entry.terminal || entry.confirmedAt >= this.readAt) continue;
+      if (listed.get(entry.task)?.attempt === entry.attempt) continue;
+      // The worker listed its tasks after it had confirmed this one: the task is gone.
+      entry.detail ??= 'gone-from-worker';
+      this.end(entry, entry.stopping ? 'stopped' : 'failed');
+    }
+    if (first) for (const peer of this.peers) this.sendFull(peer);
+  }
+
+  private noteWorkerTask(task: WorkerTask, at: number): void {
+    let entry = this.attempts.get(task.task);
+    if (this.forgotten.has(task.task, task.attempt)) {
+      this.callForgotten(task.task, task.attempt);
+      return;
+    }
+    if (!entry || (entry.attempt < task.attempt && entry.terminal)) {
+      entry = new AgentAttempt(task.task, task.attempt, task.workload);
+      entry.resources = task.resources;
+      entry.leaseUntil = at + task.leaseMs;
+      entry.confirmedAt = at;
+      entry.state = 'running';
+      this.attempts.set(task.task, entry);
+      this.changed.add(entry);
+    }
+    if (entry.attempt !== task.attempt || entry.terminal) return;
+    if (task.checkpoint !== undefined && task.checkpoint !== entry.checkpoint) {
+      entry.checkpoint = task.checkpoint;
+      this.changed.add(entry);
+    }
+    if (task.state === 'running') this.confirm(entry, at);
+    if (task.detail !== undefined) entry.detail = task.detail;
+    if (task.state === 'finished' || task.state === 'failed') this.end(entry, task.state);
+    else if (task.state === 'stopped') this.end(entry, 'stopped');
+  }
+
+  private end(entry: AgentAttempt, state: AttemptReport['state']): void {
+    entry.state = state;
+    entry.terminal = true;
+    entry.calling = undefined;
+    entry.stopping = undefined;
+    this.changed.add(entry);
+  }
+
+  private forget(task: string, attempt: number): void {
+    const entry = this.attempts.get(task);
+    if (entry?.attempt !== attempt || !entry.terminal) return;
+    this.attempts.delete(task);
+    this.changed.delete(entry);
+    this.forgotten.add(task, attempt);
+    this.callForgotten(task, attempt);
+  }
+
+  /** The worker lists an ended task until it is told to stop it. */
+  private callForgotten(task: string, attempt: number): void {
+    this.effects.push({kind: 'worker-call', action: 'stop', term: this.term, task, attempt});
+  }
+
+  private count(name: string): void {
+    this.effects.push({kind: 'count', name, by: 1});
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/tasks/cell-scheduler.ts
@@ -0,0 +1,385 @@
+import type {Configuration} from '../configuration/document.js';
+import type {Announce, Heartbeat, Hello} from '../messages/control.js';
+import type {Reducer} from '../reducer.js';
+import {CellHost} from './cell/cell-host.js';
+import {CellState} from './cell/cell-state.js';
+import type {CellSchedulerEffect, CellSchedulerEvent, OwnershipMode} from './events.js';
+import {Findings} from './cell/findings.js';
+import {Job} from './cell/job.js';
+import {LedgerKeeper, type LedgerProgress} from './ledger/ledger-keeper.js';
+import {ReportHandler} from './cell/report-handler.js';
+import {getRemainingSeconds} from './round/remaining-time.js';
+import {RunTimeEstimates} from './round/run-time-estimates.js';
+import {SchedulingRound, type Decision, type RoundContext} from './round/scheduling-round.js';
+import type {StopReason, TaskRun} from './cell/task-run.js';
+import {findDrainable, findUnansweredStops, releaseLost} from './cell/upkeep.js';
+import {attemptsPerTerm, holdLimitMs, leaseWaitMs, taskLeaseMs} from './timing.js';
+
+/** Settings of a cell scheduler. */
+export interface CellSchedulerOptions {
+  readonly cell: string;
+}
+
+/** Schedules the tasks of one cell while this process owns it. */
+export class CellScheduler implements Reducer<CellSchedulerEvent, CellSchedulerEffect> {
+  private mode: OwnershipMode = 'none';
+  private term = 0;
+  private sequence = 0;
+  private ownedAt = 0;
+  private until = Number.POSITIVE_INFINITY;
+  private heldUntil = Number.POSITIVE_INFINITY;
+  private wallOffset?: number;
+  private configuration?: Configuration;
+  private effects: CellSchedulerEffect[] = [];
+  private readonly state = new CellState();
+  private readonly ledger = new LedgerKeeper();
+  private readonly estimates = new RunTimeEstimates();
+  private readonly findings = new Findings();
+  private readonly reports: ReportHandler;
+
+  constructor(private readonly options: CellSchedulerOptions) {
+    this.reports = new ReportHandler(this.state, this.ledger, this.estimates);
+    this.reports.cell = options.cell;
+  }
+
+  /** @inheritdoc */
+  reduce(event: CellSchedulerEvent, at: number): readonly CellSchedulerEffect[] {
+    this.effects = [];
+    this.apply(event, at);
+    if (at < this.until) return this.effects;
+    // A process that was paused beyond its ownership must not extend or start anything.
+    return this.effects.filter(effect => effect.kind !== 'send');
+  }
+
+  /** Present hosts, jobs and runs, for status displays and forecasts. Callers must not change it. */
+  getState(): CellState {
+    return this.state;
+  }
+
+  /** What a scheduling round needs to know, for forecasts; attempts numbers are not used up. */
+  getForecastContext(at: number): RoundContext {
+    return {...this.getContext(at), isOpened: () => true, nextAttempt: () => 0};
+  }
+
+  private apply(event: CellSchedulerEvent, at: number): void {
+    switch (event.kind) {
+      case 'tick':
+        if (event.wallTimeMs !== undefined) this.wallOffset = event.wallTimeMs - at;
+        this.tick(at);
+        break;
+      case 'ownership':
+        this.until = event.until ?? Number.POSITIVE_INFINITY;
+        this.setOwnership(event.mode, event.term, at);
+        break;
+      case 'ledger-read':
+        this.progress(this.ledger.onRead(event.record, event.revision, at), at);
+        break;
+      case 'ledger-written': {
+        const revision = event.revision ?? 0;
+        this.progress(this.ledger.onWritten(event.sequence, event.result, revision, at), at);
+        break;
+      }
+      case 'configuration':
+        if (event.configuration.version < (this.configuration?.version ?? 0)) break;
+        this.configuration = event.configuration;
+        if (this.isActive()) this.reconcile(at);
+        this.round(at);
+        break;
+      case 'host-up':
+        this.hostUp(event.host, event.hello, event.announce);
+        break;
+      case 'host-down':
+        this.hostDown(event.host);
+        break;
+      case 'announce':
+        this.announce(event.host, event.message);
+        break;
+      case 'heartbeat':
+        this.heartbeat(event.host, event.message, at);
+        break;
+      case 'report':
+        if (this.mode === 'none') break;
+        this.effects.push(...this.reports.apply(event.host, event.message, at));
+        break;
+      case 'fence-complete':
+        this.heldUntil = event.unreachableHeldUntil;
+        this.unblock();
+        break;
+      case 'loss':
+        this.lose(event.host, at);
+        break;
+    }
+  }
+
+  private isActive(): boolean {
+    return this.mode !== 'none' && this.ledger.ready;
+  }
+
+  private tick(at: number): void {
+    if (this.mode === 'none') return;
+    this.releaseLost(at);
+    for (const run of findUnansweredStops(this.state, at)) this.sendStop(run, at);
+    if (this.isActive() && this.mode === 'owner') {
+      for (const run of findDrainable(this.state)) this.stop(run, 'drained', at);
+    }
+    this.round(at);
+    if (this.mode === 'owner') this.effects.push(...this.ledger.flush(at));
+  }
+
+  private setOwnership(mode: OwnershipMode, term: number, at: number): void {
+    const newTerm = mode !== 'none' && term !== this.term;
+    this.mode = mode;
+    if (mode === 'none') {
+      this.ledger.end();
+      this.term = 0;
+      this.state.clearRuns();
+      return;
+    }
+    if (!newTerm) return;
+    this.term = term;
+    this.sequence = 0;
+    this.reports.begin(term);
+    this.ownedAt = at;
+    this.heldUntil = at + holdLimitMs;
+    this.state.clearRuns();
+    this.findings.clear();
+    this.effects.push(...this.ledger.begin(term, at));
+    for (const host of this.state.hosts.values()) {
+      host.reported = false;
+      this.greet(host);
+    }
+  }
+
+  /** A grant without a lease tells the agent the term; it answers with a full report. */
+  private greet(host: CellHost): void {
+    if (!host.up || host.stamp === undefined) return;
+    this.sendGrant(host, 0);
+  }
+
+  private sendGrant(host: CellHost, leaseMs: number): void {
+    const {cell} = this.options;
+    const message = {
+      kind: 'grant',
+      cell,
+      term: this.term,
+      stamp: host.stamp ?? 0,
+      leaseMs,
+    } as const;
+    this.effects.push({kind: 'send', host: host.name, message});
+  }
+
+  private progress(progress: LedgerProgress, at: number): void {
+    this.effects.push(...progress.effects);
+    if (progress.deposed) {
+      const detail = 'another owner has written the ledger with a higher term';
+      this.effects.push({kind: 'finding', workload: '', reason: 'deposed', detail});
+      this.setOwnership('none', 0, at);
+      return;
+    }
+    this.reports.acknowledge(progress.acknowledgements, this.effects);
+    if (progress.claimed) {
+      for (const name of this.ledger.opened) this.block(name);
+      if (this.configuration) this.reconcile(at);
+      this.reports.adoptAll(at, this.effects);
+    }
+    for (const name of progress.foundOpened) this.block(name);
+    if (progress.claimed || progress.opened.length > 0) this.round(at);
+  }
+
+  /** Tasks that an earlier owner may have started wait for the lease wait and the fence. */
+  private block(workload: string): void {
+    this.reports.blockedWorkloads.add(workload);
+    const job = this.state.jobs.get(workload);
+    if (job) job.blockedUntil = Math.max(this.ownedAt + leaseWaitMs, this.heldUntil);
+  }
+
+  private unblock(): void {
+    for (const name of this.reports.blockedWorkloads) this.block(name);
+  }
+
+  /** Brings jobs in line with the configuration. */
+  private reconcile(at: number): void {
+    const configuration = this.configuration;
+    if (!configuration) return;
+    this.state.applyConfiguration(configuration);
+    for (const workload of configuration.workloads.values()) {
+      const job = this.state.jobs.get(workload.name);
+      if (!job) {
+        const created = new Job(workload);
+        created.finished = this.ledger.getFinishedCount(workload.name, workload.tasks);
+        this.state.jobs.set(workload.name, created);
+        if (this.reports.blockedWorkloads.has(workload.name)) this.block(workload.name);
+      } else if (job.workload !== workload) {
+        job.update(workload);
+        for (const run of job.runs.values()) {
+          if (run.index >= workload.tasks) this.stop(run, 'shrunk', at);
+        }
+      }
+    }
+    for (const [name, job] of this.state.jobs) {
+      if (configuration.workloads.has(name)) continue;
+      this.state.jobs.delete(name);
+      for (const run of job.runs.values()) this.stop(run, 'cancelled', at);
+    }
+    for (const name of [...this.ledger.opened]) {
+      if (!configuration.workloads.has(name)) this.ledger.forget(name);
+    }
+  }
+
+  private hostUp(name: string, hello: Hello, announce: Announce | undefined): void {
+    const {dataCentre, region, incarnation} = hello;
+    let host = this.state.hosts.get(name);
+    if (!host) {
+      host = new CellHost({name, dataCentre, region, rack: announce?.rack ?? ''});
+      this.state.hosts.set(name, host);
+    }
+    host.incarnation = incarnation;
+    host.up = true;
+    host.reported = false;
+    host.stamp = undefined;
+    if (announce) this.announce(name, announce);
+  }
+
+  private announce(name: string, message: Announce): void {
+    const host = this.state.hosts.get(name);
+    if (!host) return;
+    host.place.rack = message.rack;
+    host.leaving = message.draining;
+    host.setCapacity(message.capacity);
+    this.state.capacityVersion += 1;
+  }
+
+  /** The runs stay until the host reports again or the lease wait has passed. */
+  private hostDown(name: string): void {
+    const host = this.state.hosts.get(name);
+    if (!host) return;
+    host.up = false;
+    host.reported = false;
+    host.stamp = undefined;
+    for (const run of host.runs.values()) {
+      if (run.state === 'settling') continue;
+      run.state = 'lost';
+      run.releaseAt = host.grantedAt + leaseWaitMs;
+    }
+  }
+
+  private heartbeat(name: string, message: Heartbeat, at: number): void {
+    const host = this.state.hosts.get(name);
+    if (!host?.up) return;
+    host.stamp = message.stamp;
+    host.stampAt = at;
+    if (this.mode === 'none') return;
+    if (!host.reported) {
+      this.greet(host);
+      return;
+    }
+    host.grantedAt = at;
+    this.sendGrant(host, taskLeaseMs);
+  }
+
+  private releaseLost(at: number): void {
+    const released = releaseLost(this.state, at);
+    if (released === 0) return;
+    this.effects.push({kind: 'count', name: 'tasks-lost-with-host', by: released});
+  }
+
+  private lose(name: string, at: number): void {
+    const host = this.state.hosts.get(name);
+    if (!host || host.up) return;
+    this.releaseLost(at);
+    if (host.runs.size === 0) this.state.hosts.delete(name);
+  }
+
+  private stop(run: TaskRun, reason: StopReason, at: number): void {
+    if (run.state === 'settling') return;
+    run.stopReason = reason;
+    if (run.state === 'lost') return;
+    run.state = 'stopping';
+    this.sendStop(run, at);
+  }
+
+  private sendStop(run: TaskRun, at: number): void {
+    run.stopSentAt = at;
+    this.effects.push(this.reports.createStop(run));
+  }
+
+  private getContext(at: number): RoundContext {
+    const {ledger} = this;
+    return {
+      at,
+      mayOpen: this.mode === 'owner',
+      isOpened: name => ledger.isOpened(name),
+      isFinished: (name, index) => ledger.isFinished(name, index),
+      getCheckpoint: task => ledger.getTask(task)?.checkpoint,
+      getSlack: job => this.getSlackSeconds(job, at),
+      nextAttempt: () => this.term * attemptsPerTerm + (this.sequence += 1),
+    };
+  }
+
+  private getSlackSeconds(job: Job, at: number): number {
+    const {workload} = job;
+    if (workload.dateMs === undefined || this.wallOffset === undefined) {
+      return Number.POSITIVE_INFINITY;
+    }
+    const remaining = getRemainingSeconds(job, this.estimates);
+    return (workload.dateMs - this.wallOffset - at) / 1000 - remaining;
+  }
+
+  private round(at: number): void {
+    if (!this.isActive()) return;
+    const decisions = new SchedulingRound(this.state, this.getContext(at)).run();
+    for (const decision of decisions) this.carryOut(decision, at);
+    if (this.mode === 'owner') this.effects.push(...this.ledger.flush(at));
+  }
+
+  private carryOut(decision: Decision, at: number): void {
+    switch (decision.kind) {
+      case 'open': {
+        const {urgency} = decision.job.workload;
+        this.ledger.open(decision.job.name, urgency === 'critical' || urgency === 'urgent');
+        break;
+      }
+      case 'start':
+        this.sendStart(decision.run, decision.checkpoint);
+        break;
+      case 'stop':
+        this.sendStop(decision.run, at);
+        this.effects.push({kind: 'count', name: 'tasks-evicted', by: 1});
+        break;
+      case 'finding':
+        this.findings.add(decision, at, this.effects);
+        break;
+    }
+  }
+
+  private sendStart(run: TaskRun, checkpoint: string | undefined): void {
+    const host = this.state.hosts.get(run.host);
+    if (host?.stamp === undefined) return;
+    host.grantedAt = Math.max(host.grantedAt, host.stampAt);
+    this.effects.push({
+      kind: 'send',
+      host: run.host,
+      message: {
+        kind: 'start',
+        cell: this.options.cell,
+        term: this.term,
+        stamp: host.stamp,
+        leaseMs: taskLeaseMs,
+        task: run.id,
+        attempt: run.attempt,
+        workload: run.workload,
+        resources: run.reserved,
+        checkpoint,
+      },
+    });
+    this.effects.push({kind: 'count', name: 'tasks-started', by: 1});
+    const event = {
+      kind: 'task-start',
+      task: run.id,
+      attempt: run.attempt,
+      host: run.host,
+      workload: run.workload,
+    };
+    this.effects.push({kind: 'record', event});
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/tasks/cell/job.ts
@@ -0,0 +1,134 @@
+import type {Workload} from '../../configuration/document.js';
+import type {TaskRun} from './task-run.js';
+
+/** First and longest delay before a failed task is tried again. */
+const firstRetryMs = 1_000;
+const longestRetryMs = 300_000;
+
+/** Window of the bound on evictions of one task. */
+const evictionWindowMs = 3_600_000;
+const evictionsPerWindow = 4;
+const evictionSpacingMs = 60_000;
+
+/** Tasks of one workload. Queued tasks cost no memory until they start, so cancelling them costs nothing. */
+export class Job {
+  /** Runs that hold a reservation, by task index. */
+  readonly runs = new Map<number, TaskRun>();
+  /** Tasks that this owner has not seen wait until this time: an earlier owner may have started them. */
+  blockedUntil = Number.NEGATIVE_INFINITY;
+  /** Limiting dimension when no host could ever run a task. */
+  neverRunnable?: string;
+  /** Finished items, maintained by the scheduler. */
+  finished = 0;
+  private nextFresh = 0;
+  private returned: number[] = [];
+  private delayed: Array<{index: number; at: number}> = [];
+  private readonly failures = new Map<number, number>();
+  private readonly evictions = new Map<number, number[]>();
+
+  constructor(public workload: Workload) {}
+
+  /** Name of the workload. */
+  get name(): string {
+    return this.workload.name;
+  }
+
+  /** Id of a task. */
+  getTaskId(index: number): string {
+    return `${this.workload.name}/${index}`;
+  }
+
+  /** Takes the next task that is neither running nor finished; `isFinished` tells about items. */
+  take(at: number, isFinished: (index: number) => boolean): number | undefined {
+    this.wake(at);
+    for (;;) {
+      const index = this.returned.length > 0 ? this.returned.pop() : this.takeFresh(at);
+      if (index === undefined) return undefined;
+      if (index < this.workload.tasks && !this.runs.has(index) && !isFinished(index)) return index;
+    }
+  }
+
+  /** Puts a task back at the front of the queue. */
+  putBack(index: number): void {
+    this.returned.push(index);
+  }
+
+  /** Puts a task back so that it starts no earlier than `at`. */
+  delay(index: number, at: number): void {
+    this.delayed.push({index, at});
+  }
+
+  /** Puts a failed task back with an exponential delay; returns the number of failures in a row. */
+  retry(index: number, at: number): number {
+    const failures = (this.failures.get(index) ?? 0) + 1;
+    this.failures.set(index, failures);
+    this.delay(index, at + Math.min(longestRetryMs, firstRetryMs * 2 ** (failures - 1)));
+    return failures;
+  }
+
+  /** Forgets failures of a task that made progress. */
+  clearFailures(index: number): void {
+    this.failures.delete(index);
+  }
+
+  /** Whether tasks may be waiting: an upper estimate that needs no search. */
+  hasWaiting(at: number): boolean {
+    if (this.returned.length > 0) return true;
+    if (this.nextFresh < this.workload.tasks && at >= this.blockedUntil) return true;
+    return this.delayed.some(entry => entry.at <= at);
+  }
+
+  /** Number of tasks that are neither finished nor running. */
+  get waiting(): number {
+    return Math.max(0, this.workload.tasks - this.finished - this.runs.size);
+  }
+
+  /** Whether the bounds on eviction allow another eviction of the task. */
+  mayEvict(index: number, at: number): boolean {
+    const times = this.evictions.get(index)?.filter(time => at - time < evictionWindowMs) ?? [];
+    const last = times[times.length - 1];
+    return (
+      times.length < evictionsPerWindow && (last === undefined || at - last >= evictionSpacingMs)
+    );
+  }
+
+  /** Records an eviction. */
+  evicted(index: number, at: number): void {
+    const times = this.evictions.get(index)?.filter(time => at - time < evictionWindowMs) ?? [];
+    times.push(at);
+    this.evictions.set(index, times);
+  }
+
+  /** Takes over a changed declaration; more tasks wait, surplus runs are stopped by the scheduler. */
+  update(workload: Workload): void {
+    this.workload = workload;
+    this.nextFresh = Math.min(this.nextFresh, workload.tasks);
+    this.neverRunnable = undefined;
+  }
+
+  /** Returns an independent copy without runs. */
+  clone(): Job {
+    const copy = new Job(this.workload);
+    copy.blockedUntil = this.blockedUntil;
+    copy.neverRunnable = this.neverRunnable;
+    copy.finished = this.finished;
+    copy.nextFresh = this.nextFresh;
+    copy.returned = [...this.returned];
+    copy.delayed = [...this.delayed];
+    for (const [index, times] of this.evictions) copy.evictions.set(index, [...times]);
+    return copy;
+  }
+
+  private takeFresh(at: number): number | undefined {
+    if (this.nextFresh >= this.workload.tasks || at < this.blockedUntil) return undefined;
+    this.nextFresh += 1;
+    return this.nextFresh - 1;
+  }
+
+  private wake(at: number): void {
+    if (!this.delayed.some(entry => entry.at <= at)) return;
+    const due = this.delayed.filter(entry => entry.at <= at);
+    this.delayed = this.delayed.filter(entry => entry.at > at);
+    for (const entry of due) this.returned.push(entry.index);
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/tasks/cell/report-handler.ts
@@ -0,0 +1,317 @@
+import type {AttemptReport, Report} from '../../messages/control.js';
+import type {CellHost} from './cell-host.js';
+import type {CellState} from './cell-state.js';
+import type {CellSchedulerEffect} from '../events.js';
+import type {LedgerKeeper, PendingAcknowledgement} from '../ledger/ledger-keeper.js';
+import type {RunTimeEstimates} from '../round/run-time-estimates.js';
+import type {TaskRun} from './task-run.js';
+import {leaseWaitMs} from '../timing.js';
+
+/** Failures of one task in a row from which it is reported. */
+const reportedFailures = 3;
+
+interface EarlyReport {
+  readonly host: string;
+  readonly report: AttemptReport;
+}
+
+/** Applies the reports of agents to the state and the ledger. */
+export class ReportHandler {
+  /** Cell and term of the messages. */
+  cell = '';
+  term = 0;
+  /** Opened workloads whose unreported tasks an earlier owner may have started. */
+  readonly blockedWorkloads = new Set<string>();
+  private early: EarlyReport[] = [];
+  private effects: CellSchedulerEffect[] = [];
+
+  constructor(
+    private readonly state: CellState,
+    private readonly ledger: LedgerKeeper,
+    private readonly estimates: RunTimeEstimates,
+  ) {}
+
+  /** Forgets what came in an earlier term. */
+  begin(term: number): void {
+    this.term = term;
+    this.early = [];
+    this.blockedWorkloads.clear();
+  }
+
+  /** Applies a report and returns the effects. Before the ledger is claimed attempts are only kept. */
+  apply(hostName: string, report: Report, at: number): CellSchedulerEffect[] {
+    this.effects = [];
+    const host = this.state.hosts.get(hostName);
+    if (!host) return [];
+    if (report.full) this.noteFull(host, report);
+    for (const attempt of report.attempts) {
+      if (this.ledger.ready) this.applyAttempt(host, attempt, at);
+      else this.early.push({host: hostName, report: attempt});
+    }
+    return this.effects;
+  }
+
+  /** Applies the reports that came before the ledger was claimed. */
+  adoptAll(at: number, effects: CellSchedulerEffect[]): void {
+    this.effects = effects;
+    const early = this.early;
+    this.early = [];
+    for (const {host: name, report} of early) {
+      const host = this.state.hosts.get(name);
+      if (host) this.applyAttempt(host, report, at);
+    }
+  }
+
+  /** Sends acknowledgements, one message a host. */
+  acknowledge(
+    acknowledgements: readonly PendingAcknowledgement[],
+    effects: CellSchedulerEffect[],
+  ): void {
+    const byHost = new Map<string, Array<{task: string; attempt: number}>>();
+    for (const {host, task, attempt} of acknowledgements) {
+      const attempts = byHost.get(host) ?? [];
+      attempts.push({task, attempt});
+      byHost.set(host, attempts);
+      const run = this.state.runs.get(task);
+      if (run?.attempt === attempt && run.state === 'settling') {
+        this.state.removeRun(run)?.putBack(run.index);
+      }
+    }
+    for (const [host, attempts] of byHost) {
+      effects.push({kind: 'send', host, message: {kind: 'acknowledge', term: this.term, attempts}});
+    }
+  }
+
+  /** Returns the stop message for a run. */
+  createStop(run: TaskRun): CellSchedulerEffect {
+    const reason = run.stopReason ?? 'cancelled';
+    const checkpoint = reason === 'evicted' || reason === 'drained' || reason === 'moved';
+    const {cell, term} = this;
+    const {id: task, attempt} = run;
+    const message = {kind: 'stop', cell, term, task, attempt, checkpoint, reason} as const;
+    return {kind: 'send', host: run.host, message};
+  }
+
+  /**
+   * A full report lists every attempt. A run that this incarnation has reported before and does not list
+   * has ended. One whose start may still be on its way is given up only after the lease wait.
+   */
+  private noteFull(host: CellHost, report: Report): void {
+    host.reported = true;
+    const listed = new Set(report.attempts.map(entry => `${entry.task} ${entry.attempt}`));
+    for (const run of [...host.runs.values()]) {
+      if (run.state === 'settling' || listed.has(`${run.id} ${run.attempt}`)) continue;
+      run.state = 'lost';
+      run.releaseAt = Math.min(run.releaseAt, host.grantedAt + leaseWaitMs);
+    }
+  }
+
+  private applyAttempt(host: CellHost, report: AttemptReport, at: number): void {
+    const run = this.state.runs.get(report.task);
+    if (run && run.attempt === report.attempt && run.host === host.name) {
+      this.update(host, run, report, at);
+    } else if (report.state === 'running' || report.state === 'starting') {
+      this.adopt(host, run, report, at);
+    } else {
+      this.settleForeign(host, run, report, at);
+    }
+  }
+
+  private update(host: CellHost, run: TaskRun, report: AttemptReport, at: number): void {
+    if (report.usage) this.noteUsage(host, run, report);
+    switch (report.state) {
+      case 'starting':
+      case 'running':
+        if (run.state === 'starting' || run.state === 'lost') {
+          run.state = run.stopReason ? 'stopping' : 'running';
+          run.releaseAt = Number.POSITIVE_INFINITY;
+        }
+        this.noteCheckpoint(run, report, at);
+        break;
+      case 'finished':
+        this.finish(host, run, report, at);
+        break;
+      case 'stopped':
+        this.end(host, run, report);
+        break;
+      case 'failed':
+      case 'refused':
+        this.fail(host, run, report, at);
+        break;
+    }
+  }
+
+  private noteUsage(host: CellHost, run: TaskRun, report: AttemptReport): void {
+    const usage = report.usage;
+    if (usage?.latencyRatio !== undefined) host.latencyRatio = usage.latencyRatio;
+    if (usage?.progress !== undefined) run.progress = usage.progress;
+  }
+
+  private noteCheckpoint(run: TaskRun, report: AttemptReport, at: number): void {
+    if (report.checkpoint === undefined || report.checkpoint === run.checkpoint) return;
+    run.checkpoint = report.checkpoint;
+    run.checkpointAt = at;
+    if (!this.state.jobs.get(run.workload)) return;
+    const evictions = this.ledger.getTask(run.id)?.evictions ?? 0;
+    this.ledger.putTask(run.id, {checkpoint: report.checkpoint, attempt: run.attempt, evictions});
+  }
+
+  private finish(host: CellHost, run: TaskRun, report: AttemptReport, at: number): void {
+    host.health.succeed();
+    const job = this.state.removeRun(run);
+    if (job && job.workload.kind === 'batch') {
+      job.clearFailures(run.index);
+      this.ledger.finish(job.name, run.index, job.workload.tasks);
+      job.finished += 1;
+      if (job.workload.runTimeSeconds !== undefined && run.fresh) {
+        const seconds = (at - run.startedAt) / 1000;
+        this.estimates.observe(run.team, run.workload, job.workload.runTimeSeconds, seconds);
+      }
+    } else if (job) {
+      // A service or watch is not meant to finish.
+      job.retry(run.index, at);
+    }
+    this.acknowledgeLater(host, report);
+  }
+
+  /** A stopped attempt resumes only after its checkpoint is in the ledger. */
+  private end(host: CellHost, run: TaskRun, report: AttemptReport): void {
+    const job = this.state.jobs.get(run.workload);
+    if (job?.runs.get(run.index) !== run) {
+      this.state.removeRun(run);
+      this.acknowledgeNow(host, report);
+      return;
+    }
+    const evicted = run.stopReason === 'evicted' || run.stopReason === 'moved' ? 1 : 0;
+    const previous = this.ledger.getTask(run.id);
+    const checkpoint = report.checkpoint ?? previous?.checkpoint;
+    if (checkpoint === undefined && evicted === 0) {
+      this.state.removeRun(run)?.putBack(run.index);
+      this.acknowledgeNow(host, report);
+      return;
+    }
+    const evictions = (previous?.evictions ?? 0) + evicted;
+    this.ledger.putTask(run.id, {checkpoint, attempt: run.attempt, evictions});
+    run.state = 'settling';
+    this.acknowledgeLater(host, report);
+  }
+
+  private fail(host: CellHost, run: TaskRun, report: AttemptReport, at: number): void {
+    const job = this.state.removeRun(run);
+    this.acknowledgeNow(host, report);
+    this.effects.push({kind: 'count', name: `tasks-${report.state}`, by: 1});
+    if (report.state === 'failed' && host.health.fail(run.workload, at)) {
+      const detail = `worker of ${host.name} fails its tasks; suspended until ${host.health.until}`;
+      this.effects.push({
+        kind: 'finding',
+        workload: run.workload,
+        reason: 'worker-suspended',
+        detail,
+      });
+    }
+    const failures = job?.retry(run.index, at) ?? 0;
+    if (job && failures === reportedFailures) {
+      const detail = `task ${run.index} failed ${failures} times: ${report.detail ?? 'no detail'}`;
+      this.effects.push({kind: 'finding', workload: job.name, reason: 'repeated-failures', detail});
+    }
+  }
+
+  /** Takes over an attempt that an earlier owner started, unless the task is not wanted or runs elsewhere. */
+  private adopt(
+    host: CellHost,
+    known: TaskRun | undefined,
+    report: AttemptReport,
+    at: number,
+  ): void {
+    const separator = report.task.lastIndexOf('/');
+    const workload = report.task.slice(0, separator);
+    const index = Number(report.task.slice(separator + 1));
+    const job = this.state.jobs.get(workload);
+    const newer = known !== undefined && known.attempt > report.attempt;
+    const wanted =
+      job !== undefined &&
+      index < job.workload.tasks &&
+      !this.ledger.isFinished(workload, index) &&
+      !newer;
+    if (known && !newer) this.state.removeRun(known);
+    const run: TaskRun = {
+      id: report.task,
+      workload,
+      team: job?.workload.team ?? '',
+      kind: job?.workload.kind ?? 'batch',
+      urgency: job?.workload.urgency ?? 'background',
+      index,
+      attempt: report.attempt,
+      host: host.name,
+      reserved: job?.workload.resources ?? {
+        processors: 0,
+        memoryMb: 0,
+        accelerators: 0,
+        slots: 0,
+      },
+      startedAt: at,
+      fresh: false,
+      borrowed: false,
+      state: wanted ? 'running' : 'stopping',
+      stopReason: wanted ? undefined : newer ? 'superseded' : 'cancelled',
+      stopSentAt: Number.NEGATIVE_INFINITY,
+      releaseAt: Number.POSITIVE_INFINITY,
+      fraction: 1,
+      progress: report.usage?.progress ?? 0,
+      checkpointAt: at,
+      checkpoint: report.checkpoint,
+    };
+    if (!newer) this.state.addRun(run);
+    else this.effects.push(this.createStop(run));
+  }
+
+  /** Settles a terminal report of an attempt that is not the current one of its task. */
+  private settleForeign(
+    host: CellHost,
+    run: TaskRun | undefined,
+    report: AttemptReport,
+    at: number,
+  ): void {
+    const separator = report.task.lastIndexOf('/');
+    const job = this.state.jobs.get(report.task.slice(0, separator));
+    const index = Number(report.task.slice(separator + 1));
+    if (!job || (run && run.attempt > report.attempt && report.state !== 'finished')) {
+      this.acknowledgeNow(host, report);
+      return;
+    }
+    if (report.state === 'finished' && job.workload.kind === 'batch') {
+      if (!this.ledger.isFinished(job.name, index)) {
+        this.ledger.finish(job.name, index, job.workload.tasks);
+        job.finished += 1;
+      }
+      if (run && run.state !== 'settling') {
+        run.stopReason = 'superseded';
+        run.state = run.state === 'lost' ? 'lost' : 'stopping';
+        run.stopSentAt = at;
+        this.effects.push(this.createStop(run));
+      }
+    } else if (report.state === 'stopped' && report.checkpoint !== undefined) {
+      const {checkpoint, attempt} = report;
+      const previous = this.ledger.getTask(report.task);
+      if ((previous?.attempt ?? 0) <= attempt) {
+        const evictions = previous?.evictions ?? 0;
+        this.ledger.putTask(report.task, {checkpoint, attempt, evictions});
+      }
+    }
+    this.acknowledgeLater(host, report);
+  }
+
+  private acknowledgeLater(host: CellHost, report: AttemptReport): void {
+    const {task, attempt} = report;
+    this.ledger.acknowledgeAfterWrite({host: host.name, task, attempt});
+  }
+
+  private acknowledgeNow(host: CellHost, report: AttemptReport): void {
+    const attempts = [{task: report.task, attempt: report.attempt}];
+    this.effects.push({
+      kind: 'send',
+      host: host.name,
+      message: {kind: 'acknowledge', term: this.term, attempts},
+    });
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/tasks/cell/upkeep.ts
@@ -0,0 +1,58 @@
+import type {CellState} from './cell-state.js';
+import type {Job} from './job.js';
+import type {TaskRun} from './task-run.js';
+import {holdLimitMs} from '../timing.js';
+
+/** Time after which an unanswered stop is sent again. */
+const stopRepeatMs = 3_000;
+
+/** Removes the runs of hosts that are away for longer than the lease wait; returns how many. */
+export function releaseLost(state: CellState, at: number): number {
+  let released = 0;
+  for (const host of state.hosts.values()) {
+    for (const run of [...host.runs.values()]) {
+      if (run.state !== 'lost' || run.releaseAt > at) continue;
+      state.removeRun(run)?.putBack(run.index);
+      released += 1;
+    }
+    const forgotten = !host.up && host.runs.size === 0 && at - host.stampAt > holdLimitMs;
+    if (forgotten) state.hosts.delete(host.name);
+  }
+  return released;
+}
+
+/** Returns the runs whose stop was not answered. */
+export function findUnansweredStops(state: CellState, at: number): TaskRun[] {
+  return [...state.runs.values()].filter(
+    run => run.state === 'stopping' && at - run.stopSentAt >= stopRepeatMs,
+  );
+}
+
+/**
+ * Returns the runs that should leave drained hosts now: batch tasks that can checkpoint, and of each other
+ * workload one replica at a time while all its replicas run. Batch tasks without checkpoints finish.
+ */
+export function findDrainable(state: CellState): TaskRun[] {
+  const found: TaskRun[] = [];
+  const moving = new Set<string>();
+  for (const host of state.hosts.values()) {
+    if (!state.isDrained(host)) continue;
+    for (const run of host.runs.values()) {
+      const job = state.jobs.get(run.workload);
+      if (run.state !== 'running' || !job) continue;
+      if (run.kind === 'batch') {
+        if (job.workload.checkpointSeconds !== undefined) found.push(run);
+      } else if (!moving.has(run.workload) && isComplete(job)) {
+        moving.add(run.workload);
+        found.push(run);
+      }
+    }
+  }
+  return found;
+}
+
+function isComplete(job: Job): boolean {
+  if (job.waiting > 0) return false;
+  for (const run of job.runs.values()) if (run.state !== 'running') return false;
+  return true;
+}
--- /dev/null
+++ b/packages/coordination/src/tasks/forecast.ts
@@ -0,0 +1,133 @@
+import type {Configuration} from '../configuration/document.js';
+import type {CellScheduler} from './cell-scheduler.js';
+import type {CellState} from './cell/cell-state.js';
+import {Job} from './cell/job.js';
+import type {TaskRun} from './cell/task-run.js';
+import {SchedulingRound, type RoundContext} from './round/scheduling-round.js';
+
+/** What a new configuration does to the tasks of one workload. */
+export interface ForecastEffect {
+  readonly action: 'start' | 'move' | 'slow' | 'stop';
+  readonly workload: string;
+  /** Number of tasks. */
+  readonly tasks: number;
+  /** Hosts concerned, sorted. */
+  readonly hosts: readonly string[];
+  readonly reason: string;
+}
+
+class EffectList {
+  private readonly groups = new Map<string, {effect: ForecastEffect; hosts: Set<string>}>();
+
+  add(action: ForecastEffect['action'], workload: string, reason: string, host?: string): void {
+    const key = `${action} ${workload} ${reason}`;
+    const group = this.groups.get(key);
+    const hosts = group?.hosts ?? new Set<string>();
+    if (host !== undefined) hosts.add(host);
+    const tasks = (group?.effect.tasks ?? 0) + 1;
+    this.groups.set(key, {effect: {action, workload, tasks, hosts: [], reason}, hosts});
+  }
+
+  toArray(): ForecastEffect[] {
+    return [...this.groups.values()].map(({effect, hosts}) => ({
+      ...effect,
+      hosts: [...hosts].sort(),
+    }));
+  }
+}
+
+/**
+ * Predicts the effects of a configuration on the present state of a scheduler, without changing it. Tasks
+ * that are due to start under the present configuration are not attributed to the new one.
+ */
+export function predictEffects(
+  scheduler: CellScheduler,
+  configuration: Configuration,
+  at: number,
+): readonly ForecastEffect[] {
+  const state = scheduler.getState().clone();
+  const context = scheduler.getForecastContext(at);
+  new SchedulingRound(state, context).run();
+  const list = new EffectList();
+  const waitingBefore = new Map([...state.jobs.values()].map(job => [job.name, job.waiting]));
+  const beforeDrains = state.drains;
+  applyWorkloads(state, configuration, list);
+  state.applyConfiguration(configuration);
+  vacateDrained(state, beforeDrains, list);
+  predictRound(state, context, list);
+  predictWaiting(state, waitingBefore, list);
+  return list.toArray();
+}
+
+function applyWorkloads(state: CellState, configuration: Configuration, list: EffectList): void {
+  for (const [name, job] of [...state.jobs]) {
+    if (configuration.workloads.has(name)) continue;
+    for (const run of [...job.runs.values()]) remove(state, run, list, 'the workload is removed');
+    state.jobs.delete(name);
+  }
+  for (const workload of configuration.workloads.values()) {
+    const job = state.jobs.get(workload.name);
+    if (!job) {
+      state.jobs.set(workload.name, new Job(workload));
+      continue;
+    }
+    job.update(workload);
+    for (const run of [...job.runs.values()]) {
+      if (run.index < workload.tasks) continue;
+      remove(state, run, list, `the number of tasks is lowered to ${workload.tasks}`);
+    }
+  }
+}
+
+function remove(state: CellState, run: TaskRun, list: EffectList, reason: string): void {
+  list.add('stop', run.workload, reason, run.host);
+  state.removeRun(run);
+}
+
+/** Tasks leave newly drained hosts if they can; batch tasks without checkpoints finish there. */
+function vacateDrained(state: CellState, before: ReadonlySet<string>, list: EffectList): void {
+  for (const host of state.hosts.values()) {
+    if (!state.drains.has(host.name) || before.has(host.name)) continue;
+    for (const run of [...host.runs.values()]) {
+      const job = state.jobs.get(run.workload);
+      if (!job) continue;
+      if (run.kind === 'batch' && job.workload.checkpointSeconds === undefined) continue;
+      list.add('move', run.workload, `host ${host.name} is drained`, host.name);
+      state.removeRun(run);
+      job.putBack(run.index);
+    }
+  }
+}
+
+function predictRound(state: CellState, context: RoundContext, list: EffectList): void {
+  const moved = new Set(list.toArray().map(effect => `${effect.action} ${effect.workload}`));
+  for (const decision of new SchedulingRound(state, context).run()) {
+    if (decision.kind === 'start') {
+      const {workload, host} = decision.run;
+      if (moved.has(`move ${workload}`)) continue;
+      list.add('start', workload, 'there is room', host);
+    } else if (decision.kind === 'stop') {
+      const {workload, host} = decision.run;
+      const reason = `makes room for ${decision.beneficiary ?? 'other work'}; resumes from its checkpoint`;
+      list.add('move', workload, reason, host);
+    }
+  }
+}
+
+/** Jobs of which more tasks wait than before finish later. */
+function predictWaiting(
+  state: CellState,
+  before: ReadonlyMap<string, number>,
+  list: EffectList,
+): void {
+  for (const job of state.jobs.values()) {
+    const waiting = before.get(job.name);
+    const more = job.waiting - (waiting ?? 0);
+    if (job.neverRunnable !== undefined) {
+      list.add('slow', job.name, `can never run: no host has enough ${job.neverRunnable}`);
+    } else if (more > 0) {
+      const reason = waiting === undefined ? 'waits for room' : 'more tasks wait for room';
+      for (let task = 0; task < more; task += 1) list.add('slow', job.name, reason);
+    }
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/tasks/ledger/ledger-keeper.ts
@@ -0,0 +1,296 @@
+import type {CellSchedulerEffect} from '../events.js';
+import {ItemSet} from './item-set.js';
+import type {LedgerRecord, LedgerTask} from './ledger-record.js';
+
+/** Time between two ledger writes that open no urgent work. */
+export const ledgerIntervalMs = 1_000;
+
+/** Time after which an unanswered read is repeated. */
+const readRetryMs = 1_000;
+
+/** A terminal report whose acknowledgement follows the next ledger write. */
+export interface PendingAcknowledgement {
+  readonly host: string;
+  readonly task: string;
+  readonly attempt: number;
+}
+
+interface WriteInFlight {
+  readonly sequence: number;
+  readonly opening: readonly string[];
+  readonly acknowledgements: readonly PendingAcknowledgement[];
+}
+
+/** What a store answer changed. */
+export interface LedgerProgress {
+  readonly effects: readonly CellSchedulerEffect[];
+  readonly opened: readonly string[];
+  readonly acknowledgements: readonly PendingAcknowledgement[];
+  /** The record was read in full for the first time in this term, and a write with this term succeeded. */
+  readonly claimed: boolean;
+  /** Another owner with a higher term has written. */
+  readonly deposed: boolean;
+  /** Workloads opened by an earlier owner that were found by a repeated read. */
+  readonly foundOpened: readonly string[];
+}
+
+const noProgress: LedgerProgress = {
+  effects: [],
+  opened: [],
+  acknowledgements: [],
+  claimed: false,
+  deposed: false,
+  foundOpened: [],
+};
+
+/**
+ * Keeps the ledger of a cell: opened workloads, finished items, checkpoints. Writes by compare-and-swap
+ * in batches. The first write of a term claims the ledger: from then on no write of an earlier owner can
+ * succeed, so nothing that was read can change behind the new owner.
+ */
+export class LedgerKeeper {
+  private term = 0;
+  private sequence = 0;
+  private revision = 0;
+  private phase: 'idle' | 'reading' | 'claiming' | 'ready' = 'idle';
+  private readAt = 0;
+  private writtenAt = Number.NEGATIVE_INFINITY;
+  private dirty = false;
+  private urgent = false;
+  private inFlight?: WriteInFlight;
+  private rereading = false;
+  private readonly openedNames = new Set<string>();
+  private readonly opening = new Set<string>();
+  private readonly finishedItems = new Map<string, ItemSet>();
+  private readonly done = new Set<string>();
+  private readonly tasks = new Map<string, LedgerTask>();
+  private acknowledgements: PendingAcknowledgement[] = [];
+
+  /** Whether the ledger was read and claimed in the present term. */
+  get ready(): boolean {
+    return this.phase === 'ready';
+  }
+
+  /** Starts a term: forgets everything and reads the record. */
+  begin(term: number, at: number): CellSchedulerEffect[] {
+    this.term = term;
+    this.sequence = 0;
+    this.phase = 'reading';
+    this.inFlight = undefined;
+    this.rereading = false;
+    this.dirty = false;
+    this.urgent = false;
+    this.openedNames.clear();
+    this.opening.clear();
+    this.finishedItems.clear();
+    this.done.clear();
+    this.tasks.clear();
+    this.acknowledgements = [];
+    this.writtenAt = Number.NEGATIVE_INFINITY;
+    return this.read(at);
+  }
+
+  /** Ends the term. */
+  end(): void {
+    this.phase = 'idle';
+    this.inFlight = undefined;
+  }
+
+  /** Whether the workload is opened by a completed write. */
+  isOpened(workload: string): boolean {
+    return this.openedNames.has(workload);
+  }
+
+  /** Opened workloads. */
+  get opened(): ReadonlySet<string> {
+    return this.openedNames;
+  }
+
+  /** Asks for a workload to be opened by the next write. */
+  open(workload: string, urgent: boolean): void {
+    if (this.openedNames.has(workload) || this.opening.has(workload)) return;
+    this.opening.add(workload);
+    this.dirty = true;
+    if (urgent) this.urgent = true;
+  }
+
+  /** Forgets a removed workload and its tasks. */
+  forget(workload: string): void {
+    this.opening.delete(workload);
+    if (!this.openedNames.delete(workload)) return;
+    this.finishedItems.delete(workload);
+    this.done.delete(workload);
+    for (const task of this.tasks.keys()) {
+      if (task.startsWith(`${workload}/`)) this.tasks.delete(task);
+    }
+    this.dirty = true;
+  }
+
+  /** Whether an item of a batch job is finished, written or not. */
+  isFinished(workload: string, index: number): boolean {
+    return this.done.has(workload) || this.finishedItems.get(workload)?.has(index) === true;
+  }
+
+  /** Number of finished items of a job with `tasks` items. */
+  getFinishedCount(workload: string, tasks: number): number {
+    if (this.done.has(workload)) return tasks;
+    return Math.min(tasks, this.finishedItems.get(workload)?.size ?? 0);
+  }
+
+  /** Records a finished item. */
+  finish(workload: string, index: number, tasks: number): void {
+    let items = this.finishedItems.get(workload);
+    if (!items) {
+      items = new ItemSet();
+      this.finishedItems.set(workload, items);
+    }
+    if (!items.add(index)) return;
+    this.tasks.delete(`${workload}/${index}`);
+    if (items.size >= tasks) this.done.add(workload);
+    this.dirty = true;
+  }
+
+  /** Returns what is kept of an unfinished task. */
+  getTask(task: string): LedgerTask | undefined {
+    return this.tasks.get(task);
+  }
+
+  /** Records a checkpoint or an eviction. */
+  putTask(task: string, entry: LedgerTask): void {
+    this.tasks.set(task, entry);
+    this.dirty = true;
+  }
+
+  /** Acknowledges a report after the next write. */
+  acknowledgeAfterWrite(acknowledgement: PendingAcknowledgement): void {
+    this.acknowledgements.push(acknowledgement);
+    this.dirty = true;
+  }
+
+  /** Writes if something changed and the interval allows it; repeats unanswered reads. */
+  flush(at: number): CellSchedulerEffect[] {
+    if (this.phase === 'idle') return [];
+    if (this.phase === 'reading' || this.rereading) {
+      return at - this.readAt >= readRetryMs ? this.read(at) : [];
+    }
+    if (this.inFlight || this.phase !== 'ready' || !this.dirty) return [];
+    if (!this.urgent && at - this.writtenAt < ledgerIntervalMs) return [];
+    return [this.write(at)];
+  }
+
+  /** Handles a read record. */
+  onRead(record: LedgerRecord | undefined, revision: number, at: number): LedgerProgress {
+    if (this.phase === 'idle') return noProgress;
+    if (record && record.term > this.term) {
+      this.phase = 'idle';
+      return {...noProgress, deposed: true};
+    }
+    if (this.phase === 'reading') {
+      this.load(record);
+      this.revision = revision;
+      this.phase = 'claiming';
+      return {...noProgress, effects: [this.write(at)]};
+    }
+    if (!this.rereading) return noProgress;
+    this.rereading = false;
+    const pending = this.inFlight;
+    if (record && record.term === this.term && record.sequence === pending?.sequence) {
+      return this.complete(pending, revision);
+    }
+    // The write did not take effect. If it is still on its way, the compare-and-swap lets one of the two win.
+    const before = new Set(this.openedNames);
+    if (revision !== this.revision) this.load(record);
+    this.revision = revision;
+    this.restore(pending);
+    const found = [...this.openedNames].filter(name => !before.has(name));
+    const own = record?.term === this.term;
+    return {
+      ...noProgress,
+      effects: [this.write(at)],
+      opened: own ? found : [],
+      foundOpened: own ? [] : found,
+    };
+  }
+
+  /** Handles the result of a write. */
+  onWritten(
+    sequence: number,
+    result: 'written' | 'conflict' | 'unknown',
+    revision: number,
+    at: number,
+  ): LedgerProgress {
+    const pending = this.inFlight;
+    if (!pending || pending.sequence !== sequence) return noProgress;
+    if (result === 'written') return this.complete(pending, revision);
+    this.rereading = true;
+    return {...noProgress, effects: this.read(at)};
+  }
+
+  private read(at: number): CellSchedulerEffect[] {
+    this.readAt = at;
+    return [{kind: 'read-ledger'}];
+  }
+
+  private complete(pending: WriteInFlight, revision: number): LedgerProgress {
+    this.inFlight = undefined;
+    this.revision = revision;
+    const claimed = this.phase === 'claiming';
+    this.phase = 'ready';
+    const opened = pending.opening.filter(name => this.opening.delete(name));
+    for (const name of opened) this.openedNames.add(name);
+    return {...noProgress, opened, acknowledgements: pending.acknowledgements, claimed};
+  }
+
+  private restore(pending: WriteInFlight | undefined): void {
+    this.inFlight = undefined;
+    this.acknowledgements = [...(pending?.acknowledgements ?? []), ...this.acknowledgements];
+  }
+
+  private load(record: LedgerRecord | undefined): void {
+    for (const [name, workload] of Object.entries(record?.workloads ?? {})) {
+      this.openedNames.add(name);
+      this.opening.delete(name);
+      if (workload.done) this.done.add(name);
+      const items = this.finishedItems.get(name) ?? new ItemSet();
+      const found = ItemSet.fromText(workload.finished);
+      for (let index = 0; index < workload.finished.length * 4; index += 1) {
+        if (found.has(index)) items.add(index);
+      }
+      this.finishedItems.set(name, items);
+    }
+    for (const [task, entry] of Object.entries(record?.tasks ?? {})) {
+      if (!this.tasks.has(task)) this.tasks.set(task, entry);
+    }
+  }
+
+  private write(at: number): CellSchedulerEffect {
+    this.sequence += 1;
+    this.writtenAt = at;
+    this.dirty = false;
+    this.urgent = false;
+    this.inFlight = {
+      sequence: this.sequence,
+      opening: [...this.opening],
+      acknowledgements: this.acknowledgements,
+    };
+    this.acknowledgements = [];
+    const workloads: Record<string, {finished: string; done: boolean}> = {};
+    for (const name of [...this.openedNames, ...this.opening]) {
+      const done = this.done.has(name);
+      const items = this.finishedItems.get(name);
+      workloads[name] = {finished: done || !items ? '' : items.toText(), done};
+    }
+    return {
+      kind: 'write-ledger',
+      sequence: this.sequence,
+      record: {
+        format: 1,
+        term: this.term,
+        sequence: this.sequence,
+        workloads,
+        tasks: Object.fromEntries(this.tasks),
+      },
+      expectedRevision: this.revision,
+    };
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/tasks/round/placement.ts
@@ -0,0 +1,116 @@
+import type {Workload} from '../../configuration/document.js';
+import {addAmounts, copyAmounts, createAmounts, fits, type Amounts} from '../amounts.js';
+import type {CellHost} from '../cell/cell-host.js';
+import type {CellState} from '../cell/cell-state.js';
+import type {Job} from '../cell/job.js';
+
+/** Predicts how much a batch workload disturbs the services of a host; 0 is no disturbance. */
+export interface DisturbanceForecast {
+  getCost(host: CellHost, workload: Workload, at: number): number;
+}
+
+/** Weight of the share of a host that stays free, against the predicted disturbance. */
+const packingWeight = 0.05;
+
+/** Chooses hosts for tasks within one scheduling round. */
+export class Placement {
+  private readonly promised = new Map<string, Amounts>();
+  private readonly open: CellHost[];
+
+  constructor(
+    private readonly state: CellState,
+    private readonly at: number,
+    private readonly disturbance?: DisturbanceForecast,
+  ) {
+    this.open = [...state.hosts.values()].filter(
+      host => host.isReachable(at) && !state.isDrained(host) && !host.health.isSuspended(at),
+    );
+  }
+
+  /** Returns the best host with room now. */
+  choose(job: Job): CellHost | undefined {
+    const {workload} = job;
+    const spread = workload.kind === 'batch' ? undefined : this.countSpread(job);
+    let best: CellHost | undefined;
+    let bestCost = Number.POSITIVE_INFINITY;
+    for (const host of this.open) {
+      if (!this.hasRoom(host, workload)) continue;
+      const cost = spread ? spread(host) : this.getBatchCost(host, workload);
+      if (cost < bestCost) {
+        best = host;
+        bestCost = cost;
+      }
+    }
+    return best;
+  }
+
+  /** Returns a host that has room once the attempts that are stopping there have ended, and keeps it free. */
+  awaitRoom(job: Job): boolean {
+    const need = job.workload.resources;
+    for (const host of this.open) {
+      const later = copyAmounts(host.used);
+      for (const run of host.runs.values()) {
+        if (run.state === 'stopping' || run.state === 'settling')
+          addAmounts(later, run.reserved, -1);
+      }
+      const promised = this.promised.get(host.name);
+      if (promised) addAmounts(later, promised);
+      if (fits(host.capacity, later, need)) {
+        this.promise(host, job);
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Keeps room for a task on a host for the rest of the round. */
+  promise(host: CellHost, job: Job): void {
+    const promised = this.promised.get(host.name) ?? createAmounts();
+    addAmounts(promised, job.workload.resources);
+    this.promised.set(host.name, promised);
+  }
+
+  /** Hosts that take new tasks. */
+  get hosts(): readonly CellHost[] {
+    return this.open;
+  }
+
+  private hasRoom(host: CellHost, workload: Workload): boolean {
+    if (host.health.isOnProbation(this.at) && host.runs.size > 0) return false;
+    const promised = this.promised.get(host.name);
+    if (!promised) return fits(host.capacity, host.used, workload.resources);
+    const used = copyAmounts(host.used);
+    addAmounts(used, promised);
+    return fits(host.capacity, used, workload.resources);
+  }
+
+  private getBatchCost(host: CellHost, workload: Workload): number {
+    const free = 1 - host.used.processors / Math.max(1, host.capacity.processors);
+    return packingWeight * free + (this.disturbance?.getCost(host, workload, this.at) ?? 0);
+  }
+
+  /** Replicas spread over data centres, then racks, then hosts; among equals the emptiest host wins. */
+  private countSpread(job: Job): (host: CellHost) => number {
+    const dataCentres = new Map<string, number>();
+    const racks = new Map<string, number>();
+    const hosts = new Map<string, number>();
+    const add = (map: Map<string, number>, key: string) => map.set(key, (map.get(key) ?? 0) + 1);
+    for (const run of job.runs.values()) {
+      const host = this.state.hosts.get(run.host);
+      if (!host) continue;
+      add(dataCentres, host.place.dataCentre);
+      add(racks, `${host.place.dataCentre}/${host.place.rack}`);
+      add(hosts, host.name);
+    }
+    return host => {
+      const {dataCentre, rack} = host.place;
+      const load = host.used.processors / Math.max(1, host.capacity.processors);
+      return (
+        (dataCentres.get(dataCentre) ?? 0) * 1e8 +
+        (racks.get(`${dataCentre}/${rack}`) ?? 0) * 1e4 +
+        (hosts.get(host.name) ?? 0) * 10 +
+        load
+      );
+    };
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/tasks/round/run-time-estimates.ts
@@ -0,0 +1,47 @@
+/** Prior mean and deviation of ln(actual / declared), and the weight of the prior in observations. */
+const priorMean = 0;
+const priorDeviation = Math.log(3);
+const priorWeight = 1;
+
+interface Estimate {
+  count: number;
+  mean: number;
+  squares: number;
+}
+
+/** Returns the part of a workload name before its last number or date, so that runs of a series share a key. */
+export function getWorkloadPrefix(name: string): string {
+  return name.replace(/[-_.]?\d[\d\-_.]*$/, '');
+}
+
+/** Learns how far declared run times are off, per team and workload name prefix, log-normally. */
+export class RunTimeEstimates {
+  private readonly estimates = new Map<string, Estimate>();
+
+  /** Records a finished item. */
+  observe(team: string, workload: string, declaredSeconds: number, actualSeconds: number): void {
+    if (declaredSeconds <= 0 || actualSeconds <= 0) return;
+    const key = `${team}/${getWorkloadPrefix(workload)}`;
+    const estimate = this.estimates.get(key) ?? {count: 0, mean: 0, squares: 0};
+    const value = Math.log(actualSeconds / declaredSeconds);
+    estimate.count += 1;
+    const delta = value - estimate.mean;
+    estimate.mean += delta / estimate.count;
+    estimate.squares += delta * (value - estimate.mean);
+    this.estimates.set(key, estimate);
+  }
+
+  /** Returns the factor on the declared run time: mean plus `deviations` standard deviations. */
+  getFactor(team: string, workload: string, deviations = 1): number {
+    const estimate = this.estimates.get(`${team}/${getWorkloadPrefix(workload)}`);
+    const count = estimate?.count ?? 0;
+    const weight = count + priorWeight;
+    const mean = (priorWeight * priorMean + count * (estimate?.mean ?? 0)) / weight;
+    const variance =
+      (priorWeight * priorDeviation ** 2 +
+        (estimate?.squares ?? 0) +
+        (priorWeight * count * (estimate?.mean ?? 0) ** 2) / weight) /
+      weight;
+    return Math.exp(mean + deviations * Math.sqrt(variance));
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/tasks/round/scheduling-round.ts
@@ -0,0 +1,254 @@
+import {urgencies} from '../../messages/identity.js';
+import {addAmounts, copyAmounts, fits, getDominantShare, getLimitingDimension} from '../amounts.js';
+import type {CellHost} from '../cell/cell-host.js';
+import type {CellState} from '../cell/cell-state.js';
+import type {FindingReason} from '../events.js';
+import type {Job} from '../cell/job.js';
+import {Placement, type DisturbanceForecast} from './placement.js';
+import type {StopReason, TaskRun} from '../cell/task-run.js';
+
+/** Resources that stand for the whole when a team has no quota. */
+const noQuota = {processors: 1e9, memoryMb: 1e9, accelerators: 1e6, slots: 1e6};
+
+/** What a round decides. */
+export type Decision =
+  | {readonly kind: 'start'; readonly run: TaskRun; readonly checkpoint?: string}
+  | {
+      readonly kind: 'stop';
+      readonly run: TaskRun;
+      readonly reason: StopReason;
+      /** Workload for which the room is made. */
+      readonly beneficiary?: string;
+    }
+  | {readonly kind: 'open'; readonly job: Job}
+  | {
+      readonly kind: 'finding';
+      readonly workload: string;
+      readonly reason: FindingReason;
+      readonly detail: string;
+    };
+
+/** What a round needs to know beyond the state. */
+export interface RoundContext {
+  readonly at: number;
+  /** Workloads may be opened and tasks evicted. */
+  readonly mayOpen: boolean;
+  readonly disturbance?: DisturbanceForecast;
+  isOpened(workload: string): boolean;
+  isFinished(workload: string, index: number): boolean;
+  getCheckpoint(task: string): string | undefined;
+  /** Time until the date less the remaining run time in seconds; infinite without a date. */
+  getSlack(job: Job): number;
+  nextAttempt(): number;
+}
+
+/**
+ * One pass over the waiting tasks. Tasks within the quota or grant come first, by urgency band; within a
+ * band the team with the least dominant share, within a team services before batch jobs and least slack
+ * first. Then idle quota is lent to batch jobs.
+ */
+export class SchedulingRound {
+  private readonly decisions: Decision[] = [];
+  private readonly placement: Placement;
+
+  constructor(
+    private readonly state: CellState,
+    private readonly context: RoundContext,
+  ) {
+    this.placement = new Placement(state, context.at, context.disturbance);
+  }
+
+  /** Decides and applies the decisions to the state. */
+  run(): Decision[] {
+    const {at} = this.context;
+    const bands = urgencies.map((): Job[] => []);
+    for (const job of this.state.jobs.values()) {
+      if (!job.hasWaiting(at) || !this.isRunnable(job) || !this.isOpened(job)) continue;
+      bands[urgencies.indexOf(job.workload.urgency)]?.push(job);
+    }
+    const lent: Job[][] = [];
+    for (const band of bands) lent.push(this.fill(band, false));
+    for (const band of lent) this.fill(band, true);
+    return this.decisions;
+  }
+
+  private isOpened(job: Job): boolean {
+    if (this.context.isOpened(job.name)) return true;
+    if (this.context.mayOpen) this.decisions.push({kind: 'open', job});
+    return false;
+  }
+
+  private isRunnable(job: Job): boolean {
+    if (this.state.hosts.size === 0) return false;
+    const need = job.workload.resources;
+    let limiting: string | undefined;
+    let known = false;
+    for (const host of this.state.hosts.values()) {
+      if (host.capacity.processors === 0) continue;
+      known = true;
+      const dimension = getLimitingDimension(host.capacity, need);
+      if (!dimension) {
+        job.neverRunnable = undefined;
+        return true;
+      }
+      limiting = dimension;
+    }
+    if (known && limiting && job.neverRunnable !== limiting) {
+      job.neverRunnable = limiting;
+      const detail = `needs more ${limiting} than any host has (${need[limiting as keyof typeof need]})`;
+      this.addFinding(job, 'never-runnable', detail);
+    }
+    return false;
+  }
+
+  /** Places tasks of one band; returns the batch jobs that are held back by their quota. */
+  private fill(jobs: readonly Job[], lend: boolean): Job[] {
+    const heldBack: Job[] = [];
+    const teams = this.groupByTeam(jobs);
+    while (teams.size > 0) {
+      const team = this.pickTeam(teams);
+      const queue = teams.get(team) ?? [];
+      const job = queue[queue.length - 1];
+      if (!job) {
+        teams.delete(team);
+        continue;
+      }
+      if (!lend && !this.state.isWithinQuota(job.workload, job)) {
+        if (job.workload.kind === 'batch') heldBack.push(job);
+        else this.addFinding(job, 'over-quota', `team ${team} has used its quota`);
+        queue.pop();
+      } else if (!this.startOne(job, lend)) {
+        queue.pop();
+      }
+    }
+    return heldBack;
+  }
+
+  /** Queues per team, first job last. */
+  private groupByTeam(jobs: readonly Job[]): Map<string, Job[]> {
+    const teams = new Map<string, Job[]>();
+    const slack = new Map(jobs.map(job => [job, this.context.getSlack(job)]));
+    const isBatch = (job: Job) => (job.workload.kind === 'batch' ? 1 : 0);
+    const order = (a: Job, b: Job) =>
+      isBatch(b) - isBatch(a) || (slack.get(b) ?? 0) - (slack.get(a) ?? 0) || 0;
+    for (const job of [...jobs].sort(order)) {
+      const queue = teams.get(job.workload.team);
+      if (queue) queue.push(job);
+      else teams.set(job.workload.team, [job]);
+    }
+    return teams;
+  }
+
+  private pickTeam(teams: ReadonlyMap<string, Job[]>): string {
+    let best = '';
+    let least = Number.POSITIVE_INFINITY;
+    for (const name of teams.keys()) {
+      const team = this.state.teams.get(name);
+      const usage = this.state.getUsage(name);
+      const share = getDominantShare(usage, team?.quota ?? noQuota) / (team?.weight || 1);
+      if (best === '' || share < least) {
+        best = name;
+        least = share;
+      }
+    }
+    return best;
+  }
+
+  /** Starts one task; returns false when the job can start no more in this round. */
+  private startOne(job: Job, lend: boolean): boolean {
+    const {at} = this.context;
+    const index = job.take(at, item => this.context.isFinished(job.name, item));
+    if (index === undefined) return false;
+    if (this.state.runs.has(job.getTaskId(index))) {
+      // An attempt of a removed workload of the same name has not ended yet.
+      job.delay(index, at + 500);
+      return true;
+    }
+    const host = this.placement.choose(job);
+    if (host) {
+      this.start(job, index, host, lend);
+      return true;
+    }
+    job.putBack(index);
+    if (!lend && this.context.mayOpen && !this.placement.awaitRoom(job)) this.makeRoom(job);
+    return false;
+  }
+
+  private start(job: Job, index: number, host: CellHost, borrowed: boolean): void {
+    const {workload} = job;
+    const id = job.getTaskId(index);
+    const checkpoint = this.context.getCheckpoint(id);
+    const run: TaskRun = {
+      id,
+      workload: workload.name,
+      team: workload.team,
+      kind: workload.kind,
+      urgency: workload.urgency,
+      index,
+      attempt: this.context.nextAttempt(),
+      host: host.name,
+      reserved: workload.resources,
+      startedAt: this.context.at,
+      fresh: checkpoint === undefined,
+      borrowed,
+      state: 'starting',
+      stopSentAt: 0,
+      releaseAt: Number.POSITIVE_INFINITY,
+      fraction: 1,
+      progress: 0,
+      checkpointAt: this.context.at,
+      checkpoint,
+    };
+    this.state.addRun(run);
+    this.state.starts += 1;
+    this.decisions.push({kind: 'start', run, checkpoint});
+  }
+
+  /** Evicts the fewest batch tasks of one host so that the task has room soon. */
+  private makeRoom(job: Job): void {
+    let best: {host: CellHost; victims: TaskRun[]} | undefined;
+    for (const host of this.placement.hosts) {
+      const victims = this.findVictims(host, job);
+      if (victims && (!best || victims.length < best.victims.length)) best = {host, victims};
+    }
+    if (!best) return;
+    this.placement.promise(best.host, job);
+    for (const run of best.victims) {
+      this.state.evictions += 1;
+      this.state.jobs.get(run.workload)?.evicted(run.index, this.context.at);
+      run.state = 'stopping';
+      run.stopReason = 'evicted';
+      this.decisions.push({kind: 'stop', run, reason: 'evicted', beneficiary: job.name});
+    }
+  }
+
+  private findVictims(host: CellHost, job: Job): TaskRun[] | undefined {
+    const candidates = [...host.runs.values()]
+      .filter(run => this.isVictim(run, job))
+      .sort((a, b) => b.checkpointAt - a.checkpointAt);
+    const used = copyAmounts(host.used);
+    const victims: TaskRun[] = [];
+    for (const run of candidates) {
+      if (fits(host.capacity, used, job.workload.resources)) break;
+      addAmounts(used, run.reserved, -1);
+      victims.push(run);
+    }
+    if (!fits(host.capacity, used, job.workload.resources)) return undefined;
+    const budget = this.state.starts / 10 - this.state.evictions;
+    return victims.length <= budget ? victims : undefined;
+  }
+
+  private isVictim(run: TaskRun, job: Job): boolean {
+    if (run.kind !== 'batch' || run.state !== 'running') return false;
+    const owner = this.state.jobs.get(run.workload);
+    if (!owner?.mayEvict(run.index, this.context.at)) return false;
+    const band = urgencies.indexOf(job.workload.urgency);
+    const victimBand = urgencies.indexOf(run.urgency);
+    if (run.borrowed && run.team !== job.workload.team) return true;
+    return band <= 1 && victimBand > band && victimBand >= 2;
+  }
+
+  private addFinding(job: Job, reason: FindingReason, detail: string): void {
+    this.decisions.push({kind: 'finding', workload: job.name, reason, detail});
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/tasks/round/worker-health.ts
@@ -0,0 +1,70 @@
+/** Failures in a row across at least two workloads that suspend a worker. */
+const failuresAcrossWorkloads = 3;
+
+/** Failures in a row of any workloads that suspend a worker. */
+const failuresInAll = 5;
+
+/** First and longest time of suspension. */
+const firstSuspensionMs = 30_000;
+const longestSuspensionMs = 600_000;
+
+/**
+ * Success record of one worker. A worker that fails everything is suspended, then returns on probation
+ * with one task at a time. Failures of one workload alone count less, because the workload may be at fault.
+ */
+export class WorkerHealth {
+  private failures = 0;
+  private readonly failedWorkloads = new Set<string>();
+  private suspendedUntil = Number.NEGATIVE_INFINITY;
+  private suspensions = 0;
+
+  /** Whether the worker gets nothing at present. */
+  isSuspended(at: number): boolean {
+    return at < this.suspendedUntil;
+  }
+
+  /** Whether the worker may run one task at a time until it succeeds. */
+  isOnProbation(at: number): boolean {
+    return this.suspensions > 0 && !this.isSuspended(at);
+  }
+
+  /** Time at which the suspension ends. */
+  get until(): number {
+    return this.suspendedUntil;
+  }
+
+  /** Records a success, which ends a probation. */
+  succeed(): void {
+    this.failures = 0;
+    this.failedWorkloads.clear();
+    this.suspensions = 0;
+  }
+
+  /** Records a failure; returns true when the worker is suspended by it. */
+  fail(workload: string, at: number): boolean {
+    if (this.isSuspended(at)) return false;
+    this.failures += 1;
+    this.failedWorkloads.add(workload);
+    const suspend =
+      this.suspensions > 0 ||
+      this.failures >= failuresInAll ||
+      (this.failures >= failuresAcrossWorkloads && this.failedWorkloads.size >= 2);
+    if (!suspend) return false;
+    const delay = Math.min(longestSuspensionMs, firstSuspensionMs * 2 ** this.suspensions);
+    this.suspendedUntil = at + delay;
+    this.suspensions += 1;
+    this.failures = 0;
+    this.failedWorkloads.clear();
+    return true;
+  }
+
+  /** Returns an independent copy. */
+  clone(): WorkerHealth {
+    const copy = new WorkerHealth();
+    copy.failures = this.failures;
+    for (const workload of this.failedWorkloads) copy.failedWorkloads.add(workload);
+    copy.suspendedUntil = this.suspendedUntil;
+    copy.suspensions = this.suspensions;
+    return copy;
+  }
+}
--- /dev/null
+++ b/packages/lab/src/cell/virtual-cell.ts
@@ -0,0 +1,213 @@
+import {
+  CellScheduler,
+  type CellSchedulerEffect,
+  type CellSchedulerEvent,
+  type CellSchedulerOptions,
+  type Configuration,
+  type FindingReason,
+  type LedgerRecord,
+  type Resources,
+  type Team,
+  type Workload,
+} from '@chervilbeam/coordination';
+import {EventQueue} from './event-queue.js';
+import {VirtualHost, type VirtualHostPlace} from './virtual-host.js';
+import {VirtualStore} from './virtual-store.js';
+import {VirtualWorker, type SpeedModel, type TaskBehaviour} from './virtual-worker.js';
+
+/** Settings of a virtual cell. */
+export interface VirtualCellOptions {
+  readonly hosts: ReadonlyArray<VirtualHostPlace & {readonly capacity: Resources}>;
+  readonly getBehaviour: (workload: string, index: number) => TaskBehaviour;
+  readonly speed?: SpeedModel;
+  readonly scheduler?: Partial<CellSchedulerOptions>;
+  /** Time between two ticks of the scheduler. */
+  readonly tickMs?: number;
+  readonly usageMs?: number;
+}
+
+/** A finding with its time. */
+export interface TimedFinding {
+  readonly at: number;
+  readonly workload: string;
+  readonly reason: FindingReason;
+  readonly detail: string;
+}
+
+const networkMs = 1.5;
+const storeMs = 3;
+const ledgerKey = 'cell/main/ledger';
+
+/** One scheduler that owns a cell of virtual hosts, with a virtual store, on a virtual clock. */
+export class VirtualCell {
+  readonly queue = new EventQueue();
+  readonly store = new VirtualStore();
+  readonly hosts = new Map<string, VirtualHost>();
+  readonly findings: TimedFinding[] = [];
+  readonly counts = new Map<string, number>();
+  /** Time of the first start of each task. */
+  readonly firstStart = new Map<string, number>();
+  starts = 0;
+  scheduler: CellScheduler;
+  private configuration: Configuration = {
+    version: 0,
+    workloads: new Map(),
+    teams: new Map(),
+    drains: new Set(),
+  };
+
+  constructor(private readonly options: VirtualCellOptions) {
+    this.scheduler = this.createScheduler();
+    options.hosts.forEach((entry, position) => this.addHost(entry, position));
+    this.own(1);
+    this.queue.every(options.tickMs ?? 100, () => this.tick());
+  }
+
+  /** Runs until a time. */
+  runUntil(at: number): void {
+    this.queue.runUntil(at);
+  }
+
+  /** Replaces the scheduler by one that knows nothing, as at a takeover. */
+  takeOver(term: number): void {
+    this.scheduler = this.createScheduler();
+    for (const host of this.hosts.values()) if (!host.off) this.connect(host);
+    this.own(term);
+    this.handle({kind: 'configuration', configuration: this.configuration});
+  }
+
+  /** Puts workloads, teams and drains into force. */
+  configure(change: {
+    readonly put?: readonly Workload[];
+    readonly remove?: readonly string[];
+    readonly teams?: readonly Team[];
+    readonly drains?: readonly string[];
+  }): void {
+    const workloads = new Map(this.configuration.workloads);
+    for (const workload of change.put ?? []) workloads.set(workload.name, workload);
+    for (const name of change.remove ?? []) workloads.delete(name);
+    this.configuration = {
+      version: this.configuration.version + 1,
+      workloads,
+      teams: change.teams
+        ? new Map(change.teams.map(team => [team.name, team]))
+        : this.configuration.teams,
+      drains: change.drains ? new Set(change.drains) : this.configuration.drains,
+    };
+    this.handle({kind: 'configuration', configuration: this.configuration});
+  }
+
+  /** Kills a host; the scheduler sees the connection go after a time. */
+  kill(name: string, noticeMs = 50): void {
+    this.getHost(name).kill();
+    this.queue.after(noticeMs, () => this.handle({kind: 'host-down', host: name}));
+  }
+
+  /** Brings a killed host back, empty. */
+  restart(name: string): void {
+    const host = this.getHost(name);
+    host.restart();
+    this.connect(host);
+  }
+
+  /** Returns a host. */
+  getHost(name: string): VirtualHost {
+    const host = this.hosts.get(name);
+    if (!host) throw new Error(`no host ${name}`);
+    return host;
+  }
+
+  /** Hands an event to the scheduler and carries out its effects. */
+  handle(event: CellSchedulerEvent): void {
+    const effects = this.scheduler.reduce(event, this.queue.now);
+    for (const effect of effects) this.carryOut(effect);
+  }
+
+  private createScheduler(): CellScheduler {
+    return new CellScheduler({cell: 'main', ...this.options.scheduler});
+  }
+
+  private own(term: number): void {
+    this.handle({kind: 'ownership', mode: 'owner', term});
+    this.handle({kind: 'fence-complete', unreachableHeldUntil: this.queue.now});
+  }
+
+  private tick(): void {
+    this.handle({kind: 'tick', wallTimeMs: this.queue.now});
+  }
+
+  private addHost(entry: VirtualHostPlace & {capacity: Resources}, position: number): void {
+    const worker = new VirtualWorker(entry.capacity, this.options.getBehaviour, this.options.speed);
+    const host: VirtualHost = new VirtualHost(
+      entry,
+      worker,
+      this.queue,
+      (_peer, message) =>
+        this.queue.after(networkMs, () => {
+          if (message.kind === 'report') this.handle({kind: 'report', host: entry.name, message});
+          else this.handle({kind: 'heartbeat', host: entry.name, message});
+        }),
+      this.options.usageMs,
+    );
+    this.hosts.set(entry.name, host);
+    host.start((position * 37) % 500);
+    this.connect(host);
+  }
+
+  private connect(host: VirtualHost): void {
+    const {name} = host.place;
+    const hello = host.getHello();
+    this.handle({kind: 'host-up', host: name, hello, announce: host.getAnnounce()});
+    host.handle({kind: 'peer-up', peer: 'entry'});
+  }
+
+  private carryOut(effect: CellSchedulerEffect): void {
+    const {queue} = this;
+    switch (effect.kind) {
+      case 'send': {
+        const host = this.hosts.get(effect.host);
+        if (effect.message.kind === 'start') this.noteStart(effect.message.task);
+        queue.after(networkMs, () => host?.receive('entry', effect.message));
+        break;
+      }
+      case 'read-ledger':
+        queue.after(storeMs, () => {
+          const answer = this.store.call({operation: 'read', key: ledgerKey}, queue.now);
+          if (answer.result !== 'ok') return;
+          const record = answer.value as LedgerRecord | undefined;
+          this.handle({kind: 'ledger-read', record, revision: answer.revision ?? 0});
+        });
+        break;
+      case 'write-ledger':
+        queue.after(storeMs, () => {
+          const {sequence, record: value, expectedRevision} = effect;
+          const key = ledgerKey;
+          const call = {operation: 'write', key, value, expectedRevision} as const;
+          const answer = this.store.call(call, queue.now);
+          const result =
+            answer.result === 'ok'
+              ? 'written'
+              : answer.result === 'mismatch'
+                ? 'conflict'
+                : 'unknown';
+          this.handle({kind: 'ledger-written', sequence, result, revision: answer.revision});
+        });
+        break;
+      case 'finding': {
+        const {workload, reason, detail} = effect;
+        this.findings.push({at: queue.now, workload, reason, detail});
+        break;
+      }
+      case 'count':
+        this.counts.set(effect.name, (this.counts.get(effect.name) ?? 0) + effect.by);
+        break;
+      default:
+        break;
+    }
+  }
+
+  private noteStart(task: string): void {
+    this.starts += 1;
+    if (!this.firstStart.has(task)) this.firstStart.set(task, this.queue.now);
+  }
+}
--- /dev/null
+++ b/packages/lab/src/cell/virtual-host.ts
@@ -0,0 +1,135 @@
+import {
+  AgentTasks,
+  type AgentTasksEffect,
+  type Announce,
+  type AgentTasksEvent,
+  type Heartbeat,
+  type Hello,
+  type Report,
+  type SchedulerMessage,
+} from '@chervilbeam/coordination';
+import type {EventQueue} from './event-queue.js';
+import type {VirtualWorker} from './virtual-worker.js';
+
+/** Place of a virtual host. */
+export interface VirtualHostPlace {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly rack: string;
+}
+
+/** Peers of an agent receive its messages. */
+export type AgentOutbox = (peer: string, message: Report | Heartbeat) => void;
+
+/** Time between two ticks of an agent, and the delay of its calls to the worker. */
+const agentTickMs = 500;
+const workerCallMs = 2;
+
+/** An agent with its worker, in virtual time. */
+export class VirtualHost {
+  agent = new AgentTasks();
+  /** The host is off: nothing runs and nothing is sent. */
+  off = false;
+  leaving = false;
+  incarnation = 1;
+  private epoch = 0;
+
+  constructor(
+    readonly place: VirtualHostPlace,
+    readonly worker: VirtualWorker,
+    private readonly queue: EventQueue,
+    private readonly outbox: AgentOutbox,
+    private readonly usageMs = 5_000,
+  ) {}
+
+  /** Starts the agent's ticks. */
+  start(offsetMs: number): void {
+    const epoch = (this.epoch += 1);
+    const alive = () => !this.off && this.epoch === epoch;
+    this.queue.every(agentTickMs, () => alive() && (this.handle({kind: 'tick'}), true), offsetMs);
+    this.queue.every(
+      this.usageMs,
+      () =>
+        alive() &&
+        (this.handle({kind: 'worker-usage', usages: this.worker.getUsages(this.queue.now)}), true),
+      offsetMs,
+    );
+  }
+
+  /** Kills the host with everything on it. */
+  kill(): void {
+    this.off = true;
+    this.worker.tasks.clear();
+  }
+
+  /** Starts the host again, empty. */
+  restart(): void {
+    this.off = false;
+    this.incarnation += 1;
+    this.agent = new AgentTasks();
+    this.start(0);
+  }
+
+  /** Delivers a message of a scheduler. */
+  receive(peer: string, message: SchedulerMessage): void {
+    this.handle({kind: 'message', peer, message});
+  }
+
+  /** Hands an event to the agent and carries out its effects. */
+  handle(event: AgentTasksEvent): void {
+    if (this.off) return;
+    for (const effect of this.agent.reduce(event, this.queue.now)) this.carryOut(effect);
+  }
+
+  /** Hello of the agent. */
+  getHello(): Hello {
+    return {
+      kind: 'hello',
+      protocol: 1,
+      deployment: 'virtual',
+      role: 'agent',
+      dataCentre: this.place.dataCentre,
+      region: 'virtual',
+      name: this.place.name,
+      incarnation: this.incarnation,
+      purpose: 'control',
+      peers: [],
+      configVersion: 0,
+    };
+  }
+
+  /** Announcement of the agent. */
+  getAnnounce(): Announce {
+    return {
+      kind: 'announce',
+      host: this.place.name,
+      rack: this.place.rack,
+      capacity: this.worker.capacity,
+      services: [],
+      slots: this.worker.capacity.slots,
+      connections: 64,
+      draining: this.leaving,
+    };
+  }
+
+  private carryOut(effect: AgentTasksEffect): void {
+    const {queue, worker} = this;
+    if (effect.kind === 'send') this.outbox(effect.peer, effect.message);
+    if (effect.kind === 'read-worker') {
+      queue.after(workerCallMs, () => {
+        const {capacity, term} = worker;
+        const tasks = worker.list(queue.now);
+        const rack = this.place.rack;
+        this.handle({kind: 'worker-state', capacity, rack, tasks, term});
+      });
+    }
+    if (effect.kind === 'worker-call') {
+      queue.after(workerCallMs, () => {
+        if (this.off) return;
+        const {task, attempt, action} = effect;
+        const result = worker.call(effect, queue.now);
+        this.handle({kind: 'worker-result', task, attempt, action, ...result});
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/lab/src/cell/virtual-worker.ts
@@ -0,0 +1,164 @@
+import type {
+  AgentTasksEffect,
+  AttemptState,
+  Resources,
+  Usage,
+  WorkerTask,
+} from '@chervilbeam/coordination';
+
+type WorkerCall = Extract<AgentTasksEffect, {kind: 'worker-call'}>;
+
+/** A task on a virtual worker. Work is measured in milliseconds at full speed. */
+export interface VirtualTask {
+  readonly task: string;
+  readonly attempt: number;
+  readonly workload: string;
+  readonly resources: Resources;
+  readonly workMs: number;
+  doneMs: number;
+  checkpointMs: number;
+  updatedAt: number;
+  leaseUntil: number;
+  fraction: number;
+  speed: number;
+  state: AttemptState;
+}
+
+/** How a task behaves on the virtual worker. */
+export interface TaskBehaviour {
+  /** Work at full speed; infinite for services and watches. */
+  readonly workMs: number;
+  /** Time between checkpoints; absent when it cannot checkpoint. */
+  readonly checkpointMs?: number;
+  /** Whether each start fails. */
+  readonly fails?: boolean;
+}
+
+/** Speed of the tasks of a worker, by what runs beside them; 1 is full speed. */
+export type SpeedModel = (task: VirtualTask, all: readonly VirtualTask[]) => number;
+
+/** Answer to a worker call. */
+export interface VirtualResult {
+  readonly ok: boolean;
+  readonly checkpoint?: string;
+  readonly detail?: string;
+}
+
+/** Runs tasks under leases in virtual time. */
+export class VirtualWorker {
+  readonly tasks = new Map<string, VirtualTask>();
+  /** Every start fails. */
+  broken = false;
+  term = 0;
+
+  constructor(
+    readonly capacity: Resources,
+    private readonly getBehaviour: (workload: string, index: number) => TaskBehaviour,
+    private readonly speed: SpeedModel = () => 1,
+  ) {}
+
+  /** Brings progress up to date and ends tasks whose lease or work has ended. */
+  advance(at: number): void {
+    const running = this.running;
+    for (const task of running) {
+      const end = Math.min(at, task.leaseUntil);
+      const done = task.doneMs + Math.max(0, end - task.updatedAt) * task.speed * task.fraction;
+      task.doneMs = Math.min(task.workMs, done);
+      task.updatedAt = at;
+      const every = this.behaviourOf(task).checkpointMs;
+      if (every !== undefined) task.checkpointMs = Math.floor(task.doneMs / every) * every;
+      if (task.doneMs >= task.workMs) task.state = 'finished';
+      else if (at >= task.leaseUntil) task.state = 'stopped';
+    }
+    const still = this.running;
+    for (const task of still) task.speed = this.speed(task, still);
+  }
+
+  /** Tasks that run at present. */
+  get running(): VirtualTask[] {
+    return [...this.tasks.values()].filter(task => task.state === 'running');
+  }
+
+  /** Carries out a call of the agent. */
+  call(call: WorkerCall, at: number): VirtualResult {
+    this.advance(at);
+    if (call.term < this.term) return {ok: false, detail: 'stale-term'};
+    this.term = call.term;
+    const task = this.tasks.get(call.task);
+    if (call.action === 'start') return this.start(call, task, at);
+    if (task?.attempt !== call.attempt) return {ok: call.action === 'stop'};
+    switch (call.action) {
+      case 'renew':
+        task.leaseUntil = Math.max(task.leaseUntil, at + (call.leaseMs ?? 0));
+        break;
+      case 'throttle':
+        task.fraction = call.fraction ?? 1;
+        break;
+      case 'checkpoint': {
+        if (this.behaviourOf(task).checkpointMs === undefined) return {ok: false};
+        task.checkpointMs = task.doneMs;
+        return {ok: true, checkpoint: String(Math.round(task.doneMs))};
+      }
+      case 'stop':
+        this.tasks.delete(call.task);
+        break;
+    }
+    this.advance(at);
+    return {ok: true};
+  }
+
+  /** Tasks as the agent reads them. */
+  list(at: number): WorkerTask[] {
+    this.advance(at);
+    return [...this.tasks.values()].map(task => ({
+      task: task.task,
+      attempt: task.attempt,
+      workload: task.workload,
+      resources: task.resources,
+      state: task.state,
+      leaseMs: Math.max(0, task.leaseUntil - at),
+      ...(task.checkpointMs > 0 ? {checkpoint: String(task.checkpointMs)} : {}),
+    }));
+  }
+
+  /** Usage of the running tasks. */
+  getUsages(at: number): Array<{task: string; attempt: number; usage: Usage}> {
+    this.advance(at);
+    return this.running.map(task => {
+      const progress = Number.isFinite(task.workMs) ? task.doneMs / task.workMs : undefined;
+      const {processors, memoryMb} = task.resources;
+      const usage = {processors: processors * task.fraction, memoryMb, progress};
+      return {task: task.task, attempt: task.attempt, usage};
+    });
+  }
+
+  private start(call: WorkerCall, present: VirtualTask | undefined, at: number): VirtualResult {
+    if (present && present.attempt >= call.attempt) return {ok: present.attempt === call.attempt};
+    const index = Number(call.task.slice(call.task.lastIndexOf('/') + 1));
+    const behaviour = this.getBehaviour(call.workload ?? '', index);
+    if (this.broken || behaviour.fails) return {ok: false, detail: 'exited with status 1'};
+    this.tasks.set(call.task, {
+      task: call.task,
+      attempt: call.attempt,
+      workload: call.workload ?? '',
+      resources: call.resources ?? {processors: 0, memoryMb: 0, accelerators: 0, slots: 0},
+      workMs: behaviour.workMs,
+      doneMs: Number(call.checkpoint ?? 0),
+      checkpointMs: Number(call.checkpoint ?? 0),
+      updatedAt: at,
+      leaseUntil: at + (call.leaseMs ?? 0),
+      fraction: 1,
+      speed: 1,
+      state: 'running',
+    });
+    this.advance(at);
+    return {ok: true};
+  }
+
+  private behaviourOf(task: VirtualTask): TaskBehaviour {
+    return this.getBehaviour(
+      task.workload,
+      Number(task.task.slice(task.task.lastIndexOf('/') + 1)),
+    );
+  }
+}
