--- /dev/null
+++ b/packages/lab/src/cell/virtual-fleet.ts
@@ -0,0 +1,212 @@
+import type {Configuration, Resources, Workload} from '@chervilbeam/coordination';
+import {EventQueue} from './event-queue.js';
+import {VirtualEntry, type EntrySurroundings} from './virtual-entry.js';
+import {VirtualHost, type VirtualHostPlace} from './virtual-host.js';
+import {VirtualStore} from './virtual-store.js';
+import {VirtualWorker, type TaskBehaviour} from './virtual-worker.js';
+
+/** Settings of a virtual fleet. */
+export interface VirtualFleetOptions {
+  readonly entries: ReadonlyArray<{
+    readonly name: string;
+    readonly dataCentre: string;
+    /** Rate of the process's clock; 1 is right. */
+    readonly clockRate?: number;
+  }>;
+  readonly hosts: ReadonlyArray<VirtualHostPlace & {readonly capacity: Resources}>;
+  readonly getBehaviour: (workload: string, index: number) => TaskBehaviour;
+}
+
+const networkMs = 1.5;
+const connectMs = 200;
+
+/** Entries that compete for one cell, with hosts and a store, in virtual time. Links may be cut. */
+export class VirtualFleet implements EntrySurroundings {
+  readonly queue = new EventQueue();
+  readonly store = new VirtualStore();
+  readonly entries = new Map<string, VirtualEntry>();
+  readonly hosts = new Map<string, VirtualHost>();
+  starts = 0;
+  /** Data centres that are cut off from the others and, unless it holds the store, from the store. */
+  private readonly cut = new Set<string>();
+  /** Data centres whose processes get no answer from the store. */
+  private readonly storeCut = new Set<string>();
+  private configuration: Configuration = {
+    version: 1,
+    workloads: new Map(),
+    teams: new Map(),
+    drains: new Set(),
+  };
+
+  constructor(options: VirtualFleetOptions) {
+    options.entries.forEach(({name, dataCentre, clockRate}, position) => {
+      const registered = {name, dataCentre, incarnation: position + 1, address: name};
+      this.entries.set(name, new VirtualEntry(registered, this, clockRate));
+    });
+    for (const [position, entry] of options.hosts.entries()) {
+      const worker = new VirtualWorker(entry.capacity, options.getBehaviour);
+      const host = new VirtualHost(entry, worker, this.queue, (peer, message) => {
+        this.deliver(entry.dataCentre, this.getEntry(peer).registered.dataCentre, () =>
+          this.getEntry(peer).run(() => {
+            const to = this.getEntry(peer);
+            if (message.kind === 'report')
+              to.handleScheduler({kind: 'report', host: entry.name, message});
+            else to.handleScheduler({kind: 'heartbeat', host: entry.name, message});
+          }),
+        );
+      });
+      this.hosts.set(entry.name, host);
+      host.start((position * 37) % 500);
+    }
+    const entries = [...this.entries.values()].map(entry => entry.registered);
+    for (const entry of this.entries.values()) {
+      entry.handleOwnership({kind: 'entries', entries});
+      for (const peer of this.entries.values()) if (peer !== entry) this.joinEntries(entry, peer);
+      for (const host of this.hosts.values()) this.joinHost(entry, host);
+    }
+  }
+
+  /** Returns an entry. */
+  getEntry(name: string): VirtualEntry {
+    const entry = this.entries.get(name);
+    if (!entry) throw new Error(`no entry ${name}`);
+    return entry;
+  }
+
+  /** The entry that owns the cell or holds it at present, if any. */
+  get owner(): VirtualEntry | undefined {
+    return [...this.entries.values()].find(entry => !entry.dead && entry.mode !== 'none');
+  }
+
+  /** Puts workloads into force at all entries. */
+  configure(workloads: readonly Workload[]): void {
+    this.configuration = {
+      ...this.configuration,
+      version: this.configuration.version + 1,
+      workloads: new Map(workloads.map(workload => [workload.name, workload])),
+    };
+    const {configuration} = this;
+    for (const entry of this.entries.values()) {
+      entry.run(() => entry.handleScheduler({kind: 'configuration', configuration}));
+    }
+  }
+
+  /** Kills an entry. */
+  killEntry(name: string): void {
+    const entry = this.getEntry(name);
+    entry.dead = true;
+    for (const host of this.hosts.values()) host.handle({kind: 'peer-down', peer: name});
+    for (const peer of this.entries.values()) {
+      if (peer !== entry) peer.run(() => peer.handleOwnership({kind: 'peer-down', peer: name}));
+    }
+  }
+
+  /** Cuts a data centre off from the others, or joins it again. */
+  setCut(dataCentre: string, cut: boolean): void {
+    if (cut) this.cut.add(dataCentre);
+    else this.cut.delete(dataCentre);
+    for (const entry of this.entries.values()) {
+      for (const peer of this.entries.values()) {
+        if (!this.crosses(entry.registered.dataCentre, peer.registered.dataCentre, dataCentre))
+          continue;
+        if (cut) this.partEntries(entry, peer);
+        else this.joinEntries(entry, peer);
+      }
+      for (const host of this.hosts.values()) {
+        if (!this.crosses(entry.registered.dataCentre, host.place.dataCentre, dataCentre)) continue;
+        if (cut) this.partHost(entry, host);
+        else this.joinHost(entry, host);
+      }
+    }
+  }
+
+  /** Cuts the processes of a data centre off from the store, or joins them again. */
+  setStoreCut(dataCentre: string, cut: boolean): void {
+    if (cut) this.storeCut.add(dataCentre);
+    else this.storeCut.delete(dataCentre);
+  }
+
+  /** Runs until a time. */
+  runUntil(at: number): void {
+    this.queue.runUntil(at);
+  }
+
+  /** @inheritdoc */
+  callStore(entry: VirtualEntry, call: Parameters<VirtualStore['call']>[0]) {
+    if (this.storeCut.has(entry.registered.dataCentre)) return undefined;
+    return this.store.call(call, this.queue.now);
+  }
+
+  /** @inheritdoc */
+  sendToHost(
+    entry: VirtualEntry,
+    host: string,
+    message: Parameters<VirtualHost['receive']>[1],
+  ): void {
+    const to = this.hosts.get(host);
+    if (!to) return;
+    if (message.kind === 'start') this.starts += 1;
+    const {name, dataCentre} = entry.registered;
+    this.deliver(dataCentre, to.place.dataCentre, () => to.receive(name, message));
+  }
+
+  /** @inheritdoc */
+  sendToEntry(
+    entry: VirtualEntry,
+    peer: string,
+    message: Parameters<EntrySurroundings['sendToEntry']>[2],
+  ): void {
+    const to = this.getEntry(peer);
+    const from = entry.registered;
+    this.deliver(from.dataCentre, to.registered.dataCentre, () =>
+      to.run(() => to.handleOwnership({kind: 'message', peer: from.name, message})),
+    );
+  }
+
+  private isCut(a: string, b: string): boolean {
+    return a !== b && (this.cut.has(a) || this.cut.has(b));
+  }
+
+  private crosses(a: string, b: string, dataCentre: string): boolean {
+    return a !== b && (a === dataCentre || b === dataCentre);
+  }
+
+  private deliver(from: string, to: string, action: () => void): void {
+    if (this.isCut(from, to)) return;
+    this.queue.after(networkMs, () => {
+      if (!this.isCut(from, to)) action();
+    });
+  }
+
+  private joinEntries(entry: VirtualEntry, peer: VirtualEntry): void {
+    const {name} = peer.registered;
+    this.queue.after(connectMs, () =>
+      entry.run(() => entry.handleOwnership({kind: 'peer-up', peer: name, hello: peer.getHello()})),
+    );
+  }
+
+  private partEntries(entry: VirtualEntry, peer: VirtualEntry): void {
+    const {name} = peer.registered;
+    this.queue.after(connectMs, () =>
+      entry.run(() => entry.handleOwnership({kind: 'peer-down', peer: name})),
+    );
+  }
+
+  private joinHost(entry: VirtualEntry, host: VirtualHost): void {
+    this.queue.after(connectMs, () =>
+      entry.run(() => {
+        const {name} = host.place;
+        const announce = host.getAnnounce();
+        entry.handleScheduler({kind: 'host-up', host: name, hello: host.getHello(), announce});
+        host.handle({kind: 'peer-up', peer: entry.registered.name});
+      }),
+    );
+  }
+
+  private partHost(entry: VirtualEntry, host: VirtualHost): void {
+    this.queue.after(connectMs, () => {
+      host.handle({kind: 'peer-down', peer: entry.registered.name});
+      entry.run(() => entry.handleScheduler({kind: 'host-down', host: host.place.name}));
+    });
+  }
+}
--- a/packages/lab/test/cell/scheduling.test.ts
+++ b/packages/lab/test/cell/scheduling.test.ts
@@ -1,28 +1,6 @@
-import type {Workload} from '@chervilbeam/coordination';
 import t from 'tap';
 import {VirtualCell, type TaskBehaviour} from '../../src/cell/index.js';
-
-const capacity = {processors: 16_000, memoryMb: 60_000, accelerators: 0, slots: 8};
-const hosts = [0, 1, 2, 3, 4, 5].map(number => ({
-  name: `host-${number}`,
-  dataCentre: number < 3 ? 'west' : 'east',
-  rack: `rack-${number % 2}`,
-  capacity,
-}));
-
-function createWorkload(change: Partial<Workload> & {readonly name: string}): Workload {
-  return {
-    kind: 'batch',
-    team: 'press',
-    urgency: 'normal',
-    grant: {slots: 0, processors: 0},
-    resources: {processors: 4_000, memoryMb: 1_000, accelerators: 0, slots: 1},
-    tasks: 4,
-    runTimeSeconds: 20,
-    checkpointSeconds: 5,
-    ...change,
-  };
-}
+import {countRunning, createWorkload, hosts, watchPlacement} from './fixtures.js';
 
 function createCell(behaviour: Partial<TaskBehaviour> = {}): VirtualCell {
   const getBehaviour = (workload: string): TaskBehaviour =>
@@ -32,33 +10,6 @@
   return new VirtualCell({hosts, getBehaviour});
 }
 
-/** Times at which a task ran in two places, sampled every 50 ms. */
-function watchPlacement(cell: VirtualCell): {doubles: string[]; overloads: string[]} {
-  const seen = {doubles: [] as string[], overloads: [] as string[]};
-  cell.queue.every(50, () => {
-    const places = new Set<string>();
-    for (const host of cell.hosts.values()) {
-      host.worker.advance(cell.queue.now);
-      let processors = 0;
-      for (const task of host.worker.running) {
-        if (places.has(task.task)) seen.doubles.push(`${task.task} at ${cell.queue.now}`);
-        places.add(task.task);
-        processors += task.resources.processors;
-      }
-      if (processors > capacity.processors) seen.overloads.push(host.place.name);
-    }
-  });
-  return seen;
-}
-
-function countRunning(cell: VirtualCell, prefix: string): number {
-  let count = 0;
-  for (const host of cell.hosts.values()) {
-    count += host.worker.running.filter(task => task.task.startsWith(prefix)).length;
-  }
-  return count;
-}
-
 const scenarios: Array<{
   readonly name: string;
   readonly act: (cell: VirtualCell) => void;
@@ -112,7 +63,7 @@
 for (const {name, act} of scenarios) {
   void t.test(`every item finishes, never in two places, when ${name}`, async t => {
     const cell = createCell();
-    const seen = watchPlacement(cell);
+    const seen = watchPlacement(cell.queue, cell.hosts);
     cell.queue.after(4_000, () =>
       cell.configure({
         put: [
@@ -127,6 +78,6 @@
     t.same(seen.overloads, [], 'no host had more than it has processors');
     const job = cell.scheduler.getState().jobs.get('proofs');
     t.equal(job?.finished, 30, 'every item is finished');
-    t.equal(countRunning(cell, 'service-prices'), 3, 'every replica runs');
+    t.equal(countRunning(cell.hosts, 'service-prices'), 3, 'every replica runs');
   });
 }
