Answer recovery queries about forgotten ids as possibly run

Cause: an agent keeps answers for 30 s. An entry that was paused for longer asked after a finished request, was told 'absent' and reported it as not run; it could then run a non-idempotent request a second time. Ruled out: the refusal list, which only covers ids that were asked for before. Change: the agent and the forwarding entry remember the highest forgotten sequence number of each origin and answer an id at or below it as failed (may have run). Before: the new case saw 'recovered absent'. Conclusion: 'absent' is again a proof that the request did not run.

--- a/packages/coordination/src/messages/identity.ts
+++ b/packages/coordination/src/messages/identity.ts
@@ -11,6 +11,12 @@
   return `${id.origin.toString(36)}.${id.sequence.toString(36)}`;
 }
 
+/** Returns the request id that a key was made from. */
+export function parseRequestKey(key: string): RequestId {
+  const [origin = '', sequence = ''] = key.split('.');
+  return {origin: parseInt(origin, 36), sequence: parseInt(sequence, 36)};
+}
+
 /** Role of a process. */
 export type Role = 'entry' | 'agent';
 
--- a/packages/coordination/src/requests/agent-exchanges.ts
+++ b/packages/coordination/src/requests/agent-exchanges.ts
@@ -189,7 +189,7 @@
     const {id, attempt} = message;
     const key = getRequestKey(id);
     const work = this.works.get(key);
-    const answer = this.kept.getAnswer(key);
+    const answer = this.kept.getOutcome(id);
     const state = work ? 'running' : answer ? 'finished' : 'absent';
     this.sendTo(peer, {kind: 'recovered', id, attempt, state});
     const waiter: Waiter = {peer, attempt, cancelled: false};
--- a/packages/coordination/src/requests/conclusions.ts
+++ b/packages/coordination/src/requests/conclusions.ts
@@ -142,7 +142,7 @@
     const {id, attempt} = message;
     const key = getRequestKey(id);
     const pending = this.parts.table.getRequest(key);
-    const kept = this.parts.kept.getAnswer(key);
+    const kept = this.parts.kept.getOutcome(id);
     const state = pending ? 'running' : kept ? 'finished' : 'absent';
     this.parts.outbox.add({
       kind: 'send',
--- a/packages/coordination/src/requests/kept-answers.ts
+++ b/packages/coordination/src/requests/kept-answers.ts
@@ -1,4 +1,5 @@
 import type {Headers} from '../messages/data.js';
+import {getRequestKey, parseRequestKey, type RequestId} from '../messages/identity.js';
 
 /** What became of a request that is over. */
 export type KeptAnswer =
@@ -38,6 +39,8 @@
   private readonly kept = new Map<string, Kept>();
   private readonly withBody = new Set<string>();
   private readonly refused = new Map<string, {attempt: number; at: number}>();
+  /** Highest sequence number forgotten of each origin. */
+  private readonly forgotten = new Map<number, number>();
   private bytes = 0;
 
   constructor(options: Partial<KeptAnswersOptions> = {}) {
@@ -60,6 +63,16 @@
     return this.kept.get(key)?.answer;
   }
 
+  /**
+   * What became of a request, for a recovery query. An id at or below one that was forgotten may have run, so
+   * its absence from the kept ids proves nothing.
+   */
+  getOutcome(id: RequestId): KeptAnswer | undefined {
+    const known = this.getAnswer(getRequestKey(id));
+    if (known || id.sequence > (this.forgotten.get(id.origin) ?? -1)) return known;
+    return {kind: 'failed', detail: 'the answer is no longer kept'};
+  }
+
   /** Refuses attempts of a sender up to the given number from now on. */
   refuse(key: string, sender: string, attempt: number, at: number): void {
     const name = `${key}@${sender}`;
@@ -80,6 +93,7 @@
     const {keepMs, maxBytes, maxIds} = this.options;
     for (const [key, kept] of this.kept) {
       if (at - kept.at <= keepMs && this.kept.size <= maxIds) break;
+      this.markForgotten(key);
       this.forget(key);
     }
     for (const key of this.withBody) {
@@ -92,6 +106,12 @@
     }
   }
 
+  private markForgotten(key: string): void {
+    const {origin, sequence} = parseRequestKey(key);
+    const known = this.forgotten.get(origin) ?? -1;
+    this.forgotten.set(origin, Math.max(known, sequence));
+  }
+
   private dropBody(key: string): void {
     const kept = this.kept.get(key);
     this.withBody.delete(key);
--- a/packages/coordination/test/messages/identity.test.ts
+++ b/packages/coordination/test/messages/identity.test.ts
@@ -1,5 +1,5 @@
 import t from 'tap';
-import {getRequestKey} from '../../src/messages/identity.js';
+import {getRequestKey, parseRequestKey} from '../../src/messages/identity.js';
 
 const cases = [
   {name: 'differs by origin', a: {origin: 1, sequence: 12}, b: {origin: 11, sequence: 2}},
@@ -8,6 +8,7 @@
 
 void t.test('request keys are unique, so that an answer cannot reach another caller', async t => {
   for (const c of cases) {
+    t.same(parseRequestKey(getRequestKey(c.a)), c.a, `${c.name}: parsed back`);
     t.not(getRequestKey(c.a), getRequestKey(c.b), c.name);
   }
 });
--- a/packages/coordination/test/requests/agent-exchanges.test.ts
+++ b/packages/coordination/test/requests/agent-exchanges.test.ts
@@ -121,6 +121,20 @@
     told: ['recovered finished', 'reply'],
     opened: 1,
   },
+  {
+    guards:
+      'an entry that was paused for longer than answers are kept hears that its request did not run',
+    steps: [
+      [1, dispatch(1)],
+      [2, down],
+      [3, finished(1)],
+      [40_000, {kind: 'tick'}],
+      [50_000, up],
+      [50_001, message('recover', 1)],
+    ],
+    told: ['recovered finished', 'failed'],
+    opened: 1,
+  },
   {
     guards: 'queued work of a lost entry runs for nobody',
     slots: 1,
