Carry a request through real processes

Change: 4-byte length framing with cbor-x and integer-key records, hello handshake, paired control and data connections with jittered reconnect, round-robin chunks, callers' HTTP by h3, undici to the backend server, settings with a published schema, logs, metrics, graceful shutdown, and a stand-in of a backend server. Entry and agent use placeholder reducers.

--- /dev/null
+++ b/packages/coordination/src/agent/index.ts
@@ -0,0 +1,1 @@
+export * from './agent-process.js';
--- /dev/null
+++ b/packages/coordination/src/requests/agent-events.ts
@@ -0,0 +1,75 @@
+import type {Configuration} from '../configuration/document.js';
+import type {Announce, Heartbeat, Hello} from '../messages/control.js';
+import type {DataMessage, Headers} from '../messages/data.js';
+import type {CommonEffect, PeerMessage} from './entry-events.js';
+
+/** A backend server's sign of life, at most 3 s old. */
+export interface BackendAnnounced {
+  readonly kind: 'backend-announced';
+  readonly url: string;
+  readonly services: readonly string[];
+  readonly slots: number;
+  readonly connections: number;
+  readonly draining: boolean;
+}
+
+/** The whole answer of a backend server. */
+export interface ExchangeFinished {
+  readonly kind: 'exchange-finished';
+  readonly exchange: number;
+  readonly status: number;
+  readonly headers: Headers;
+  readonly body: Uint8Array;
+}
+
+/** An exchange without a whole answer. `begun` is false only if no byte of the request was written. */
+export interface ExchangeFailed {
+  readonly kind: 'exchange-failed';
+  readonly exchange: number;
+  readonly begun: boolean;
+  readonly detail: string;
+}
+
+/** Events of `AgentExchanges`. A `tick` is expected about every 10 ms. */
+export type AgentExchangesEvent =
+  | PeerMessage
+  | BackendAnnounced
+  | ExchangeFinished
+  | ExchangeFailed
+  | {readonly kind: 'tick'}
+  | {readonly kind: 'peer-up'; readonly peer: string; readonly hello: Hello}
+  | {readonly kind: 'peer-down'; readonly peer: string}
+  | {readonly kind: 'backend-lapsed'; readonly url: string}
+  | {readonly kind: 'configuration'; readonly configuration: Configuration}
+  | {readonly kind: 'drain'};
+
+/** Sends a message to a connected entry. */
+export interface AgentSend {
+  readonly kind: 'send';
+  readonly peer: string;
+  readonly message: DataMessage | Announce | Heartbeat;
+  readonly body?: Uint8Array;
+}
+
+/** Opens an exchange with a backend server. */
+export interface OpenExchange {
+  readonly kind: 'open-exchange';
+  readonly exchange: number;
+  readonly url: string;
+  readonly service: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Headers;
+  readonly body: Uint8Array;
+  /** Time after which the edge gives up and reports `exchange-failed`. */
+  readonly timeoutMs: number;
+}
+
+/** Effects of `AgentExchanges`. `announce` goes to every connected entry. */
+export type AgentExchangesEffect =
+  | CommonEffect
+  | AgentSend
+  | OpenExchange
+  | {readonly kind: 'abort-exchange'; readonly exchange: number}
+  | {readonly kind: 'announce'; readonly message: Announce}
+  | {readonly kind: 'drained'};
--- /dev/null
+++ b/packages/coordination/src/requests/index.ts
@@ -0,0 +1,2 @@
+export * from './agent-events.js';
+export * from './entry-events.js';
--- /dev/null
+++ b/packages/runtime/src/backend/index.ts
@@ -0,0 +1,3 @@
+export * from './announcements.js';
+export * from './backend-client.js';
+export * from './exchange.js';
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,1 +1,9 @@
-export {};
+export * from './backend/index.js';
+export * from './daemon/index.js';
+export * from './framing/index.js';
+export * from './http/index.js';
+export * from './logs/index.js';
+export * from './loop/index.js';
+export * from './metrics/index.js';
+export * from './peers/index.js';
+export * from './settings/index.js';
--- /dev/null
+++ b/packages/runtime/src/logs/index.ts
@@ -0,0 +1,1 @@
+export * from './logger.js';
--- /dev/null
+++ b/packages/runtime/src/loop/index.ts
@@ -0,0 +1,2 @@
+export * from './loop.js';
+export * from './system-clock.js';
--- /dev/null
+++ b/packages/runtime/src/loop/loop.ts
@@ -0,0 +1,35 @@
+import type {Clock, Reducer} from '@chervilbeam/coordination';
+
+/** Feeds events to a reducer one at a time and has its effects carried out in order. */
+export class Loop<Event, Effect> {
+  private readonly waiting: Event[] = [];
+  private running = false;
+
+  /** Creates a loop; `carryOut` performs one effect and may post further events. */
+  constructor(
+    private readonly reducer: Reducer<Event, Effect>,
+    private readonly clock: Clock,
+    private readonly carryOut: (effect: Effect) => void,
+  ) {}
+
+  /** Applies an event. Events posted while an effect is carried out wait until the present one is done. */
+  post(event: Event): void {
+    if (this.running) {
+      this.waiting.push(event);
+      return;
+    }
+    this.running = true;
+    try {
+      this.apply(event);
+      for (let next = this.waiting.shift(); next !== undefined; next = this.waiting.shift()) {
+        this.apply(next);
+      }
+    } finally {
+      this.running = false;
+    }
+  }
+
+  private apply(event: Event): void {
+    for (const effect of this.reducer.reduce(event, this.clock.now())) this.carryOut(effect);
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/metrics/index.ts
@@ -0,0 +1,1 @@
+export * from './metrics.js';
--- /dev/null
+++ b/packages/runtime/src/settings/index.ts
@@ -0,0 +1,3 @@
+export * from './read-settings.js';
+export * from './schema-check.js';
+export * from './settings.js';
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './process/index.js';
+export * from './worker/index.js';
--- /dev/null
+++ b/packages/standins/src/process/daemon-process.ts
@@ -0,0 +1,72 @@
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import type {Settings} from '@chervilbeam/runtime';
+import {fetch} from 'undici';
+import {ManagedProcess} from './managed-process.js';
+import {waitUntil} from './wait-until.js';
+
+const daemonModule = fileURLToPath(
+  new URL('./main.js', import.meta.resolve('@chervilbeam/runtime')),
+);
+
+/** Status of a process as its control port tells it. */
+export interface DaemonStatus {
+  readonly peers: readonly string[];
+  readonly configVersion?: number;
+}
+
+/** A `chervilbeamd` process with a settings file of its own. */
+export class DaemonProcess {
+  /** The operating system's process. */
+  readonly process: ManagedProcess;
+  private readonly directory: string;
+
+  /** Starts the daemon with the given settings. */
+  constructor(
+    readonly settings: Settings,
+    onErrorLine?: (line: string) => void,
+  ) {
+    this.directory = mkdtempSync(join(tmpdir(), 'chervilbeam-'));
+    const file = join(this.directory, 'settings.json');
+    writeFileSync(file, JSON.stringify(settings));
+    this.process = new ManagedProcess({
+      name: settings.name,
+      module: daemonModule,
+      arguments: ['--settings', file],
+      ...(onErrorLine && {onErrorLine}),
+    });
+    void this.process.exited.then(() => rmSync(this.directory, {recursive: true, force: true}));
+  }
+
+  /** Returns the status, or undefined while the process does not answer. */
+  async getStatus(): Promise<DaemonStatus | undefined> {
+    return (await this.get('/v1/status')) as DaemonStatus | undefined;
+  }
+
+  /** Returns the JSON answer of the control port, or undefined without one. */
+  async get(path: string): Promise<unknown> {
+    try {
+      const response = await fetch(`http://${this.settings.listen.control}${path}`);
+      return response.ok ? await response.json() : undefined;
+    } catch {
+      return undefined;
+    }
+  }
+
+  /** Waits until the process is connected to the given number of others. */
+  async waitForPeers(count: number): Promise<void> {
+    const {name} = this.settings;
+    await waitUntil(`${count} peers of ${name}`, async () => {
+      if (!this.process.isRunning) throw new Error(`${name} has ended`);
+      return ((await this.getStatus())?.peers.length ?? 0) >= count;
+    });
+  }
+
+  /** Sends SIGTERM and returns the exit status. */
+  async stop(): Promise<number | string> {
+    this.process.signal('SIGTERM');
+    return this.process.exited;
+  }
+}
--- /dev/null
+++ b/packages/standins/src/process/index.ts
@@ -0,0 +1,4 @@
+export * from './daemon-process.js';
+export * from './free-ports.js';
+export * from './managed-process.js';
+export * from './wait-until.js';
--- /dev/null
+++ b/packages/standins/src/worker/index.ts
@@ -0,0 +1,5 @@
+export * from './announcer.js';
+export * from './backend-server.js';
+export * from './failure-modes.js';
+export * from './observer.js';
+export * from './worker-settings.js';
