Add plans, the operators' HTTP, the chervilbeam command and the timeline

Cause: operators had no way to state an intent, see its effects and confirm it, or to see where a version is in force.

Change: plans with base version, effects and digest; checks of every plan that is handed in; routes for the control port of an entry; the command with validate, plan, show, confirm, status, watch, drain, cancel, lost and timeline; hybrid logical clock stamps, a ring buffer, merge and trace-event export; the schema of intent files and three example files.

The command repeats a confirmation at the next entry, because a plan takes effect at most once. When an entry took the call and did not answer, a later "unavailable" is reported as unknown: the first entry may still carry it out. Calls use undici and not fetch, which refuses some port numbers.

--- /dev/null
+++ b/packages/command/src/client/index.ts
@@ -0,0 +1,1 @@
+export * from './entry-client.js';
--- /dev/null
+++ b/packages/command/src/commands/files.ts
@@ -0,0 +1,25 @@
+import {readFileSync, writeFileSync} from 'node:fs';
+import {exitCodes} from '../exit-code.js';
+import {CommandError} from './session.js';
+
+/** Reads a text file; `-` is standard input. */
+export function readText(file: string): string {
+  try {
+    return readFileSync(file === '-' ? 0 : file, 'utf8');
+  } catch (error) {
+    throw new CommandError(`cannot read ${file}: ${getCode(error)}`, exitCodes.findings);
+  }
+}
+
+/** Writes a value as JSON. */
+export function writeJson(file: string, value: unknown): void {
+  try {
+    writeFileSync(file, `${JSON.stringify(value, undefined, 2)}\n`);
+  } catch (error) {
+    throw new CommandError(`cannot write ${file}: ${getCode(error)}`, exitCodes.findings);
+  }
+}
+
+function getCode(error: unknown): string {
+  return (error as {code?: string}).code ?? String(error);
+}
--- /dev/null
+++ b/packages/command/src/commands/index.ts
@@ -0,0 +1,6 @@
+export * from './change-commands.js';
+export * from './plan-commands.js';
+export * from './session.js';
+export * from './status-commands.js';
+export * from './timeline-command.js';
+export * from './validate-command.js';
--- a/packages/command/src/index.ts
+++ b/packages/command/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './command-context.js';
+export * from './exit-code.js';
+export * from './program.js';
--- a/packages/coordination/src/configuration/view/compaction.ts
+++ b/packages/coordination/src/configuration/view/compaction.ts
@@ -91,8 +91,7 @@
     this.context.swapHead(next, revision, at, (answer, answeredAt) => {
       if (answer.result === 'ok') {
         this.context.count('compacted');
-        const event = {kind: 'configuration-compacted', version: head.version};
-        this.context.emit({kind: 'record', event});
+        this.context.record(head.version, 'compacted');
         this.access.acceptOwnHead(next, answer.revision, answeredAt);
         this.#emptyParts(head.previousSnapshot, answeredAt);
       }
--- a/packages/coordination/src/configuration/view/configuration-view.ts
+++ b/packages/coordination/src/configuration/view/configuration-view.ts
@@ -24,6 +24,7 @@
   readonly #reader: SnapshotReader;
   readonly #compaction: Compaction;
   readonly #confirmations: Confirmations;
+  #isEmptyKnown = false;
 
   constructor(options: ConfigurationViewOptions) {
     this.#context = new ViewContext(options, this.#log, new Jitter(options.seed));
@@ -50,6 +51,11 @@
     return this.#log.configuration;
   }
 
+  /** Whether the configuration is known here: a version is in force, or the store said that there is none yet. */
+  get isKnown(): boolean {
+    return this.#log.version > 0 || this.#isEmptyKnown;
+  }
+
   /** Returns the changes after a version, or undefined when they are no longer kept. */
   getChangesAfter(version: number): readonly ConfigurationChange[] | undefined {
     return this.#log.getChangesAfter(version);
@@ -123,6 +129,10 @@
     }
     const result = this.#log.advance(head.changes);
     if (result === 'advanced') this.#publish(true, at);
+    if (head.version === 0 && !this.#isEmptyKnown) {
+      this.#isEmptyKnown = true;
+      this.#context.emit({kind: 'configuration', configuration: this.#log.configuration});
+    }
     if (result === 'fork') this.#context.count('head-fork');
     if (this.#log.version < head.version && result !== 'fork') this.#reader.open(head, at);
     this.#compaction.consider(head, at);
@@ -137,8 +147,7 @@
   #publish(fromStore: boolean, at: number): void {
     const {configuration} = this.#log;
     this.#context.emit({kind: 'configuration', configuration});
-    const event = {kind: 'configuration-in-force', version: configuration.version};
-    this.#context.emit({kind: 'record', event});
+    this.#context.record(configuration.version, 'in-force', fromStore ? 'from store' : 'relayed');
     this.#relay.distribute(fromStore);
     this.#reader.tick(at);
   }
--- a/packages/coordination/src/configuration/view/confirmations.ts
+++ b/packages/coordination/src/configuration/view/confirmations.ts
@@ -163,7 +163,6 @@
     this.context.count(`confirmed-${outcome}`);
     const valueMs = at - pending.startedAt;
     this.context.emit({kind: 'observe', name: 'configuration.confirmation', valueMs});
-    const event = {kind: `change-${outcome}`, changeId, version: more.version};
-    this.context.emit({kind: 'record', event});
+    this.context.record(more.version, `change-${outcome}`, `change ${changeId}`);
   }
 }
--- a/packages/coordination/src/configuration/view/context.ts
+++ b/packages/coordination/src/configuration/view/context.ts
@@ -38,6 +38,14 @@
     this.emit({kind: 'count', name: `configuration.${name}`, by: 1});
   }
 
+  /** Adds a step of a configuration version to the timeline. */
+  record(version: number | undefined, step: string, detail?: string): void {
+    const id = version === undefined ? '' : `${version}`;
+    const subject = version === undefined ? 'process' : 'configuration';
+    const event = {subject, id, step, ...(detail !== undefined && {detail})} as const;
+    this.emit({kind: 'record', event});
+  }
+
   /** Returns the effects of the current event. */
   takeEffects(): readonly ConfigurationEffect[] {
     const effects = this.#effects;
--- a/packages/coordination/src/configuration/view/events.ts
+++ b/packages/coordination/src/configuration/view/events.ts
@@ -1,4 +1,5 @@
 import type {Config, ConfigRequest, Hello} from '../../messages/control.js';
+import type {TimelineRecord} from '../../timeline/timeline-event.js';
 import type {Configuration, ConfigurationChange, ConfigurationOperation} from '../document.js';
 
 /** Answer of the store to one call, as the store client reports it. */
@@ -92,16 +93,7 @@
     }
   | {readonly kind: 'count'; readonly name: string; readonly by: number}
   | {readonly kind: 'observe'; readonly name: string; readonly valueMs: number}
-  | {readonly kind: 'record'; readonly event: ConfigurationRecord};
-
-/** What the timeline keeps of a configuration. */
-export interface ConfigurationRecord {
-  readonly kind: string;
-  readonly version?: number;
-  readonly changeId?: string;
-  readonly peer?: string;
-  readonly detail?: string;
-}
+  | {readonly kind: 'record'; readonly event: TimelineRecord};
 
 /** Options of `ConfigurationView`. */
 export interface ConfigurationViewOptions {
--- /dev/null
+++ b/packages/coordination/src/timeline/timeline-buffer.ts
@@ -0,0 +1,38 @@
+import {
+  isWanted,
+  toTimelineRecord,
+  type PlainRecord,
+  type TimelineEvent,
+  type TimelineFilter,
+  type TimelineRecord,
+} from './timeline-event.js';
+
+const defaultCapacity = 20_000;
+
+/** The latest events of one process; the oldest give way. */
+export class TimelineBuffer {
+  readonly #events: TimelineEvent[] = [];
+  #next = 0;
+
+  constructor(
+    private readonly process: string,
+    private readonly capacity = defaultCapacity,
+  ) {}
+
+  /** Number of events held. */
+  get size(): number {
+    return this.#events.length;
+  }
+
+  /** Adds an event. */
+  record(record: TimelineRecord | PlainRecord, stamp: number): void {
+    this.#events[this.#next] = {stamp, process: this.process, ...toTimelineRecord(record)};
+    this.#next = (this.#next + 1) % this.capacity;
+  }
+
+  /** Returns the wanted events, oldest first. */
+  select(filter: TimelineFilter = {}): TimelineEvent[] {
+    const ordered = [...this.#events.slice(this.#next), ...this.#events.slice(0, this.#next)];
+    return ordered.filter(event => isWanted(event, filter));
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/timeline/trace-events.ts
@@ -0,0 +1,63 @@
+import {getStampTime} from './hybrid-clock.js';
+import type {TimelineEvent} from './timeline-event.js';
+
+/** One event of the trace-event format that trace viewers of browsers read. */
+export interface TraceEvent {
+  readonly name: string;
+  readonly cat: string;
+  /** `M` metadata, `i` instant, `b`, `n` and `e` begin, step and end of an asynchronous life. */
+  readonly ph: 'M' | 'i' | 'b' | 'n' | 'e';
+  /** Microseconds since the first event. */
+  readonly ts: number;
+  readonly pid: number;
+  readonly tid: number;
+  readonly id?: string;
+  readonly s?: 'p';
+  readonly args: Readonly<Record<string, unknown>>;
+}
+
+/** Contents of a trace-event file. */
+export interface TraceFile {
+  readonly displayTimeUnit: 'ms';
+  readonly traceEvents: readonly TraceEvent[];
+}
+
+/** Returns merged events as a trace: one track for each process, one bar for each request, task or version. */
+export function toTraceFile(events: readonly TimelineEvent[]): TraceFile {
+  const processes = [...new Set(events.map(event => event.process))].sort();
+  const start = events[0] ? getStampTime(events[0].stamp) : 0;
+  const traceEvents: TraceEvent[] = processes.map((name, index) => ({
+    name: 'process_name',
+    cat: '__metadata',
+    ph: 'M',
+    ts: 0,
+    pid: index + 1,
+    tid: 0,
+    args: {name},
+  }));
+  const last = new Map(events.map((event, index) => [getLife(event), index]));
+  const begun = new Set<string>();
+  events.forEach((event, index) => {
+    const {stamp, process, subject, id, step, ...args} = event;
+    const place = {
+      ts: Math.round((getStampTime(stamp) - start) * 1000),
+      pid: processes.indexOf(process) + 1,
+      tid: 0,
+      cat: subject,
+      args: {...args, stamp},
+    };
+    traceEvents.push({name: step, ph: 'i', s: 'p', ...place});
+    if (id === '') return;
+    const life = getLife(event);
+    const name = `${subject} ${id}`;
+    if (!begun.has(life)) traceEvents.push({name, ph: 'b', id: life, ...place});
+    begun.add(life);
+    if (last.get(life) === index) traceEvents.push({name, ph: 'e', id: life, ...place});
+  });
+  return {displayTimeUnit: 'ms', traceEvents};
+}
+
+/** The life of a request, task or version inside one process. */
+function getLife(event: TimelineEvent): string {
+  return `${event.process}/${event.subject}/${event.id}`;
+}
--- /dev/null
+++ b/packages/lab/src/operator/index.ts
@@ -0,0 +1,1 @@
+export * from './operator-entry.js';
--- /dev/null
+++ b/packages/lab/src/operator/operator-entry.ts
@@ -0,0 +1,121 @@
+import {createServer, type Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {
+  ConfigurationView,
+  HybridClock,
+  TimelineBuffer,
+  type ConfigurationEffect,
+  type ConfigurationEvent,
+  type PlanEffect,
+} from '@chervilbeam/coordination';
+import {
+  addOperatorRoutes,
+  ConfigurationStore,
+  isConfigurationStoreEffect,
+  OperatorService,
+  StoreClient,
+  type ConfirmationAnswer,
+} from '@chervilbeam/runtime';
+import {H3} from 'h3';
+import {toNodeHandler} from 'h3/node';
+
+const tickMs = 20;
+
+/** The operators' side of an entry alone: configuration view, store client and control port. */
+export class OperatorEntry {
+  readonly view: ConfigurationView;
+  readonly timeline: TimelineBuffer;
+  readonly losses: string[] = [];
+  /** Effects that the next plans show, as if from a scheduler. */
+  prediction: readonly PlanEffect[] | undefined;
+  readonly #client: StoreClient;
+  readonly #store: ConfigurationStore;
+  readonly #clock = new HybridClock();
+  readonly #confirmations = new Map<number, (answer: ConfirmationAnswer) => void>();
+  readonly #server: Server;
+  #timer: NodeJS.Timeout | undefined;
+  #nextRequest = 1;
+
+  constructor(
+    readonly name: string,
+    readonly incarnation: number,
+    storeUrl: string,
+  ) {
+    const place = {dataCentre: 'd1', region: 'r1'};
+    this.view = new ConfigurationView({
+      role: 'entry',
+      name,
+      ...place,
+      incarnation,
+      seed: incarnation,
+    });
+    this.timeline = new TimelineBuffer(name);
+    this.#client = new StoreClient({url: storeUrl, timeoutMs: 500});
+    this.#store = new ConfigurationStore(this.#client, event => this.post(event));
+    const app = new H3();
+    addOperatorRoutes(app, new OperatorService(this.#getBackend(place)));
+    this.#server = createServer(toNodeHandler(app));
+  }
+
+  /** Starts the loop and listens; returns the address of the control port. */
+  async start(): Promise<string> {
+    await new Promise<void>(resolve => this.#server.listen(0, '127.0.0.1', resolve));
+    this.#timer = setInterval(() => this.post({kind: 'tick'}), tickMs);
+    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  /** Stops everything. */
+  async close(): Promise<void> {
+    clearInterval(this.#timer);
+    await this.#client.close();
+    this.#server.closeAllConnections();
+    await new Promise(resolve => this.#server.close(resolve));
+  }
+
+  /** Gives an event to the reducer and carries its effects out. */
+  post(event: ConfigurationEvent): void {
+    for (const effect of this.view.reduce(event, performance.now())) this.#carryOut(effect);
+  }
+
+  #carryOut(effect: ConfigurationEffect): void {
+    if (isConfigurationStoreEffect(effect)) return this.#store.carryOut(effect);
+    if (effect.kind === 'record') {
+      this.timeline.record(effect.event, this.#clock.next(Date.now()));
+    } else if (effect.kind === 'confirmed') {
+      this.#confirmations.get(effect.request)?.(effect);
+      this.#confirmations.delete(effect.request);
+    }
+  }
+
+  #getBackend(place: {dataCentre: string; region: string}) {
+    return {
+      incarnation: this.incarnation,
+      getConfiguration: () => this.view.configuration,
+      isConfigurationKnown: () => this.view.isKnown,
+      getChangesAfter: (version: number) => this.view.getChangesAfter(version),
+      predict: () => this.prediction,
+      confirm: (plan: Extract<ConfigurationEvent, {kind: 'confirm'}>['plan']) =>
+        new Promise<ConfirmationAnswer>(resolve => {
+          const request = this.#nextRequest++;
+          this.#confirmations.set(request, resolve);
+          this.post({kind: 'confirm', request, plan});
+        }),
+      declareLoss: (host: string) => host.startsWith('host-') && this.losses.push(host) > 0,
+      getStatus: () => ({
+        deployment: 'test',
+        version: this.view.configuration.version,
+        processes: [
+          {
+            name: this.name,
+            role: 'entry' as const,
+            ...place,
+            version: this.view.configuration.version,
+          },
+        ],
+        findings: [],
+      }),
+      getTimeline: (filter: Parameters<TimelineBuffer['select']>[0]) =>
+        this.timeline.select(filter),
+    };
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/control/index.ts
@@ -0,0 +1,4 @@
+export * from './control-client.js';
+export * from './operator-backend.js';
+export * from './operator-routes.js';
+export * from './operator-service.js';
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,1 +1,2 @@
+export * from './control/index.js';
 export * from './store/index.js';
--- /dev/null
+++ b/packages/runtime/src/store/configuration-store.ts
@@ -0,0 +1,44 @@
+import type {ConfigurationEffect, ConfigurationEvent} from '@chervilbeam/coordination';
+import type {StoreClient} from './store-client.js';
+
+/** Effects of `ConfigurationView` that the store carries out. */
+export type ConfigurationStoreEffect = Extract<ConfigurationEffect, {readonly key: string}>;
+
+/** Tells whether an effect belongs to the store. */
+export function isConfigurationStoreEffect(
+  effect: ConfigurationEffect,
+): effect is ConfigurationStoreEffect {
+  return 'key' in effect;
+}
+
+/** Carries out the store effects of `ConfigurationView` and posts their results. */
+export class ConfigurationStore {
+  constructor(
+    private readonly client: StoreClient,
+    private readonly post: (event: ConfigurationEvent) => void,
+  ) {}
+
+  /** Starts a call; its result is posted later. */
+  carryOut(effect: ConfigurationStoreEffect): void {
+    if (effect.kind === 'watch') void this.#watch(effect);
+    else void this.#call(effect);
+  }
+
+  async #watch(effect: Extract<ConfigurationStoreEffect, {kind: 'watch'}>): Promise<void> {
+    const answer = await this.client.watch(effect.key, effect.after, effect.waitMs);
+    if (answer.result === 'ok') {
+      this.post({kind: 'head', value: answer.value, revision: answer.revision});
+    } else {
+      this.post({kind: answer.result === 'quiet' ? 'watch-quiet' : 'watch-failed'});
+    }
+  }
+
+  async #call(effect: Exclude<ConfigurationStoreEffect, {kind: 'watch'}>): Promise<void> {
+    const {key, request} = effect;
+    const answer =
+      effect.kind === 'read-head' || effect.kind === 'read-snapshot'
+        ? await this.client.read(key)
+        : await this.client.write(key, effect.value, effect.expectedRevision);
+    this.post({kind: 'store-result', request, answer});
+  }
+}
--- a/packages/runtime/src/store/index.ts
+++ b/packages/runtime/src/store/index.ts
@@ -1,1 +1,2 @@
+export * from './configuration-store.js';
 export * from './store-client.js';
