--- /dev/null
+++ b/packages/coordination/src/colocation/colocation-policy.ts
@@ -0,0 +1,212 @@
+import type {Workload} from '../configuration/document.js';
+import type {CellHost} from '../tasks/cell/cell-host.js';
+import type {TaskRun} from '../tasks/cell/task-run.js';
+import type {DisturbanceForecast} from '../tasks/round/placement.js';
+import {getWorkloadPrefix} from '../tasks/round/run-time-estimates.js';
+import {DisturbanceModel, type Presence} from './disturbance-model.js';
+import {PresenceHistory} from './presence-history.js';
+
+/** Settings of the colocation policy. */
+export interface ColocationOptions {
+  /** Age of the middle of a measurement when its report arrives. */
+  readonly reportLagMs: number;
+  /** Length of a measurement. */
+  readonly reportWindowMs: number;
+  /** Latency ratio of a service above which a batch task is throttled. */
+  readonly highRatio: number;
+  /** Latency ratio of a service below which unknown pairs may be tried. */
+  readonly slackRatio: number;
+}
+
+/** Defaults of `ColocationOptions`. */
+export const defaultColocationOptions: ColocationOptions = {
+  reportLagMs: 10_000,
+  reportWindowMs: 5_000,
+  highRatio: 1.2,
+  slackRatio: 1.05,
+};
+
+/** Reports above the high ratio before a throttle, at the lowest throttle before a move, and good ones before a release. */
+const highReports = 3;
+const moveReports = 2;
+const goodReports = 5;
+
+/** Limits on the processors of a throttled task, in order. */
+const fractions = [0.5, 0.25];
+
+/** What the policy asks of the scheduler. */
+export type ColocationAction =
+  | {readonly kind: 'throttle'; readonly run: TaskRun; readonly fraction: number}
+  | {readonly kind: 'move'; readonly run: TaskRun};
+
+/** Decides on pairs of services and batch tasks; `CellScheduler` takes any. */
+export interface ColocationAdvisor extends DisturbanceForecast {
+  /** Samples what runs on a host; may be called often. */
+  sample(host: CellHost, at: number): void;
+  /** Takes a measured latency ratio of a service on a host and returns what to do there. */
+  report(host: CellHost, service: string, ratio: number, at: number): ColocationAction[];
+}
+
+interface ServiceRecord {
+  high: number;
+  good: number;
+}
+
+interface HostRecord {
+  readonly history: PresenceHistory;
+  readonly services: Map<string, ServiceRecord>;
+  sampledAt: number;
+  /** Time of the last throttle or move; measurements from before it say nothing about its effect. */
+  actedAt: number;
+}
+
+/** Time between two samples of what runs on a host. */
+const sampleMs = 1_000;
+
+/** Returns the name under which batch workloads of a series share what was learned. */
+function getKey(team: string, workload: string): string {
+  return `${team}/${getWorkloadPrefix(workload)}`;
+}
+
+/** Decides which batch tasks may run beside which services, and throttles or moves those that disturb. */
+export class ColocationPolicy implements ColocationAdvisor {
+  readonly model = new DisturbanceModel();
+  private readonly options: ColocationOptions;
+  private readonly records = new Map<string, HostRecord>();
+
+  constructor(options: Partial<ColocationOptions> = {}) {
+    this.options = {...defaultColocationOptions, ...options};
+  }
+
+  /** Keeps one sample a second. */
+  sample(host: CellHost, at: number): void {
+    const record = this.getRecord(host.name);
+    if (at - record.sampledAt < sampleMs) return;
+    record.sampledAt = at;
+    record.history.add(this.getPresence(host), at);
+  }
+
+  /** Learns from a measured ratio of a service on a host and returns what to do there. */
+  report(host: CellHost, service: string, ratio: number, at: number): ColocationAction[] {
+    const {reportLagMs, reportWindowMs, highRatio} = this.options;
+    const record = this.getRecord(host.name);
+    const middle = at - reportLagMs;
+    const from = middle - reportWindowMs / 2;
+    const presence = record.history.getAverage(from, middle + reportWindowMs / 2);
+    this.model.observe(service, presence, ratio, at);
+    if (from < record.actedAt) return [];
+    const entry = record.services.get(service) ?? {high: 0, good: 0};
+    record.services.set(service, entry);
+    if (ratio > highRatio) {
+      entry.good = 0;
+      entry.high += 1;
+      return this.restrain(host, service, entry.high, at);
+    }
+    entry.high = 0;
+    entry.good += 1;
+    return this.release(host, service, at);
+  }
+
+  /** Cost of a batch task on a host; infinite when it may not run there. */
+  getCost(host: CellHost, workload: Workload, at: number): number {
+    const {highRatio, slackRatio} = this.options;
+    const key = getKey(workload.team, workload.name);
+    let cost = 0;
+    for (const service of this.getServices(host)) {
+      let present = 0;
+      let untried = false;
+      for (const [name, amount] of this.getPresence(host)) {
+        present += amount * this.model.getMean(service, name, at);
+        untried ||= !this.model.isKnown(service, name, at);
+      }
+      if (this.model.isKnown(service, key, at)) {
+        const score = this.model.getScore(service, key, at);
+        if (present + score > Math.log(highRatio)) return Number.POSITIVE_INFINITY;
+        cost += Math.max(0, score);
+      } else {
+        // One unknown pair at a time, and only while the service has slack.
+        if (untried || (host.latencyRatio ?? 1) >= slackRatio) return Number.POSITIVE_INFINITY;
+        cost += this.model.getMean(service, key, at);
+      }
+    }
+    return cost;
+  }
+
+  private getRecord(host: string): HostRecord {
+    let record = this.records.get(host);
+    if (!record) {
+      const history = new PresenceHistory();
+      const sampledAt = Number.NEGATIVE_INFINITY;
+      record = {history, services: new Map(), sampledAt, actedAt: sampledAt};
+      this.records.set(host, record);
+    }
+    return record;
+  }
+
+  private getServices(host: CellHost): Set<string> {
+    const services = new Set<string>();
+    for (const run of host.runs.values()) if (run.kind === 'service') services.add(run.workload);
+    return services;
+  }
+
+  private getPresence(host: CellHost): Presence {
+    const presence = new Map<string, number>();
+    for (const run of host.runs.values()) {
+      if (run.kind !== 'batch') continue;
+      const key = getKey(run.team, run.workload);
+      presence.set(key, (presence.get(key) ?? 0) + run.fraction);
+    }
+    return presence;
+  }
+
+  /** Throttles the most suspect batch task further, or moves it. */
+  private restrain(
+    host: CellHost,
+    service: string,
+    reports: number,
+    at: number,
+  ): ColocationAction[] {
+    const runs = [...host.runs.values()].filter(
+      run => run.kind === 'batch' && run.state === 'running',
+    );
+    const suspicion = (run: TaskRun) =>
+      this.model.getScore(service, getKey(run.team, run.workload), at) * run.fraction;
+    const [lowest = 0.25] = fractions.slice(-1);
+    const held = runs.find(run => run.fraction <= lowest);
+    if (reports < (held ? moveReports : highReports)) return [];
+    if (held) return this.act(host, {kind: 'move', run: held}, at);
+    const [suspect] = runs
+      .filter(run => run.fraction > lowest)
+      .sort((a, b) => suspicion(b) - suspicion(a) || b.startedAt - a.startedAt);
+    if (!suspect) return [];
+    const fraction = fractions.find(value => value < suspect.fraction) ?? lowest;
+    return this.act(host, {kind: 'throttle', run: suspect, fraction}, at);
+  }
+
+  private act(host: CellHost, action: ColocationAction, at: number): ColocationAction[] {
+    const record = this.getRecord(host.name);
+    record.actedAt = at;
+    record.services.clear();
+    return [action];
+  }
+
+  /** Releases one throttled task whose release is not expected to disturb. */
+  private release(host: CellHost, service: string, at: number): ColocationAction[] {
+    for (const entry of this.getRecord(host.name).services.values()) {
+      if (entry.good < goodReports) return [];
+    }
+    let present = 0;
+    for (const [name, amount] of this.getPresence(host)) {
+      present += amount * this.model.getMean(service, name, at);
+    }
+    for (const run of host.runs.values()) {
+      if (run.kind !== 'batch' || run.fraction >= 1 || run.state !== 'running') continue;
+      const fraction = run.fraction < 0.5 ? 0.5 : 1;
+      const added =
+        (fraction - run.fraction) * this.model.getMean(service, getKey(run.team, run.workload), at);
+      if (present + added > Math.log(this.options.highRatio)) continue;
+      return this.act(host, {kind: 'throttle', run, fraction}, at);
+    }
+    return [];
+  }
+}
--- a/packages/coordination/src/tasks/agent-tasks.ts
+++ b/packages/coordination/src/tasks/agent-tasks.ts
@@ -3,7 +3,6 @@
   AttemptReport,
   Grant,
   Hello,
-  Report,
   Start,
   Stop,
   Throttle,
@@ -135,8 +134,20 @@
   }
 
   private sendFull(peer: string): void {
-    const attempts = [...this.attempts.values()].map(entry => entry.toReport());
-    this.effects.push({kind: 'send', peer, message: {kind: 'report', full: true, attempts}});
+    this.sendReport(
+      peer,
+      true,
+      [...this.attempts.values()].map(entry => entry.toReport()),
+    );
+  }
+
+  private sendReport(
+    peer: string | undefined,
+    full: boolean,
+    attempts: readonly AttemptReport[],
+  ): void {
+    if (peer === undefined || !this.peers.has(peer)) return;
+    this.effects.push({kind: 'send', peer, message: {kind: 'report', full, attempts}});
   }
 
   private reportChanges(at: number): void {
@@ -145,11 +156,11 @@
     for (const entry of this.changed) {
       entry.reportedAt = at;
       attempts.push(entry.toReport());
+      // Usage is told once, so that a later change does not repeat an old measurement.
+      entry.usage = undefined;
     }
     this.changed.clear();
-    if (this.owner === undefined || !this.peers.has(this.owner)) return;
-    const message: Report = {kind: 'report', full: false, attempts};
-    this.effects.push({kind: 'send', peer: this.owner, message});
+    this.sendReport(this.owner, false, attempts);
   }
 
   private receive(
@@ -227,7 +238,8 @@
       this.count('start-refused');
       // The attempt that still runs stays the one that is kept; the refusal is told once.
       if (present && !present.terminal) {
-        this.sendRefusal(message, refusal);
+        const {task, attempt} = message;
+        this.sendReport(this.owner, false, [{task, attempt, state: 'refused', detail: refusal}]);
         return;
       }
       this.attempts.set(message.task, entry);
@@ -240,14 +252,6 @@
     this.call(entry, 'start', at);
   }
 
-  private sendRefusal(message: Start, detail: string): void {
-    if (this.owner === undefined) return;
-    const {task, attempt} = message;
-    const attempts = [{task, attempt, state: 'refused' as const, detail}];
-    const report: Report = {kind: 'report', full: false, attempts};
-    this.effects.push({kind: 'send', peer: this.owner, message: report});
-  }
-
   private getRefusal(
     message: Start,
     present: AgentAttempt | undefined,
@@ -268,12 +272,7 @@
     if (!entry || entry.attempt < message.attempt) {
       // The start never arrived or its report was forgotten: in both cases nothing runs.
       const {task, attempt} = message;
-      const attempts = [{task, attempt, state: 'stopped' as const, detail: 'absent'}];
-      this.effects.push({
-        kind: 'send',
-        peer: this.owner ?? '',
-        message: {kind: 'report', full: false, attempts},
-      });
+      this.sendReport(this.owner, false, [{task, attempt, state: 'stopped', detail: 'absent'}]);
       return;
     }
     if (entry.attempt !== message.attempt) return;
--- a/packages/coordination/src/tasks/cell-scheduler.ts
+++ b/packages/coordination/src/tasks/cell-scheduler.ts
@@ -1,9 +1,11 @@
+import {ColocationPolicy, type ColocationAdvisor} from '../colocation/colocation-policy.js';
 import type {Configuration} from '../configuration/document.js';
-import type {Announce, Heartbeat, Hello} from '../messages/control.js';
+import type {Heartbeat} from '../messages/control.js';
 import type {Reducer} from '../reducer.js';
-import {CellHost} from './cell/cell-host.js';
+import type {CellHost} from './cell/cell-host.js';
 import {CellState} from './cell/cell-state.js';
 import type {CellSchedulerEffect, CellSchedulerEvent, OwnershipMode} from './events.js';
+import {noteAnnounce, noteHostDown, noteHostUp} from './cell/host-events.js';
 import {Findings} from './cell/findings.js';
 import {Job} from './cell/job.js';
 import {LedgerKeeper, type LedgerProgress} from './ledger/ledger-keeper.js';
@@ -18,6 +20,8 @@
 /** Settings of a cell scheduler. */
 export interface CellSchedulerOptions {
   readonly cell: string;
+  /** Which batch tasks may run beside which services. */
+  readonly colocation?: ColocationAdvisor;
 }
 
 /** Schedules the tasks of one cell while this process owns it. */
@@ -36,9 +40,11 @@
   private readonly estimates = new RunTimeEstimates();
   private readonly findings = new Findings();
   private readonly reports: ReportHandler;
+  private readonly colocation: ColocationAdvisor;
 
   constructor(private readonly options: CellSchedulerOptions) {
-    this.reports = new ReportHandler(this.state, this.ledger, this.estimates);
+    this.colocation = options.colocation ?? new ColocationPolicy();
+    this.reports = new ReportHandler(this.state, this.ledger, this.estimates, this.colocation);
     this.reports.cell = options.cell;
   }
 
@@ -86,13 +92,13 @@
         this.round(at);
         break;
       case 'host-up':
-        this.hostUp(event.host, event.hello, event.announce);
+        noteHostUp(this.state, event.host, event.hello, event.announce);
         break;
       case 'host-down':
-        this.hostDown(event.host);
+        noteHostDown(this.state, event.host);
         break;
       case 'announce':
-        this.announce(event.host, event.message);
+        noteAnnounce(this.state, event.host, event.message);
         break;
       case 'heartbeat':
         this.heartbeat(event.host, event.message, at);
@@ -100,6 +106,7 @@
       case 'report':
         if (this.mode === 'none') break;
         this.effects.push(...this.reports.apply(event.host, event.message, at));
+        this.restrain(at);
         break;
       case 'fence-complete':
         this.heldUntil = event.unreachableHeldUntil;
@@ -118,6 +125,7 @@
   private tick(at: number): void {
     if (this.mode === 'none') return;
     this.releaseLost(at);
+    for (const host of this.state.hosts.values()) this.colocation.sample(host, at);
     for (const run of findUnansweredStops(this.state, at)) this.sendStop(run, at);
     if (this.isActive() && this.mode === 'owner') {
       for (const run of findDrainable(this.state)) this.stop(run, 'drained', at);
@@ -226,43 +234,6 @@
     }
   }
 
-  private hostUp(name: string, hello: Hello, announce: Announce | undefined): void {
-    const {dataCentre, region, incarnation} = hello;
-    let host = this.state.hosts.get(name);
-    if (!host) {
-      host = new CellHost({name, dataCentre, region, rack: announce?.rack ?? ''});
-      this.state.hosts.set(name, host);
-    }
-    host.incarnation = incarnation;
-    host.up = true;
-    host.reported = false;
-    host.stamp = undefined;
-    if (announce) this.announce(name, announce);
-  }
-
-  private announce(name: string, message: Announce): void {
-    const host = this.state.hosts.get(name);
-    if (!host) return;
-    host.place.rack = message.rack;
-    host.leaving = message.draining;
-    host.setCapacity(message.capacity);
-    this.state.capacityVersion += 1;
-  }
-
-  /** The runs stay until the host reports again or the lease wait has passed. */
-  private hostDown(name: string): void {
-    const host = this.state.hosts.get(name);
-    if (!host) return;
-    host.up = false;
-    host.reported = false;
-    host.stamp = undefined;
-    for (const run of host.runs.values()) {
-      if (run.state === 'settling') continue;
-      run.state = 'lost';
-      run.releaseAt = host.grantedAt + leaseWaitMs;
-    }
-  }
-
   private heartbeat(name: string, message: Heartbeat, at: number): void {
     const host = this.state.hosts.get(name);
     if (!host?.up) return;
@@ -290,6 +261,22 @@
     if (host.runs.size === 0) this.state.hosts.delete(name);
   }
 
+  /** Carries out what the colocation policy asked for, within the bounds on eviction. */
+  private restrain(at: number): void {
+    for (const action of this.reports.actions.splice(0)) {
+      const {run} = action;
+      if (this.state.runs.get(run.id) !== run || run.state !== 'running') continue;
+      if (action.kind === 'throttle') {
+        run.fraction = action.fraction;
+        this.effects.push(this.reports.createThrottle(run));
+        this.effects.push({kind: 'count', name: 'tasks-throttled', by: 1});
+      } else if (this.mode === 'owner' && this.state.evict(run, at)) {
+        this.stop(run, 'moved', at);
+        this.effects.push({kind: 'count', name: 'tasks-moved', by: 1});
+      }
+    }
+  }
+
   private stop(run: TaskRun, reason: StopReason, at: number): void {
     if (run.state === 'settling') return;
     run.stopReason = reason;
@@ -308,6 +295,7 @@
     return {
       at,
       mayOpen: this.mode === 'owner',
+      disturbance: this.colocation,
       isOpened: name => ledger.isOpened(name),
       isFinished: (name, index) => ledger.isFinished(name, index),
       getCheckpoint: task => ledger.getTask(task)?.checkpoint,
--- a/packages/coordination/src/tasks/cell/cell-state.ts
+++ b/packages/coordination/src/tasks/cell/cell-state.ts
@@ -66,6 +66,15 @@
     return this.evictions + 1 <= this.starts * evictionsPerStart;
   }
 
+  /** Counts an eviction of a run if the bounds allow it; returns whether they do. */
+  evict(run: TaskRun, at: number): boolean {
+    const job = this.jobs.get(run.workload);
+    if (!this.mayEvict || job?.mayEvict(run.index, at) !== true) return false;
+    this.evictions += 1;
+    job.evicted(run.index, at);
+    return true;
+  }
+
   /** Whether the host gets no new tasks because it is being drained. */
   isDrained(host: CellHost): boolean {
     return host.leaving || this.drains.has(host.name);
--- /dev/null
+++ b/packages/coordination/src/tasks/cell/host-events.ts
@@ -0,0 +1,48 @@
+import type {Announce, Hello} from '../../messages/control.js';
+import {leaseWaitMs} from '../timing.js';
+import {CellHost} from './cell-host.js';
+import type {CellState} from './cell-state.js';
+
+/** Notes that a host has connected. It reports in full before its leases are extended. */
+export function noteHostUp(
+  state: CellState,
+  name: string,
+  hello: Hello,
+  announce: Announce | undefined,
+): void {
+  const {dataCentre, region, incarnation} = hello;
+  let host = state.hosts.get(name);
+  if (!host) {
+    host = new CellHost({name, dataCentre, region, rack: announce?.rack ?? ''});
+    state.hosts.set(name, host);
+  }
+  host.incarnation = incarnation;
+  host.up = true;
+  host.reported = false;
+  host.stamp = undefined;
+  if (announce) noteAnnounce(state, name, announce);
+}
+
+/** Takes over what a host offers. */
+export function noteAnnounce(state: CellState, name: string, message: Announce): void {
+  const host = state.hosts.get(name);
+  if (!host) return;
+  host.place.rack = message.rack;
+  host.leaving = message.draining;
+  host.setCapacity(message.capacity);
+  state.capacityVersion += 1;
+}
+
+/** Notes a lost connection. The runs stay until the host reports again or the lease wait has passed. */
+export function noteHostDown(state: CellState, name: string): void {
+  const host = state.hosts.get(name);
+  if (!host) return;
+  host.up = false;
+  host.reported = false;
+  host.stamp = undefined;
+  for (const run of host.runs.values()) {
+    if (run.state === 'settling') continue;
+    run.state = 'lost';
+    run.releaseAt = host.grantedAt + leaseWaitMs;
+  }
+}
--- a/packages/coordination/src/tasks/cell/report-handler.ts
+++ b/packages/coordination/src/tasks/cell/report-handler.ts
@@ -1,3 +1,4 @@
+import type {ColocationAction, ColocationAdvisor} from '../../colocation/colocation-policy.js';
 import type {AttemptReport, Report} from '../../messages/control.js';
 import type {CellHost} from './cell-host.js';
 import type {CellState} from './cell-state.js';
@@ -22,6 +23,8 @@
   term = 0;
   /** Opened workloads whose unreported tasks an earlier owner may have started. */
   readonly blockedWorkloads = new Set<string>();
+  /** What the colocation policy asked for and the scheduler has not carried out. */
+  actions: ColocationAction[] = [];
   private early: EarlyReport[] = [];
   private effects: CellSchedulerEffect[] = [];
 
@@ -29,6 +32,7 @@
     private readonly state: CellState,
     private readonly ledger: LedgerKeeper,
     private readonly estimates: RunTimeEstimates,
+    private readonly colocation: ColocationAdvisor,
   ) {}
 
   /** Forgets what came in an earlier term. */
@@ -92,6 +96,14 @@
     return {kind: 'send', host: run.host, message};
   }
 
+  /** Returns the throttle message for a run. */
+  createThrottle(run: TaskRun): CellSchedulerEffect {
+    const {cell, term} = this;
+    const {id: task, attempt, fraction} = run;
+    const message = {kind: 'throttle', cell, term, task, attempt, fraction} as const;
+    return {kind: 'send', host: run.host, message};
+  }
+
   /**
    * A full report lists every attempt. A run that this incarnation has reported before and does not list
    * has ended. One whose start may still be on its way is given up only after the lease wait.
@@ -118,7 +130,7 @@
   }
 
   private update(host: CellHost, run: TaskRun, report: AttemptReport, at: number): void {
-    if (report.usage) this.noteUsage(host, run, report);
+    if (report.usage) this.noteUsage(host, run, report, at);
     switch (report.state) {
       case 'starting':
       case 'running':
@@ -141,9 +153,13 @@
     }
   }
 
-  private noteUsage(host: CellHost, run: TaskRun, report: AttemptReport): void {
+  private noteUsage(host: CellHost, run: TaskRun, report: AttemptReport, at: number): void {
     const usage = report.usage;
-    if (usage?.latencyRatio !== undefined) host.latencyRatio = usage.latencyRatio;
+    if (usage?.latencyRatio !== undefined && run.kind === 'service') {
+      host.latencyRatio = usage.latencyRatio;
+      const actions = this.colocation.report(host, run.workload, usage.latencyRatio, at);
+      this.actions.push(...actions);
+    }
     if (usage?.progress !== undefined) run.progress = usage.progress;
   }
 
--- a/packages/lab/src/cell/index.ts
+++ b/packages/lab/src/cell/index.ts
@@ -1,4 +1,5 @@
 export * from './event-queue.js';
+export * from './latency-meter.js';
 export * from './random-source.js';
 export * from './virtual-cell.js';
 export * from './virtual-host.js';
--- a/packages/lab/src/cell/virtual-cell.ts
+++ b/packages/lab/src/cell/virtual-cell.ts
@@ -11,6 +11,7 @@
   type Workload,
 } from '@chervilbeam/coordination';
 import {EventQueue} from './event-queue.js';
+import type {LatencyModel} from './latency-meter.js';
 import {VirtualHost, type VirtualHostPlace} from './virtual-host.js';
 import {VirtualStore} from './virtual-store.js';
 import {VirtualWorker, type SpeedModel, type TaskBehaviour} from './virtual-worker.js';
@@ -24,6 +25,7 @@
   /** Time between two ticks of the scheduler. */
   readonly tickMs?: number;
   readonly usageMs?: number;
+  readonly latency?: LatencyModel;
 }
 
 /** A finding with its time. */
@@ -148,6 +150,7 @@
           else this.handle({kind: 'heartbeat', host: entry.name, message});
         }),
       this.options.usageMs,
+      this.options.latency,
     );
     this.hosts.set(entry.name, host);
     host.start((position * 37) % 500);
--- a/packages/lab/src/cell/virtual-host.ts
+++ b/packages/lab/src/cell/virtual-host.ts
@@ -9,6 +9,7 @@
   type SchedulerMessage,
 } from '@chervilbeam/coordination';
 import type {EventQueue} from './event-queue.js';
+import {LatencyMeter, type LatencyModel} from './latency-meter.js';
 import type {VirtualWorker} from './virtual-worker.js';
 
 /** Place of a virtual host. */
@@ -33,6 +34,7 @@
   leaving = false;
   incarnation = 1;
   private epoch = 0;
+  private readonly meter?: LatencyMeter;
 
   constructor(
     readonly place: VirtualHostPlace,
@@ -40,7 +42,10 @@
     private readonly queue: EventQueue,
     private readonly outbox: AgentOutbox,
     private readonly usageMs = 5_000,
-  ) {}
+    latency?: LatencyModel,
+  ) {
+    this.meter = latency && new LatencyMeter(latency);
+  }
 
   /** Starts the agent's ticks. */
   start(offsetMs: number): void {
@@ -49,11 +54,13 @@
     this.queue.every(agentTickMs, () => alive() && (this.handle({kind: 'tick'}), true), offsetMs);
     this.queue.every(
       this.usageMs,
-      () =>
-        alive() &&
-        (this.handle({kind: 'worker-usage', usages: this.worker.getUsages(this.queue.now)}), true),
+      () => alive() && (this.handle({kind: 'worker-usage', usages: this.getUsages()}), true),
       offsetMs,
     );
+    const {meter} = this;
+    if (!meter) return;
+    const sample = () => alive() && (meter.sample(this.worker, this.queue.now), true);
+    this.queue.every(1_000, sample, offsetMs);
   }
 
   /** Kills the host with everything on it. */
@@ -112,6 +119,17 @@
     };
   }
 
+  private getUsages() {
+    const at = this.queue.now;
+    const usages = this.worker.getUsages(at);
+    if (!this.meter) return usages;
+    return usages.map(({task, attempt, usage}) => ({
+      task,
+      attempt,
+      usage: this.meter?.complete(task, attempt, usage, at) ?? usage,
+    }));
+  }
+
   private carryOut(effect: AgentTasksEffect): void {
     const {queue, worker} = this;
     if (effect.kind === 'send') this.outbox(effect.peer, effect.message);
--- /dev/null
+++ b/packages/lab/src/measure/colocation.ts
@@ -0,0 +1,211 @@
+import {
+  ColocationPolicy,
+  getWorkloadPrefix,
+  type CellHost,
+  type ColocationAdvisor,
+  type Workload,
+} from '@chervilbeam/coordination';
+import {RandomSource, VirtualCell, type VirtualTask} from '../cell/index.js';
+import type {Experiment, Measure, RunResult} from './experiment.js';
+
+const hours = 2;
+const hostCount = 10;
+const serviceNames = ['prices', 'stock', 'holdings', 'letters', 'maps'];
+const batchNames = ['proof', 'run', 'index', 'print', 'check', 'pack', 'scan', 'fold'];
+
+/** Hidden logarithms of the slowdown of each service by one task of each batch workload. */
+type PairTable = ReadonlyMap<string, number>;
+
+function createTable(random: RandomSource): PairTable {
+  const table = new Map<string, number>();
+  for (const service of serviceNames) {
+    for (const batch of batchNames) {
+      const severe = random.next() < 0.3;
+      const value = severe ? 0.15 + 0.45 * random.next() : 0.05 * random.next();
+      table.set(`${service} ${batch}`, value);
+    }
+  }
+  return table;
+}
+
+function getTrue(table: PairTable, service: string, batch: string): number {
+  return table.get(`${service} ${getWorkloadPrefix(batch)}`) ?? 0;
+}
+
+/** Sum over the batch tasks beside a service, weighted by their throttle. */
+function getRatio(table: PairTable, task: VirtualTask, all: readonly VirtualTask[]): number {
+  let sum = 0;
+  for (const other of all) {
+    if (!Number.isFinite(other.workMs)) continue;
+    sum += getTrue(table, task.workload, other.workload) * other.fraction;
+  }
+  return Math.exp(sum);
+}
+
+/** Knows the hidden table; an upper bound for what learning can reach. */
+function createOracle(table: PairTable): ColocationAdvisor {
+  const getCost = (host: CellHost, workload: Workload) => {
+    let cost = 0;
+    for (const service of host.runs.values()) {
+      if (service.kind !== 'service') continue;
+      let sum = getTrue(table, service.workload, workload.name);
+      for (const run of host.runs.values()) {
+        if (run.kind === 'batch') sum += getTrue(table, service.workload, run.workload);
+      }
+      if (sum > Math.log(1.2)) return Number.POSITIVE_INFINITY;
+      cost = Math.max(cost, sum);
+    }
+    return cost;
+  };
+  return {getCost, sample: () => {}, report: () => []};
+}
+
+const noLearning: ColocationAdvisor = {getCost: () => 0, sample: () => {}, report: () => []};
+
+/** Keeps batch tasks off hosts with services. */
+const separation: ColocationAdvisor = {
+  getCost: host =>
+    [...host.runs.values()].some(run => run.kind === 'service') ? Number.POSITIVE_INFINITY : 0,
+  sample: () => {},
+  report: () => [],
+};
+
+function createWorkloads(): Workload[] {
+  const base = {team: 'all', grant: {slots: 0, processors: 0}};
+  const services = serviceNames.map(name => ({
+    ...base,
+    name,
+    kind: 'service' as const,
+    urgency: 'critical' as const,
+    resources: {processors: 3_000, memoryMb: 2_000, accelerators: 0, slots: 1},
+    tasks: 2,
+  }));
+  const batches = batchNames.map(name => ({
+    ...base,
+    name: `${name}-1`,
+    kind: 'batch' as const,
+    urgency: 'normal' as const,
+    resources: {processors: 3_000, memoryMb: 2_000, accelerators: 0, slots: 1},
+    tasks: 4_000,
+    runTimeSeconds: 120,
+    checkpointSeconds: 30,
+  }));
+  return [...services, ...batches];
+}
+
+/** Highest p99 of a service's request latencies over its p99 alone; latencies are log-normal. */
+class ServiceLatencies {
+  private readonly values = new Map<string, number[]>();
+  private readonly alone: number[] = [];
+
+  constructor(private readonly random: RandomSource) {}
+
+  add(service: string, ratio: number): void {
+    let values = this.values.get(service);
+    if (!values) {
+      values = [];
+      this.values.set(service, values);
+    }
+    for (let request = 0; request < 4; request += 1) {
+      const latency = Math.exp(0.5 * this.random.normal());
+      this.alone.push(latency);
+      values.push(latency * ratio);
+    }
+  }
+
+  getWorst(quantile: number): number {
+    const alone = getQuantile(this.alone, quantile);
+    const all = [...this.values.values()].map(values => getQuantile(values, quantile) / alone);
+    return Math.max(...all);
+  }
+}
+
+function getQuantile(values: number[], quantile: number): number {
+  values.sort((a, b) => a - b);
+  return values[Math.floor(values.length * quantile)] ?? 0;
+}
+
+interface Outcome {
+  readonly p99: number;
+  readonly p999: number;
+  readonly batchHours: number;
+  readonly evictionShare: number;
+}
+
+function runPolicy(seed: number, table: PairTable, colocation: ColocationAdvisor): Outcome {
+  const latencies = new ServiceLatencies(new RandomSource(seed + 1));
+  const work = new RandomSource(seed + 2);
+  const itemWork = Array.from({length: 4_000}, () => work.logUniform(40_000, 240_000));
+  const cell = new VirtualCell({
+    hosts: Array.from({length: hostCount}, (_, number) => ({
+      name: `host-${number}`,
+      dataCentre: number < 5 ? 'west' : 'east',
+      rack: `rack-${Math.floor(number / 3)}`,
+      capacity: {processors: 16_000, memoryMb: 60_000, accelerators: 0, slots: 8},
+    })),
+    getBehaviour: (workload, index) =>
+      serviceNames.includes(workload)
+        ? {workMs: Number.POSITIVE_INFINITY}
+        : {workMs: itemWork[index] ?? 60_000, checkpointMs: 30_000},
+    latency: {
+      getRatio: (task, all) => getRatio(table, task, all),
+      lagMs: 7_500,
+      windowMs: 5_000,
+      noise: 0.08,
+      random: new RandomSource(seed + 3),
+      onSample: (task, ratio) => latencies.add(task.workload, ratio),
+    },
+    scheduler: {colocation},
+    tickMs: 500,
+  });
+  let batchMs = 0;
+  cell.queue.after(5_000, () => cell.configure({put: createWorkloads()}));
+  cell.queue.every(1_000, () => {
+    for (const host of cell.hosts.values()) {
+      for (const task of host.worker.running) {
+        if (Number.isFinite(task.workMs)) batchMs += 1_000 * task.fraction;
+      }
+    }
+  });
+  cell.runUntil(hours * 3_600_000);
+  const {starts, evictions} = cell.scheduler.getState();
+  return {
+    p99: latencies.getWorst(0.99),
+    p999: latencies.getWorst(0.999),
+    batchHours: batchMs / 3_600_000,
+    evictionShare: evictions / Math.max(1, starts),
+  };
+}
+
+/** Learning of pairwise disturbance against an oracle, separation and no learning. */
+export const colocationExperiment: Experiment = {
+  name: 'colocation',
+  title: 'Colocation of services and batch tasks, 10 hosts, 2 h, hidden pair table',
+  seeds: [1, 2, 3, 4, 5],
+  run(seed) {
+    const table = createTable(new RandomSource(seed));
+    const oracle = runPolicy(seed, table, createOracle(table));
+    const policies: Array<[string, Outcome]> = [
+      ['learned pairs', runPolicy(seed, table, new ColocationPolicy())],
+      ['baseline oracle', oracle],
+      ['baseline no learning', runPolicy(seed, table, noLearning)],
+      ['baseline separation', runPolicy(seed, table, separation)],
+    ];
+    return policies.map(([policy, outcome]): RunResult => {
+      const share = outcome.batchHours / oracle.batchHours;
+      const measures: Measure[] = [
+        {name: 'worst service p99 / alone', unit: '', value: outcome.p99, target: {atMost: 1.2}},
+        {name: 'worst service p99.9 / alone', unit: '', value: outcome.p999},
+        {name: 'batch work / oracle', unit: '', value: share, target: {atLeast: 0.85}},
+        {name: 'batch work', unit: 'h', value: outcome.batchHours},
+        {
+          name: 'evictions / starts',
+          unit: '',
+          value: outcome.evictionShare,
+          target: {atMost: 0.1},
+        },
+      ];
+      return {scenario: '10 hosts', policy, measures};
+    });
+  },
+};
