--- a/packages/coordination/src/colocation/colocation-policy.ts
+++ b/packages/coordination/src/colocation/colocation-policy.ts
@@ -14,6 +14,8 @@
   readonly reportWindowMs: number;
   /** Latency ratio of a service above which a batch task is throttled. */
   readonly highRatio: number;
+  /** Mean ratio of two reports from which the lowest throttle is used at once. */
+  readonly severeRatio: number;
   /** Latency ratio of a service below which unknown pairs may be tried. */
   readonly slackRatio: number;
 }
@@ -23,6 +25,7 @@
   reportLagMs: 10_000,
   reportWindowMs: 5_000,
   highRatio: 1.2,
+  severeRatio: 1.4,
   slackRatio: 1.05,
 };
 
@@ -49,6 +52,8 @@
 
 interface ServiceRecord {
   high: number;
+  /** Sum of the logarithms of the high ratios in a row. */
+  excess: number;
   good: number;
 }
 
@@ -95,14 +100,16 @@
     const presence = record.history.getAverage(from, middle + reportWindowMs / 2);
     this.model.observe(service, presence, ratio, at);
     if (from < record.actedAt) return [];
-    const entry = record.services.get(service) ?? {high: 0, good: 0};
+    const entry = record.services.get(service) ?? {high: 0, excess: 0, good: 0};
     record.services.set(service, entry);
     if (ratio > highRatio) {
       entry.good = 0;
       entry.high += 1;
-      return this.restrain(host, service, entry.high, at);
+      entry.excess += Math.log(ratio);
+      return this.restrain(host, service, entry, at);
     }
     entry.high = 0;
+    entry.excess = 0;
     entry.good += 1;
     return this.release(host, service, at);
   }
@@ -163,7 +170,7 @@
   private restrain(
     host: CellHost,
     service: string,
-    reports: number,
+    entry: ServiceRecord,
     at: number,
   ): ColocationAction[] {
     const runs = [...host.runs.values()].filter(
@@ -173,13 +180,16 @@
       this.model.getScore(service, getKey(run.team, run.workload), at) * run.fraction;
     const [lowest = 0.25] = fractions.slice(-1);
     const held = runs.find(run => run.fraction <= lowest);
-    if (reports < (held ? moveReports : highReports)) return [];
+    const mean = Math.exp(entry.excess / entry.high);
+    const severe = mean > this.options.severeRatio;
+    if (entry.high < (held || severe ? moveReports : highReports)) return [];
     if (held) return this.act(host, {kind: 'move', run: held}, at);
     const [suspect] = runs
       .filter(run => run.fraction > lowest)
       .sort((a, b) => suspicion(b) - suspicion(a) || b.startedAt - a.startedAt);
     if (!suspect) return [];
-    const fraction = fractions.find(value => value < suspect.fraction) ?? lowest;
+    const next = fractions.find(value => value < suspect.fraction) ?? lowest;
+    const fraction = severe ? lowest : next;
     return this.act(host, {kind: 'throttle', run: suspect, fraction}, at);
   }
 
