--- a/packages/coordination/src/colocation/colocation-policy.ts
+++ b/packages/coordination/src/colocation/colocation-policy.ts
@@ -179,16 +179,18 @@
     const suspicion = (run: TaskRun) =>
       this.model.getScore(service, getKey(run.team, run.workload), at) * run.fraction;
     const [lowest = 0.25] = fractions.slice(-1);
+    const held = runs.find(run => run.fraction <= lowest);
     const mean = Math.exp(entry.excess / entry.high);
     const severe = mean > this.options.severeRatio;
-    if (entry.high < moveReports) return [];
-    const [suspect] = runs.sort((a, b) => suspicion(b) - suspicion(a) || b.startedAt - a.startedAt);
+    if (entry.high < (held || severe ? moveReports : highReports)) return [];
+    if (held) return this.act(host, {kind: 'move', run: held}, at);
+    const [suspect] = runs
+      .filter(run => run.fraction > lowest)
+      .sort((a, b) => suspicion(b) - suspicion(a) || b.startedAt - a.startedAt);
     if (!suspect) return [];
-    const held = suspect.fraction <= lowest;
-    if (!held && !severe && entry.high < highReports) return [];
-    if (held) return this.act(host, {kind: 'move', run: suspect}, at);
     const next = fractions.find(value => value < suspect.fraction) ?? lowest;
-    return this.act(host, {kind: 'throttle', run: suspect, fraction: severe ? lowest : next}, at);
+    const fraction = severe ? lowest : next;
+    return this.act(host, {kind: 'throttle', run: suspect, fraction}, at);
   }
 
   private act(host: CellHost, action: ColocationAction, at: number): ColocationAction[] {
