--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,4 +1,5 @@
 export * from './backend/index.js';
+export * from './control/index.js';
 export * from './daemon/index.js';
 export * from './framing/index.js';
 export * from './http/index.js';
@@ -7,3 +8,4 @@
 export * from './metrics/index.js';
 export * from './peers/index.js';
 export * from './settings/index.js';
+export * from './store/index.js';
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,2 +1,3 @@
 export * from './process/index.js';
 export * from './worker/index.js';
+export * from './store/index.js';
