Run the fault matrix on requests and tasks, with broken rules

Cause: requests, tasks, takeover and hold were not yet covered.

Change: worlds for the request and task protocols on the real reducers, a broken rule for each promise that the checks must catch, and a short run of the matrix in the tests.

--- a/packages/lab/src/faults/kernel/simulated-backend.ts
+++ b/packages/lab/src/faults/kernel/simulated-backend.ts
@@ -30,6 +30,8 @@
   #serial = 0;
   #life = 0;
   readonly #open = new Map<string, OpenExchange>();
+  /** Exchanges by agent life that were aborted before they reached the backend server. */
+  readonly #aborted = new Set<string>();
 
   constructor(
     private readonly simulation: Simulation,
@@ -62,6 +64,7 @@
     this.simulation.schedule(0.2 + carriage.delayMs, () => {
       tell('before-effect');
       if (!agent.alive || agent.life !== agentLife) return;
+      if (this.#aborted.delete(`${agentLife}.${request.exchange}`)) return;
       if (!this.alive || carriage.lost) {
         settle({kind: 'failed', begun: false, detail: 'connection refused'});
         return;
@@ -93,7 +96,9 @@
   }
 
   /** Ends an exchange because the agent closed its connection. */
-  abort(exchange: number): void {
+  abort(agent: SimulatedProcess, exchange: number): void {
+    const open = [...this.#open.values()].some(candidate => candidate.exchange === exchange);
+    if (!open) this.#aborted.add(`${agent.life}.${exchange}`);
     for (const open of this.#open.values()) {
       if (open.exchange !== exchange) continue;
       this.#open.delete(open.name);
--- a/packages/lab/src/faults/kernel/simulated-network.ts
+++ b/packages/lab/src/faults/kernel/simulated-network.ts
@@ -195,6 +195,8 @@
     if (!link.up) return;
     link.up = false;
     link.epoch++;
+    const between = [link.ends[0].name, link.ends[1].name] as const;
+    this.simulation.record({kind: 'connection-lost', between});
     link.ends.forEach((end, index) => {
       const {life} = end;
       const other = link.ends[1 - index]!;
--- /dev/null
+++ b/packages/lab/src/faults/worlds/task-world.ts
@@ -0,0 +1,248 @@
+import type {
+  Configuration,
+  LedgerRecord,
+  RegisteredEntry,
+  Resources,
+  Workload,
+} from '@chervilbeam/coordination';
+import type {HistoryEvent} from '../../histories/history-event.js';
+import type {InteractionListener} from '../kernel/interaction.js';
+import {SimulatedNetwork} from '../kernel/simulated-network.js';
+import {SimulatedStore} from '../kernel/simulated-store.js';
+import {SimulatedWorker} from '../kernel/simulated-worker.js';
+import {Simulation} from '../kernel/simulation.js';
+import {BaseWorld} from './base-world.js';
+import {TaskAgent, type CreateTaskAgentReducer} from './task-agent.js';
+import {TaskEntry, type CreateTaskEntryReducers, type TaskMessage} from './task-entry.js';
+
+const tickMs = 100;
+const faultsOverMs = 75_000;
+const endMs = 150_000;
+const capacity: Resources = {processors: 4_000, memoryMb: 8_000, accelerators: 0, slots: 8};
+const runTimesMs: Readonly<Record<string, number>> = {print: 18_000, dividend: 9_000, extra: 6_000};
+
+/** Steps of the task protocols, with the protocol of the design page that each belongs to. */
+export const taskSteps = [
+  ['task start', 'start'],
+  ['task start', 'worker:start'],
+  ['task lease', 'heartbeat'],
+  ['task lease', 'grant'],
+  ['task lease', 'worker:renew'],
+  ['task evict and resume', 'stop'],
+  ['task evict and resume', 'worker:checkpoint'],
+  ['task evict and resume', 'worker:stop'],
+  ['task evict and resume', 'report'],
+  ['task evict and resume', 'acknowledge'],
+  ['ledger write', 'store:get:ledger'],
+  ['ledger write', 'store:put:ledger'],
+  ['takeover', 'store:create-lease:lease'],
+  ['takeover', 'store:renew-lease:lease'],
+  ['takeover', 'store:put:owner'],
+  ['takeover', 'store:put:holder'],
+  ['takeover', 'fence'],
+  ['hold', 'vouch'],
+] as const;
+
+/** Reducers that replace the real ones. */
+export interface TaskWorldOptions {
+  readonly createEntryReducers?: CreateTaskEntryReducers;
+  readonly createAgentReducer?: CreateTaskAgentReducer;
+}
+
+/** Three data centres whose owner dies, whose store goes down and whose operators move and cancel work. */
+export class TaskWorld extends BaseWorld<TaskMessage> {
+  readonly hosts = ['h1', 'h2', 'h3'];
+  protected readonly network: SimulatedNetwork<TaskMessage>;
+  protected override readonly store: SimulatedStore;
+  readonly #entries: TaskEntry[] = [];
+  readonly #agents: TaskAgent[] = [];
+  readonly #registered = new Map<string, RegisteredEntry>();
+  readonly #recorded = new Set<string>();
+  #configuration: Configuration = {
+    version: 0,
+    workloads: new Map(),
+    teams: new Map(),
+    drains: new Set(),
+  };
+
+  constructor(seed: number, options: TaskWorldOptions = {}) {
+    super(new Simulation(seed));
+    const {simulation} = this;
+    this.network = new SimulatedNetwork(simulation, {
+      start: ['report'],
+      stop: ['report'],
+      heartbeat: ['grant'],
+      report: ['acknowledge'],
+      vouch: ['vouched'],
+      fence: ['fenced'],
+    });
+    this.store = new SimulatedStore(simulation);
+    this.store.onWrite = (key, value) => this.#noteLedger(key, value);
+    for (const [index, dataCentre] of ['a', 'b', 'c'].entries()) {
+      const shared = {dataCentre, region: 'r1', tickMs};
+      const entry = new TaskEntry(
+        simulation,
+        {...shared, name: `e${index + 1}`, role: 'entry'},
+        this.network,
+        this.store,
+        started => this.#welcome(started),
+        options.createEntryReducers,
+      );
+      const host = `h${index + 1}`;
+      const worker = new SimulatedWorker(simulation, host, capacity, name => runTimesMs[name]);
+      const agent = new TaskAgent(
+        simulation,
+        {...shared, name: host, role: 'agent'},
+        this.network,
+        worker,
+        options.createAgentReducer,
+      );
+      this.#entries.push(entry);
+      this.#agents.push(agent);
+      this.processes.set(entry.name, entry).set(agent.name, agent);
+    }
+    for (const [index, entry] of this.#entries.entries()) {
+      for (const agent of this.#agents) this.network.link(entry, agent, 1.5);
+      for (const other of this.#entries.slice(index + 1)) this.network.link(entry, other, 1.5);
+    }
+  }
+
+  override listen(listener: InteractionListener): void {
+    super.listen(listener);
+    for (const agent of this.#agents) agent.worker.listener = listener;
+  }
+
+  killHost(host: string, durationMs: number): void {
+    this.#getWorker(host)?.kill(durationMs);
+  }
+
+  failHost(host: string, durationMs: number): void {
+    const worker = this.#getWorker(host);
+    if (worker) worker.failingUntil = this.simulation.now + durationMs;
+  }
+
+  raceOperators(): boolean {
+    this.#put(createBatch('extra', 2));
+    this.#drain('h2', true);
+    this.simulation.schedule(6_000, () => this.#drain('h2', false));
+    return true;
+  }
+
+  cancel(): boolean {
+    if (!this.#configuration.workloads.has('print')) return false;
+    const workloads = new Map(this.#configuration.workloads);
+    const {tasks} = workloads.get('print')!;
+    workloads.delete('print');
+    for (let index = 0; index < tasks; index++) {
+      this.simulation.record({kind: 'task-cancelled', task: `print/${index}`});
+    }
+    this.#change({workloads});
+    return true;
+  }
+
+  run(): readonly HistoryEvent[] {
+    const {simulation} = this;
+    for (const process of this.processes.values()) process.start();
+    this.#put(createService('web', 3));
+    this.#put(createBatch('print', 9));
+    simulation.schedule(8_000, () => this.#put(createBatch('dividend', 6, 'urgent')));
+    simulation.schedule(14_000, () => this.#drain('h1', true));
+    simulation.schedule(24_000, () => this.#drain('h1', false));
+    simulation.schedule(30_000, () => this.#killOwner());
+    simulation.schedule(42_000, () => this.stopStore(16_000));
+    simulation.schedule(62_000, () => this.#put(createBatch('extra', 4)));
+    simulation.schedule(faultsOverMs, () => simulation.record({kind: 'faults-over'}));
+    simulation.runUntil(endMs);
+    simulation.record({kind: 'history-ended'});
+    return simulation.history;
+  }
+
+  #killOwner(): void {
+    const owner = this.#entries.find(entry => entry.mode !== 'none');
+    if (!owner) return;
+    owner.kill();
+    this.simulation.schedule(4_000, () => owner.start());
+  }
+
+  #put(workload: Workload): void {
+    const workloads = new Map(this.#configuration.workloads);
+    this.#change({workloads: workloads.set(workload.name, workload)});
+  }
+
+  #drain(host: string, draining: boolean): void {
+    const drains = new Set(this.#configuration.drains);
+    if (drains.has(host) === draining) return;
+    if (draining) drains.add(host);
+    else drains.delete(host);
+    this.simulation.record({kind: draining ? 'host-leaving' : 'host-returned', host});
+    this.#change({drains});
+  }
+
+  #change(change: Partial<Configuration>): void {
+    const version = this.#configuration.version + 1;
+    const configuration = {...this.#configuration, ...change, version};
+    this.#configuration = configuration;
+    for (const entry of this.#entries) {
+      const delayMs = this.simulation.random.between(5, 400);
+      entry.after(delayMs, () => entry.configure(configuration));
+    }
+  }
+
+  /** Registers a started entry and tells it what the store and its peers know. */
+  #welcome(entry: TaskEntry): void {
+    const {name, incarnation} = entry;
+    const {dataCentre} = entry.options;
+    this.#registered.set(name, {name, dataCentre, incarnation, address: name});
+    entry.after(100, () => entry.configure(this.#configuration));
+    const entries = [...this.#registered.values()];
+    for (const other of this.#entries) other.after(50, () => other.register(entries));
+  }
+
+  #noteLedger(key: string, value: unknown): void {
+    if (!key.endsWith('/ledger')) return;
+    for (const [name, {finished, done}] of Object.entries((value as LedgerRecord).workloads)) {
+      const tasks = this.#configuration.workloads.get(name)?.tasks ?? 0;
+      for (let index = 0; index < tasks; index++) {
+        const digit = Number.parseInt(finished[index >> 2] ?? '0', 16);
+        const task = `${name}/${index}`;
+        if ((!done && !(digit & (1 << (index & 3)))) || this.#recorded.has(task)) continue;
+        this.#recorded.add(task);
+        this.simulation.record({kind: 'task-recorded-finished', task});
+      }
+    }
+  }
+
+  #getWorker(host: string): SimulatedWorker | undefined {
+    return this.#agents.find(agent => agent.name === host)?.worker;
+  }
+}
+
+function createBatch(
+  name: string,
+  tasks: number,
+  urgency: Workload['urgency'] = 'normal',
+): Workload {
+  return {
+    kind: 'batch',
+    name,
+    team: 'team',
+    urgency,
+    grant: {slots: 0, processors: 0},
+    resources: {processors: 1_000, memoryMb: 1_500, accelerators: 0, slots: 1},
+    tasks,
+    runTimeSeconds: runTimesMs[name]! / 1_000,
+    checkpointSeconds: 5,
+  };
+}
+
+function createService(name: string, tasks: number): Workload {
+  return {
+    kind: 'service',
+    name,
+    team: 'team',
+    urgency: 'critical',
+    grant: {slots: 3, processors: 3_000},
+    resources: {processors: 1_000, memoryMb: 2_000, accelerators: 0, slots: 2},
+    tasks,
+  };
+}
--- a/packages/lab/src/histories/checks/graceful-shutdown.ts
+++ b/packages/lab/src/histories/checks/graceful-shutdown.ts
@@ -2,14 +2,18 @@
 import type {HistoryEvent} from '../history-event.js';
 import type {Violation} from '../promise.js';
 
+/** Allowance for clock drift and for the tick in which a deadline is noticed. */
+const deadlineToleranceMs = 100;
+
 /**
  * P8: a process that was told to stop leaves no request behind. An entry answers all requests that it accepted
- * before it exits, and none with `unknown` while its exchange had no fault of its own; a host's agent lets its
+ * before it exits, and none with `unknown` before its deadline while its path had no fault of its own; a host's agent lets its
  * exchanges end before it exits. A process that is killed during the shutdown is excused.
  */
 export function checkGracefulShutdown(history: History): Violation[] {
   const stopping = new Set<string>();
   const requests = new Map<string, string>();
+  const deadlines = new Map<string, number>();
   const exchanges = new Map<string, {host: string; request: string}>();
   const troubled = new Set<string>();
   const violations: Violation[] = [];
@@ -30,8 +34,12 @@
           if (host === event.process) troubled.add(request);
         }
         break;
+      case 'connection-lost':
+        for (const request of getTouched(event.between, requests, exchanges)) troubled.add(request);
+        break;
       case 'request-submitted':
         requests.set(event.request, event.entry);
+        deadlines.set(event.request, event.at + (event.timeoutMs ?? Infinity));
         break;
       case 'request-abandoned':
         requests.delete(event.request);
@@ -40,6 +48,7 @@
         const entry = requests.get(event.request);
         requests.delete(event.request);
         if (event.outcome !== 'unknown' || troubled.has(event.request)) break;
+        if (event.at >= deadlines.get(event.request)! - deadlineToleranceMs) break;
         const hosts = [...exchanges.values()].filter(e => e.request === event.request);
         const stopped = [entry, ...hosts.map(e => e.host)].find(p => p && stopping.has(p));
         if (stopped) add(event, stopped, `${event.request} ended unknown during the shutdown`);
@@ -76,6 +85,22 @@
   return violations;
 }
 
+/** Returns the open requests whose path contains a connection: from their entry to a host or another entry. */
+function getTouched(
+  between: readonly [string, string],
+  requests: ReadonlyMap<string, string>,
+  exchanges: ReadonlyMap<string, {readonly host: string; readonly request: string}>,
+): string[] {
+  const entries = new Set(requests.values());
+  return [...requests].flatMap(([request, entry]) => {
+    const hosts = [...exchanges.values()].filter(e => e.request === request).map(e => e.host);
+    const isOnPath = (part: string) => part === entry || hosts.includes(part);
+    const touched =
+      between.some(isOnPath) && between.every(part => isOnPath(part) || entries.has(part));
+    return touched ? [request] : [];
+  });
+}
+
 /** Removes the number of the life (`#2`) from the name of a process, as hosts and entries are named without. */
 function withoutLife(event: HistoryEvent): HistoryEvent {
   return 'process' in event ? {...event, process: event.process.replace(/#\d+$/, '')} : event;
--- a/packages/lab/src/histories/history-event.ts
+++ b/packages/lab/src/histories/history-event.ts
@@ -17,6 +17,8 @@
       readonly entry: string;
       readonly service: string;
       readonly idempotent: boolean;
+      /** Time after which the caller does not wait any longer; absent for no limit. */
+      readonly timeoutMs?: number;
     }
   | {
       readonly kind: 'request-answered';
@@ -63,6 +65,8 @@
   | {readonly kind: 'host-returned'; readonly host: string}
   | {readonly kind: 'process-started'; readonly process: string}
   | {readonly kind: 'process-killed'; readonly process: string}
+  /** The connection between two processes broke. */
+  | {readonly kind: 'connection-lost'; readonly between: readonly [string, string]}
   | {readonly kind: 'shutdown-began'; readonly process: string}
   | {readonly kind: 'process-exited'; readonly process: string}
   | {
--- /dev/null
+++ b/packages/lab/test/faults/matrix.test.ts
@@ -0,0 +1,60 @@
+import fc from 'fast-check';
+import t from 'tap';
+import {formatCase, isPassed, parseCase, runCase} from '../../src/faults/fault-case.js';
+import {FaultMatrix} from '../../src/faults/fault-matrix.js';
+import {createCaseArbitrary, runMatrix, runNamed} from '../../src/faults/matrix-run.js';
+import {protocolSteps, worlds} from '../../src/faults/protocols.js';
+
+const seed = 20_261_204;
+
+for (const [world, share] of [
+  ['requests', 0.15],
+  ['tasks', 0.2],
+  ['configuration', 0.2],
+] as const) {
+  void t.test(
+    `short run of the matrix of ${world}, against a broken promise under one fault`,
+    async t => {
+      t.comment(`seed ${seed}`);
+      const run = runMatrix({seed, singles: 1, pairs: 0, share, worlds: [world]});
+      t.same(
+        run.failures.map(failure => formatCase(failure.case)),
+        [],
+      );
+      t.ok(run.passed >= 30, 'the run is not empty');
+    },
+  );
+
+  void t.test(`pairs of faults in ${world}, against a broken promise under two faults`, async t => {
+    t.comment(`seed ${seed}`);
+    const steps = protocolSteps.filter(step => step.world === world);
+    const property = fc.property(createCaseArbitrary(steps), faultCase =>
+      isPassed(runNamed(faultCase)),
+    );
+    const details = fc.check(property, {seed, numRuns: 25});
+    t.notOk(details.failed, details.counterexample ? formatCase(details.counterexample[0]) : '');
+  });
+}
+
+void t.test('a case is repeated exactly, so that a printed seed is enough', async t => {
+  for (const text of [
+    'requests seed=12 kill-entry@dispatch/before-effect+3',
+    'tasks seed=13 freeze-entry@start/before-send+1',
+    'configuration seed=14 cut@config/before-answer+2 race@store:put:config/before-send+0',
+  ]) {
+    const faultCase = parseCase(text);
+    t.equal(formatCase(faultCase), text);
+    const create = worlds[faultCase.world]!;
+    const [first, second] = [create(faultCase.seed).run(), create(faultCase.seed).run()];
+    t.equal(JSON.stringify(first), JSON.stringify(second), text);
+  }
+});
+
+void t.test('a strike that is never reached leaves its cell empty', async t => {
+  const faultCase = parseCase('configuration seed=1 cut@no-such-step/before-send+0');
+  const result = runCase(faultCase, worlds.configuration!);
+  t.same(result.struck, [false]);
+  const matrix = new FaultMatrix();
+  matrix.add(result);
+  t.equal(matrix.countFilled(), 0);
+});
