--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,6 +1,8 @@
+export * from './agent/index.js';
 export * from './admission/index.js';
 export * from './colocation/index.js';
 export * from './configuration/index.js';
+export * from './entry/index.js';
 export * from './findings/index.js';
 export * from './membership/index.js';
 export * from './messages/index.js';
@@ -10,3 +12,4 @@
 export * from './routing/index.js';
 export * from './tasks/index.js';
 export * from './time/index.js';
+export * from './timeline/index.js';
