--- a/packages/coordination/src/admission/fair-queue.ts
+++ b/packages/coordination/src/admission/fair-queue.ts
@@ -74,6 +74,13 @@
     return this.classes.get(key)?.size ?? 0;
   }
 
+  /** Expected wait of a request that would join a class now. */
+  getClassWaitMs(key: string): number {
+    const state = this.classes.get(key);
+    if (!state || state.size === 0) return 0;
+    return state.takenPerMs > 0 ? state.size / state.takenPerMs : Infinity;
+  }
+
   /** Defines or changes a class. */
   setClass(key: string, share: QueueClass): void {
     const level = urgencies.indexOf(share.urgency);
--- a/packages/coordination/src/requests/entry-requests.ts
+++ b/packages/coordination/src/requests/entry-requests.ts
@@ -327,12 +327,12 @@
   }
 
   private route(request: PendingRequest, at: number): Target | undefined {
-    const mayForward = request.client.kind === 'caller';
-    return this.routes.choose(request.service, at, mayForward, request.avoided);
+    const {service, client, avoided} = request;
+    return this.routes.choose(service, at, client.kind === 'caller', avoided);
   }
 
   private send(request: PendingRequest, target: Target, at: number): void {
-    this.routes.begin(target);
+    this.routes.begin(target, request.service);
     const {peer, hello, outstanding} = this.routes.getTargetState(target);
     const attempt: Attempt = {
       number: request.nextAttempt++,
--- a/packages/coordination/src/routing/entry-routes.ts
+++ b/packages/coordination/src/routing/entry-routes.ts
@@ -52,18 +52,18 @@
     if (!mayForward || this.choice.isServed(service)) return undefined;
     const open = this.getPeersOf(service).filter(
       peer =>
-        peer.outstanding < peer.window &&
+        this.peers.getWindow(peer, service).hasRoom() &&
         (peer.heldUntil.get(service) ?? 0) <= at &&
         !avoided.has(peer.peer),
     );
-    const peer = this.pickPeer(open);
+    const peer = this.pickPeer(open, service);
     return peer && {via: 'forward', peer};
   }
 
   /** Counts an attempt at its target. */
-  begin(target: Target): void {
+  begin(target: Target, service: string): void {
     if (target.via === 'forward') {
-      target.peer.outstanding += 1;
+      this.peers.getWindow(target.peer, service).outstanding += 1;
       return;
     }
     target.host.outstanding += 1;
@@ -71,10 +71,11 @@
   }
 
   /** Ends an attempt at its target. */
-  end(attempt: Attempt): void {
+  end(attempt: Attempt, service: string): void {
     if (attempt.via === 'forward') {
       const peer = this.peers.getPeer(attempt.peer);
-      if (peer && peer.hello.incarnation === attempt.incarnation) peer.outstanding -= 1;
+      if (peer && peer.hello.incarnation === attempt.incarnation)
+        this.peers.getWindow(peer, service).outstanding -= 1;
       return;
     }
     const host = this.hosts.getHost(attempt.peer);
@@ -93,7 +94,7 @@
     const peer = this.peers.getPeer(attempt.peer);
     if (attempt.via === 'forward') {
       if (!peer) return;
-      this.peers.adapt(peer, credit, latencyMs, at);
+      this.peers.getWindow(peer, service).adapt(credit, latencyMs, at);
       peer.minimumLatencyMs = Math.min(peer.minimumLatencyMs ?? Infinity, latencyMs);
       return;
     }
@@ -112,7 +113,8 @@
 
   /** Incarnation and load of the target of an attempt. */
   getTargetState(target: Target): {peer: string; hello: Hello; outstanding: number} {
-    return target.via === 'forward' ? target.peer : target.host;
+    if (target.via === 'dispatch') return target.host;
+    return {...target.peer, outstanding: 0};
   }
 
   /** Estimated one-way time to the target of an attempt, by which its deadline is shortened. */
@@ -133,20 +135,11 @@
       return {available: slots / entries, slots};
     }
     let remoteSlots = 0;
-    let window = 0;
     for (const peer of this.peers.getPeers()) {
       if (!peer.connected || peer.hello.region === this.options.region) continue;
-      window += peer.window;
       for (const s of peer.summary?.services ?? []) remoteSlots = Math.max(remoteSlots, s.slots);
     }
-    return {available: window, slots: remoteSlots};
-  }
-
-  /** Room for another forward from another entry, given the number of requests that are queued here. */
-  getCreditForPeer(queued: number): number {
-    const slots = this.hosts.getSlots();
-    const sharers = Math.max(1, this.peers.countConnected(this.options.region) + 1);
-    return Math.max(0, Math.min(64, Math.ceil((slots / sharers - queued) / 2)));
+    return {available: remoteSlots, slots: remoteSlots};
   }
 
   /** Summary of the connected hosts if it differs from the last one. */
@@ -189,10 +182,11 @@
     return near.length > 0 ? near : far;
   }
 
-  private pickPeer(peers: readonly PeerEntry[]): PeerEntry | undefined {
+  private pickPeer(peers: readonly PeerEntry[], service: string): PeerEntry | undefined {
     if (peers.length < 2) return peers[0];
     const a = peers[this.random.nextInteger(peers.length)]!;
     const b = peers[this.random.nextInteger(peers.length)]!;
-    return a.outstanding / a.window <= b.outstanding / b.window ? a : b;
+    const load = (peer: PeerEntry) => this.peers.getWindow(peer, service).getLoad();
+    return load(a) <= load(b) ? a : b;
   }
 }
