--- a/packages/lab/src/faults/worlds/task-entry.ts
+++ b/packages/lab/src/faults/worlds/task-entry.ts
@@ -164,7 +164,7 @@
         break;
       case 'ownership':
         this.mode = effect.mode;
-        this.#schedule({kind: 'ownership', mode: effect.mode, term: effect.term});
+        this.#schedule(effect);
         break;
       case 'fence-complete':
         this.#schedule(effect);
--- a/packages/lab/test/faults/broken-rules.test.ts
+++ b/packages/lab/test/faults/broken-rules.test.ts
@@ -127,7 +127,11 @@
       return {
         reduce(event, at) {
           // Time jumps for the scheduler when a host is lost, so that the wait is over at once.
-          const effects = real.reduce(event, at + skippedMs);
+          const shifted =
+            event.kind === 'ownership' && event.until !== undefined
+              ? {...event, until: event.until + skippedMs}
+              : event;
+          const effects = real.reduce(shifted, at + skippedMs);
           if (event.kind === 'host-down') skippedMs += 12_000;
           return effects;
         },
