Measure routing over many entries, hedging and bytes between regions

Cause: the choice of hosts, hedging and the bytes on the link had no figures.

Bytes are those of the framing of the processes. The flood experiment counts from the first millisecond of the flood, and lookups use 10 of their 12 slots. The formatting of reports no longer drops the zeros of 100.

--- a/packages/coordination/src/requests/outbox.ts
+++ b/packages/coordination/src/outbox.ts
@@ -1,4 +1,4 @@
-import type {CommonEffect, RequestEvent} from './entry-events.js';
+import type {CommonEffect, RequestEvent} from './requests/entry-events.js';
 
 /** Collects the effects of one event. */
 export class Outbox<Effect> {
--- a/packages/coordination/src/requests/agent-exchanges.ts
+++ b/packages/coordination/src/requests/agent-exchanges.ts
@@ -17,7 +17,7 @@
 import type {AgentWork, Waiter} from './agent-work.js';
 import type {PeerMessage} from './entry-events.js';
 import {KeptAnswers, type KeptAnswer} from './kept-answers.js';
-import {Outbox} from './outbox.js';
+import {Outbox} from '../outbox.js';
 
 /** Options of `AgentExchanges`. */
 export interface AgentExchangesOptions {
--- a/packages/coordination/src/requests/attempt-results.ts
+++ b/packages/coordination/src/requests/attempt-results.ts
@@ -6,7 +6,7 @@
 import type {Conclusions} from './conclusions.js';
 import type {EntryRequestsEffect} from './entry-events.js';
 import type {EntryRoutes} from '../routing/entry-routes.js';
-import type {Outbox} from './outbox.js';
+import type {Outbox} from '../outbox.js';
 import type {Attempt, PendingRequest} from './pending-request.js';
 import type {RequestTable} from './request-table.js';
 
--- a/packages/coordination/src/requests/conclusions.ts
+++ b/packages/coordination/src/requests/conclusions.ts
@@ -4,7 +4,7 @@
 import type {EntryRequestsEffect, Outcome} from './entry-events.js';
 import type {EntryRoutes} from '../routing/entry-routes.js';
 import type {KeptAnswer, KeptAnswers} from './kept-answers.js';
-import type {Outbox} from './outbox.js';
+import type {Outbox} from '../outbox.js';
 import type {PendingRequest} from './pending-request.js';
 import type {RequestTable} from './request-table.js';
 
--- a/packages/coordination/src/requests/entry-requests.ts
+++ b/packages/coordination/src/requests/entry-requests.ts
@@ -1,4 +1,4 @@
-import {FairQueue, type FairQueueOptions} from '../admission/fair-queue.js';
+import {FairQueue} from '../admission/fair-queue.js';
 import {RetryBudget} from '../admission/retry-budget.js';
 import {applyShares} from '../admission/shares.js';
 import type {Configuration} from '../configuration/document.js';
@@ -16,49 +16,16 @@
   PeerMessage,
 } from './entry-events.js';
 import {EntryRoutes, type Target} from '../routing/entry-routes.js';
+import {
+  entryRequestsDefaults,
+  type EntryRequestsOptions,
+  type EntryRequestsSettings,
+} from './entry-options.js';
 import {KeptAnswers} from './kept-answers.js';
-import {Outbox} from './outbox.js';
+import {Outbox} from '../outbox.js';
 import {isIdempotent, newCourse, type Attempt, type PendingRequest} from './pending-request.js';
 import {RequestTable} from './request-table.js';
 
-/** Options of `EntryRequests`. */
-export interface EntryRequestsOptions {
-  /** Incarnation of this process; the origin of the ids that it assigns. */
-  readonly incarnation: number;
-  readonly dataCentre: string;
-  readonly region: string;
-  /** Seed of the choice between hosts. */
-  readonly seed: number;
-  /** Time after `drain` in which late arrivals are still served. */
-  readonly settleMs: number;
-  readonly maxTimeoutMs: number;
-  readonly maxRequestBytes: number;
-  /** Time without a connection to the target after which a lost attempt counts as unknown. */
-  readonly recoverMs: number;
-  /** Bounds and order of the queue. */
-  readonly queue: Partial<FairQueueOptions>;
-  /** Whether the concurrency per host is learned from latency. */
-  readonly learnLimits: boolean;
-}
-
-/** Values of the options that a caller need not give. */
-export const entryRequestsDefaults = {
-  seed: 1,
-  settleMs: 2000,
-  maxTimeoutMs: 60_000,
-  maxRequestBytes: 1024 * 1024,
-  recoverMs: 5000,
-  queue: {},
-  learnLimits: true,
-};
-
-/** Options of `EntryRequests` with defaults for all but the identity of the process. */
-export type EntryRequestsSettings = Pick<
-  EntryRequestsOptions,
-  'incarnation' | 'dataCentre' | 'region'
-> &
-  Partial<EntryRequestsOptions>;
-
 const shareRefreshMs = 200;
 const summaryEveryMs = 1000;
 
@@ -70,7 +37,7 @@
   private readonly table = new RequestTable();
   private readonly queue: FairQueue<PendingRequest>;
   private readonly budget = new RetryBudget();
-  private readonly hedges = new HedgePolicy();
+  private readonly hedges: HedgePolicy;
   private readonly kept = new KeptAnswers();
   private readonly conclusions: Conclusions;
   private readonly results: AttemptResults;
@@ -83,6 +50,7 @@
 
   constructor(settings: EntryRequestsSettings) {
     this.options = {...entryRequestsDefaults, ...settings};
+    this.hedges = new HedgePolicy(this.options.hedgeRatio);
     this.queue = new FairQueue(this.options.queue);
     this.routes = new EntryRoutes(this.options);
     const {outbox, table, queue, routes, kept} = this;
--- a/packages/coordination/src/requests/index.ts
+++ b/packages/coordination/src/requests/index.ts
@@ -1,6 +1,7 @@
 export * from './agent-events.js';
 export * from './agent-exchanges.js';
 export * from './entry-events.js';
+export * from './entry-options.js';
 export * from './entry-requests.js';
 export * from './kept-answers.js';
 export * from './pending-request.js';
--- a/packages/coordination/src/routing/entry-routes.ts
+++ b/packages/coordination/src/routing/entry-routes.ts
@@ -2,6 +2,7 @@
 import {PeerView, type PeerEntry} from '../membership/peer-view.js';
 import type {Hello, Summary} from '../messages/control.js';
 import {HostChoice, getAllowed} from './host-choice.js';
+import type {HostPick} from './host-pick.js';
 import {SeededRandom} from './seeded-random.js';
 import type {Attempt} from '../requests/pending-request.js';
 
@@ -14,6 +15,7 @@
   readonly region: string;
   readonly seed: number;
   readonly learnLimits: boolean;
+  readonly hostPick: HostPick;
 }
 
 /** Where an attempt is sent. */
@@ -31,7 +33,7 @@
 
   constructor(private readonly options: RouteOptions) {
     this.random = new SeededRandom(options.seed);
-    this.choice = new HostChoice(this.hosts, this.random, options.dataCentre);
+    this.choice = new HostChoice(this.hosts, this.random, options.dataCentre, options.hostPick);
   }
 
   /** Whether anything could serve a request of a service, whatever its load. */
--- a/packages/coordination/src/routing/hedge-policy.ts
+++ b/packages/coordination/src/routing/hedge-policy.ts
@@ -2,9 +2,14 @@
 
 /** Decides when a second copy of a slow idempotent request may be sent. */
 export class HedgePolicy {
-  private readonly budget = new RetryBudget({ratio: 0.05, burst: 5});
+  private readonly budget: RetryBudget;
   private readonly quantiles = new Map<string, {p95Ms: number; samples: number}>();
 
+  /** `ratio` hedges are allowed for each first attempt. */
+  constructor(ratio: number) {
+    this.budget = new RetryBudget({ratio, burst: ratio > 0 ? 5 : 0});
+  }
+
   /** Counts a first attempt. */
   earn(): void {
     this.budget.earn();
--- /dev/null
+++ b/packages/coordination/src/routing/host-pick.ts
@@ -0,0 +1,49 @@
+import type {Host} from '../membership/host-view.js';
+import type {SeededRandom} from './seeded-random.js';
+
+/** Picks one of several hosts that have room. */
+export interface HostPick {
+  /** Returns one of the hosts, or undefined when there is none. */
+  pick(hosts: readonly Host[], random: SeededRandom): Host | undefined;
+}
+
+/** Estimated load of a host as a fraction of its slots. */
+export function getLoad(host: Host): number {
+  const slots = Math.max(1, host.announce?.slots ?? 1);
+  const known = Math.max(host.outstanding, host.reportedInFlight + host.sentSinceReport);
+  return known / slots;
+}
+
+/** The less loaded of two random hosts; many entries with the same stale report do not herd. */
+export class TwoChoicePick implements HostPick {
+  /** Returns one of the hosts, or undefined when there is none. */
+  pick(hosts: readonly Host[], random: SeededRandom): Host | undefined {
+    if (hosts.length < 2) return hosts[0];
+    const first = random.nextInteger(hosts.length);
+    let second = random.nextInteger(hosts.length - 1);
+    if (second >= first) second += 1;
+    const a = hosts[first]!;
+    const b = hosts[second]!;
+    return getLoad(a) <= getLoad(b) ? a : b;
+  }
+}
+
+/** Baseline: any host. */
+export class RandomPick implements HostPick {
+  /** Returns one of the hosts, or undefined when there is none. */
+  pick(hosts: readonly Host[], random: SeededRandom): Host | undefined {
+    return hosts[random.nextInteger(Math.max(1, hosts.length))];
+  }
+}
+
+/** Baseline: the host with the least reported load, which herds on stale reports. */
+export class LeastReportedPick implements HostPick {
+  /** Returns one of the hosts, or undefined when there is none. */
+  pick(hosts: readonly Host[]): Host | undefined {
+    let best = hosts[0];
+    for (const host of hosts) {
+      if (host.reportedInFlight < best!.reportedInFlight) best = host;
+    }
+    return best;
+  }
+}
--- a/packages/coordination/src/routing/index.ts
+++ b/packages/coordination/src/routing/index.ts
@@ -1,4 +1,5 @@
 export * from './entry-routes.js';
 export * from './hedge-policy.js';
 export * from './host-choice.js';
+export * from './host-pick.js';
 export * from './seeded-random.js';
--- a/packages/lab/src/harness/model-network.ts
+++ b/packages/lab/src/harness/model-network.ts
@@ -12,8 +12,8 @@
 /** Every message that the model carries. */
 export type ModelMessage = DataMessage | ControlMessage;
 
-/** Size of a message on the wire, with framing. */
-export type WireSize = (message: ModelMessage) => number;
+/** Size of a message without its body on the wire, with framing, from a process of the given incarnation. */
+export type WireSize = (message: ModelMessage, from: number) => number;
 
 /** Speeds of the model. */
 export interface NetworkOptions {
@@ -32,6 +32,8 @@
   data: number;
   control: number;
   bodies: number;
+  /** Paths and headers of callers and backend servers; part of `data`. */
+  payload: number;
   messages: number;
 }
 
@@ -47,7 +49,7 @@
 /** Connections between processes over links with latency and, between regions, a shared narrow bandwidth. */
 export class ModelNetwork {
   /** Traffic between regions. */
-  readonly traffic: LinkTraffic = {data: 0, control: 0, bodies: 0, messages: 0};
+  readonly traffic: LinkTraffic = {data: 0, control: 0, bodies: 0, payload: 0, messages: 0};
   private readonly options: NetworkOptions;
   private readonly processes = new Map<string, ModelProcess>();
   private readonly connections = new Map<string, Connection>();
@@ -128,12 +130,13 @@
       const near = a.dataCentre === b.dataCentre;
       return near ? this.options.withinDataCentreMs : this.options.betweenDataCentresMs;
     }
-    const overhead = this.options.wireSize(message);
+    const overhead = this.options.wireSize(message, a.incarnation);
     const bytes = overhead + (body?.byteLength ?? 0);
     if (dataKinds.has(message.kind)) this.traffic.data += overhead;
     else this.traffic.control += overhead;
     this.traffic.bodies += body?.byteLength ?? 0;
     this.traffic.messages += 1;
+    this.traffic.payload += getPayloadBytes(message);
     const link = `${a.region}>${b.region}`;
     const now = this.loop.now();
     const free = Math.max(now, this.linkFreeAt.get(link) ?? 0) + bytes / this.options.bytesPerMs;
@@ -152,6 +155,16 @@
   }
 }
 
+/** Bytes of a message that are the caller's or the backend server's own. */
+function getPayloadBytes(message: ModelMessage): number {
+  if (message.kind !== 'forward' && message.kind !== 'reply') return 0;
+  const headers = message.headers.reduce(
+    (sum, [name, value]) => sum + name.length + value.length,
+    0,
+  );
+  return headers + (message.kind === 'forward' ? message.path.length : 0);
+}
+
 /**
  * Estimates the size of a message as a CBOR record with integer keys in a 4-byte frame: one byte for each key,
  * strings with a length byte, numbers by magnitude.
--- a/packages/lab/src/measure/flood.ts
+++ b/packages/lab/src/measure/flood.ts
@@ -25,7 +25,7 @@
 const slots = slotsPerHost * hostCount;
 const [floodStartMs, floodEndMs, endMs] = [6000, 12_000, 22_000];
 /** Slots that the usual load of each service keeps busy; all are within their grants. */
-const usualSlots: Record<Service, number> = {alert: 2, lookup: 6, watch: 2, proof: 4};
+const usualSlots: Record<Service, number> = {alert: 2, lookup: 10, watch: 2, proof: 4};
 const services = Object.keys(serviceMs) as Service[];
 
 function workload(
@@ -155,7 +155,7 @@
   let floodGoodput = 1;
   for (const {options, samples} of loads) {
     const quiet = getWindowFigures(samples, 2000, floodStartMs);
-    const during = getWindowFigures(samples, floodStartMs + 500, floodEndMs);
+    const during = getWindowFigures(samples, floodStartMs, floodEndMs);
     const after = getWindowFigures(samples, floodEndMs + 5000, endMs - 2500);
     worst.after = Math.max(worst.after, getTailMs(after) / getTailMs(quiet));
     worst.goodputAfter = Math.min(worst.goodputAfter, after.goodput);
--- a/packages/lab/src/measure/registry.ts
+++ b/packages/lab/src/measure/registry.ts
@@ -1,5 +1,6 @@
 import type {Experiment} from './experiment.js';
 import {floodExperiment} from './flood.js';
+import {routingExperiment} from './routing.js';
 
 /** All experiments; add one line for each. */
-export const experiments: readonly Experiment[] = [floodExperiment];
+export const experiments: readonly Experiment[] = [floodExperiment, routingExperiment];
--- a/packages/lab/src/measure/report.ts
+++ b/packages/lab/src/measure/report.ts
@@ -6,7 +6,8 @@
   if (value === 0) return '0';
   const magnitude = Math.abs(value);
   if (magnitude >= 1000) return value.toFixed(0);
-  return value.toPrecision(3).replace(/\.?0+$/, '');
+  const text = value.toPrecision(3);
+  return text.includes('.') ? text.replace(/\.?0+$/, '') : text;
 }
 
 /** Formats a bound. */
