--- a/packages/coordination/src/admission/learned-limit.ts
+++ b/packages/coordination/src/admission/learned-limit.ts
@@ -9,6 +9,9 @@
   readonly windowSamples: number;
 }
 
+/** Limit at which every sample counts as light load, so that a lasting slowdown is learned in the end. */
+const lightLimit = 2;
+
 const defaults: LearnedLimitOptions = {
   initial: 8,
   minimum: 1,
@@ -44,8 +47,11 @@
   addSample(service: string, latencyMs: number, inFlight: number): void {
     const latency = Math.max(latencyMs, 0.1);
     const known = this.longTermMs.get(service) ?? latency;
-    // A lower minimum is taken over at once, a higher one slowly, so that a lasting change is learned in the end.
-    const longTerm = latency < known ? latency : known + (latency - known) * 0.001;
+    // A lower minimum is taken over at once. A higher one is learned slowly and only from light load; otherwise the
+    // limit's own queueing would pass for the usual latency and the limit would grow without end.
+    const light = inFlight * 2 < this.limit || this.limit <= lightLimit;
+    const rise = light ? 0.001 : 0;
+    const longTerm = latency < known ? latency : known + (latency - known) * rise;
     this.longTermMs.set(service, longTerm);
     this.minimumRatio = Math.min(this.minimumRatio, latency / longTerm);
     if (inFlight * 2 >= this.limit) this.limited = true;
--- a/packages/coordination/src/membership/host-view.ts
+++ b/packages/coordination/src/membership/host-view.ts
@@ -29,10 +29,20 @@
   slowness: number;
   /** Failures since the last answer. */
   failures: number;
+  /** Times in a row that the host was left out for its failures. */
+  ejections: number;
 }
 
 const suspectAfterMs = 3500;
 const initialWindow = 2;
+const ejectAfterFailures = 3;
+const firstEjectionMs = 250;
+const maxEjectionMs = 10_000;
+
+/** Whether the last exchanges with a host all failed; it gets one probe at a time, of idempotent requests only. */
+export function isFailing(host: Host): boolean {
+  return host.failures >= ejectAfterFailures;
+}
 
 /** Hosts that are connected to an entry. */
 export class HostView {
@@ -64,6 +74,7 @@
       latencyMs: 0,
       slowness: 1,
       failures: 0,
+      ejections: 0,
     };
     this.hosts.set(peer, host);
     return host;
@@ -83,6 +94,24 @@
     host.suspect = false;
   }
 
+  /**
+   * Counts a failed exchange. A host that fails fast looks idle and attracts work, so after some failures in a row it
+   * is left out for a while, longer each time.
+   */
+  noteFailure(host: Host, at: number): void {
+    host.failures += 1;
+    if (host.failures < ejectAfterFailures || host.heldUntil > at) return;
+    const holdMs = Math.min(maxEjectionMs, firstEjectionMs * 2 ** host.ejections);
+    host.heldUntil = at + holdMs;
+    host.ejections += 1;
+  }
+
+  /** Counts an answer, which ends the doubt about a host. */
+  noteAnswer(host: Host): void {
+    host.failures = 0;
+    host.ejections = 0;
+  }
+
   /** Sets the hosts that the operators drain. */
   setDrains(drains: ReadonlySet<string>): void {
     this.drains = drains;
--- a/packages/coordination/src/requests/attempt-results.ts
+++ b/packages/coordination/src/requests/attempt-results.ts
@@ -68,7 +68,7 @@
         this.hold(request, attempt, message, at);
         return this.receiveNotRun(request, attempt, message.reason, at);
       case 'failed':
-        this.end(request, attempt, 'failed', message.credit, at);
+        this.end(request, attempt, getResult(message), message.credit, at);
         return this.receiveFailed(request, attempt, message.detail, at);
       case 'recovered':
         return this.receiveRecovered(request, attempt, message, at);
@@ -166,7 +166,8 @@
     this.parts.outbox.count(orphan ? 'answers-late' : 'answers-unmatched');
     if (!orphan) return;
     this.parts.routes.end(orphan.attempt, orphan.service);
-    this.parts.routes.learn(orphan.attempt, orphan.service, message.kind, message.credit, at);
+    const result = getResult(message);
+    this.parts.routes.learn(orphan.attempt, orphan.service, result, message.credit, at);
   }
 
   private receiveReply(
@@ -276,7 +277,7 @@
   private end(
     request: PendingRequest,
     attempt: Attempt,
-    result: 'reply' | 'rejected' | 'failed' | undefined,
+    result: 'reply' | 'rejected' | 'failed' | 'cancelled' | undefined,
     credit: number,
     at: number,
   ): void {
@@ -293,3 +294,10 @@
     this.parts.routes.peers.getPeer(attempt.peer)?.heldUntil.set(request.service, until);
   }
 }
+
+/** An exchange that was cancelled at the agent says nothing about the health of its host. */
+function getResult(
+  message: Reply | Rejected | Failed,
+): 'reply' | 'rejected' | 'failed' | 'cancelled' {
+  return message.kind === 'failed' && message.detail === 'cancelled' ? 'cancelled' : message.kind;
+}
--- a/packages/coordination/src/requests/entry-requests.ts
+++ b/packages/coordination/src/requests/entry-requests.ts
@@ -310,8 +310,8 @@
   }
 
   private route(request: PendingRequest, at: number): Target | undefined {
-    const {service, client, avoided} = request;
-    return this.routes.choose(service, at, client.kind === 'caller', avoided);
+    const {service, client, idempotent, avoided} = request;
+    return this.routes.choose(service, at, client.kind === 'caller', idempotent, avoided);
   }
 
   private send(request: PendingRequest, target: Target, at: number): void {
@@ -352,7 +352,7 @@
   /** Sends a second copy of idempotent requests that are slow, within the hedge budget. */
   private hedge(at: number): void {
     for (const {request, attempt} of this.results.takeHedgeable(at)) {
-      const target = this.routes.choose(request.service, at, false, new Set([attempt.peer]));
+      const target = this.routes.choose(request.service, at, false, true, new Set([attempt.peer]));
       if (!target || !this.hedges.spend()) continue;
       request.hedged = true;
       this.outbox.count('requests-hedged');
--- a/packages/coordination/src/routing/entry-routes.ts
+++ b/packages/coordination/src/routing/entry-routes.ts
@@ -52,9 +52,10 @@
     service: string,
     at: number,
     mayForward: boolean,
+    idempotent: boolean,
     avoided: ReadonlySet<string>,
   ): Target | undefined {
-    const host = this.choice.choose(service, at, avoided);
+    const host = this.choice.choose(service, at, idempotent, avoided);
     if (host) return {via: 'dispatch', host};
     if (!mayForward || this.choice.isServed(service)) return undefined;
     const open = this.getPeersOf(service).filter(
@@ -93,7 +94,7 @@
   learn(
     attempt: Attempt,
     service: string,
-    result: 'reply' | 'rejected' | 'failed',
+    result: 'reply' | 'rejected' | 'failed' | 'cancelled',
     credit: number,
     at: number,
   ): void {
@@ -111,9 +112,9 @@
     host.heardAt = at;
     const {learnLimits} = this.options;
     if (result === 'rejected' && learnLimits) host.limit.addDrop();
-    if (result === 'failed') host.failures += 1;
+    if (result === 'failed') this.hosts.noteFailure(host, at);
     if (result !== 'reply') return;
-    host.failures = 0;
+    this.hosts.noteAnswer(host);
     this.learnSpeed(host, service, latencyMs);
     if (learnLimits) host.limit.addSample(service, latencyMs, attempt.inFlightWhenSent);
     host.latencyMs += (latencyMs - host.latencyMs) * (host.latencyMs === 0 ? 1 : 0.1);
--- a/packages/coordination/src/routing/host-pick.ts
+++ b/packages/coordination/src/routing/host-pick.ts
@@ -18,7 +18,7 @@
 const usualSlowness = 1.5;
 
 /** Expected time of one more request at a host: a slow host is used when the faster ones have no room. */
-function getCost(host: Host): number {
+export function getCost(host: Host): number {
   const slowness = host.slowness <= usualSlowness ? 1 : host.slowness;
   return (1 + getLoad(host)) * slowness;
 }
--- /dev/null
+++ b/packages/coordination/test/admission/limits.test.ts
@@ -0,0 +1,61 @@
+import t from 'tap';
+import {LearnedLimit} from '../../src/admission/learned-limit.js';
+import {RetryBudget} from '../../src/admission/retry-budget.js';
+import {EntryConnections} from '../../src/membership/entry-connections.js';
+import {ForwardWindow} from '../../src/membership/forward-window.js';
+
+const limitCases = [
+  {guards: 'a limit stays low although latency is flat', latency: () => 10, atLeast: 40},
+  {
+    guards: 'a limit grows without end because its own queueing passes for the usual latency',
+    latency: (limit: number) => 10 * Math.max(1, limit / 4),
+    atMost: 24,
+  },
+  {
+    guards: 'a change from short to long requests looks like load',
+    latency: () => 10,
+    other: () => 500,
+    atLeast: 40,
+  },
+];
+
+void t.test('the concurrency limit follows the latency', async t => {
+  for (const c of limitCases) {
+    const limit = new LearnedLimit();
+    for (let i = 0; i < 2000; i += 1) {
+      const inFlight = limit.getLimit();
+      limit.addSample('lookup', c.latency(inFlight), inFlight);
+      if (c.other) limit.addSample('proof', c.other(), inFlight);
+    }
+    t.ok(limit.getLimit() >= (c.atLeast ?? 0), c.guards);
+    t.ok(limit.getLimit() <= (c.atMost ?? Infinity), c.guards);
+  }
+});
+
+void t.test('retries stay within a tenth of the first attempts', async t => {
+  const budget = new RetryBudget({burst: 5});
+  let retries = 0;
+  for (let i = 0; i < 1000; i += 1) {
+    budget.earn();
+    if (budget.spend()) retries += 1;
+  }
+  t.ok(retries <= 106, `a retry storm gets ${retries} retries for 1000 attempts`);
+});
+
+void t.test('a forward window shrinks while the other entry has a standing queue', async t => {
+  const window = new ForwardWindow();
+  for (let at = 0; at < 10_000; at += 10) window.adapt(0, 60, at);
+  window.outstanding = 2;
+  t.notOk(window.hasRoom(), 'requests that will be shed still cross the link');
+  for (let i = 0; i < 2000; i += 1) window.adapt(1, 60, 20_000);
+  t.ok(window.hasRoom(), 'the window never opens again');
+});
+
+void t.test('a single busy entry may use the whole host', async t => {
+  const entries = new EntryConnections();
+  for (const name of ['one', 'two', 'three', 'four']) entries.add(name);
+  entries.noteUse('one', 0);
+  t.equal(entries.getCredit('one', 8, 8, 10), 8, 'slots are kept for idle entries');
+  entries.noteUse('two', 10);
+  t.equal(entries.getCredit('one', 8, 8, 20), 4, 'a busy entry takes the share of another');
+});
