--- /dev/null
+++ b/packages/command/src/output/index.ts
@@ -0,0 +1,2 @@
+export * from './render.js';
+export * from './table.js';
--- a/packages/coordination/src/agent/agent-process.ts
+++ b/packages/coordination/src/agent/agent-process.ts
@@ -1,92 +1,150 @@
+import {ConfigurationView} from '../configuration/view/configuration-view.js';
+import type {ConfigurationEvent} from '../configuration/view/events.js';
+import type {ProcessMessage} from '../entry/entry-process-events.js';
 import type {Announce} from '../messages/control.js';
-import type {DataMessage, Dispatch, Failed, Reply} from '../messages/data.js';
+import type {Resources} from '../messages/identity.js';
 import type {Reducer} from '../reducer.js';
-import type {
-  AgentExchangesEffect,
-  AgentExchangesEvent,
-  BackendAnnounced,
-} from '../requests/agent-events.js';
+import type {AgentExchangesEffect, AgentExchangesEvent} from '../requests/agent-events.js';
+import {AgentExchanges} from '../requests/agent-exchanges.js';
+import {AgentTasks} from '../tasks/agent-tasks.js';
+import type {AgentTasksEvent} from '../tasks/events.js';
+import type {AgentProcessEffect, AgentProcessEvent} from './agent-process-events.js';
 
-const noBody: Uint8Array = new Uint8Array(0);
+/** Options of `AgentProcess`. */
+export interface AgentProcessOptions {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly region: string;
+  readonly rack: string;
+  readonly capacity: Resources;
+  readonly incarnation: number;
+  /** Seed of all random choices. */
+  readonly seed: number;
+}
+
+/** Time between two ticks of everything but the exchanges. */
+const slowTickMs = 100;
+
+/** All decisions of an agent: exchanges with the backend server, tasks at the worker, configuration. */
+export class AgentProcess implements Reducer<AgentProcessEvent, AgentProcessEffect> {
+  /** Configuration as this agent sees it. */
+  readonly view: ConfigurationView;
+  /** Tasks on the host. */
+  readonly tasks = new AgentTasks();
+  private readonly exchanges: AgentExchanges;
+  private readonly controlPeers = new Set<string>();
+  private announce: Announce | undefined;
+  private out: AgentProcessEffect[] = [];
+  private slowTickAt = -Infinity;
 
-/** Passes each dispatch to the backend server that was announced last. Holds no queue. */
-export class AgentProcess implements Reducer<AgentExchangesEvent, AgentExchangesEffect> {
-  private readonly exchanges = new Map<number, {peer: string; dispatch: Dispatch}>();
-  private backend: BackendAnnounced | undefined;
-  private lastExchange = 0;
+  /** Creates the reducer. */
+  constructor(options: AgentProcessOptions) {
+    const {name: host, rack, capacity} = options;
+    this.view = new ConfigurationView({role: 'agent', ...options});
+    this.exchanges = new AgentExchanges({host, rack, capacity});
+  }
 
-  /** Creates the reducer of the agent of a host. */
-  constructor(private readonly options: {readonly host: string; readonly rack: string}) {}
+  /** @inheritdoc */
+  reduce(event: AgentProcessEvent, at: number): readonly AgentProcessEffect[] {
+    this.out = [];
+    this.apply(event, at);
+    return this.out;
+  }
 
-  /** Applies an event. */
-  reduce(event: AgentExchangesEvent): readonly AgentExchangesEffect[] {
+  private apply(event: AgentProcessEvent, at: number): void {
     switch (event.kind) {
-      case 'backend-announced':
-        this.backend = event;
-        return [{kind: 'announce', message: this.getAnnounce()}];
-      case 'backend-lapsed':
-        this.backend = undefined;
-        return [{kind: 'announce', message: this.getAnnounce()}];
-      case 'peer-up':
-        return [{kind: 'send', peer: event.peer, message: this.getAnnounce()}];
       case 'message':
-        return this.receive(event.peer, event.message, event.body);
-      case 'exchange-finished': {
-        const {status, headers, body} = event;
-        const reply = {kind: 'reply', status, headers, bodyLength: body.length} as const;
-        return this.finish(event.exchange, reply, body);
-      }
-      case 'exchange-failed':
-        return this.finish(event.exchange, {kind: 'failed', detail: event.detail}, noBody);
-      case 'drain':
-        return [{kind: 'drained'}];
+        return this.receive(event, at);
+      case 'control-up':
+        this.controlPeers.add(event.peer);
+        if (this.announce) this.sendControl(event.peer, this.announce);
+        this.configure({...event, kind: 'peer-up'}, at);
+        return this.supervise({...event, kind: 'peer-up'}, at);
+      case 'control-down':
+        this.controlPeers.delete(event.peer);
+        this.configure({...event, kind: 'peer-down'}, at);
+        return this.supervise({...event, kind: 'peer-down'}, at);
+      case 'worker-state':
+      case 'worker-unreachable':
+      case 'worker-result':
+      case 'worker-usage':
+        return this.supervise(event, at);
+      case 'tick':
+        this.exchange(event, at);
+        return this.slowTick(at);
       default:
-        return [];
+        return this.exchange(event, at);
     }
   }
 
-  private receive(
-    peer: string,
-    dispatch: DataMessage,
-    body = noBody,
-  ): readonly AgentExchangesEffect[] {
-    if (dispatch.kind !== 'dispatch') return [];
-    const {id, attempt, service, method, path, headers, remainingMs} = dispatch;
-    if (this.backend === undefined) {
-      const reason = 'no-backend';
-      const message = {kind: 'rejected', id, attempt, reason, holdMs: 0, credit: 0} as const;
-      return [{kind: 'send', peer, message}];
+  private slowTick(at: number): void {
+    if (at - this.slowTickAt < slowTickMs) return;
+    this.slowTickAt = at;
+    this.configure({kind: 'tick'}, at);
+    this.supervise({kind: 'tick', configVersion: this.view.configuration.version}, at);
+  }
+
+  private receive(event: ProcessMessage, at: number): void {
+    const {peer, message, body} = event;
+    if ('id' in message) {
+      return this.exchange({kind: 'message', peer, message, ...(body && {body})}, at);
+    }
+    switch (message.kind) {
+      case 'config':
+        return this.configure({kind: 'config', peer, message}, at);
+      case 'config-request':
+        return this.configure({kind: 'config-request', peer, message}, at);
+      case 'grant':
+      case 'start':
+      case 'stop':
+      case 'throttle':
+      case 'acknowledge':
+        return this.supervise({kind: 'message', peer, message}, at);
+      default:
+        this.out.push({kind: 'count', name: 'refused-unexpected-kind', by: 1});
     }
-    const exchange = ++this.lastExchange;
-    const {url} = this.backend;
-    this.exchanges.set(exchange, {peer, dispatch});
-    const request = {service, method, path, headers, body, timeoutMs: remainingMs};
-    return [{kind: 'open-exchange', exchange, url, ...request}];
   }
 
-  private finish(
-    exchange: number,
-    result: Omit<Reply, 'id' | 'attempt' | 'credit'> | Omit<Failed, 'id' | 'attempt' | 'credit'>,
-    body: Uint8Array,
-  ): readonly AgentExchangesEffect[] {
-    const entry = this.exchanges.get(exchange);
-    if (entry === undefined) return [];
-    this.exchanges.delete(exchange);
-    const {id, attempt} = entry.dispatch;
-    const message = {...result, id, attempt, credit: 1};
-    return [{kind: 'send', peer: entry.peer, message, body}];
+  private exchange(event: AgentExchangesEvent, at: number): void {
+    for (const effect of this.exchanges.reduce(event, at)) this.takeExchanges(effect);
   }
 
-  private getAnnounce(): Announce {
-    return {
-      kind: 'announce',
-      host: this.options.host,
-      rack: this.options.rack,
-      capacity: {processors: 0, memoryMb: 0, accelerators: 0, slots: this.backend?.slots ?? 0},
-      services: this.backend?.services ?? [],
-      slots: this.backend?.slots ?? 0,
-      connections: this.backend?.connections ?? 0,
-      draining: this.backend?.draining ?? false,
-    };
+  private takeExchanges(effect: AgentExchangesEffect): void {
+    switch (effect.kind) {
+      case 'send':
+        // The announcement goes to every entry when its control connection opens and when it changes.
+        if (effect.message.kind !== 'announce') this.out.push({...effect, channel: 'data'});
+        else this.sendControl(effect.peer, effect.message);
+        return;
+      case 'announce':
+        this.announce = effect.message;
+        for (const peer of this.controlPeers) this.sendControl(peer, effect.message);
+        return;
+      default:
+        this.out.push(effect);
+    }
+  }
+
+  private sendControl(peer: string, message: Announce): void {
+    this.out.push({kind: 'send', peer, channel: 'control', message});
+  }
+
+  private supervise(event: AgentTasksEvent, at: number): void {
+    for (const effect of this.tasks.reduce(event, at)) {
+      if (effect.kind === 'send') this.out.push({...effect, channel: 'control'});
+      else this.out.push(effect);
+    }
+  }
+
+  private configure(event: ConfigurationEvent, at: number): void {
+    for (const effect of this.view.reduce(event, at)) {
+      if (effect.kind === 'send') {
+        this.out.push({...effect, channel: 'control'});
+      } else if (effect.kind === 'configuration') {
+        this.exchange(effect, at);
+      } else if (effect.kind === 'count' || effect.kind === 'observe' || effect.kind === 'record') {
+        this.out.push(effect);
+      }
+    }
   }
 }
--- a/packages/coordination/src/entry/entry-process.ts
+++ b/packages/coordination/src/entry/entry-process.ts
@@ -1,98 +1,209 @@
-import type {Announce} from '../messages/control.js';
-import type {DataMessage, Headers, NotRunReason} from '../messages/data.js';
+import type {Configuration} from '../configuration/document.js';
+import {ConfigurationView} from '../configuration/view/configuration-view.js';
+import type {ConfigurationEffect, ConfigurationEvent} from '../configuration/view/events.js';
+import type {Hello, Summary} from '../messages/control.js';
 import type {Reducer} from '../reducer.js';
+import type {EntryRequestsEffect, EntryRequestsEvent} from '../requests/entry-events.js';
+import {EntryRequests} from '../requests/entry-requests.js';
 import type {
-  CallerAnswer,
-  CallerRequest,
-  EntryRequestsEffect,
-  EntryRequestsEvent,
-  Outcome,
-} from '../requests/entry-events.js';
-
-const noBody: Uint8Array = new Uint8Array(0);
-
-/** Sends each request to the next host that announces its service. Holds no queue and never retries. */
-export class EntryProcess implements Reducer<EntryRequestsEvent, EntryRequestsEffect> {
-  private readonly hosts = new Map<string, Announce>();
-  private readonly callers = new Map<number, {caller: number; peer: string}>();
-  private sequence = 0;
-
-  /** Creates the reducer of a process with the given incarnation. */
-  constructor(private readonly options: {readonly incarnation: number}) {}
-
-  /** Applies an event. */
-  reduce(event: EntryRequestsEvent): readonly EntryRequestsEffect[] {
+  EntryProcessEffect,
+  EntryProcessEvent,
+  ProcessMessage,
+} from './entry-process-events.js';
+import {ScheduledCell} from './scheduled-cell.js';
+
+/** Options of `EntryProcess`. */
+export interface EntryProcessOptions {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly region: string;
+  readonly incarnation: number;
+  /** Monotonic time at which the process started. */
+  readonly startedAt: number;
+  /** Seed of all random choices. */
+  readonly seed: number;
+  /** Cells that this entry may own; the owner of the first one compacts the configuration log. */
+  readonly cells: readonly string[];
+  /** Time after `drain` in which late arrivals are still served. */
+  readonly settleMs: number;
+}
+
+/** Time between two ticks of everything but the requests. */
+const slowTickMs = 100;
+
+/** All decisions of an entry: requests, configuration, and the ownership and schedule of cells. */
+export class EntryProcess implements Reducer<EntryProcessEvent, EntryProcessEffect> {
+  /** Configuration as this entry sees it. */
+  readonly view: ConfigurationView;
+  /** Cells that this entry may own. */
+  readonly cells: readonly ScheduledCell[];
+  private readonly requests: EntryRequests;
+  private readonly control = new Map<string, Hello>();
+  private readonly entries = new Set<string>();
+  /** A summary may arrive on the control connection before the data connection is open. */
+  private readonly summaries = new Map<string, Summary>();
+  private out: EntryProcessEffect[] = [];
+  private slowTickAt = -Infinity;
+  private isCompactor = false;
+
+  /** Creates the reducer. */
+  constructor(options: EntryProcessOptions) {
+    const {name: entry, cells, ...rest} = options;
+    this.view = new ConfigurationView({role: 'entry', ...options});
+    this.requests = new EntryRequests(rest);
+    this.cells = cells.map(cell => new ScheduledCell({cell, entry, ...rest}));
+  }
+
+  /** @inheritdoc */
+  reduce(event: EntryProcessEvent, at: number): readonly EntryProcessEffect[] {
+    this.out = [];
+    this.apply(event, at);
+    for (const cell of this.cells) this.out.push(...cell.takeEffects());
+    return this.out;
+  }
+
+  private apply(event: EntryProcessEvent, at: number): void {
     switch (event.kind) {
-      case 'announce':
-        this.hosts.set(event.peer, event.message);
-        return [];
-      case 'peer-down':
-        return this.lose(event.peer);
       case 'caller-request':
-        return this.dispatch(event);
+      case 'caller-gone':
+        return this.request(event, at);
       case 'message':
-        return this.receive(event.message, event.body);
+        return this.receive(event, at);
+      case 'tick':
+        return this.tick(event.wallTimeMs, at);
+      case 'control-up':
+        this.control.set(event.peer, event.hello);
+        this.configure({...event, kind: 'peer-up'}, at);
+        for (const cell of this.cells) cell.connect(event.peer, event.hello, at);
+        return;
+      case 'control-down':
+        return this.disconnect(event.peer, at);
+      case 'peer-up':
+        return this.connect(event.peer, event.hello, at);
+      case 'peer-down':
+        this.entries.delete(event.peer);
+        return this.request(event, at);
+      case 'configuration-store':
+        return this.configure(event.event, at);
+      case 'confirm':
+        return this.configure(event, at);
+      case 'ownership-store':
+        return this.getCell(event.cell)?.own(event.event, at);
+      case 'ledger-store':
+        return this.getCell(event.cell)?.schedule(event.event, at);
+      case 'store-reachable':
+      case 'entries':
+        for (const cell of this.cells) cell.own(event, at);
+        return;
+      case 'loss':
+        for (const cell of this.cells) {
+          cell.own(event, at);
+          cell.schedule({kind: 'loss', host: event.name}, at);
+        }
+        return;
       case 'drain':
-        return [{kind: 'drained'}];
-      default:
-        return [];
+        for (const cell of this.cells) cell.own(event, at);
+        return this.request(event, at);
     }
   }
 
-  private lose(peer: string): readonly EntryRequestsEffect[] {
-    this.hosts.delete(peer);
-    const lost = [...this.callers].filter(([, request]) => request.peer === peer);
-    for (const [sequence] of lost) this.callers.delete(sequence);
-    return lost.map(([, {caller}]) => answer(caller, 'unknown', 502));
+  private getCell(name: string): ScheduledCell | undefined {
+    return this.cells.find(({cell}) => cell === name);
+  }
+
+  private connect(peer: string, hello: Hello, at: number): void {
+    if (hello.role === 'entry') this.entries.add(peer);
+    this.request({kind: 'peer-up', peer, hello}, at);
+    const message = this.summaries.get(peer);
+    if (message) this.request({kind: 'summary', peer, message}, at);
+  }
+
+  private disconnect(peer: string, at: number): void {
+    const hello = this.control.get(peer);
+    this.control.delete(peer);
+    this.summaries.delete(peer);
+    this.configure({kind: 'peer-down', peer}, at);
+    for (const cell of this.cells) cell.disconnect(peer, hello?.role ?? 'entry', at);
   }
 
-  private dispatch(request: CallerRequest): readonly EntryRequestsEffect[] {
-    const {caller, service, method, path, headers, body} = request;
-    const able = [...this.hosts].filter(([, host]) => host.services.includes(service));
-    const sequence = ++this.sequence;
-    const peer = able[sequence % able.length]?.[0];
-    if (peer === undefined) return [answer(caller, 'not-run', 503, 'no-backend')];
-    this.callers.set(sequence, {caller, peer});
-    const message: DataMessage = {
-      kind: 'dispatch',
-      id: {origin: this.options.incarnation, sequence},
-      attempt: 1,
-      service,
-      class: {team: '', kind: 'service', urgency: 'normal'},
-      idempotent: false,
-      remainingMs: request.timeoutMs,
-      method,
-      path,
-      headers,
-      bodyLength: body.length,
-    };
-    return [{kind: 'send', peer, message, body}];
+  private tick(wallTimeMs: number, at: number): void {
+    this.request({kind: 'tick'}, at);
+    if (at - this.slowTickAt < slowTickMs) return;
+    this.slowTickAt = at;
+    this.configure({kind: 'tick'}, at);
+    for (const cell of this.cells) {
+      cell.own({kind: 'tick'}, at);
+      cell.schedule({kind: 'tick', wallTimeMs}, at);
+    }
+    const active = this.cells[0]?.mode === 'owner';
+    if (active === this.isCompactor) return;
+    this.isCompactor = active;
+    this.configure({kind: 'compactor', active}, at);
   }
 
-  private receive(message: DataMessage, body = noBody): readonly EntryRequestsEffect[] {
-    const {origin, sequence} = message.id;
-    const request = this.callers.get(sequence);
-    if (origin !== this.options.incarnation || request === undefined) return [];
-    this.callers.delete(sequence);
-    const {caller} = request;
+  private receive(event: ProcessMessage, at: number): void {
+    const {peer, channel, message, body} = event;
+    if ('id' in message) {
+      return this.request({kind: 'message', peer, message, ...(body && {body})}, at);
+    }
     switch (message.kind) {
-      case 'reply':
-        return [answer(caller, 'answered', message.status, undefined, message.headers, body)];
-      case 'rejected':
-        return [answer(caller, 'not-run', 503, message.reason)];
+      case 'config':
+        return this.configure({kind: 'config', peer, message}, at);
+      case 'config-request':
+        return this.configure({kind: 'config-request', peer, message}, at);
+      case 'summary':
+        this.summaries.set(peer, message);
+        return this.request({kind: 'summary', peer, message}, at);
+      case 'announce':
+        this.request({kind: 'announce', peer, message}, at);
+        break;
+      case 'heartbeat':
+        this.configure({kind: 'heartbeat', peer, message}, at);
+        // Only the data connection tells whether the data path of the host works.
+        if (channel === 'data') return this.request({kind: 'heartbeat', peer, message}, at);
+    }
+    let taken = false;
+    for (const cell of this.cells) taken = cell.receive(peer, message, at) || taken;
+    if (!taken) this.out.push({kind: 'count', name: 'refused-unexpected-kind', by: 1});
+  }
+
+  private request(event: EntryRequestsEvent, at: number): void {
+    for (const effect of this.requests.reduce(event, at)) this.takeRequests(effect);
+  }
+
+  private takeRequests(effect: EntryRequestsEffect): void {
+    switch (effect.kind) {
+      case 'send':
+        this.out.push({...effect, channel: 'data'});
+        return;
+      case 'summary':
+        for (const peer of this.entries) {
+          this.out.push({kind: 'send', peer, channel: 'control', message: effect.message});
+        }
+        return;
       default:
-        return [answer(caller, 'unknown', 502)];
+        this.out.push(effect);
     }
   }
-}
 
-function answer(
-  caller: number,
-  outcome: Outcome,
-  status: number,
-  reason?: NotRunReason,
-  headers: Headers = [],
-  body = noBody,
-): CallerAnswer {
-  return {kind: 'answer', caller, outcome, status, headers, body, ...(reason && {reason})};
+  private configure(event: ConfigurationEvent, at: number): void {
+    for (const effect of this.view.reduce(event, at)) this.takeConfiguration(effect, at);
+  }
+
+  private takeConfiguration(effect: ConfigurationEffect, at: number): void {
+    if ('key' in effect) {
+      this.out.push({kind: 'configuration-store', call: effect});
+    } else if (effect.kind === 'send') {
+      this.out.push({...effect, channel: 'control'});
+    } else if (effect.kind === 'configuration') {
+      this.putInForce(effect.configuration, at);
+    } else {
+      this.out.push(effect);
+    }
+  }
+
+  private putInForce(configuration: Configuration, at: number): void {
+    this.request({kind: 'configuration', configuration}, at);
+    for (const cell of this.cells) cell.configure(configuration, at);
+  }
 }
--- a/packages/coordination/src/entry/index.ts
+++ b/packages/coordination/src/entry/index.ts
@@ -1,1 +1,3 @@
+export * from './entry-process-events.js';
 export * from './entry-process.js';
+export * from './scheduled-cell.js';
--- /dev/null
+++ b/packages/coordination/src/entry/scheduled-cell.ts
@@ -0,0 +1,123 @@
+import type {Configuration} from '../configuration/document.js';
+import type {ControlMessage, Hello} from '../messages/control.js';
+import {CellOwnership, type CellOwnershipOptions} from '../ownership/cell-ownership.js';
+import type {CellOwnershipEffect, CellOwnershipEvent} from '../ownership/events.js';
+import {CellScheduler} from '../tasks/cell-scheduler.js';
+import type {CellSchedulerEffect, CellSchedulerEvent, OwnershipMode} from '../tasks/events.js';
+import type {EntryProcessEffect} from './entry-process-events.js';
+
+/** One cell at an entry: competes for it and schedules it while it is owned. */
+export class ScheduledCell {
+  /** Scheduler of the cell; idle while another entry owns it. */
+  readonly scheduler: CellScheduler;
+  /** Name of the cell. */
+  readonly cell: string;
+  private readonly ownership: CellOwnership;
+  private currentMode: OwnershipMode = 'none';
+  private readonly out: EntryProcessEffect[] = [];
+
+  /** Creates the cell; it competes from the first tick on. */
+  constructor(options: CellOwnershipOptions) {
+    this.cell = options.cell;
+    this.ownership = new CellOwnership(options);
+    this.scheduler = new CellScheduler({cell: options.cell});
+  }
+
+  /** Relation of this process to the cell. */
+  get mode(): OwnershipMode {
+    return this.currentMode;
+  }
+
+  /** Returns the effects since the last call. */
+  takeEffects(): EntryProcessEffect[] {
+    return this.out.splice(0);
+  }
+
+  /** Applies an event to the ownership. */
+  own(event: CellOwnershipEvent, at: number): void {
+    for (const effect of this.ownership.reduce(event, at)) this.takeOwnership(effect, at);
+  }
+
+  /** Applies an event to the scheduler. */
+  schedule(event: CellSchedulerEvent, at: number): void {
+    for (const effect of this.scheduler.reduce(event, at)) this.takeSchedule(effect);
+  }
+
+  /** Applies a new configuration. */
+  configure(configuration: Configuration, at: number): void {
+    this.schedule({kind: 'configuration', configuration}, at);
+  }
+
+  /** Applies the state of a control connection. */
+  connect(peer: string, hello: Hello, at: number): void {
+    this.own({kind: 'peer-up', peer, hello}, at);
+    if (hello.role === 'agent') this.schedule({kind: 'host-up', host: peer, hello}, at);
+  }
+
+  /** Applies the loss of a control connection. */
+  disconnect(peer: string, role: Hello['role'], at: number): void {
+    this.own({kind: 'peer-down', peer}, at);
+    if (role === 'agent') this.schedule({kind: 'host-down', host: peer}, at);
+  }
+
+  /** Applies a control message; returns whether it concerns cells. */
+  receive(peer: string, message: ControlMessage, at: number): boolean {
+    switch (message.kind) {
+      case 'announce':
+        this.schedule({kind: 'announce', host: peer, message}, at);
+        return true;
+      case 'heartbeat':
+        this.schedule({kind: 'heartbeat', host: peer, message}, at);
+        return true;
+      case 'report':
+        this.schedule({kind: 'report', host: peer, message}, at);
+        return true;
+      case 'vouch':
+      case 'vouched':
+      case 'fence':
+      case 'fenced':
+        if (message.cell === this.cell) this.own({kind: 'message', peer, message}, at);
+        return true;
+      default:
+        return false;
+    }
+  }
+
+  private takeOwnership(effect: CellOwnershipEffect, at: number): void {
+    switch (effect.kind) {
+      case 'store-call': {
+        const {request, call} = effect;
+        this.out.push({kind: 'ownership-store', cell: this.cell, request, call});
+        break;
+      }
+      case 'send':
+        this.out.push({...effect, channel: 'control'});
+        break;
+      case 'ownership':
+        this.currentMode = effect.mode;
+        this.schedule(effect, at);
+        break;
+      case 'fence-complete':
+        this.schedule(effect, at);
+        break;
+      default:
+        this.out.push(effect);
+    }
+  }
+
+  private takeSchedule(effect: CellSchedulerEffect): void {
+    switch (effect.kind) {
+      case 'send': {
+        const {host, message} = effect;
+        this.out.push({kind: 'send', peer: host, channel: 'control', message});
+        break;
+      }
+      case 'read-ledger':
+      case 'write-ledger':
+        this.out.push({kind: 'ledger-store', cell: this.cell, call: effect});
+        break;
+      default:
+        this.out.push(effect);
+    }
+  }
+}
--- a/packages/runtime/src/backend/backend-client.ts
+++ b/packages/runtime/src/backend/backend-client.ts
@@ -1,6 +1,6 @@
-import type {AgentExchangesEvent, Clock, OpenExchange} from '@chervilbeam/coordination';
+import type {Clock, OpenExchange} from '@chervilbeam/coordination';
 import {type Dispatcher, Pool} from 'undici';
-import {Exchange} from './exchange.js';
+import {Exchange, type ExchangeEnd} from './exchange.js';
 
 /** Time between two looks at the deadlines of open exchanges. */
 const deadlineCheckMs = 20;
@@ -15,7 +15,7 @@
   /** Creates a client that reports the end of each exchange to `post`. */
   constructor(
     private readonly clock: Clock,
-    private readonly post: (event: AgentExchangesEvent) => void,
+    private readonly post: (event: ExchangeEnd) => void,
   ) {
     this.timer = setInterval(() => this.checkDeadlines(), deadlineCheckMs);
   }
--- a/packages/runtime/src/backend/exchange.ts
+++ b/packages/runtime/src/backend/exchange.ts
@@ -1,10 +1,18 @@
-import type {AgentExchangesEvent, Headers, OpenExchange} from '@chervilbeam/coordination';
+import type {
+  ExchangeFailed,
+  ExchangeFinished,
+  Headers,
+  OpenExchange,
+} from '@chervilbeam/coordination';
 import type {Dispatcher} from 'undici';
 import {maxAnswerBodyBytes} from '../framing/index.js';
 import {getForwardedHeaders} from '../http/forwarded-headers.js';
 
 type Controller = Dispatcher.DispatchController;
 
+/** How an exchange ended. */
+export type ExchangeEnd = ExchangeFailed | ExchangeFinished;
+
 /** One exchange with a backend server. Reports exactly one end. */
 export class Exchange implements Dispatcher.DispatchHandler {
   private controller: Controller | undefined;
@@ -19,7 +27,7 @@
   constructor(
     private readonly open: OpenExchange,
     readonly deadline: number,
-    private readonly report: (event: AgentExchangesEvent) => void,
+    private readonly report: (event: ExchangeEnd) => void,
   ) {}
 
   /** Number of the exchange. */
--- a/packages/runtime/src/daemon/agent-daemon.ts
+++ b/packages/runtime/src/daemon/agent-daemon.ts
@@ -1,35 +1,48 @@
 import {
-  type AgentExchangesEffect,
-  type AgentExchangesEvent,
   AgentProcess,
+  type AgentProcessEffect,
+  type AgentProcessEvent,
   type BackendAnnounced,
   type Hello,
+  type Resources,
 } from '@chervilbeam/coordination';
 import {Announcements, BackendClient} from '../backend/index.js';
-import type {PeerMessage} from '../framing/index.js';
 import {ControlServer, readJsonBody} from '../http/index.js';
 import type {Logger} from '../logs/index.js';
 import {Loop, SystemClock} from '../loop/index.js';
-import {Metrics} from '../metrics/index.js';
 import {PeerNetwork, protocolVersion} from '../peers/index.js';
 import type {Settings} from '../settings/index.js';
+import {WorkerClient} from '../worker/index.js';
 import type {Daemon} from './daemon.js';
 import {createIncarnation} from './incarnation.js';
+import {ProcessMonitor} from './process-monitor.js';
 
 /** Time between two ticks of the loop. */
 const tickMs = 10;
+/** Time between two reads of the worker's usage reports. */
+const usageEveryMs = 1000;
+const workerRetryMs = 500;
+/** Host without a worker: it serves requests and runs no tasks. */
+const withoutWorker: Resources = {processors: 0, memoryMb: 0, accelerators: 0, slots: 8};
 
-/** The agent role: connections to entries, exchanges with the backend server, announcements. */
+interface Running {
+  readonly process: AgentProcess;
+  readonly loop: Loop<AgentProcessEvent, AgentProcessEffect>;
+}
+
+/** The agent role: connections to entries, exchanges with the backend server, tasks at the worker. */
 export class AgentDaemon implements Daemon {
   private readonly incarnation = createIncarnation();
   private readonly clock = new SystemClock();
-  private readonly metrics = new Metrics();
+  private readonly monitor: ProcessMonitor;
   private readonly control = new ControlServer();
   private readonly announcements = new Announcements(this.clock);
   private readonly backends: BackendClient;
+  private readonly worker: WorkerClient | undefined;
   private readonly network: PeerNetwork;
-  private readonly loop: Loop<AgentExchangesEvent, AgentExchangesEffect>;
-  private timer: NodeJS.Timeout | undefined;
+  private readonly timers: NodeJS.Timeout[] = [];
+  private running: Running | undefined;
+  private stopping = false;
   private drained: (() => void) | undefined;
 
   /** Creates the daemon; `start` opens its sockets. */
@@ -37,94 +50,136 @@
     private readonly settings: Settings,
     private readonly logger: Logger,
   ) {
-    const process = new AgentProcess({host: settings.name, rack: settings.rack ?? ''});
-    this.loop = new Loop(process, this.clock, effect => this.carryOut(effect));
-    this.backends = new BackendClient(this.clock, event => this.loop.post(event));
+    this.monitor = new ProcessMonitor(settings.name, this.clock);
+    const post = (event: AgentProcessEvent) => this.running?.loop.post(event);
+    this.backends = new BackendClient(this.clock, post);
+    this.worker = settings.worker ? new WorkerClient(settings.worker, post) : undefined;
     this.network = new PeerNetwork(
       {hello: () => this.createHello(), seeds: settings.seeds},
       {
-        peerUp: (peer, hello) => this.loop.post({kind: 'peer-up', peer, hello}),
-        peerDown: peer => this.loop.post({kind: 'peer-down', peer}),
-        message: (peer, message, body) => this.receive(peer, message, body),
-        refused: reason => this.metrics.count(`refused-${reason}`),
+        controlUp: (peer, hello) => post({kind: 'control-up', peer, hello}),
+        controlDown: peer => post({kind: 'control-down', peer}),
+        peerUp: (peer, hello) => post({kind: 'peer-up', peer, hello}),
+        peerDown: peer => post({kind: 'peer-down', peer}),
+        message: (peer, channel, message, body) =>
+          post({kind: 'message', peer, channel, message, ...(body && {body})}),
+        refused: reason => this.monitor.metrics.count(`refused-${reason}`),
       },
     );
-    this.control.app.get('/v1/metrics', () => this.metrics.getSnapshot());
-    this.control.app.get('/v1/status', () => this.getStatus());
-    this.control.app.post('/v1/announce', async event => {
-      const announced = this.announcements.take(await readJsonBody(event.req));
-      if ('findings' in announced) {
-        event.res.status = 400;
-        return {findings: announced.findings};
-      }
-      this.takeAnnouncement(announced);
-      return {validMs: 3000};
-    });
+    this.addRoutes();
   }
 
-  /** Opens all sockets. */
+  /** Opens all sockets. The host's size comes from its worker, so nothing is announced before it answers. */
   async start(): Promise<void> {
     await this.control.start(this.settings.listen.control);
-    await this.network.start();
-    this.timer = setInterval(() => this.tick(), tickMs);
+    void this.startProcess();
     this.logger.info({listen: this.settings.listen}, 'agent started');
   }
 
   /** Finishes all requests in flight and closes everything. */
   async drain(): Promise<void> {
     this.logger.info('draining');
-    const drained = new Promise<void>(resolve => (this.drained = resolve));
-    this.loop.post({kind: 'drain'});
-    await drained;
-    clearInterval(this.timer);
+    this.stopping = true;
+    if (this.running !== undefined) {
+      const drained = new Promise<void>(resolve => (this.drained = resolve));
+      this.running.loop.post({kind: 'drain'});
+      await drained;
+    }
+    for (const timer of this.timers) clearInterval(timer);
     await this.network.stop();
     await this.backends.stop();
+    await this.worker?.stop();
     await this.control.stop();
     this.logger.info('stopped');
   }
 
+  private async startProcess(): Promise<void> {
+    const host = await this.readHost();
+    if (host === undefined) return;
+    const {name, dataCentre, region} = this.settings;
+    const {incarnation} = this;
+    const seed = incarnation;
+    const process = new AgentProcess({name, dataCentre, region, ...host, incarnation, seed});
+    const loop = new Loop(process, this.clock, (effect: AgentProcessEffect) =>
+      this.carryOut(effect),
+    );
+    this.running = {process, loop};
+    await this.network.start();
+    this.timers.push(setInterval(() => this.tick(), tickMs));
+    const {worker} = this;
+    if (worker) this.timers.push(setInterval(() => void worker.readUsage(), usageEveryMs));
+  }
+
+  private async readHost(): Promise<{capacity: Resources; rack: string} | undefined> {
+    const {rack = ''} = this.settings;
+    if (this.worker === undefined) return {capacity: withoutWorker, rack};
+    while (!this.stopping) {
+      const state = await this.worker.getState();
+      if (state !== undefined) return {capacity: state.capacity, rack: state.rack};
+      this.logger.warn('the worker does not answer');
+      await new Promise(resolve => setTimeout(resolve, workerRetryMs));
+    }
+    return undefined;
+  }
+
+  private addRoutes(): void {
+    const {app} = this.control;
+    app.get('/v1/metrics', () => this.monitor.metrics.getSnapshot());
+    app.get('/v1/status', () => this.getStatus());
+    app.get('/v1/timeline', event => {
+      const {searchParams} = event.url;
+      const version = searchParams.get('version');
+      const filter = {
+        request: searchParams.get('request') ?? undefined,
+        task: searchParams.get('task') ?? undefined,
+        version: version === null ? undefined : Number(version),
+      };
+      return {events: this.monitor.getTimeline(filter)};
+    });
+    app.post('/v1/announce', async event => {
+      const announced = this.announcements.take(await readJsonBody(event.req));
+      if ('findings' in announced) {
+        event.res.status = 400;
+        return {findings: announced.findings};
+      }
+      this.takeAnnouncement(announced);
+      return {accepted: true};
+    });
+  }
+
   private tick(): void {
     for (const url of this.announcements.takeLapsed()) {
       this.logger.warn({url}, 'announcement of a backend server has lapsed');
       this.backends.removeBackend(url);
-      this.loop.post({kind: 'backend-lapsed', url});
+      this.running?.loop.post({kind: 'backend-lapsed', url});
     }
-    this.loop.post({kind: 'tick'});
+    this.running?.loop.post({kind: 'tick'});
   }
 
   private takeAnnouncement(announced: BackendAnnounced): void {
     this.backends.setBackend(announced.url, announced.connections);
-    this.loop.post(announced);
-  }
-
-  private receive(peer: string, message: PeerMessage, body?: Uint8Array): void {
-    if ('id' in message) this.loop.post({kind: 'message', peer, message, ...(body && {body})});
-    else this.metrics.count('refused-unexpected-kind');
+    this.running?.loop.post(announced);
   }
 
-  private carryOut(effect: AgentExchangesEffect): void {
+  private carryOut(effect: AgentProcessEffect): void {
     switch (effect.kind) {
       case 'send':
-        if (!this.network.send(effect.peer, effect.message, effect.body)) {
-          this.metrics.count('sends-without-peer');
+        if (!this.network.send(effect.peer, effect.channel, effect.message, effect.body)) {
+          this.monitor.metrics.count('sends-without-peer');
         }
         return;
-      case 'announce':
-        for (const peer of this.network.getNames()) this.network.send(peer, effect.message);
-        return;
       case 'open-exchange':
         return this.backends.openExchange(effect);
       case 'abort-exchange':
         return this.backends.abortExchange(effect.exchange);
-      case 'count':
-        return this.metrics.count(effect.name, effect.by);
-      case 'observe':
-        return this.metrics.observe(effect.name, effect.valueMs);
+      case 'worker-call':
+        return void this.worker?.call(effect);
+      case 'read-worker':
+        return void this.worker?.read();
       case 'drained':
-        this.drained?.();
-        return;
-      case 'record':
-        return;
+        return this.drained?.();
+      default:
+        return this.monitor.take(effect);
     }
   }
 
@@ -141,13 +196,26 @@
       incarnation: this.incarnation,
       purpose: 'control',
       peers: [],
-      configVersion: 0,
+      configVersion: this.running?.process.view.configuration.version ?? 0,
     };
   }
 
   private getStatus(): object {
     const {name, region, dataCentre, deployment} = this.settings;
-    const peers = this.network.getNames();
-    return {role: 'agent', deployment, name, region, dataCentre, peers};
+    const version = this.running?.process.view.configuration.version ?? 0;
+    const processes = this.network.getHellos().map(hello => ({
+      name: hello.name,
+      role: hello.role,
+      dataCentre: hello.dataCentre,
+      region: hello.region,
+      version: hello.configVersion,
+    }));
+    const own = {name, role: 'agent', dataCentre, region, version};
+    const tasks = this.running?.process.tasks.getAttempts().map(attempt => ({
+      task: attempt.task,
+      attempt: attempt.attempt,
+      state: attempt.state,
+    }));
+    return {deployment, version, processes: [own, ...processes], tasks: tasks ?? []};
   }
 }
--- a/packages/runtime/src/daemon/entry-daemon.ts
+++ b/packages/runtime/src/daemon/entry-daemon.ts
@@ -1,34 +1,37 @@
 import {
-  type ControlMessage,
-  type DataMessage,
   EntryProcess,
-  type EntryRequestsEffect,
-  type EntryRequestsEvent,
+  type EntryProcessEffect,
+  type EntryProcessEvent,
   type Hello,
 } from '@chervilbeam/coordination';
-import type {PeerMessage} from '../framing/index.js';
+import {addOperatorRoutes, OperatorService} from '../control/index.js';
 import {CallerFront, ControlServer} from '../http/index.js';
 import type {Logger} from '../logs/index.js';
 import {Loop, SystemClock} from '../loop/index.js';
-import {Metrics} from '../metrics/index.js';
 import {PeerNetwork, protocolVersion} from '../peers/index.js';
 import type {EntrySettings} from '../settings/index.js';
 import type {Daemon} from './daemon.js';
+import {EntryOperators} from './entry-operators.js';
+import {EntryStore} from './entry-store.js';
 import {createIncarnation} from './incarnation.js';
+import {ProcessMonitor} from './process-monitor.js';
 
 /** Time between two ticks of the loop. */
 const tickMs = 10;
+const defaultSettleMs = 2000;
 
-/** The entry role: callers' HTTP, connections to agents and entries, and operators' HTTP. */
+/** The entry role: callers' HTTP, connections to agents and entries, the store, and operators' HTTP. */
 export class EntryDaemon implements Daemon {
   private readonly incarnation = createIncarnation();
   private readonly clock = new SystemClock();
-  private readonly metrics = new Metrics();
+  private readonly monitor: ProcessMonitor;
   private readonly control = new ControlServer();
   private readonly front: CallerFront;
   private readonly network: PeerNetwork;
-  private readonly loop: Loop<EntryRequestsEvent, EntryRequestsEffect>;
-  private readonly entryPeers = new Set<string>();
+  private readonly process: EntryProcess;
+  private readonly operators: EntryOperators;
+  private readonly store: EntryStore | undefined;
+  private readonly loop: Loop<EntryProcessEvent, EntryProcessEffect>;
   private timer: NodeJS.Timeout | undefined;
   private drained: (() => void) | undefined;
 
@@ -37,27 +40,52 @@
     private readonly settings: EntrySettings,
     private readonly logger: Logger,
   ) {
-    const process = new EntryProcess({incarnation: this.incarnation});
-    this.loop = new Loop(process, this.clock, effect => this.carryOut(effect));
+    const {name, dataCentre, region, listen, seeds, cells = [], settleMs} = settings;
+    const {incarnation, clock} = this;
+    this.monitor = new ProcessMonitor(name, clock);
+    this.process = new EntryProcess({
+      name,
+      dataCentre,
+      region,
+      incarnation,
+      startedAt: clock.now(),
+      seed: incarnation,
+      cells: settings.store === undefined ? [] : cells,
+      settleMs: settleMs ?? defaultSettleMs,
+    });
+    this.loop = new Loop(this.process, clock, effect => this.carryOut(effect));
+    const post = (event: EntryProcessEvent) => this.loop.post(event);
     this.front = new CallerFront({
-      request: request => this.loop.post(request),
-      gone: caller => this.loop.post({kind: 'caller-gone', caller}),
+      request: post,
+      gone: caller => post({kind: 'caller-gone', caller}),
     });
     this.network = new PeerNetwork(
+      {hello: () => this.createHello(), listen: listen.peers, seeds},
       {
-        hello: peer => this.createHello(peer),
-        listen: settings.listen.peers,
-        seeds: settings.seeds,
-      },
-      {
-        peerUp: (peer, hello) => this.addPeer(peer, hello),
-        peerDown: peer => this.removePeer(peer),
-        message: (peer, message, body) => this.receive(peer, message, body),
-        refused: reason => this.metrics.count(`refused-${reason}`),
+        controlUp: (peer, hello) => this.addPeer(peer, hello),
+        controlDown: peer => this.removePeer(peer),
+        peerUp: (peer, hello) => post({kind: 'peer-up', peer, hello}),
+        peerDown: peer => post({kind: 'peer-down', peer}),
+        message: (peer, channel, message, body) => {
+          if (message.kind === 'heartbeat') this.operators.noteVersion(peer, message.configVersion);
+          post({kind: 'message', peer, channel, message, ...(body && {body})});
+        },
+        refused: reason => this.monitor.metrics.count(`refused-${reason}`),
       },
     );
-    this.control.app.get('/v1/metrics', () => this.metrics.getSnapshot());
-    this.control.app.get('/v1/status', () => this.getStatus());
+    const own = {name, dataCentre, incarnation, address: listen.peers};
+    this.store = settings.store ? new EntryStore(settings.store, own, post, logger) : undefined;
+    this.operators = new EntryOperators({
+      settings,
+      incarnation,
+      process: this.process,
+      clock,
+      monitor: this.monitor,
+      post,
+      getHellos: () => this.network.getHellos(),
+    });
+    addOperatorRoutes(this.control.app, new OperatorService(this.operators));
+    this.control.app.get('/v1/metrics', () => this.monitor.metrics.getSnapshot());
   }
 
   /** Opens all sockets. */
@@ -65,7 +93,11 @@
     await this.network.start();
     await this.control.start(this.settings.listen.control);
     await this.front.start(this.settings.listen.callers);
-    this.timer = setInterval(() => this.loop.post({kind: 'tick'}), tickMs);
+    this.store?.start();
+    this.timer = setInterval(
+      () => this.loop.post({kind: 'tick', wallTimeMs: this.clock.wallTime()}),
+      tickMs,
+    );
     this.logger.info({listen: this.settings.listen}, 'entry started');
   }
 
@@ -79,65 +111,58 @@
     await this.front.stop();
     clearInterval(this.timer);
     await this.network.stop();
+    await this.store?.stop();
     await this.control.stop();
     this.logger.info('stopped');
   }
 
   private addPeer(peer: string, hello: Hello): void {
     this.logger.info({peer, role: hello.role}, 'peer connected');
-    if (hello.role === 'entry') this.entryPeers.add(peer);
-    this.loop.post({kind: 'peer-up', peer, hello});
+    this.loop.post({kind: 'control-up', peer, hello});
   }
 
   private removePeer(peer: string): void {
     this.logger.info({peer}, 'peer connection lost');
-    this.entryPeers.delete(peer);
-    this.loop.post({kind: 'peer-down', peer});
+    this.loop.post({kind: 'control-down', peer});
   }
 
-  private receive(peer: string, message: PeerMessage, body?: Uint8Array): void {
-    switch (message.kind) {
-      case 'announce':
-        return this.loop.post({kind: 'announce', peer, message});
-      case 'heartbeat':
-        return this.loop.post({kind: 'heartbeat', peer, message});
-      case 'summary':
-        return this.loop.post({kind: 'summary', peer, message});
-      default:
-        if ('id' in message) this.loop.post({kind: 'message', peer, message, ...(body && {body})});
-        else this.metrics.count('refused-unexpected-kind');
-    }
-  }
-
-  private carryOut(effect: EntryRequestsEffect): void {
+  private carryOut(effect: EntryProcessEffect): void {
     switch (effect.kind) {
       case 'send':
-        return this.send(effect.peer, effect.message, effect.body);
+        if (!this.network.send(effect.peer, effect.channel, effect.message, effect.body)) {
+          this.monitor.metrics.count('sends-without-peer');
+        }
+        return;
       case 'answer':
         return this.front.answer(effect);
-      case 'summary':
-        for (const peer of this.entryPeers) this.send(peer, effect.message);
-        return;
-      case 'count':
-        return this.metrics.count(effect.name, effect.by);
-      case 'observe':
-        return this.metrics.observe(effect.name, effect.valueMs);
+      case 'configuration-store':
+        return this.store?.configure(effect);
+      case 'ownership-store':
+        return void this.store?.own(effect);
+      case 'ledger-store':
+        return void this.store?.keepLedger(effect);
+      case 'confirmed': {
+        const {request, outcome, changeId, version, difference} = effect;
+        const answer = {
+          outcome,
+          changeId,
+          ...(version && {version}),
+          ...(difference && {difference}),
+        };
+        return this.operators.finishConfirmation(request, answer);
+      }
+      case 'finding':
+        this.logger.warn(effect, 'finding about a workload');
+        return this.operators.noteFinding(effect.workload, effect.reason);
       case 'drained':
-        this.drained?.();
-        return;
-      case 'record':
-        return;
+        return this.drained?.();
+      default:
+        return this.monitor.take(effect);
     }
   }
 
-  private send(peer: string, message: DataMessage | ControlMessage, body?: Uint8Array): void {
-    if (!this.network.send(peer, message, body)) this.metrics.count('sends-without-peer');
-  }
-
-  private createHello(peer?: Hello): Hello {
+  private createHello(): Hello {
     const {deployment, dataCentre, region, name} = this.settings;
-    // Agents connect within their region only.
-    const peers = this.network.getKnownAddresses(peer?.role === 'agent' ? region : undefined);
     return {
       kind: 'hello',
       protocol: protocolVersion,
@@ -148,14 +173,8 @@
       name,
       incarnation: this.incarnation,
       purpose: 'control',
-      peers,
-      configVersion: 0,
+      peers: this.network.getKnownAddresses(),
+      configVersion: this.process.view.configuration.version,
     };
   }
-
-  private getStatus(): object {
-    const {name, region, dataCentre, deployment} = this.settings;
-    const peers = this.network.getNames();
-    return {role: 'entry', deployment, name, region, dataCentre, peers};
-  }
 }
--- /dev/null
+++ b/packages/runtime/src/daemon/process-monitor.ts
@@ -0,0 +1,48 @@
+import {
+  type Clock,
+  HybridClock,
+  type PlainRecord,
+  TimelineBuffer,
+  type TimelineEvent,
+  type TimelineFilter,
+  type TimelineRecord,
+} from '@chervilbeam/coordination';
+import {Metrics} from '../metrics/index.js';
+
+/** Metrics and timeline of one process. */
+export class ProcessMonitor {
+  /** Counters and histograms. */
+  readonly metrics = new Metrics();
+  private readonly timeline: TimelineBuffer;
+  private readonly hybridClock = new HybridClock();
+
+  /** Creates the monitor of the process with the given name. */
+  constructor(
+    name: string,
+    private readonly clock: Clock,
+  ) {
+    this.timeline = new TimelineBuffer(name);
+  }
+
+  /** Carries out an effect that only concerns what operators see; returns false for other effects. */
+  take(
+    effect:
+      | {readonly kind: 'count'; readonly name: string; readonly by: number}
+      | {readonly kind: 'observe'; readonly name: string; readonly valueMs: number}
+      | {readonly kind: 'record'; readonly event: TimelineRecord | PlainRecord},
+  ): void {
+    switch (effect.kind) {
+      case 'count':
+        return this.metrics.count(effect.name, effect.by);
+      case 'observe':
+        return this.metrics.observe(effect.name, effect.valueMs);
+      case 'record':
+        return this.timeline.record(effect.event, this.hybridClock.next(this.clock.wallTime()));
+    }
+  }
+
+  /** Returns the wanted events of the timeline. */
+  getTimeline(filter: TimelineFilter): readonly TimelineEvent[] {
+    return this.timeline.select(filter);
+  }
+}
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -9,3 +9,4 @@
 export * from './peers/index.js';
 export * from './settings/index.js';
 export * from './store/index.js';
+export * from './worker/index.js';
--- a/packages/runtime/src/peers/peer-connection.ts
+++ b/packages/runtime/src/peers/peer-connection.ts
@@ -44,7 +44,7 @@
   /** Wraps an open socket. `ownHello` supplies the hello that this side sends. */
   constructor(
     private readonly socket: Socket,
-    private readonly ownHello: (peer?: Hello) => Hello,
+    private readonly ownHello: () => Hello,
     private readonly handlers: PeerConnectionHandlers,
     private readonly ownOrigin: number,
     private readonly dialled: boolean,
@@ -146,11 +146,12 @@
 
   private receiveHello(hello: Hello): void {
     if (this.hello !== undefined) throw new FrameError('second-hello');
-    const own = this.ownHello(hello);
+    const own = this.ownHello();
     if (hello.protocol !== protocolVersion) return this.refuse('other-protocol');
     if (hello.deployment !== own.deployment) return this.refuse('other-deployment');
     this.hello = hello;
     clearTimeout(this.helloTimer);
+    // Answered before the owner is told, so that the hello is the first frame of this side.
     if (!this.dialled) this.write({...own, purpose: hello.purpose});
     this.handlers.greeted(this, hello);
   }
--- a/packages/runtime/src/peers/peer-handlers.ts
+++ b/packages/runtime/src/peers/peer-handlers.ts
@@ -1,14 +1,18 @@
-import type {Hello} from '@chervilbeam/coordination';
+import type {Channel, Hello} from '@chervilbeam/coordination';
 import type {PeerMessage} from '../framing/index.js';
 
 /** What the connections to other processes tell the loop. */
 export interface PeerHandlers {
+  /** The control connection to a process is open. */
+  controlUp(peer: string, hello: Hello): void;
+  /** The control connection to a process was lost. */
+  controlDown(peer: string): void;
   /** Both connections to a process are open. */
   peerUp(peer: string, hello: Hello): void;
-  /** A connection to a process was lost. */
+  /** One of the connections to a process was lost. */
   peerDown(peer: string): void;
   /** A whole message arrived from a process. */
-  message(peer: string, message: PeerMessage, body?: Uint8Array): void;
+  message(peer: string, channel: Channel, message: PeerMessage, body?: Uint8Array): void;
   /** Something was refused; the reason names a counter. */
   refused(reason: string): void;
 }
--- a/packages/runtime/src/peers/peer-links.ts
+++ b/packages/runtime/src/peers/peer-links.ts
@@ -1,4 +1,4 @@
-import type {Hello} from '@chervilbeam/coordination';
+import type {Channel, Hello} from '@chervilbeam/coordination';
 import type {PeerMessage} from '../framing/index.js';
 import type {PeerConnection, PeerConnectionHandlers} from './peer-connection.js';
 import type {PeerHandlers} from './peer-handlers.js';
@@ -9,38 +9,28 @@
   data: PeerConnection | undefined;
 }
 
-const dataKinds: ReadonlySet<string> = new Set([
-  'dispatch',
-  'chunk',
-  'reply',
-  'rejected',
-  'failed',
-  'cancel',
-  'recover',
-  'recovered',
-  'forward',
-  // On the data connection, so that a host with a stuck data path becomes suspect.
-  'heartbeat',
-]);
-
-/** Pairs the control and the data connection to each process. A process is up while both are open. */
+/** Pairs the control and the data connection to each process. */
 export class PeerLinks implements PeerConnectionHandlers {
   private readonly links = new Map<string, Link>();
 
   /** Creates an empty table that reports to `handlers`. */
   constructor(private readonly handlers: PeerHandlers) {}
 
-  /** Names of the processes that are up. */
+  /** Names of the processes to which both connections are open. */
   getNames(): readonly string[] {
     return [...this.links].filter(([, link]) => link.control && link.data).map(([name]) => name);
   }
 
-  /** Sends a message on the connection for its kind; returns whether the process is up. */
-  send(peer: string, message: PeerMessage, body?: Uint8Array): boolean {
-    const link = this.links.get(peer);
-    if (link?.control === undefined || link.data === undefined) return false;
-    (dataKinds.has(message.kind) ? link.data : link.control).send(message, body);
-    return true;
+  /** Hellos of the processes whose control connection is open. */
+  getHellos(): readonly Hello[] {
+    return [...this.links.values()].filter(link => link.control).map(link => link.hello);
+  }
+
+  /** Sends a message on one connection to a process; returns whether that connection is open. */
+  send(peer: string, channel: Channel, message: PeerMessage, body?: Uint8Array): boolean {
+    const connection = this.links.get(peer)?.[channel];
+    connection?.send(message, body);
+    return connection !== undefined;
   }
 
   /** Sends what is queued and closes all connections. */
@@ -53,38 +43,36 @@
 
   /** @internal */
   greeted(connection: PeerConnection, hello: Hello): void {
-    let link = this.links.get(hello.name);
-    if (
-      link !== undefined &&
-      (link.hello.incarnation !== hello.incarnation || link[hello.purpose])
-    ) {
-      this.drop(hello.name, link);
-      link = undefined;
+    const {name, purpose} = hello;
+    const old = this.links.get(name);
+    if (old !== undefined && old.hello.incarnation !== hello.incarnation) {
+      this.drop(name, 'control');
+      this.drop(name, 'data');
+    } else if (old?.[purpose] !== undefined) {
+      this.drop(name, purpose);
     }
-    link ??= {hello, control: undefined, data: undefined};
-    link[hello.purpose] = connection;
-    this.links.set(hello.name, link);
-    if (link.control && link.data) this.handlers.peerUp(hello.name, hello);
+    const link = this.links.get(name) ?? {hello, control: undefined, data: undefined};
+    link[purpose] = connection;
+    this.links.set(name, link);
+    if (purpose === 'control') this.handlers.controlUp(name, hello);
+    if (link.control && link.data) this.handlers.peerUp(name, hello);
   }
 
   /** @internal */
   message(connection: PeerConnection, message: PeerMessage, body?: Uint8Array): void {
-    const name = connection.hello?.name;
-    const link = name === undefined ? undefined : this.links.get(name);
-    if (name === undefined || link === undefined) return;
+    const {name, purpose} = connection.hello ?? {};
     // Messages of a connection that was replaced belong to no peer that is up.
-    if (link.data !== connection && link.control !== connection) return;
-    this.handlers.message(name, message, body);
+    if (name === undefined || purpose === undefined) return;
+    if (this.links.get(name)?.[purpose] !== connection) return;
+    this.handlers.message(name, purpose, message, body);
   }
 
   /** @internal */
   closed(connection: PeerConnection, refusal?: string): void {
     if (refusal !== undefined) this.handlers.refused(refusal);
-    const name = connection.hello?.name;
-    const link = name === undefined ? undefined : this.links.get(name);
-    if (name === undefined || link === undefined) return;
-    if (link.data !== connection && link.control !== connection) return;
-    this.drop(name, link);
+    const {name, purpose} = connection.hello ?? {};
+    if (name === undefined || purpose === undefined) return;
+    if (this.links.get(name)?.[purpose] === connection) this.drop(name, purpose);
   }
 
   /** @internal */
@@ -92,11 +80,15 @@
     this.handlers.refused(reason);
   }
 
-  private drop(name: string, link: Link): void {
-    this.links.delete(name);
+  private drop(name: string, purpose: Channel): void {
+    const link = this.links.get(name);
+    const connection = link?.[purpose];
+    if (link === undefined || connection === undefined) return;
     const wasUp = link.control !== undefined && link.data !== undefined;
-    link.control?.destroy();
-    link.data?.destroy();
+    link[purpose] = undefined;
+    if (link.control === undefined && link.data === undefined) this.links.delete(name);
+    connection.destroy();
     if (wasUp) this.handlers.peerDown(name);
+    if (purpose === 'control') this.handlers.controlDown(name);
   }
 }
--- a/packages/runtime/src/peers/peer-network.ts
+++ b/packages/runtime/src/peers/peer-network.ts
@@ -1,5 +1,5 @@
 import {createServer, type Server, type Socket} from 'node:net';
-import type {Hello} from '@chervilbeam/coordination';
+import type {Channel, Hello} from '@chervilbeam/coordination';
 import type {PeerMessage} from '../framing/index.js';
 import {PeerConnection} from './peer-connection.js';
 import {PeerDialler} from './peer-dialler.js';
@@ -13,7 +13,7 @@
 /** Options of the peer network of one process. */
 export interface PeerNetworkOptions {
   /** Hello of this process without its purpose; called anew for each connection. */
-  readonly hello: (peer?: Hello) => Hello;
+  readonly hello: () => Hello;
   /** Own listening address `ip:port`; only for entries. */
   readonly listen?: string;
   /** Addresses of entries to connect to. */
@@ -23,7 +23,7 @@
 /** All connections of one process to other processes of the system. */
 export class PeerNetwork {
   private readonly links: PeerLinks;
-  private readonly diallers = new Map<string, readonly PeerDialler[]>();
+  private readonly diallers = new Map<string, PeerDialler>();
   private readonly known = new Set<string>();
   private readonly entries = new Map<string, {readonly region: string; readonly address: string}>();
   private readonly sockets = new Set<Socket>();
@@ -36,9 +36,9 @@
   ) {
     this.links = new PeerLinks({
       ...bindHandlers(handlers),
-      peerUp: (peer, hello) => {
+      controlUp: (peer, hello) => {
         this.learn(hello);
-        handlers.peerUp(peer, hello);
+        handlers.controlUp(peer, hello);
       },
     });
   }
@@ -50,30 +50,29 @@
     this.connectToKnown();
   }
 
-  /** Sends a message to a process; returns whether it is up. */
-  send(peer: string, message: PeerMessage, body?: Uint8Array): boolean {
-    return this.links.send(peer, message, body);
+  /** Sends a message on one connection to a process; returns whether that connection is open. */
+  send(peer: string, channel: Channel, message: PeerMessage, body?: Uint8Array): boolean {
+    return this.links.send(peer, channel, message, body);
   }
 
-  /** Names of the processes that are up. */
+  /** Names of the processes to which both connections are open. */
   getNames(): readonly string[] {
     return this.links.getNames();
   }
 
-  /** Addresses of entries that this process knows, its own first; of one region if asked. */
-  getKnownAddresses(region?: string): readonly string[] {
-    const {listen} = this.options;
-    const own = listen === undefined ? [] : [listen];
-    const others =
-      region === undefined
-        ? [...this.known]
-        : [...this.entries.values()].filter(e => e.region === region).map(e => e.address);
-    return [...new Set([...own, ...others])];
+  /** Hellos of the processes whose control connection is open. */
+  getHellos(): readonly Hello[] {
+    return this.links.getHellos();
+  }
+
+  /** Addresses of entries that this process knows, its own first. */
+  getKnownAddresses(): readonly string[] {
+    return [...this.known];
   }
 
   /** Sends what is queued and closes everything. */
   async stop(): Promise<void> {
-    for (const pair of this.diallers.values()) for (const dialler of pair) dialler.stop();
+    for (const dialler of this.diallers.values()) dialler.stop();
     this.links.end();
     const {server} = this;
     if (server === undefined) return;
@@ -99,35 +98,45 @@
   }
 
   private learn(hello: Hello): void {
-    const own = this.options.hello();
     const [address] = hello.peers;
     if (hello.role === 'entry' && address !== undefined) {
       this.entries.set(hello.name, {region: hello.region, address});
     }
-    // Agents stay within their region; the entries between them form a mesh over all regions.
-    if (own.role === 'agent' && hello.region !== own.region) return;
-    for (const address of hello.peers) this.known.add(address);
+    for (const known of hello.peers) this.known.add(known);
     this.connectToKnown();
   }
 
+  /**
+   * Entries connect to all entries. Agents open a control connection to every entry, since any of them may
+   * own their cell, and data connections to entries of their own region only.
+   */
   private connectToKnown(): void {
-    for (const address of this.getTargets()) {
-      if (this.diallers.has(address)) continue;
-      const pair = (['control', 'data'] as const).map(
-        purpose => new PeerDialler(address, () => ({...this.options.hello(), purpose}), this.links),
-      );
-      this.diallers.set(address, pair);
-      for (const dialler of pair) dialler.start();
+    const own = this.options.listen;
+    for (const address of this.known) {
+      // Of two entries the one with the lower address dials, so that each pair has one link.
+      if (own !== undefined && address <= own) continue;
+      this.dial(address, 'control');
+      if (own !== undefined) this.dial(address, 'data');
     }
+    if (own === undefined) for (const address of this.getDataTargets()) this.dial(address, 'data');
   }
 
-  private getTargets(): readonly string[] {
-    const own = this.options.listen;
-    // Of two entries the one with the lower address dials, so that each pair has one link.
-    if (own !== undefined) return [...this.known].filter(address => address > own);
-    if (this.known.size <= maxEntriesForAll) return [...this.known];
-    const {name} = this.options.hello();
-    return [...this.known]
+  private dial(address: string, purpose: Channel): void {
+    const name = `${address} ${purpose}`;
+    if (this.diallers.has(name)) return;
+    const getHello = () => ({...this.options.hello(), purpose});
+    const dialler = new PeerDialler(address, getHello, this.links);
+    this.diallers.set(name, dialler);
+    dialler.start();
+  }
+
+  private getDataTargets(): readonly string[] {
+    const {name, region} = this.options.hello();
+    const addresses = [...this.entries.values()]
+      .filter(entry => entry.region === region)
+      .map(entry => entry.address);
+    if (addresses.length <= maxEntriesForAll) return addresses;
+    return addresses
       .sort((a, b) => getRendezvousWeight(name, b) - getRendezvousWeight(name, a))
       .slice(0, chosenEntries);
   }
@@ -145,9 +154,11 @@
 
 function bindHandlers(handlers: PeerHandlers): PeerHandlers {
   return {
+    controlUp: (peer, hello) => handlers.controlUp(peer, hello),
+    controlDown: peer => handlers.controlDown(peer),
     peerUp: (peer, hello) => handlers.peerUp(peer, hello),
     peerDown: peer => handlers.peerDown(peer),
-    message: (peer, message, body) => handlers.message(peer, message, body),
+    message: (peer, channel, message, body) => handlers.message(peer, channel, message, body),
     refused: reason => handlers.refused(reason),
   };
 }
--- /dev/null
+++ b/packages/runtime/src/worker/index.ts
@@ -0,0 +1,1 @@
+export * from './worker-client.js';
--- a/packages/runtime/test/peers/peer-network.test.ts
+++ b/packages/runtime/test/peers/peer-network.test.ts
@@ -37,6 +37,8 @@
     const network = new PeerNetwork(
       {hello: () => own, listen: address, seeds: []},
       {
+        controlUp: peer => up.push(peer),
+        controlDown: () => {},
         peerUp: peer => up.push(peer),
         peerDown: () => {},
         message: () => {},
--- a/packages/standins/src/process/daemon-process.ts
+++ b/packages/standins/src/process/daemon-process.ts
@@ -13,8 +13,10 @@
 
 /** Status of a process as its control port tells it. */
 export interface DaemonStatus {
-  readonly peers: readonly string[];
-  readonly configVersion?: number;
+  /** Configuration version in force there. */
+  readonly version: number;
+  /** The process and those connected to it. */
+  readonly processes: ReadonlyArray<{readonly name: string; readonly role: string}>;
 }
 
 /** A `chervilbeamd` process with a settings file of its own. */
@@ -60,7 +62,7 @@
     const {name} = this.settings;
     await waitUntil(`${count} peers of ${name}`, async () => {
       if (!this.process.isRunning) throw new Error(`${name} has ended`);
-      return ((await this.getStatus())?.peers.length ?? 0) >= count;
+      return ((await this.getStatus())?.processes.length ?? 0) > count;
     });
   }
 
--- a/packages/standins/src/process/index.ts
+++ b/packages/standins/src/process/index.ts
@@ -2,3 +2,4 @@
 export * from './free-ports.js';
 export * from './managed-process.js';
 export * from './wait-until.js';
+export * from './operator-client.js';
--- a/packages/standins/test/process/thin-path.test.ts
+++ b/packages/standins/test/process/thin-path.test.ts
@@ -1,15 +1,39 @@
 import {connect} from 'node:net';
 import t from 'tap';
 import {fetch} from 'undici';
-import {Announcer, BackendServer, noFailures, Observer, workerDefaults} from '../../src/index.js';
-import {DaemonProcess, getFreePorts, waitUntil} from '../../src/process/index.js';
+import {
+  Announcer,
+  BackendServer,
+  noFailures,
+  Observer,
+  StoreServer,
+  workerDefaults,
+} from '../../src/index.js';
+import {applyIntent, DaemonProcess, getFreePorts, waitUntil} from '../../src/process/index.js';
 
 const place = {deployment: 'test', region: 'north', dataCentre: 'north-a'};
 
+const intent = {
+  operator: 'Kari Kastanje',
+  teams: [{name: 'stalls', quota: {processors: 16000, memoryMb: 60000, slots: 8}, weight: 1}],
+  services: [
+    {
+      name: 'prices',
+      team: 'stalls',
+      urgency: 'critical',
+      grant: {slots: 4},
+      resources: {processors: 1000, memoryMb: 512, slots: 1},
+      replicas: 1,
+    },
+  ],
+};
+
 void t.test('a request passes through real processes', async t => {
   const ports = await getFreePorts(4);
   const [callers, peers, entryControl, agentControl] = ports.map(port => `127.0.0.1:${port}`);
   if (!callers || !peers || !entryControl || !agentControl) throw new Error('no ports');
+  const storeServer = new StoreServer();
+  const store = await storeServer.listen();
   const entry = new DaemonProcess({
     ...place,
     role: 'entry',
@@ -17,6 +41,8 @@
     listen: {callers, peers, control: entryControl},
     seeds: [],
     settleMs: 0,
+    store,
+    cells: ['main'],
   });
   const agent = new DaemonProcess({
     ...place,
@@ -41,11 +67,19 @@
   t.teardown(async () => {
     announcer.stop();
     await Promise.all([entry.stop(), agent.stop(), backend.stop()]);
+    await storeServer.close();
   });
-  await entry.waitForPeers(1);
-  announcer.start();
   const call = (path: string, init: Parameters<typeof fetch>[1] = {}) =>
     fetch(`http://${callers}${path}`, {...init, signal: AbortSignal.timeout(10_000)});
+  await entry.waitForPeers(1);
+  announcer.start();
+  await waitUntil(
+    'configuration known',
+    async () =>
+      (await call('/prices/')).headers.get('chervilbeam-reason') !== 'configuration-unknown',
+  );
+  const confirmation = await applyIntent(entryControl, intent);
+  t.equal(confirmation.outcome, 'accepted');
   await waitUntil('service served', async () => (await call('/prices/')).status === 200);
 
   await t.test('the answer is the own whole one, whatever its length', async t => {
