Wait for the former owner's lease and refuse starts of stopped attempts

Ruled out: the agent's own capacity check, which was right about the attempts that it knew. Change: adopting a run counts as a grant; a worker refuses an attempt that it was told to stop, or an earlier one; the agent stops a listed attempt that it has ended.

--- a/packages/coordination/src/tasks/agent-attempt.ts
+++ b/packages/coordination/src/tasks/agent-attempt.ts
@@ -1,5 +1,6 @@
 import type {AttemptReport, AttemptState, Usage} from '../messages/control.js';
 import type {Resources} from '../messages/identity.js';
+import {addAmounts, createAmounts} from './amounts.js';
 import type {AgentTasksEffect, WorkerAction} from './events.js';
 import {leaseStopAllowanceMs, taskLeaseMs} from './timing.js';
 
@@ -71,3 +72,12 @@
     };
   }
 }
+
+/** Returns the resources of the attempts that have not ended. */
+export function sumPresent(attempts: Iterable<AgentAttempt>): Resources {
+  const used = createAmounts();
+  for (const attempt of attempts) {
+    if (!attempt.terminal) addAmounts(used, attempt.resources);
+  }
+  return used;
+}
--- a/packages/coordination/src/tasks/agent-tasks.ts
+++ b/packages/coordination/src/tasks/agent-tasks.ts
@@ -9,8 +9,8 @@
 } from '../messages/control.js';
 import type {Resources} from '../messages/identity.js';
 import type {Reducer} from '../reducer.js';
-import {addAmounts, createAmounts, fits} from './amounts.js';
-import {AgentAttempt} from './agent-attempt.js';
+import {fits} from './amounts.js';
+import {AgentAttempt, sumPresent} from './agent-attempt.js';
 import type {AgentTasksEffect, AgentTasksEvent, WorkerAction, WorkerTask} from './events.js';
 import {ForgottenAttempts} from './forgotten-attempts.js';
 import {taskHeartbeatMs, taskLeaseMs} from './timing.js';
@@ -260,11 +260,9 @@
     if (!this.isFresh(message.stamp, at)) return 'stale-stamp';
     if (!this.capacity) return 'worker-unknown';
     if (present && !present.terminal) return 'task-present';
-    const used = createAmounts();
-    for (const entry of this.attempts.values()) {
-      if (!entry.terminal) addAmounts(used, entry.resources);
-    }
-    return fits(this.capacity, used, message.resources) ? undefined : 'over-capacity';
+    return fits(this.capacity, sumPresent(this.attempts.values()), message.resources)
+      ? undefined
+      : 'over-capacity';
   }
 
   private stop(message: Stop, at: number): void {
@@ -360,7 +358,10 @@
       this.attempts.set(task.task, entry);
       this.changed.add(entry);
     }
-    if (entry.attempt !== task.attempt || entry.terminal) return;
+    if (entry.attempt !== task.attempt) return;
+    // A start may be carried out after it was given up.
+    if (entry.terminal && task.state === 'running') this.callForgotten(task.task, task.attempt);
+    if (entry.terminal) return;
     if (task.checkpoint !== undefined && task.checkpoint !== entry.checkpoint) {
       entry.checkpoint = task.checkpoint;
       this.changed.add(entry);
--- a/packages/coordination/src/tasks/cell/report-handler.ts
+++ b/packages/coordination/src/tasks/cell/report-handler.ts
@@ -250,6 +250,8 @@
       !this.ledger.isFinished(workload, index) &&
       !newer;
     if (known && !newer) this.state.removeRun(known);
+    // An earlier owner may have extended the lease until now, so the lease wait counts from here.
+    host.grantedAt = Math.max(host.grantedAt, at);
     const run: TaskRun = {
       id: report.task,
       workload,
--- a/packages/lab/src/cell/virtual-worker.ts
+++ b/packages/lab/src/cell/virtual-worker.ts
@@ -50,6 +50,8 @@
   /** Every start fails. */
   broken = false;
   term = 0;
+  /** Highest attempt of each task that was told to stop; its start may still be on its way. */
+  private readonly stopped = new Map<string, number>();
 
   constructor(
     readonly capacity: Resources,
@@ -86,6 +88,9 @@
     this.term = call.term;
     const task = this.tasks.get(call.task);
     if (call.action === 'start') return this.start(call, task, at);
+    if (call.action === 'stop') {
+      this.stopped.set(call.task, Math.max(call.attempt, this.stopped.get(call.task) ?? 0));
+    }
     if (task?.attempt !== call.attempt) return {ok: call.action === 'stop'};
     switch (call.action) {
       case 'renew':
@@ -134,6 +139,8 @@
 
   private start(call: WorkerCall, present: VirtualTask | undefined, at: number): VirtualResult {
     if (present && present.attempt >= call.attempt) return {ok: present.attempt === call.attempt};
+    if ((this.stopped.get(call.task) ?? 0) >= call.attempt)
+      return {ok: false, detail: 'stale attempt'};
     const index = Number(call.task.slice(call.task.lastIndexOf('/') + 1));
     const behaviour = this.getBehaviour(call.workload ?? '', index);
     if (this.broken || behaviour.fails) return {ok: false, detail: 'exited with status 1'};
--- a/packages/lab/src/faults/kernel/simulated-worker.ts
+++ b/packages/lab/src/faults/kernel/simulated-worker.ts
@@ -46,6 +46,8 @@
   failingUntil = 0;
   term = 0;
   readonly tasks = new Map<string, WorkerTaskState>();
+  /** Highest attempt of each task that was told to stop; its start may still be on its way. */
+  readonly #stopped = new Map<string, number>();
 
   constructor(
     private readonly simulation: Simulation,
@@ -100,6 +102,7 @@
     this.alive = false;
     for (const task of this.tasks.values()) this.#endRun(task, 'lost');
     this.tasks.clear();
+    this.#stopped.clear();
     this.simulation.schedule(durationMs, () => (this.alive = true));
   }
 
@@ -123,6 +126,7 @@
       case 'throttle':
         return {ok: current?.state === 'running'};
       case 'stop': {
+        this.#stopped.set(call.task, Math.max(call.attempt, this.#stopped.get(call.task) ?? 0));
         if (!current) return {ok: true};
         this.#endRun(current, current.ownCheckpoint ? 'checkpointed' : 'stopped');
         this.tasks.delete(call.task);
@@ -134,7 +138,9 @@
   #start(call: WorkerCall, known: WorkerTaskState | undefined): WorkerReply {
     if (known?.attempt === call.attempt) return {ok: known.state === 'running'};
     if (known?.state === 'running') return {ok: false, detail: 'another attempt is running'};
-    if (known && known.attempt > call.attempt) return {ok: false, detail: 'stale attempt'};
+    const stopped = this.#stopped.get(call.task) ?? 0;
+    if (stopped >= call.attempt || (known && known.attempt > call.attempt))
+      return {ok: false, detail: 'stale attempt'};
     if (this.failingUntil > this.simulation.now) return {ok: false, detail: 'cannot start'};
     const task: WorkerTaskState = {
       task: call.task,
