Learn sizes and run times for batch jobs with dates

Change: size estimates from measured use, run times from progress, least slack with the whole fleet in parallel, findings for jobs that will be late, a host kept free for a task that found no room for 30 s, and the batches experiment.

--- a/packages/coordination/src/tasks/cell-scheduler.ts
+++ b/packages/coordination/src/tasks/cell-scheduler.ts
@@ -10,8 +10,10 @@
 import {Job} from './cell/job.js';
 import {LedgerKeeper, type LedgerProgress} from './ledger/ledger-keeper.js';
 import {ReportHandler} from './cell/report-handler.js';
-import {getRemainingSeconds} from './round/remaining-time.js';
+import {DatePlanner} from './round/date-planner.js';
+import {defaultRoundPolicy, type RoundPolicy} from './round/round-policy.js';
 import {RunTimeEstimates} from './round/run-time-estimates.js';
+import {SizeEstimates} from './round/size-estimates.js';
 import {SchedulingRound, type Decision, type RoundContext} from './round/scheduling-round.js';
 import type {StopReason, TaskRun} from './cell/task-run.js';
 import {findDrainable, findUnansweredStops, releaseLost} from './cell/upkeep.js';
@@ -22,6 +24,8 @@
   readonly cell: string;
   /** Which batch tasks may run beside which services. */
   readonly colocation?: ColocationAdvisor;
+  /** Choices of the scheduling rounds. */
+  readonly policy?: Partial<RoundPolicy>;
 }
 
 /** Schedules the tasks of one cell while this process owns it. */
@@ -32,19 +36,29 @@
   private ownedAt = 0;
   private until = Number.POSITIVE_INFINITY;
   private heldUntil = Number.POSITIVE_INFINITY;
-  private wallOffset?: number;
   private configuration?: Configuration;
   private effects: CellSchedulerEffect[] = [];
   private readonly state = new CellState();
   private readonly ledger = new LedgerKeeper();
   private readonly estimates = new RunTimeEstimates();
+  private readonly sizes = new SizeEstimates();
+  private readonly planner: DatePlanner;
+  private readonly policy: RoundPolicy;
   private readonly findings = new Findings();
   private readonly reports: ReportHandler;
   private readonly colocation: ColocationAdvisor;
 
   constructor(private readonly options: CellSchedulerOptions) {
+    this.policy = {...defaultRoundPolicy, ...options.policy};
+    this.planner = new DatePlanner(this.state, this.estimates, this.policy.learns);
     this.colocation = options.colocation ?? new ColocationPolicy();
-    this.reports = new ReportHandler(this.state, this.ledger, this.estimates, this.colocation);
+    this.reports = new ReportHandler(
+      this.state,
+      this.ledger,
+      this.estimates,
+      this.sizes,
+      this.colocation,
+    );
     this.reports.cell = options.cell;
   }
 
@@ -70,7 +84,7 @@
   private apply(event: CellSchedulerEvent, at: number): void {
     switch (event.kind) {
       case 'tick':
-        if (event.wallTimeMs !== undefined) this.wallOffset = event.wallTimeMs - at;
+        if (event.wallTimeMs !== undefined) this.planner.wallOffset = event.wallTimeMs - at;
         this.tick(at);
         break;
       case 'ownership':
@@ -131,6 +145,7 @@
       for (const run of findDrainable(this.state)) this.stop(run, 'drained', at);
     }
     this.round(at);
+    for (const finding of this.planner.findLate(at)) this.findings.add(finding, at, this.effects);
     if (this.mode === 'owner') this.effects.push(...this.ledger.flush(at));
   }
 
@@ -291,28 +306,23 @@
   }
 
   private getContext(at: number): RoundContext {
-    const {ledger} = this;
+    const {ledger, state, sizes, planner} = this;
+    const {learns} = this.policy;
     return {
       at,
       mayOpen: this.mode === 'owner',
       disturbance: this.colocation,
+      policy: this.policy,
       isOpened: name => ledger.isOpened(name),
       isFinished: (name, index) => ledger.isFinished(name, index),
       getCheckpoint: task => ledger.getTask(task)?.checkpoint,
-      getSlack: job => this.getSlackSeconds(job, at),
+      getSlack: job => planner.getSlackSeconds(job, at),
+      getReservation: workload =>
+        learns ? sizes.getReservation(workload, state.largestProcessors) : workload.resources,
       nextAttempt: () => this.term * attemptsPerTerm + (this.sequence += 1),
     };
   }
 
-  private getSlackSeconds(job: Job, at: number): number {
-    const {workload} = job;
-    if (workload.dateMs === undefined || this.wallOffset === undefined) {
-      return Number.POSITIVE_INFINITY;
-    }
-    const remaining = getRemainingSeconds(job, this.estimates);
-    return (workload.dateMs - this.wallOffset - at) / 1000 - remaining;
-  }
-
   private round(at: number): void {
     if (!this.isActive()) return;
     const decisions = new SchedulingRound(this.state, this.getContext(at)).run();
--- a/packages/coordination/src/tasks/cell/cell-state.ts
+++ b/packages/coordination/src/tasks/cell/cell-state.ts
@@ -80,6 +80,13 @@
     return host.leaving || this.drains.has(host.name);
   }
 
+  /** Processors of the largest host. */
+  get largestProcessors(): number {
+    let largest = 0;
+    for (const host of this.hosts.values()) largest = Math.max(largest, host.capacity.processors);
+    return largest;
+  }
+
   /** Sum of the capacities of reachable hosts. */
   getTotalCapacity(): Resources {
     const total = createAmounts();
--- a/packages/coordination/src/tasks/cell/job.ts
+++ b/packages/coordination/src/tasks/cell/job.ts
@@ -18,6 +18,10 @@
   blockedUntil = Number.NEGATIVE_INFINITY;
   /** Limiting dimension when no host could ever run a task. */
   neverRunnable?: string;
+  /** Time since which a waiting task found no room; absent while tasks start. */
+  stuckSince?: number;
+  /** Capacity version at which `neverRunnable` was last checked. */
+  checkedVersion = -1;
   /** Finished items, maintained by the scheduler. */
   finished = 0;
   private nextFresh = 0;
@@ -104,6 +108,7 @@
     this.workload = workload;
     this.nextFresh = Math.min(this.nextFresh, workload.tasks);
     this.neverRunnable = undefined;
+    this.checkedVersion = -1;
   }
 
   /** Returns an independent copy without runs. */
--- a/packages/coordination/src/tasks/cell/report-handler.ts
+++ b/packages/coordination/src/tasks/cell/report-handler.ts
@@ -5,6 +5,7 @@
 import type {CellSchedulerEffect} from '../events.js';
 import type {LedgerKeeper, PendingAcknowledgement} from '../ledger/ledger-keeper.js';
 import type {RunTimeEstimates} from '../round/run-time-estimates.js';
+import type {SizeEstimates} from '../round/size-estimates.js';
 import type {TaskRun} from './task-run.js';
 import {leaseWaitMs} from '../timing.js';
 
@@ -32,6 +33,7 @@
     private readonly state: CellState,
     private readonly ledger: LedgerKeeper,
     private readonly estimates: RunTimeEstimates,
+    private readonly sizes: SizeEstimates,
     private readonly colocation: ColocationAdvisor,
   ) {}
 
@@ -161,6 +163,10 @@
       this.actions.push(...actions);
     }
     if (usage?.progress !== undefined) run.progress = usage.progress;
+    const declared = this.state.jobs.get(run.workload)?.workload.resources.processors;
+    if (usage && declared !== undefined && run.fraction === 1) {
+      this.sizes.observe(run.team, run.workload, declared, usage.processors);
+    }
   }
 
   private noteCheckpoint(run: TaskRun, report: AttemptReport, at: number): void {
--- a/packages/coordination/src/tasks/index.ts
+++ b/packages/coordination/src/tasks/index.ts
@@ -11,6 +11,7 @@
 export * from './ledger/item-set.js';
 export * from './ledger/ledger-record.js';
 export * from './round/placement.js';
+export * from './round/round-policy.js';
 export * from './round/run-time-estimates.js';
 export * from './round/scheduling-round.js';
 export * from './round/worker-health.js';
--- a/packages/coordination/src/tasks/round/placement.ts
+++ b/packages/coordination/src/tasks/round/placement.ts
@@ -1,5 +1,13 @@
 import type {Workload} from '../../configuration/document.js';
-import {addAmounts, copyAmounts, createAmounts, fits, type Amounts} from '../amounts.js';
+import type {Resources} from '../../messages/identity.js';
+import {
+  addAmounts,
+  copyAmounts,
+  createAmounts,
+  fits,
+  getLimitingDimension,
+  type Amounts,
+} from '../amounts.js';
 import type {CellHost} from '../cell/cell-host.js';
 import type {CellState} from '../cell/cell-state.js';
 import type {Job} from '../cell/job.js';
@@ -28,13 +36,13 @@
   }
 
   /** Returns the best host with room now. */
-  choose(job: Job): CellHost | undefined {
+  choose(job: Job, need: Resources): CellHost | undefined {
     const {workload} = job;
     const spread = workload.kind === 'batch' ? undefined : this.countSpread(job);
     let best: CellHost | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
     for (const host of this.open) {
-      if (!this.hasRoom(host, workload)) continue;
+      if (!this.hasRoom(host, need)) continue;
       const cost = spread ? spread(host) : this.getBatchCost(host, workload);
       if (cost < bestCost) {
         best = host;
@@ -45,8 +53,7 @@
   }
 
   /** Returns a host that has room once the attempts that are stopping there have ended, and keeps it free. */
-  awaitRoom(job: Job): boolean {
-    const need = job.workload.resources;
+  awaitRoom(need: Resources): boolean {
     for (const host of this.open) {
       const later = copyAmounts(host.used);
       for (const run of host.runs.values()) {
@@ -56,17 +63,32 @@
       const promised = this.promised.get(host.name);
       if (promised) addAmounts(later, promised);
       if (fits(host.capacity, later, need)) {
-        this.promise(host, job);
+        this.promise(host, need);
         return true;
       }
     }
     return false;
   }
 
+  /** Keeps the host free that lacks the fewest processors; returns whether any host is large enough. */
+  reserveFullest(need: Resources): boolean {
+    let best: CellHost | undefined;
+    let bestFree = Number.NEGATIVE_INFINITY;
+    for (const host of this.open) {
+      if (getLimitingDimension(host.capacity, need)) continue;
+      const free = host.capacity.processors - host.used.processors;
+      if (free <= bestFree) continue;
+      best = host;
+      bestFree = free;
+    }
+    if (best) this.promise(best, need);
+    return best !== undefined;
+  }
+
   /** Keeps room for a task on a host for the rest of the round. */
-  promise(host: CellHost, job: Job): void {
+  promise(host: CellHost, need: Resources): void {
     const promised = this.promised.get(host.name) ?? createAmounts();
-    addAmounts(promised, job.workload.resources);
+    addAmounts(promised, need);
     this.promised.set(host.name, promised);
   }
 
@@ -75,13 +97,13 @@
     return this.open;
   }
 
-  private hasRoom(host: CellHost, workload: Workload): boolean {
+  private hasRoom(host: CellHost, need: Resources): boolean {
     if (host.health.isOnProbation(this.at) && host.runs.size > 0) return false;
     const promised = this.promised.get(host.name);
-    if (!promised) return fits(host.capacity, host.used, workload.resources);
+    if (!promised) return fits(host.capacity, host.used, need);
     const used = copyAmounts(host.used);
     addAmounts(used, promised);
-    return fits(host.capacity, used, workload.resources);
+    return fits(host.capacity, used, need);
   }
 
   private getBatchCost(host: CellHost, workload: Workload): number {
--- a/packages/coordination/src/tasks/round/remaining-time.ts
+++ b/packages/coordination/src/tasks/round/remaining-time.ts
@@ -1,13 +1,60 @@
+import type {CellState} from '../cell/cell-state.js';
 import type {Job} from '../cell/job.js';
 import type {RunTimeEstimates} from './run-time-estimates.js';
 
-/** Returns the expected time to finish a batch job with the tasks that run at present. */
-export function getRemainingSeconds(job: Job, estimates: RunTimeEstimates): number {
+/** Declared run time that is assumed when there is none. */
+const assumedSeconds = 60;
+
+/** Progress from which a running item tells its run time. */
+const tellingProgress = 0.05;
+
+/** Number of tasks of the workload that the reachable hosts could run if they were empty. */
+export function countPossibleTasks(state: CellState, job: Job): number {
+  const need = job.workload.resources;
+  let tasks = 0;
+  for (const {up, capacity} of state.hosts.values()) {
+    if (!up) continue;
+    const counts = [
+      need.processors > 0 ? capacity.processors / need.processors : Infinity,
+      need.memoryMb > 0 ? capacity.memoryMb / need.memoryMb : Infinity,
+      need.accelerators > 0 ? capacity.accelerators / need.accelerators : Infinity,
+      need.slots > 0 ? capacity.slots / need.slots : Infinity,
+    ];
+    tasks += Math.floor(Math.min(...counts, 1_000));
+  }
+  return Math.max(1, tasks);
+}
+
+/** Expected run time of one item; `deviations` above 0 is cautious, below 0 hopeful. */
+export function getItemSeconds(
+  job: Job,
+  estimates: RunTimeEstimates,
+  deviations: number,
+  at: number,
+): number {
   const {workload} = job;
-  const declared = workload.runTimeSeconds ?? 60;
-  const itemSeconds = declared * estimates.getFactor(workload.team, workload.name);
+  const declared = workload.runTimeSeconds ?? assumedSeconds;
+  const known = estimates.getCount(workload.team, workload.name) > 0;
+  if (!known) {
+    let sum = 0;
+    let count = 0;
+    for (const run of job.runs.values()) {
+      if (!run.fresh || run.progress < tellingProgress) continue;
+      sum += (at - run.startedAt) / 1000 / run.progress;
+      count += 1;
+    }
+    if (count > 0) return sum / count;
+  }
+  return declared * estimates.getFactor(workload.team, workload.name, deviations);
+}
+
+/** Returns the expected time to finish a batch job with `parallel` tasks at a time. */
+export function getRemainingSeconds(job: Job, itemSeconds: number, parallel: number): number {
   let items = job.waiting;
-  for (const run of job.runs.values()) items += 1 - run.progress;
-  const parallel = Math.max(1, job.runs.size);
-  return Math.max(itemSeconds * (items > 0 ? 1 : 0), (items * itemSeconds) / parallel);
+  let longest = items > 0 ? 1 : 0;
+  for (const run of job.runs.values()) {
+    items += 1 - run.progress;
+    longest = Math.max(longest, 1 - run.progress);
+  }
+  return Math.max(itemSeconds * longest, (items * itemSeconds) / Math.max(1, parallel));
 }
--- a/packages/coordination/src/tasks/round/run-time-estimates.ts
+++ b/packages/coordination/src/tasks/round/run-time-estimates.ts
@@ -31,6 +31,11 @@
     this.estimates.set(key, estimate);
   }
 
+  /** Number of finished items that were observed under the key of a workload. */
+  getCount(team: string, workload: string): number {
+    return this.estimates.get(`${team}/${getWorkloadPrefix(workload)}`)?.count ?? 0;
+  }
+
   /** Returns the factor on the declared run time: mean plus `deviations` standard deviations. */
   getFactor(team: string, workload: string, deviations = 1): number {
     const estimate = this.estimates.get(`${team}/${getWorkloadPrefix(workload)}`);
--- a/packages/coordination/src/tasks/round/scheduling-round.ts
+++ b/packages/coordination/src/tasks/round/scheduling-round.ts
@@ -1,7 +1,16 @@
-import {urgencies} from '../../messages/identity.js';
-import {addAmounts, copyAmounts, fits, getDominantShare, getLimitingDimension} from '../amounts.js';
+import type {Workload} from '../../configuration/document.js';
+import {urgencies, type Resources} from '../../messages/identity.js';
+import {
+  addAmounts,
+  copyAmounts,
+  fits,
+  getDominantShare,
+  getLimitingDimension,
+  type Dimension,
+} from '../amounts.js';
 import type {CellHost} from '../cell/cell-host.js';
 import type {CellState} from '../cell/cell-state.js';
+import {defaultRoundPolicy, type RoundPolicy} from './round-policy.js';
 import type {FindingReason} from '../events.js';
 import type {Job} from '../cell/job.js';
 import {Placement, type DisturbanceForecast} from './placement.js';
@@ -10,6 +19,9 @@
 /** Resources that stand for the whole when a team has no quota. */
 const noQuota = {processors: 1e9, memoryMb: 1e9, accelerators: 1e6, slots: 1e6};
 
+/** Time after which a task that finds no room gets a host reserved. */
+const stuckMs = 30_000;
+
 /** What a round decides. */
 export type Decision =
   | {readonly kind: 'start'; readonly run: TaskRun; readonly checkpoint?: string}
@@ -34,11 +46,14 @@
   /** Workloads may be opened and tasks evicted. */
   readonly mayOpen: boolean;
   readonly disturbance?: DisturbanceForecast;
+  readonly policy?: RoundPolicy;
   isOpened(workload: string): boolean;
   isFinished(workload: string, index: number): boolean;
   getCheckpoint(task: string): string | undefined;
   /** Time until the date less the remaining run time in seconds; infinite without a date. */
   getSlack(job: Job): number;
+  /** What a task of the workload reserves. */
+  getReservation(workload: Workload): Resources;
   nextAttempt(): number;
 }
 
@@ -50,11 +65,14 @@
 export class SchedulingRound {
   private readonly decisions: Decision[] = [];
   private readonly placement: Placement;
+  private readonly policy: RoundPolicy;
+  private reservedForStuck = false;
 
   constructor(
     private readonly state: CellState,
     private readonly context: RoundContext,
   ) {
+    this.policy = context.policy ?? defaultRoundPolicy;
     this.placement = new Placement(state, context.at, context.disturbance);
   }
 
@@ -64,7 +82,8 @@
     const bands = urgencies.map((): Job[] => []);
     for (const job of this.state.jobs.values()) {
       if (!job.hasWaiting(at) || !this.isRunnable(job) || !this.isOpened(job)) continue;
-      bands[urgencies.indexOf(job.workload.urgency)]?.push(job);
+      const band = this.policy.bands ? urgencies.indexOf(job.workload.urgency) : 0;
+      bands[band]?.push(job);
     }
     const lent: Job[][] = [];
     for (const band of bands) lent.push(this.fill(band, false));
@@ -79,23 +98,25 @@
   }
 
   private isRunnable(job: Job): boolean {
-    if (this.state.hosts.size === 0) return false;
+    const {hosts, capacityVersion} = this.state;
+    if (job.checkedVersion === capacityVersion) return job.neverRunnable === undefined;
     const need = job.workload.resources;
-    let limiting: string | undefined;
-    let known = false;
-    for (const host of this.state.hosts.values()) {
+    let limiting: Dimension | undefined;
+    for (const host of hosts.values()) {
       if (host.capacity.processors === 0) continue;
-      known = true;
       const dimension = getLimitingDimension(host.capacity, need);
       if (!dimension) {
+        job.checkedVersion = capacityVersion;
         job.neverRunnable = undefined;
         return true;
       }
       limiting = dimension;
     }
-    if (known && limiting && job.neverRunnable !== limiting) {
+    if (!limiting) return false;
+    job.checkedVersion = capacityVersion;
+    if (job.neverRunnable !== limiting) {
       job.neverRunnable = limiting;
-      const detail = `needs more ${limiting} than any host has (${need[limiting as keyof typeof need]})`;
+      const detail = `needs ${need[limiting]} ${limiting}, more than any host has`;
       this.addFinding(job, 'never-runnable', detail);
     }
     return false;
@@ -105,6 +126,7 @@
   private fill(jobs: readonly Job[], lend: boolean): Job[] {
     const heldBack: Job[] = [];
     const teams = this.groupByTeam(jobs);
+    const {shares} = this.policy;
     while (teams.size > 0) {
       const team = this.pickTeam(teams);
       const queue = teams.get(team) ?? [];
@@ -113,7 +135,7 @@
         teams.delete(team);
         continue;
       }
-      if (!lend && !this.state.isWithinQuota(job.workload, job)) {
+      if (shares && !lend && !this.state.isWithinQuota(job.workload, job)) {
         if (job.workload.kind === 'batch') heldBack.push(job);
         else this.addFinding(job, 'over-quota', `team ${team} has used its quota`);
         queue.pop();
@@ -127,18 +149,26 @@
   /** Queues per team, first job last. */
   private groupByTeam(jobs: readonly Job[]): Map<string, Job[]> {
     const teams = new Map<string, Job[]>();
-    const slack = new Map(jobs.map(job => [job, this.context.getSlack(job)]));
+    const slack = new Map(jobs.map(job => [job, this.getOrder(job)]));
     const isBatch = (job: Job) => (job.workload.kind === 'batch' ? 1 : 0);
     const order = (a: Job, b: Job) =>
       isBatch(b) - isBatch(a) || (slack.get(b) ?? 0) - (slack.get(a) ?? 0) || 0;
     for (const job of [...jobs].sort(order)) {
-      const queue = teams.get(job.workload.team);
+      const team = this.policy.shares ? job.workload.team : '';
+      const queue = teams.get(team);
       if (queue) queue.push(job);
-      else teams.set(job.workload.team, [job]);
+      else teams.set(team, [job]);
     }
     return teams;
   }
 
+  /** Lower goes first. */
+  private getOrder(job: Job): number {
+    if (this.policy.order === 'arrival') return 0;
+    if (this.policy.order === 'date') return job.workload.dateMs ?? Number.POSITIVE_INFINITY;
+    return this.context.getSlack(job);
+  }
+
   private pickTeam(teams: ReadonlyMap<string, Job[]>): string {
     let best = '';
     let least = Number.POSITIVE_INFINITY;
@@ -164,17 +194,31 @@
       job.delay(index, at + 500);
       return true;
     }
-    const host = this.placement.choose(job);
+    const need = this.context.getReservation(job.workload);
+    const host = this.placement.choose(job, need);
     if (host) {
-      this.start(job, index, host, lend);
+      job.stuckSince = undefined;
+      this.start(job, index, host, need, lend);
       return true;
     }
     job.putBack(index);
-    if (!lend && this.context.mayOpen && !this.placement.awaitRoom(job)) this.makeRoom(job);
+    job.stuckSince ??= at;
+    if (lend || !this.context.mayOpen) return false;
+    if (!this.placement.awaitRoom(need) && this.policy.evicts) this.makeRoom(job, need);
+    if (at - job.stuckSince >= stuckMs && !this.reservedForStuck) {
+      // Smaller tasks would otherwise take every core that comes free.
+      this.reservedForStuck = this.placement.reserveFullest(need);
+    }
     return false;
   }
 
-  private start(job: Job, index: number, host: CellHost, borrowed: boolean): void {
+  private start(
+    job: Job,
+    index: number,
+    host: CellHost,
+    reserved: Resources,
+    borrowed: boolean,
+  ): void {
     const {workload} = job;
     const id = job.getTaskId(index);
     const checkpoint = this.context.getCheckpoint(id);
@@ -187,7 +231,7 @@
       index,
       attempt: this.context.nextAttempt(),
       host: host.name,
-      reserved: workload.resources,
+      reserved,
       startedAt: this.context.at,
       fresh: checkpoint === undefined,
       borrowed,
@@ -205,14 +249,14 @@
   }
 
   /** Evicts the fewest batch tasks of one host so that the task has room soon. */
-  private makeRoom(job: Job): void {
+  private makeRoom(job: Job, need: Resources): void {
     let best: {host: CellHost; victims: TaskRun[]} | undefined;
     for (const host of this.placement.hosts) {
-      const victims = this.findVictims(host, job);
+      const victims = this.findVictims(host, job, need);
       if (victims && (!best || victims.length < best.victims.length)) best = {host, victims};
     }
     if (!best) return;
-    this.placement.promise(best.host, job);
+    this.placement.promise(best.host, need);
     for (const run of best.victims) {
       this.state.evictions += 1;
       this.state.jobs.get(run.workload)?.evicted(run.index, this.context.at);
@@ -222,18 +266,18 @@
     }
   }
 
-  private findVictims(host: CellHost, job: Job): TaskRun[] | undefined {
+  private findVictims(host: CellHost, job: Job, need: Resources): TaskRun[] | undefined {
     const candidates = [...host.runs.values()]
       .filter(run => this.isVictim(run, job))
       .sort((a, b) => b.checkpointAt - a.checkpointAt);
     const used = copyAmounts(host.used);
     const victims: TaskRun[] = [];
     for (const run of candidates) {
-      if (fits(host.capacity, used, job.workload.resources)) break;
+      if (fits(host.capacity, used, need)) break;
       addAmounts(used, run.reserved, -1);
       victims.push(run);
     }
-    if (!fits(host.capacity, used, job.workload.resources)) return undefined;
+    if (!fits(host.capacity, used, need)) return undefined;
     const budget = this.state.starts / 10 - this.state.evictions;
     return victims.length <= budget ? victims : undefined;
   }
--- a/packages/lab/src/cell/virtual-worker.ts
+++ b/packages/lab/src/cell/virtual-worker.ts
@@ -32,6 +32,10 @@
   readonly checkpointMs?: number;
   /** Whether each start fails. */
   readonly fails?: boolean;
+  /** Processors that the task really uses over those that it declares; 1 when absent. */
+  readonly sizeFactor?: number;
+  /** Declared processors, when the reservation differs from them. */
+  readonly declaredProcessors?: number;
 }
 
 /** Speed of the tasks of a worker, by what runs beside them; 1 is full speed. */
@@ -49,6 +53,8 @@
   readonly tasks = new Map<string, VirtualTask>();
   /** Every start fails. */
   broken = false;
+  /** Number of starts that failed. */
+  failures = 0;
   term = 0;
 
   constructor(
@@ -126,17 +132,27 @@
     this.advance(at);
     return this.running.map(task => {
       const progress = Number.isFinite(task.workMs) ? task.doneMs / task.workMs : undefined;
-      const {processors, memoryMb} = task.resources;
-      const usage = {processors: processors * task.fraction, memoryMb, progress};
+      const {memoryMb} = task.resources;
+      const processors = this.getProcessors(task);
+      const usage = {processors, memoryMb, progress};
       return {task: task.task, attempt: task.attempt, usage};
     });
   }
 
+  /** Processors that a running task uses. */
+  getProcessors(task: VirtualTask): number {
+    const {sizeFactor = 1, declaredProcessors} = this.behaviourOf(task);
+    return (declaredProcessors ?? task.resources.processors) * sizeFactor * task.fraction;
+  }
+
   private start(call: WorkerCall, present: VirtualTask | undefined, at: number): VirtualResult {
     if (present && present.attempt >= call.attempt) return {ok: present.attempt === call.attempt};
     const index = Number(call.task.slice(call.task.lastIndexOf('/') + 1));
     const behaviour = this.getBehaviour(call.workload ?? '', index);
-    if (this.broken || behaviour.fails) return {ok: false, detail: 'exited with status 1'};
+    if (this.broken || behaviour.fails) {
+      this.failures += 1;
+      return {ok: false, detail: 'exited with status 1'};
+    }
     this.tasks.set(call.task, {
       task: call.task,
       attempt: call.attempt,
--- /dev/null
+++ b/packages/lab/src/measure/batches.ts
@@ -0,0 +1,328 @@
+import type {RoundPolicy, Workload} from '@chervilbeam/coordination';
+import {RandomSource, VirtualCell, type TaskBehaviour} from '../cell/index.js';
+import {getQuantile} from '../cell/quantile.js';
+import type {Experiment, Measure, RunResult} from './experiment.js';
+
+const hours = 4;
+const hostCount = 10;
+const processors = 16_000;
+const seriesCount = 12;
+const jobCount = 110;
+
+/** A batch job with what is true of it and what its operator declares. */
+interface TrueJob {
+  readonly name: string;
+  readonly arrivalMs: number;
+  readonly dateMs: number;
+  readonly items: number;
+  readonly processors: number;
+  readonly itemMs: readonly number[];
+  /** True over declared. */
+  readonly timeFactor: number;
+  readonly sizeFactor: number;
+  readonly neverRunnable: boolean;
+  readonly cancelledAtMs?: number;
+}
+
+interface Load {
+  readonly jobs: readonly TrueJob[];
+  readonly urgentAtMs: readonly number[];
+}
+
+/** One setting: load over capacity, and faults. */
+interface Scenario {
+  readonly name: string;
+  readonly load: number;
+  readonly faults: boolean;
+}
+
+const scenarios: readonly Scenario[] = [
+  {name: 'load 0.8, quiet', load: 0.8, faults: false},
+  {name: 'load 1.1, quiet', load: 1.1, faults: false},
+  {name: 'load 0.8, faults', load: 0.8, faults: true},
+];
+
+function createLoad(seed: number, scenario: Scenario): Load {
+  const random = new RandomSource(seed);
+  const series = Array.from({length: seriesCount}, () => ({
+    timeFactor: random.logUniform(0.1, 10),
+    sizeFactor: random.logUniform(0.25, 2),
+  }));
+  const drafts = Array.from({length: jobCount}, (_, number) => {
+    const items = 4 + random.integer(37);
+    const itemSeconds = random.logUniform(30, 600);
+    return {number, items, itemSeconds, size: [1_000, 2_000, 4_000][random.integer(3)] ?? 1_000};
+  });
+  const work = drafts.reduce((sum, draft) => sum + draft.items * draft.itemSeconds * draft.size, 0);
+  const arrivalMs = (hours - 1) * 3_600_000;
+  const scale = (scenario.load * hostCount * processors * (arrivalMs / 1000)) / work;
+  const jobs = drafts.map(({number, items, itemSeconds, size}): TrueJob => {
+    const kind = random.integer(seriesCount);
+    const {timeFactor = 1, sizeFactor = 1} = series[kind] ?? {};
+    const itemMs = Array.from(
+      {length: items},
+      () => itemSeconds * scale * 1000 * Math.exp(0.2 * random.normal()),
+    );
+    const at = random.next() * arrivalMs;
+    const fleet = Math.floor((hostCount * processors) / size / 4);
+    const longest = Math.max(...itemMs);
+    const total = itemMs.reduce((sum, value) => sum + value, 0);
+    const ideal = Math.max(longest, total / Math.min(items, fleet));
+    const wave = scenario.faults && random.next() < 0.2;
+    return {
+      name: `series${String.fromCharCode(97 + kind)}-${number}`,
+      arrivalMs: at,
+      dateMs: at + 60_000 + ideal * (1.3 + 3.7 * random.next()),
+      items,
+      processors: size,
+      itemMs,
+      timeFactor,
+      sizeFactor,
+      neverRunnable: number % 25 === 7,
+      cancelledAtMs: wave && at < 5_400_000 ? 5_400_000 : undefined,
+    };
+  });
+  const urgentAtMs = Array.from({length: 60}, () => 600_000 + random.next() * arrivalMs);
+  return {jobs, urgentAtMs};
+}
+
+function toWorkload(job: TrueJob, exact: boolean): Workload {
+  const timeFactor = exact ? 1 : job.timeFactor;
+  const sizeFactor = exact ? 1 : job.sizeFactor;
+  const mean = job.itemMs.reduce((sum, value) => sum + value, 0) / job.items;
+  return {
+    kind: 'batch',
+    name: job.name,
+    team: 'all',
+    urgency: 'normal',
+    grant: {slots: 0, processors: 0},
+    resources: {
+      processors: Math.round(job.processors / sizeFactor),
+      memoryMb: 500,
+      accelerators: job.neverRunnable ? 1 : 0,
+      slots: 0,
+    },
+    tasks: job.items,
+    runTimeSeconds: mean / 1000 / timeFactor,
+    dateMs: job.dateMs,
+    checkpointSeconds: 30,
+  };
+}
+
+function createUrgent(number: number): Workload {
+  return {
+    kind: 'batch',
+    name: `urgent-${number}`,
+    team: 'all',
+    urgency: 'urgent',
+    grant: {slots: 0, processors: 0},
+    resources: {processors: 2_000, memoryMb: 500, accelerators: 0, slots: 0},
+    tasks: 1,
+    runTimeSeconds: 20,
+  };
+}
+
+interface Outcome {
+  readonly inTime: ReadonlySet<string>;
+  readonly urgentWaits: readonly number[];
+  readonly evictionShare: number;
+  readonly brokenStarts: number;
+  readonly unreported: number;
+  readonly lateWarned: number;
+}
+
+function runPolicy(
+  seed: number,
+  scenario: Scenario,
+  policy: Partial<RoundPolicy>,
+  exact = false,
+): Outcome {
+  const load = createLoad(seed, scenario);
+  const byName = new Map(load.jobs.map(job => [job.name, job]));
+  const getBehaviour = (workload: string, index: number): TaskBehaviour => {
+    const job = byName.get(workload);
+    if (!job) return {workMs: 20_000};
+    const declaredProcessors = job.processors;
+    return {workMs: job.itemMs[index] ?? 0, checkpointMs: 30_000, declaredProcessors};
+  };
+  const cell: VirtualCell = new VirtualCell({
+    hosts: Array.from({length: hostCount}, (_, number) => ({
+      name: `host-${number}`,
+      dataCentre: number < 5 ? 'west' : 'east',
+      rack: `rack-${Math.floor(number / 3)}`,
+      capacity: {processors, memoryMb: 60_000, accelerators: 0, slots: 8},
+    })),
+    getBehaviour,
+    // Tasks that use more than the host has slow each other in proportion.
+    speed: (_task, all) => {
+      const used = all.reduce(
+        (sum, other) => sum + (byName.get(other.workload)?.processors ?? 2_000),
+        0,
+      );
+      return Math.min(1, processors / used);
+    },
+    scheduler: {policy},
+  });
+  const finishedAt = new Map<string, number>();
+  schedule(cell, load, exact);
+  if (scenario.faults) scheduleFaults(cell);
+  cell.queue.every(1_000, () => {
+    for (const job of cell.scheduler.getState().jobs.values()) {
+      if (job.finished >= job.workload.tasks && !finishedAt.has(job.name)) {
+        finishedAt.set(job.name, cell.queue.now);
+      }
+    }
+  });
+  let brokenStarts = 0;
+  cell.queue.every(1_000, () => {
+    brokenStarts = Math.max(brokenStarts, cell.getHost('host-4').worker.failures);
+  });
+  cell.runUntil(hours * 3_600_000);
+  return collect(cell, load, finishedAt, brokenStarts);
+}
+
+function schedule(cell: VirtualCell, load: Load, exact: boolean): void {
+  for (const job of load.jobs) {
+    cell.queue.after(Math.max(5_000, job.arrivalMs), () =>
+      cell.configure({put: [toWorkload(job, exact)]}),
+    );
+  }
+  load.urgentAtMs.forEach((at, number) =>
+    cell.queue.after(at, () => cell.configure({put: [createUrgent(number)]})),
+  );
+  const cancelled = load.jobs.filter(job => job.cancelledAtMs !== undefined);
+  const names = cancelled.map(job => job.name);
+  cell.queue.after(5_400_000, () => cell.configure({remove: names}));
+}
+
+/** A worker that fails everything for an hour, and a rack that goes for half an hour. */
+function scheduleFaults(cell: VirtualCell): void {
+  const {worker} = cell.getHost('host-4');
+  cell.queue.after(1_200_000, () => {
+    worker.broken = true;
+  });
+  cell.queue.after(4_800_000, () => {
+    worker.broken = false;
+  });
+  const rack = ['host-6', 'host-7', 'host-8'];
+  cell.queue.after(6_000_000, () => {
+    for (const name of rack) cell.kill(name);
+  });
+  cell.queue.after(7_800_000, () => {
+    for (const name of rack) cell.restart(name);
+  });
+}
+
+function collect(
+  cell: VirtualCell,
+  load: Load,
+  finishedAt: ReadonlyMap<string, number>,
+  brokenStarts: number,
+): Outcome {
+  const inTime = new Set<string>();
+  let late = 0;
+  let warned = 0;
+  for (const job of load.jobs) {
+    if (job.neverRunnable || job.cancelledAtMs !== undefined) continue;
+    const at = finishedAt.get(job.name) ?? Number.POSITIVE_INFINITY;
+    if (at <= job.dateMs) {
+      inTime.add(job.name);
+      continue;
+    }
+    late += 1;
+    const told = cell.findings.some(
+      finding =>
+        finding.workload === job.name &&
+        finding.reason === 'expected-late' &&
+        finding.at < job.dateMs,
+    );
+    if (told) warned += 1;
+  }
+  const urgentWaits = load.urgentAtMs.map((at, number) => {
+    const started = cell.firstStart.get(`urgent-${number}/0`) ?? Number.POSITIVE_INFINITY;
+    return started - at;
+  });
+  const unreported = load.jobs.filter(
+    job =>
+      job.neverRunnable &&
+      !cell.findings.some(
+        finding =>
+          finding.workload === job.name &&
+          finding.reason === 'never-runnable' &&
+          finding.at - Math.max(5_000, job.arrivalMs) <= 100,
+      ),
+  ).length;
+  const {starts, evictions} = cell.scheduler.getState();
+  const lateWarned = late === 0 ? 1 : warned / late;
+  return {
+    inTime,
+    urgentWaits,
+    evictionShare: evictions / starts,
+    brokenStarts,
+    unreported,
+    lateWarned,
+  };
+}
+
+const policies: ReadonlyArray<readonly [string, Partial<RoundPolicy>]> = [
+  ['learned slack', {}],
+  [
+    'baseline first come first served',
+    {order: 'arrival', bands: false, learns: false, evicts: false},
+  ],
+  ['baseline strict urgency', {order: 'arrival', learns: false, evicts: false}],
+  ['baseline static packing by declared size', {order: 'date', learns: false}],
+  ['baseline no learning', {learns: false}],
+];
+
+const oracleOrders: ReadonlyArray<Partial<RoundPolicy>> = [
+  {order: 'slack'},
+  {order: 'date'},
+  {order: 'arrival'},
+];
+
+function runScenario(seed: number, scenario: Scenario): RunResult[] {
+  const oracle = oracleOrders
+    .map(policy => runPolicy(seed, scenario, policy, true))
+    .reduce((best, next) => (next.inTime.size > best.inTime.size ? next : best));
+  const rows = policies.map(([name, policy]) => [name, runPolicy(seed, scenario, policy)] as const);
+  return [...rows, ['baseline oracle', oracle] as const].map(([policy, outcome]) => {
+    const share = outcome.inTime.size / Math.max(1, oracle.inTime.size);
+    const waits = [...outcome.urgentWaits];
+    const measures: Measure[] = [
+      {name: 'jobs in time / oracle', unit: '', value: share, target: {atLeast: 0.95}},
+      {name: 'jobs in time', unit: 'jobs', value: outcome.inTime.size},
+      {name: 'urgent start p50', unit: 's', value: getQuantile(waits, 0.5) / 1000},
+      {
+        name: 'urgent start worst',
+        unit: 's',
+        value: Math.min(99_999, getQuantile(waits, 1) / 1000),
+        target: {atMost: 6.2},
+      },
+      {name: 'evictions / starts', unit: '', value: outcome.evictionShare, target: {atMost: 0.1}},
+      {name: 'late jobs announced before their date', unit: '', value: outcome.lateWarned},
+      {
+        name: 'never-runnable jobs not reported in one round',
+        unit: 'jobs',
+        value: outcome.unreported,
+        target: {atMost: 0},
+      },
+    ];
+    if (scenario.faults) {
+      measures.push({
+        name: 'starts on a failing worker in 1 h',
+        unit: '',
+        value: outcome.brokenStarts,
+      });
+    }
+    return {scenario: scenario.name, policy, measures};
+  });
+}
+
+/** Batch jobs with dates, whose declared sizes and run times are wrong, with and without faults. */
+export const batchesExperiment: Experiment = {
+  name: 'batches',
+  title: 'Batch jobs with dates, 10 hosts, 4 h, run times wrong by 0.1 to 10, sizes by 0.25 to 2',
+  seeds: [1, 2, 3, 4, 5],
+  run: seed => scenarios.flatMap(scenario => runScenario(seed, scenario)),
+};
--- a/packages/lab/src/measure/colocation.ts
+++ b/packages/lab/src/measure/colocation.ts
@@ -6,6 +6,7 @@
   type Workload,
 } from '@chervilbeam/coordination';
 import {RandomSource, VirtualCell, type VirtualTask} from '../cell/index.js';
+import {getQuantile} from '../cell/quantile.js';
 import type {Experiment, Measure, RunResult} from './experiment.js';
 
 /** One setting of the experiment. */
@@ -165,11 +166,6 @@
   }
 }
 
-function getQuantile(values: number[], quantile: number): number {
-  values.sort((a, b) => a - b);
-  return values[Math.floor(values.length * quantile)] ?? 0;
-}
-
 interface Outcome {
   readonly p99: number;
   readonly p999: number;
