Keep urgent tasks off doubtful workers

Cause: tasks that still finished reset the failure record of a worker that fails every start, and a host on probation counted as having room for urgent tasks that it could not take. Change: only attempts from after the last failure restore a worker; hosts on probation take one batch task that is not urgent; hosts whose newest attempts failed go last.

--- a/packages/coordination/src/tasks/cell/report-handler.ts
+++ b/packages/coordination/src/tasks/cell/report-handler.ts
@@ -179,7 +179,7 @@
   }
 
   private finish(host: CellHost, run: TaskRun, report: AttemptReport, at: number): void {
-    host.health.succeed();
+    host.health.succeed(run.startedAt);
     const job = this.state.removeRun(run);
     if (job && job.workload.kind === 'batch') {
       job.clearFailures(run.index);
--- a/packages/coordination/src/tasks/round/placement.ts
+++ b/packages/coordination/src/tasks/round/placement.ts
@@ -20,30 +20,46 @@
 /** Weight of the share of a host that stays free, against the predicted disturbance. */
 const packingWeight = 0.05;
 
+/** Cost of a host whose newest attempts failed; other hosts with room go first. */
+const doubtCost = 1e9;
+
+function isUrgent(workload: Workload): boolean {
+  return workload.urgency === 'critical' || workload.urgency === 'urgent';
+}
+
 /** Chooses hosts for tasks within one scheduling round. */
 export class Placement {
   private readonly promised = new Map<string, Amounts>();
   private readonly open: CellHost[];
+  /** Empty hosts on probation: each may run one batch task that is not urgent. */
+  private readonly probation: CellHost[];
 
   constructor(
     private readonly state: CellState,
     private readonly at: number,
     private readonly disturbance?: DisturbanceForecast,
   ) {
-    this.open = [...state.hosts.values()].filter(
+    const open = [...state.hosts.values()].filter(
       host => host.isReachable(at) && !state.isDrained(host) && !host.health.isSuspended(at),
     );
+    this.open = open.filter(host => !host.health.isOnProbation(at));
+    this.probation = open.filter(host => host.health.isOnProbation(at) && host.runs.size === 0);
   }
 
   /** Returns the best host with room now. */
   choose(job: Job, need: Resources): CellHost | undefined {
     const {workload} = job;
+    if (workload.kind === 'batch' && !isUrgent(workload)) {
+      const tried = this.probation.findIndex(host => this.hasRoom(host, need));
+      if (tried >= 0) return this.probation.splice(tried, 1)[0];
+    }
     const spread = workload.kind === 'batch' ? undefined : this.countSpread(job);
     let best: CellHost | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
     for (const host of this.open) {
       if (!this.hasRoom(host, need)) continue;
-      const cost = spread ? spread(host) : this.getBatchCost(host, workload);
+      const doubt = host.health.isDoubtful ? doubtCost : 0;
+      const cost = doubt + (spread ? spread(host) : this.getBatchCost(host, workload));
       if (cost < bestCost) {
         best = host;
         bestCost = cost;
@@ -98,7 +114,6 @@
   }
 
   private hasRoom(host: CellHost, need: Resources): boolean {
-    if (host.health.isOnProbation(this.at) && host.runs.size > 0) return false;
     const promised = this.promised.get(host.name);
     if (!promised) return fits(host.capacity, host.used, need);
     const used = copyAmounts(host.used);
--- a/packages/coordination/src/tasks/round/worker-health.ts
+++ b/packages/coordination/src/tasks/round/worker-health.ts
@@ -17,6 +17,7 @@
   private readonly failedWorkloads = new Set<string>();
   private suspendedUntil = Number.NEGATIVE_INFINITY;
   private suspensions = 0;
+  private failedAt = Number.NEGATIVE_INFINITY;
 
   /** Whether the worker gets nothing at present. */
   isSuspended(at: number): boolean {
@@ -28,13 +29,22 @@
     return this.suspensions > 0 && !this.isSuspended(at);
   }
 
+  /** Whether the newest attempts failed. */
+  get isDoubtful(): boolean {
+    return this.failures > 0 || this.suspensions > 0;
+  }
+
   /** Time at which the suspension ends. */
   get until(): number {
     return this.suspendedUntil;
   }
 
-  /** Records a success, which ends a probation. */
-  succeed(): void {
+  /**
+   * Records a success, which ends a probation. Attempts from before the last failure tell nothing: a worker
+   * may fail every start while earlier tasks still finish.
+   */
+  succeed(startedAt: number): void {
+    if (startedAt <= this.failedAt) return;
     this.failures = 0;
     this.failedWorkloads.clear();
     this.suspensions = 0;
@@ -44,6 +54,7 @@
   fail(workload: string, at: number): boolean {
     if (this.isSuspended(at)) return false;
     this.failures += 1;
+    this.failedAt = at;
     this.failedWorkloads.add(workload);
     const suspend =
       this.suspensions > 0 ||
@@ -62,6 +73,7 @@
   clone(): WorkerHealth {
     const copy = new WorkerHealth();
     copy.failures = this.failures;
+    copy.failedAt = this.failedAt;
     for (const workload of this.failedWorkloads) copy.failedWorkloads.add(workload);
     copy.suspendedUntil = this.suspendedUntil;
     copy.suspensions = this.suspensions;
