Plan dates by Moore and Hodgson

Change: the jobs of a band that can be in time together are chosen by date, putting off the largest; they go by slack, the others after them. Run times enter at their mean; sizes as reserved.

--- a/packages/coordination/src/tasks/cell-scheduler.ts
+++ b/packages/coordination/src/tasks/cell-scheduler.ts
@@ -1,5 +1,6 @@
 import {ColocationPolicy, type ColocationAdvisor} from '../colocation/colocation-policy.js';
-import type {Configuration} from '../configuration/document.js';
+import type {Configuration, Workload} from '../configuration/document.js';
+import type {Resources} from '../messages/identity.js';
 import type {Heartbeat} from '../messages/control.js';
 import type {Reducer} from '../reducer.js';
 import type {CellHost} from './cell/cell-host.js';
@@ -50,7 +51,9 @@
 
   constructor(private readonly options: CellSchedulerOptions) {
     this.policy = {...defaultRoundPolicy, ...options.policy};
-    this.planner = new DatePlanner(this.state, this.estimates, this.policy.learns);
+    this.planner = new DatePlanner(this.state, this.estimates, this.policy.learns, workload =>
+      this.getReservation(workload),
+    );
     this.colocation = options.colocation ?? new ColocationPolicy();
     this.reports = new ReportHandler(
       this.state,
@@ -306,8 +309,7 @@
   }
 
   private getContext(at: number): RoundContext {
-    const {ledger, state, sizes, planner} = this;
-    const {learns} = this.policy;
+    const {ledger, planner} = this;
     return {
       at,
       mayOpen: this.mode === 'owner',
@@ -316,13 +318,17 @@
       isOpened: name => ledger.isOpened(name),
       isFinished: (name, index) => ledger.isFinished(name, index),
       getCheckpoint: task => ledger.getTask(task)?.checkpoint,
-      getSlack: job => planner.getSlackSeconds(job, at),
-      getReservation: workload =>
-        learns ? sizes.getReservation(workload, state.largestProcessors) : workload.resources,
+      getPlace: job => planner.getPlace(job, at),
+      getReservation: workload => this.getReservation(workload),
       nextAttempt: () => this.term * attemptsPerTerm + (this.sequence += 1),
     };
   }
 
+  private getReservation(workload: Workload): Resources {
+    if (!this.policy.learns) return workload.resources;
+    return this.sizes.getReservation(workload, this.state.largestProcessors);
+  }
+
   private round(at: number): void {
     if (!this.isActive()) return;
     const decisions = new SchedulingRound(this.state, this.getContext(at)).run();
--- a/packages/coordination/src/tasks/round/date-planner.ts
+++ b/packages/coordination/src/tasks/round/date-planner.ts
@@ -1,3 +1,5 @@
+import type {Workload} from '../../configuration/document.js';
+import type {Resources} from '../../messages/identity.js';
 import type {CellState} from '../cell/cell-state.js';
 import type {Job} from '../cell/job.js';
 import type {FindingReason} from '../events.js';
@@ -7,6 +9,25 @@
 /** Time between two looks for jobs that will be late. */
 const lateCheckMs = 5_000;
 
+/** Time between two plans of the dates. */
+const planMs = 1_000;
+
+/** Deviations above the mean at which run times enter the plan. */
+const planDeviations = 0;
+
+/** Place of the jobs that are not planned. */
+const laterPlace = 1e9;
+
+interface PlannedJob {
+  readonly job: Job;
+  /** Time until the date. */
+  readonly left: number;
+  /** Time that the whole fleet needs for the rest of the job. */
+  readonly work: number;
+  /** Time that the job needs at least, because its items are not divided. */
+  readonly shortest: number;
+}
+
 /** Finding about a date. */
 export interface DateFinding {
   readonly workload: string;
@@ -18,21 +39,74 @@
 export class DatePlanner {
   /** Wall time less monotonic time; absent until the first tick that tells the wall time. */
   wallOffset?: number;
+  private plannedAt = Number.NEGATIVE_INFINITY;
+  private readonly places = new Map<string, number>();
   private checkedAt = Number.NEGATIVE_INFINITY;
 
   constructor(
     private readonly state: CellState,
     private readonly estimates: RunTimeEstimates,
     private readonly learns: boolean,
+    private readonly getReservation: (workload: Workload) => Resources,
   ) {}
 
-  /** Time to spare if the job got the whole fleet; infinite without a date. */
-  getSlackSeconds(job: Job, at: number): number {
+  /**
+   * Place of a job among those of its urgency band; lower goes first. Jobs that can be in time together
+   * go by their slack; those that would make others late follow with the jobs without a date.
+   */
+  getPlace(job: Job, at: number): number {
+    if (at - this.plannedAt >= planMs || at < this.plannedAt) this.plan(at);
+    return this.places.get(job.name) ?? laterPlace;
+  }
+
+  /**
+   * Chooses the jobs that can be in time together: by date, and when the work up to a date exceeds the
+   * time, the largest job is put off (Moore and Hodgson). The fleet counts as one machine.
+   */
+  private plan(at: number): void {
+    this.plannedAt = at;
+    this.places.clear();
+    const bands = new Map<string, PlannedJob[]>();
+    for (const job of this.state.jobs.values()) {
+      const planned = this.estimate(job, at);
+      if (!planned) continue;
+      const band = bands.get(job.workload.urgency) ?? [];
+      band.push(planned);
+      bands.set(job.workload.urgency, band);
+    }
+    for (const band of bands.values()) this.planBand(band);
+  }
+
+  private planBand(band: PlannedJob[]): void {
+    band.sort((a, b) => a.left - b.left);
+    const kept: PlannedJob[] = [];
+    let total = 0;
+    for (const planned of band) {
+      if (planned.shortest > planned.left) continue;
+      kept.push(planned);
+      total += planned.work;
+      if (total <= planned.left) continue;
+      let largest = 0;
+      for (let index = 1; index < kept.length; index += 1) {
+        if ((kept[index]?.work ?? 0) > (kept[largest]?.work ?? 0)) largest = index;
+      }
+      total -= kept.splice(largest, 1)[0]?.work ?? 0;
+    }
+    for (const {job, left, shortest, work} of kept) {
+      this.places.set(job.name, left - Math.max(shortest, work));
+    }
+  }
+
+  private estimate(job: Job, at: number): PlannedJob | undefined {
     const left = this.getLeftSeconds(job, at);
-    if (left === undefined) return Number.POSITIVE_INFINITY;
+    if (left === undefined || job.finished >= job.workload.tasks) return undefined;
+    if (job.neverRunnable !== undefined) return undefined;
+    const item = this.getItem(job, planDeviations, at);
+    const possible = countPossibleTasks(this.state, this.getReservation(job.workload));
+    const work = getRemainingSeconds(job, item, possible, true);
     const items = job.waiting + job.runs.size;
-    const parallel = Math.min(items, countPossibleTasks(this.state, job));
-    return left - getRemainingSeconds(job, this.getItem(job, 1, at), parallel);
+    const shortest = getRemainingSeconds(job, item, Math.min(items, possible));
+    return {job, left, work, shortest};
   }
 
   /** Returns the jobs that are late or expected to be, once every few seconds. */
@@ -49,7 +123,8 @@
         findings.push({workload, reason: 'late', detail});
         continue;
       }
-      const parallel = job.runs.size || countPossibleTasks(this.state, job);
+      const parallel =
+        job.runs.size || countPossibleTasks(this.state, this.getReservation(job.workload));
       const needed = getRemainingSeconds(job, this.getItem(job, 1, at), parallel);
       if (needed <= left) continue;
       const detail = `needs about ${Math.round(needed)} s, ${Math.round(left)} s are left`;
--- a/packages/coordination/src/tasks/round/remaining-time.ts
+++ b/packages/coordination/src/tasks/round/remaining-time.ts
@@ -1,3 +1,4 @@
+import type {Resources} from '../../messages/identity.js';
 import type {CellState} from '../cell/cell-state.js';
 import type {Job} from '../cell/job.js';
 import type {RunTimeEstimates} from './run-time-estimates.js';
@@ -8,9 +9,8 @@
 /** Progress from which a running item tells its run time. */
 const tellingProgress = 0.05;
 
-/** Number of tasks of the workload that the reachable hosts could run if they were empty. */
-export function countPossibleTasks(state: CellState, job: Job): number {
-  const need = job.workload.resources;
+/** Number of tasks of a size that the reachable hosts could run if they were empty. */
+export function countPossibleTasks(state: CellState, need: Resources): number {
   let tasks = 0;
   for (const {up, capacity} of state.hosts.values()) {
     if (!up) continue;
@@ -48,13 +48,24 @@
   return declared * estimates.getFactor(workload.team, workload.name, deviations);
 }
 
-/** Returns the expected time to finish a batch job with `parallel` tasks at a time. */
-export function getRemainingSeconds(job: Job, itemSeconds: number, parallel: number): number {
+/**
+ * Returns the expected time to finish a batch job with `parallel` tasks at a time; `divisible` leaves out
+ * that the last item takes its whole run time.
+ */
+export function getRemainingSeconds(
+  job: Job,
+  itemSeconds: number,
+  parallel: number,
+  divisible = false,
+): number {
   let items = job.waiting;
   let longest = items > 0 ? 1 : 0;
   for (const run of job.runs.values()) {
     items += 1 - run.progress;
     longest = Math.max(longest, 1 - run.progress);
   }
-  return Math.max(itemSeconds * longest, (items * itemSeconds) / Math.max(1, parallel));
+  return Math.max(
+    divisible ? 0 : itemSeconds * longest,
+    (items * itemSeconds) / Math.max(1, parallel),
+  );
 }
--- a/packages/coordination/src/tasks/round/scheduling-round.ts
+++ b/packages/coordination/src/tasks/round/scheduling-round.ts
@@ -50,8 +50,8 @@
   isOpened(workload: string): boolean;
   isFinished(workload: string, index: number): boolean;
   getCheckpoint(task: string): string | undefined;
-  /** Time until the date less the remaining run time in seconds; infinite without a date. */
-  getSlack(job: Job): number;
+  /** Place among the jobs of an urgency band; lower goes first. */
+  getPlace(job: Job): number;
   /** What a task of the workload reserves. */
   getReservation(workload: Workload): Resources;
   nextAttempt(): number;
@@ -166,7 +166,7 @@
   private getOrder(job: Job): number {
     if (this.policy.order === 'arrival') return 0;
     if (this.policy.order === 'date') return job.workload.dateMs ?? Number.POSITIVE_INFINITY;
-    return this.context.getSlack(job);
+    return this.context.getPlace(job);
   }
 
   private pickTeam(teams: ReadonlyMap<string, Job[]>): string {
--- a/packages/lab/src/measure/batches.ts
+++ b/packages/lab/src/measure/batches.ts
@@ -36,7 +36,7 @@
   readonly faults: boolean;
 }
 
-const scenarios: readonly Scenario[] = [
+export const scenarios: readonly Scenario[] = [
   {name: 'load 0.8, quiet', load: 0.8, faults: false},
   {name: 'load 1.1, quiet', load: 1.1, faults: false},
   {name: 'load 0.8, faults', load: 0.8, faults: true},
@@ -131,7 +131,7 @@
   readonly lateWarned: number;
 }
 
-function runPolicy(
+export function runPolicy(
   seed: number,
   scenario: Scenario,
   policy: Partial<RoundPolicy>,
