Refuse work for a leaving backend server at its agent and after a stall

Ruled out: the entry's suspicion of silent hosts, which cannot see its own stall before it reads old messages. Change: the agent refuses work for a backend server that has been leaving for longer than the grace time, and for 100 ms after a stall of over 1 s. Conclusion: the promise no longer depends on what entries know.

--- a/packages/coordination/src/membership/backend-view.ts
+++ b/packages/coordination/src/membership/backend-view.ts
@@ -8,6 +8,8 @@
 export interface Backend {
   announced: BackendAnnounced;
   heardAt: number;
+  /** Time at which it first announced that it is leaving. */
+  drainingSince?: number;
   running: number;
   pausedUntil: number;
 }
@@ -21,12 +23,11 @@
   /** Records a sign of life. */
   announce(announced: BackendAnnounced, at: number): void {
     const known = this.backends.get(announced.url);
-    if (known) {
-      known.announced = announced;
-      known.heardAt = at;
-      return;
-    }
-    this.backends.set(announced.url, {announced, heardAt: at, running: 0, pausedUntil: 0});
+    const backend = known ?? {announced, heardAt: at, running: 0, pausedUntil: 0};
+    backend.announced = announced;
+    backend.heardAt = at;
+    backend.drainingSince = announced.draining ? (backend.drainingSince ?? at) : undefined;
+    if (!known) this.backends.set(announced.url, backend);
   }
 
   /** Records that a backend server is gone. */
@@ -49,12 +50,18 @@
     return best;
   }
 
-  /** Whether a backend server offers a service, whatever its load. */
-  offers(service: string, at: number): boolean {
+  /**
+   * Why new work for a service is refused, if it is, whatever the load. A backend server that is leaving still
+   * takes the work of senders that have not heard of it, for the grace time.
+   */
+  getRefusal(service: string, graceMs: number, at: number): 'no-backend' | 'draining' | undefined {
+    let refusal: 'no-backend' | 'draining' = 'no-backend';
     for (const backend of this.backends.values()) {
-      if (isAlive(backend, at) && backend.announced.services.includes(service)) return true;
+      if (!isAlive(backend, at) || !backend.announced.services.includes(service)) continue;
+      if (at - (backend.drainingSince ?? at) <= graceMs) return undefined;
+      refusal = 'draining';
     }
-    return false;
+    return refusal;
   }
 
   /** Counts an exchange as open. */
--- a/packages/coordination/src/requests/agent-exchanges.ts
+++ b/packages/coordination/src/requests/agent-exchanges.ts
@@ -5,7 +5,7 @@
 import {EntryConnections} from '../membership/entry-connections.js';
 import type {Announce, Hello} from '../messages/control.js';
 import type {Cancel, Dispatch, NotRunReason, Recover} from '../messages/data.js';
-import {getRequestKey, type Resources} from '../messages/identity.js';
+import {getRequestKey} from '../messages/identity.js';
 import type {Reducer} from '../reducer.js';
 import type {
   AgentExchangesEffect,
@@ -14,36 +14,16 @@
   ExchangeFailed,
   ExchangeFinished,
 } from './agent-events.js';
+import {
+  agentExchangesDefaults,
+  type AgentExchangesOptions,
+  type AgentExchangesSettings,
+} from './agent-options.js';
 import type {AgentWork, Waiter} from './agent-work.js';
 import type {PeerMessage} from './entry-events.js';
 import {KeptAnswers, type KeptAnswer} from './kept-answers.js';
 import {Outbox} from './outbox.js';
-
-/** Options of `AgentExchanges`. */
-export interface AgentExchangesOptions {
-  readonly host: string;
-  readonly rack: string;
-  /** What the host offers; `slots` bounds the exchanges that are open at once. */
-  readonly capacity: Resources;
-  /** Longest wait for a slot. */
-  readonly queueMs: number;
-  readonly maxAnswerBytes: number;
-  readonly heartbeatMs: number;
-  /** Time after `drain` in which entries that have not heard of it are still served. */
-  readonly drainGraceMs: number;
-}
-
-/** Values of the options that a caller need not give. */
-export const agentExchangesDefaults = {
-  queueMs: 50,
-  maxAnswerBytes: 4 * 1024 * 1024,
-  heartbeatMs: 1000,
-  drainGraceMs: 1000,
-};
-
-/** Options of `AgentExchanges` with defaults for all but the identity and size of the host. */
-export type AgentExchangesSettings = Pick<AgentExchangesOptions, 'host' | 'rack' | 'capacity'> &
-  Partial<AgentExchangesOptions>;
+import {StallDetector} from '../membership/stall-detector.js';
 
 const busyHoldMs = 10;
 /** Time past the deadline after which an exchange that the edge has not ended is aborted. */
@@ -61,6 +41,7 @@
   private readonly peers = new EntryConnections();
   private configuration?: Configuration;
   private lastExchange = 0;
+  private readonly stalls = new StallDetector();
   private lastAnnounce = '';
   private heartbeatAt = -Infinity;
   private drainAt?: number;
@@ -74,6 +55,7 @@
 
   /** Applies an event. */
   reduce(event: AgentExchangesEvent, at: number): readonly AgentExchangesEffect[] {
+    this.stalls.note(at);
     this.apply(event, at);
     this.pump(at);
     this.announceChange(at);
@@ -172,8 +154,8 @@
     if (dispatch.remainingMs <= 0) return 'deadline';
     const {drainGraceMs} = this.options;
     if (this.drainAt !== undefined && at - this.drainAt > drainGraceMs) return 'draining';
-    if (!this.backends.offers(dispatch.service, at)) return 'no-backend';
-    return undefined;
+    const refusal = this.backends.getRefusal(dispatch.service, drainGraceMs, at);
+    return refusal ?? (this.stalls.isSettling(at) ? 'busy' : undefined);
   }
 
   private cancel(peer: string, message: Cancel, at: number): void {
--- a/packages/coordination/src/requests/index.ts
+++ b/packages/coordination/src/requests/index.ts
@@ -1,4 +1,5 @@
 export * from './agent-events.js';
+export * from './agent-options.js';
 export * from './agent-exchanges.js';
 export * from './entry-events.js';
 export * from './entry-requests.js';
--- a/packages/coordination/test/requests/agent-exchanges.test.ts
+++ b/packages/coordination/test/requests/agent-exchanges.test.ts
@@ -50,6 +50,15 @@
 const up: AgentExchangesEvent = {kind: 'peer-up', peer: 'entry', hello: hello('entry', 'entry')};
 const lapsed: AgentExchangesEvent = {kind: 'backend-lapsed', url: 'http://127.0.0.1:1'};
 
+const leaving: AgentExchangesEvent = {
+  kind: 'backend-announced',
+  url: 'http://127.0.0.1:1',
+  services: ['lookup'],
+  slots: 8,
+  connections: 64,
+  draining: true,
+};
+
 interface Case {
   readonly guards: string;
   readonly slots?: number;
@@ -228,6 +237,27 @@
     told: ['rejected no-backend'],
     opened: 0,
   },
+  {
+    guards: 'a backend server that is leaving gets work from an entry that has not heard of it',
+    steps: [
+      [1, leaving],
+      [900, dispatch(1)],
+      [1002, leaving],
+      [1100, dispatch(2)],
+    ],
+    told: ['rejected draining'],
+    opened: 1,
+  },
+  {
+    guards: 'requests that waited in the sockets of a stopped agent are run long after',
+    steps: [
+      [10, {kind: 'tick'}],
+      [2500, dispatch(1)],
+      [2650, dispatch(2)],
+    ],
+    told: ['rejected busy'],
+    opened: 1,
+  },
   {
     guards: 'a draining host takes new work after the grace time',
     steps: [
