Add the demonstration of both deployments

Cause: nothing showed the promises on real processes.

Change: `npm run demo` starts the store stand-in, three entries and four hosts with worker stand-ins for each deployment, applies examples/demo through plan and confirm, kills an entry and a back end, drains a host, stops the others under load, and checks what callers and stand-ins saw with the history checks. It fails when a promise is broken or unchecked.

--- /dev/null
+++ b/packages/lab/src/demo/demo-deployment.ts
@@ -0,0 +1,241 @@
+import {readFileSync} from 'node:fs';
+import {fileURLToPath} from 'node:url';
+import type {Settings} from '@chervilbeam/runtime';
+import {
+  applyIntent,
+  DaemonProcess,
+  getFreePorts,
+  getSharedTime,
+  ManagedProcess,
+  waitUntil,
+  workerDefaults,
+} from '@chervilbeam/standins';
+import type {DemoDataCentre, DemoPlan} from './demo-plan.js';
+import type {DemoRecorder} from './demo-recorder.js';
+
+const standins = new URL('.', import.meta.resolve('@chervilbeam/standins'));
+const storeModule = fileURLToPath(new URL('store/main.js', standins));
+const workerModule = fileURLToPath(new URL('worker/main.js', standins));
+const examples = new URL('../../../../../examples/demo/', import.meta.url);
+const settleMs = 700;
+/** Time for which a closing process' last answers may still be on the way to its callers. */
+const deliveryMs = 200;
+
+/** A host: the agent, and its worker and backend server in one process. */
+export interface DemoHost {
+  readonly name: string;
+  readonly agent: DaemonProcess;
+  readonly worker: ManagedProcess;
+}
+
+/** The processes of one deployment. */
+export class DemoDeployment {
+  /** Entries by name. */
+  readonly entries = new Map<string, DaemonProcess>();
+  /** Hosts by name. */
+  readonly hosts = new Map<string, DemoHost>();
+  /** Origin of the store. */
+  storeUrl = '';
+  private store: ManagedProcess | undefined;
+  private readonly errors: string[] = [];
+
+  /** Creates the deployment; `start` starts its processes. */
+  constructor(
+    readonly plan: DemoPlan,
+    private readonly recorder: DemoRecorder,
+  ) {}
+
+  /** Last log lines at level error or above, and lines that are no log lines. */
+  getErrors(): readonly string[] {
+    return this.errors;
+  }
+
+  /** Starts all processes and waits until they are connected. */
+  async start(): Promise<void> {
+    this.storeUrl = await this.startStore();
+    const entryCount = sum(this.plan.dataCentres, place => place.entries);
+    const hostCount = sum(this.plan.dataCentres, place => place.hosts);
+    const ports = [...(await getFreePorts(entryCount * 3 + hostCount * 3))];
+    const getAddress = () => `127.0.0.1:${ports.pop()}`;
+    const peers = Array.from({length: entryCount}, getAddress);
+    let index = 0;
+    for (const place of this.plan.dataCentres) {
+      for (let i = 1; i <= place.entries; i++) {
+        const listen = {
+          callers: getAddress(),
+          peers: peers[index++] as string,
+          control: getAddress(),
+        };
+        this.startEntry(`${place.name}-entry-${i}`, place, listen, peers);
+      }
+      for (let i = 1; i <= place.hosts; i++) {
+        this.startHost(`${place.name}-host-${i}`, place, getAddress, peers);
+      }
+    }
+    const connected = entryCount - 1 + hostCount;
+    await Promise.all([...this.entries.values()].map(entry => entry.waitForPeers(connected)));
+  }
+
+  /** Plans and confirms an intent at one entry. */
+  async apply(intent: object, entry = this.getEntry()): Promise<void> {
+    const {version, changeId} = await applyIntent(entry.settings.listen.control, intent);
+    if (version === undefined || changeId === undefined) return;
+    this.recorder.record({kind: 'configuration-accepted', version, changeId});
+  }
+
+  /** Returns the sample intent of the deployment. */
+  readIntent(): object {
+    const text = readFileSync(new URL(this.plan.intent, examples), 'utf8');
+    const intent = JSON.parse(text) as Record<string, unknown>;
+    delete intent.$schema;
+    return intent;
+  }
+
+  /** Waits until an entry schedules the cell: a plan then predicts with its scheduler. */
+  async waitForKnownConfiguration(): Promise<void> {
+    for (const entry of this.entries.values()) {
+      await waitUntil(`configuration at ${entry.settings.name}`, async () => {
+        const body = (await entry.get('/v1/configuration')) as {version?: number} | undefined;
+        return (body?.version ?? 0) > 0;
+      });
+    }
+  }
+
+  /** Returns an entry that runs. */
+  getEntry(): DaemonProcess {
+    const entry = [...this.entries.values()].find(({process}) => process.isRunning);
+    if (entry === undefined) throw new Error('no entry runs');
+    return entry;
+  }
+
+  /** Kills an entry. */
+  async killEntry(name: string): Promise<void> {
+    this.recorder.record({kind: 'process-killed', process: name});
+    this.entries.get(name)?.process.signal('SIGKILL');
+    await this.entries.get(name)?.process.exited;
+  }
+
+  /** Kills the worker and the backend server of a host. */
+  async killBackend(name: string): Promise<void> {
+    const worker = this.hosts.get(name)?.worker;
+    worker?.signal('SIGKILL');
+    const at = getSharedTime();
+    await worker?.exited;
+    this.recorder.endHost(name, at);
+  }
+
+  /** Tells a daemon to stop and records the end. */
+  async stopGracefully(name: string): Promise<void> {
+    const daemon = this.entries.get(name) ?? this.hosts.get(name)?.agent;
+    if (!daemon?.process.isRunning) return;
+    this.recorder.record({kind: 'shutdown-began', process: name});
+    const status = await daemon.stop();
+    if (status !== 0) this.errors.push(`${name} ended with ${status}`);
+    await new Promise(resolve => setTimeout(resolve, deliveryMs));
+    this.recorder.record({kind: 'process-exited', process: name});
+  }
+
+  /** Ends everything that still runs. */
+  async stop(): Promise<void> {
+    const daemons = [...this.entries.values(), ...[...this.hosts.values()].map(h => h.agent)];
+    const processes = [...daemons.map(daemon => daemon.process), ...this.getStandins()];
+    for (const process of processes) if (process.isRunning) process.signal('SIGTERM');
+    const limit = setTimeout(() => {
+      for (const process of processes) if (process.isRunning) process.signal('SIGKILL');
+    }, 3000);
+    await Promise.all(processes.map(process => process.exited));
+    clearTimeout(limit);
+  }
+
+  private getStandins(): ManagedProcess[] {
+    const workers = [...this.hosts.values()].map(host => host.worker);
+    return this.store ? [...workers, this.store] : workers;
+  }
+
+  private async startStore(): Promise<string> {
+    let url = '';
+    this.store = new ManagedProcess({
+      name: 'store',
+      module: storeModule,
+      arguments: ['127.0.0.1:0'],
+      onLine: line => (url = (JSON.parse(line) as {store: string}).store),
+    });
+    await waitUntil('store', () => url !== '');
+    return url;
+  }
+
+  private startEntry(
+    name: string,
+    place: DemoDataCentre,
+    listen: Settings['listen'],
+    seeds: readonly string[],
+  ): void {
+    const entry = new DaemonProcess(
+      {
+        ...this.getPlace(place),
+        role: 'entry',
+        name,
+        listen,
+        seeds,
+        store: this.storeUrl,
+        cells: ['main'],
+        settleMs,
+        logLevel: 'error',
+      },
+      line => this.errors.push(`${name}: ${line}`),
+    );
+    this.entries.set(name, entry);
+    this.recorder.record({kind: 'process-started', process: name});
+  }
+
+  private startHost(
+    name: string,
+    place: DemoDataCentre,
+    getAddress: () => string,
+    seeds: readonly string[],
+  ): void {
+    const control = getAddress();
+    const worker = getAddress();
+    const {lookup, order, runTimesMs} = this.plan;
+    const settings = {
+      ...workerDefaults,
+      name,
+      rack: `${place.name}-rack`,
+      services: [lookup, order],
+      workerListen: worker,
+      backendListen: getAddress(),
+      agent: `http://${control}`,
+      runTimesMs,
+    };
+    const process = new ManagedProcess({
+      name: `${name}-worker`,
+      module: workerModule,
+      arguments: [JSON.stringify(settings)],
+      onLine: line => this.recorder.takeLine(line),
+      onErrorLine: line => this.errors.push(`${name}-worker: ${line}`),
+    });
+    const agent = new DaemonProcess(
+      {
+        ...this.getPlace(place),
+        role: 'agent',
+        name,
+        listen: {control},
+        seeds,
+        worker: `http://${worker}`,
+        logLevel: 'error',
+      },
+      line => this.errors.push(`${name}: ${line}`),
+    );
+    this.hosts.set(name, {name, agent, worker: process});
+    this.recorder.record({kind: 'process-started', process: name});
+  }
+
+  private getPlace(place: DemoDataCentre) {
+    const {deployment} = this.plan;
+    return {deployment, region: place.region, dataCentre: place.name};
+  }
+}
+
+function sum<Value>(values: readonly Value[], getCount: (value: Value) => number): number {
+  return values.reduce((total, value) => total + getCount(value), 0);
+}
--- /dev/null
+++ b/packages/lab/src/demo/demo-traffic.ts
@@ -0,0 +1,82 @@
+import {Balancer, type CallerCall} from '@chervilbeam/standins';
+import type {DemoPlan} from './demo-plan.js';
+import type {DemoRecorder} from './demo-recorder.js';
+
+/** Time between two rounds of callers. */
+const roundMs = 50;
+const longMs = 600;
+
+/** Callers of one deployment: lookups, requests that may run only once, and hopeless ones. */
+export class DemoTraffic {
+  private readonly balancer: Balancer;
+  private readonly open = new Set<Promise<void>>();
+  private timer: NodeJS.Timeout | undefined;
+  private count = 0;
+  private rounds = 0;
+
+  /** Creates callers that reach the given entries. */
+  constructor(
+    private readonly plan: DemoPlan,
+    entries: ReadonlyArray<{readonly name: string; readonly address: string}>,
+    private readonly recorder: DemoRecorder,
+  ) {
+    this.balancer = new Balancer(entries);
+  }
+
+  /** Starts the callers. */
+  start(): void {
+    this.balancer.start();
+    this.timer = setInterval(() => this.callRound(), roundMs);
+  }
+
+  /** Sends no more requests and waits for the open ones. */
+  async finish(): Promise<void> {
+    clearInterval(this.timer);
+    await Promise.all(this.open);
+  }
+
+  /** Closes all connections. */
+  async stop(): Promise<void> {
+    clearInterval(this.timer);
+    await this.balancer.stop();
+  }
+
+  private callRound(): void {
+    const {lookup, order} = this.plan;
+    this.rounds += 1;
+    for (let i = 0; i < 3; i++) this.call(lookup, 'GET', {'x-service-ms': String(2 + i * 4)});
+    this.call(order, 'POST', {'x-service-ms': '20'}, JSON.stringify({order: this.rounds}));
+    // Some exchange is always open, so that every shutdown meets requests in flight.
+    if (this.rounds % 4 === 0) this.call(lookup, 'GET', {'x-service-ms': String(longMs)});
+    if (this.rounds % 5 === 0) this.call(lookup, 'GET', {'x-answer-bytes': '100000'});
+    // Hopeless requests: their callers must be told that they did not run.
+    if (this.rounds % 10 === 0) this.call('no-such-service', 'POST', {}, '{}');
+  }
+
+  private call(
+    service: string,
+    method: 'GET' | 'POST',
+    headers: Readonly<Record<string, string>>,
+    body?: string,
+  ): void {
+    const id = `${this.plan.deployment}-${++this.count}`;
+    const path = `/items/${this.count}`;
+    const call = {id, service, method, path, headers, ...(body !== undefined && {body})};
+    const done = this.perform(call).finally(() => this.open.delete(done));
+    this.open.add(done);
+  }
+
+  private async perform(call: CallerCall): Promise<void> {
+    const {id: request, service} = call;
+    const idempotent = call.method === 'GET';
+    let sent = false;
+    const result = await this.balancer.send(call, entry => {
+      sent = true;
+      this.recorder.record({kind: 'request-submitted', request, entry, service, idempotent});
+    });
+    if (!sent) return;
+    const {outcome, status, body} = result;
+    if (outcome === 'lost') this.recorder.record({kind: 'request-abandoned', request});
+    else this.recorder.record({kind: 'request-answered', request, outcome, status, body});
+  }
+}
--- /dev/null
+++ b/packages/lab/src/demo/index.ts
@@ -0,0 +1,1 @@
+export * from './promise-report.js';
--- /dev/null
+++ b/packages/standins/src/callers/index.ts
@@ -0,0 +1,1 @@
+export * from './balancer.js';
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,3 +1,4 @@
+export * from './callers/index.js';
 export * from './process/index.js';
-export * from './worker/index.js';
 export * from './store/index.js';
+export * from './worker/index.js';
