--- a/packages/coordination/src/requests/agent-exchanges.ts
+++ b/packages/coordination/src/requests/agent-exchanges.ts
@@ -22,7 +22,7 @@
 import type {AgentWork, Waiter} from './agent-work.js';
 import type {PeerMessage} from './entry-events.js';
 import {KeptAnswers, type KeptAnswer} from './kept-answers.js';
-import {Outbox} from './outbox.js';
+import {Outbox} from '../outbox.js';
 import {StallDetector} from '../membership/stall-detector.js';
 
 const busyHoldMs = 10;
