--- a/packages/lab/src/cell/virtual-worker.ts
+++ b/packages/lab/src/cell/virtual-worker.ts
@@ -32,6 +32,10 @@
   readonly checkpointMs?: number;
   /** Whether each start fails. */
   readonly fails?: boolean;
+  /** Processors that the task really uses over those that it declares; 1 when absent. */
+  readonly sizeFactor?: number;
+  /** Declared processors, when the reservation differs from them. */
+  readonly declaredProcessors?: number;
 }
 
 /** Speed of the tasks of a worker, by what runs beside them; 1 is full speed. */
@@ -49,7 +53,11 @@
   readonly tasks = new Map<string, VirtualTask>();
   /** Every start fails. */
   broken = false;
+  /** Number of starts that failed. */
+  failures = 0;
   term = 0;
+  /** Highest attempt of each task that was told to stop; its start may still be on its way. */
+  private readonly stopped = new Map<string, number>();
 
   constructor(
     readonly capacity: Resources,
@@ -86,6 +94,9 @@
     this.term = call.term;
     const task = this.tasks.get(call.task);
     if (call.action === 'start') return this.start(call, task, at);
+    if (call.action === 'stop') {
+      this.stopped.set(call.task, Math.max(call.attempt, this.stopped.get(call.task) ?? 0));
+    }
     if (task?.attempt !== call.attempt) return {ok: call.action === 'stop'};
     switch (call.action) {
       case 'renew':
@@ -126,17 +137,29 @@
     this.advance(at);
     return this.running.map(task => {
       const progress = Number.isFinite(task.workMs) ? task.doneMs / task.workMs : undefined;
-      const {processors, memoryMb} = task.resources;
-      const usage = {processors: processors * task.fraction, memoryMb, progress};
+      const {memoryMb} = task.resources;
+      const processors = this.getProcessors(task);
+      const usage = {processors, memoryMb, progress};
       return {task: task.task, attempt: task.attempt, usage};
     });
   }
 
+  /** Processors that a running task uses. */
+  getProcessors(task: VirtualTask): number {
+    const {sizeFactor = 1, declaredProcessors} = this.behaviourOf(task);
+    return (declaredProcessors ?? task.resources.processors) * sizeFactor * task.fraction;
+  }
+
   private start(call: WorkerCall, present: VirtualTask | undefined, at: number): VirtualResult {
     if (present && present.attempt >= call.attempt) return {ok: present.attempt === call.attempt};
+    if ((this.stopped.get(call.task) ?? 0) >= call.attempt)
+      return {ok: false, detail: 'stale attempt'};
     const index = Number(call.task.slice(call.task.lastIndexOf('/') + 1));
     const behaviour = this.getBehaviour(call.workload ?? '', index);
-    if (this.broken || behaviour.fails) return {ok: false, detail: 'exited with status 1'};
+    if (this.broken || behaviour.fails) {
+      this.failures += 1;
+      return {ok: false, detail: 'exited with status 1'};
+    }
     this.tasks.set(call.task, {
       task: call.task,
       attempt: call.attempt,
