--- a/packages/coordination/src/admission/fair-queue.ts
+++ b/packages/coordination/src/admission/fair-queue.ts
@@ -11,6 +11,9 @@
   readonly order: QueueOrder;
 }
 
+/** Time over which the use of a class is averaged. */
+const usageMs = 500;
+
 const defaults: FairQueueOptions = {
   standingMs: 100,
   maxItemsPerClass: 2000,
@@ -33,6 +36,9 @@
   head: number;
   size: number;
   inFlight: number;
+  /** Requests in flight, averaged over the last half second. */
+  usage: number;
+  usageAt: number;
   oldestAt: number;
   /** Virtual service received, for fairness among equals. */
   virtual: number;
@@ -106,6 +112,8 @@
       head: 0,
       size: 0,
       inFlight: 0,
+      usage: 0,
+      usageAt: 0,
       oldestAt: 0,
       virtual: 0,
       shortAt: -Infinity,
@@ -142,7 +150,7 @@
   ): Taken<Item, Target> | undefined {
     const tried = new Set<ClassState<Item>>();
     for (;;) {
-      const state = this.getNextClass(tried);
+      const state = this.getNextClass(tried, at);
       if (!state) return undefined;
       tried.add(state);
       const queued = this.getHead(state);
@@ -155,14 +163,11 @@
     }
   }
 
-  /** Counts a request as in flight that did not pass through the queue. */
-  acquire(key: string): void {
-    this.getStateOrThrow(key).inFlight += 1;
-  }
-
   /** Ends a request in flight of a class. */
-  release(key: string): void {
-    this.getStateOrThrow(key).inFlight -= 1;
+  release(key: string, at: number): void {
+    const state = this.getStateOrThrow(key);
+    settleUsage(state, at);
+    state.inFlight -= 1;
   }
 
   /** Removes a queued request; returns false when it is not queued. */
@@ -200,6 +205,7 @@
   }
 
   private noteTaken(state: ClassState<Item>, queued: Queued<Item>, at: number): void {
+    settleUsage(state, at);
     state.inFlight += 1;
     state.virtual += 1 / Math.max(0.01, state.share.weight);
     if (at - queued.since <= this.options.standingMs || state.size === 0) state.shortAt = at;
@@ -220,13 +226,14 @@
     if (minimum !== Infinity) state.virtual = Math.max(state.virtual, minimum);
   }
 
-  private getNextClass(tried: Set<ClassState<Item>>): ClassState<Item> | undefined {
+  private getNextClass(tried: Set<ClassState<Item>>, at: number): ClassState<Item> | undefined {
     let best: ClassState<Item> | undefined;
     for (const state of this.classes.values()) {
       if (state.size === 0 || tried.has(state)) continue;
       const head = this.getHead(state);
       if (!head) continue;
       state.oldestAt = head.since;
+      settleUsage(state, at);
       if (!best || this.options.order.isBefore(state, best)) best = state;
     }
     return best;
@@ -260,3 +267,9 @@
     return state;
   }
 }
+
+function settleUsage<Item>(state: ClassState<Item>, at: number): void {
+  const weight = Math.min(1, (at - state.usageAt) / usageMs);
+  state.usage += (state.inFlight - state.usage) * weight;
+  state.usageAt = at;
+}
--- a/packages/coordination/src/admission/queue-order.ts
+++ b/packages/coordination/src/admission/queue-order.ts
@@ -15,6 +15,8 @@
   /** Urgency as a number, 0 highest. */
   readonly level: number;
   readonly inFlight: number;
+  /** Requests in flight, averaged over the last half second. */
+  readonly usage: number;
   /** Virtual service received, for fairness among equals. */
   readonly virtual: number;
   /** Arrival of the oldest queued request. */
@@ -27,23 +29,47 @@
   isBefore(a: WaitingClass, b: WaitingClass): boolean;
 }
 
+/** Bound on a burst beyond the guaranteed share, as a multiple of it. */
+const burstRatio = 2;
+
 /**
  * Classes below their guaranteed share first, then by urgency, then fairly by weight. Strict urgency alone starves
  * the rest under a flood of urgent work, and equal shares alone let a flood of background work take the share of
- * urgent work.
+ * urgent work. The share is compared with the average use, because random arrivals within the grant often put more
+ * requests in flight for a moment.
  */
 export class GuaranteedOrder implements QueueOrder {
   /** Whether `a` is served before `b`. */
   isBefore(a: WaitingClass, b: WaitingClass): boolean {
-    const aBelow = a.inFlight < a.share.guaranteed;
-    const bBelow = b.inFlight < b.share.guaranteed;
-    if (aBelow !== bBelow) return aBelow;
-    if (aBelow) return a.inFlight / a.share.guaranteed < b.inFlight / b.share.guaranteed;
-    if (a.level !== b.level) return a.level < b.level;
-    return a.virtual < b.virtual;
+    return isGuaranteedBefore(a, b, isBelowOnAverage(a), isBelowOnAverage(b));
+  }
+}
+
+/** Baseline: the previous policy, which compares the share with the requests in flight at the moment. */
+export class InstantOrder implements QueueOrder {
+  /** Whether `a` is served before `b`. */
+  isBefore(a: WaitingClass, b: WaitingClass): boolean {
+    const [aBelow, bBelow] = [a, b].map(c => c.inFlight < c.share.guaranteed);
+    return isGuaranteedBefore(a, b, aBelow!, bBelow!);
   }
 }
 
+function isBelowOnAverage({inFlight, usage, share}: WaitingClass): boolean {
+  return usage < share.guaranteed && inFlight < burstRatio * share.guaranteed;
+}
+
+function isGuaranteedBefore(
+  a: WaitingClass,
+  b: WaitingClass,
+  aBelow: boolean,
+  bBelow: boolean,
+): boolean {
+  if (aBelow !== bBelow) return aBelow;
+  if (aBelow) return a.inFlight / a.share.guaranteed < b.inFlight / b.share.guaranteed;
+  if (a.level !== b.level) return a.level < b.level;
+  return a.virtual < b.virtual;
+}
+
 /** Baseline: the oldest request first, whatever its class. */
 export class FirstComeOrder implements QueueOrder {
   /** Whether `a` is served before `b`. */
--- a/packages/coordination/src/requests/agent-exchanges.ts
+++ b/packages/coordination/src/requests/agent-exchanges.ts
@@ -229,7 +229,7 @@
     }
     this.exchanges.delete(exchange);
     this.backends.end(work.url!);
-    this.queue.release(work.dispatch.service);
+    this.queue.release(work.dispatch.service, at);
     this.outbox.observe('exchange', at - work.startedAt);
     return work;
   }
--- a/packages/coordination/src/requests/attempt-results.ts
+++ b/packages/coordination/src/requests/attempt-results.ts
@@ -268,7 +268,7 @@
     if (!queue.push(service, request, at, deadline, body.byteLength)) return false;
     if (request.taken) {
       request.taken = false;
-      queue.release(service);
+      queue.release(service, at);
     }
     outbox.count('retries');
     return true;
--- a/packages/coordination/src/requests/conclusions.ts
+++ b/packages/coordination/src/requests/conclusions.ts
@@ -255,7 +255,7 @@
   private close(request: PendingRequest, at: number): void {
     if (request.taken) {
       request.taken = false;
-      this.parts.queue.release(request.service);
+      this.parts.queue.release(request.service, at);
     } else {
       this.parts.queue.remove(request);
     }
--- a/packages/coordination/src/requests/entry-requests.ts
+++ b/packages/coordination/src/requests/entry-requests.ts
@@ -42,6 +42,7 @@
   private readonly conclusions: Conclusions;
   private readonly results: AttemptResults;
   private configuration?: Configuration;
+  private refused = false;
   private sequence = 0;
   private drainedAt?: number;
   private drainReported = false;
@@ -69,8 +70,10 @@
 
   /** Applies an event. */
   reduce(event: EntryRequestsEvent, at: number): readonly EntryRequestsEffect[] {
+    this.refused = false;
     this.apply(event, at);
-    this.pump(at);
+    // A refusal frees nothing; looking for hosts again would make it cost several times as much.
+    if (!this.refused) this.pump(at);
     this.reportDrained(at);
     return this.outbox.take();
   }
@@ -120,6 +123,7 @@
     const deadline = at + Math.max(0, Math.min(event.timeoutMs, this.options.maxTimeoutMs));
     this.outbox.count('requests-received');
     const refusal = this.getRefusal(service, body.byteLength, deadline, true, at);
+    this.refused = refusal !== undefined;
     if (refusal) return this.conclusions.refuseCaller(caller, refusal);
     const id = {origin: this.options.incarnation, sequence: ++this.sequence};
     const {team, kind, urgency, idempotentMethods} = this.configuration!.workloads.get(service)!;
--- a/packages/coordination/src/routing/entry-routes.ts
+++ b/packages/coordination/src/routing/entry-routes.ts
@@ -147,7 +147,11 @@
     const slots = this.hosts.getSlots();
     if (slots > 0) {
       const entries = 1 + this.peers.countConnected(this.options.region);
-      return {available: slots / entries, slots};
+      // Requests in flight also are on the way or in the short queue of an agent, so under load there are more of them
+      // than slots; shares of the slots alone would be too small for what is counted against them.
+      let outstanding = 0;
+      for (const host of this.hosts.getHosts()) outstanding += host.outstanding;
+      return {available: Math.max(slots / entries, outstanding), slots};
     }
     let remoteSlots = 0;
     for (const peer of this.peers.getPeers()) {
