Correct reservations by learned sizes and try unknown jobs early

Cause: at load 1.1 learned sizes of 4001 let only three tasks of 4000 onto a host of 16000, and a job whose declared run time is off by a factor was found out late. Change: estimates are rounded down by 0.5%; a job of an unknown series starts one item first; the prior of run times weighs a quarter of an observation. The tests found that a service lost 0.5% of its declared size; fixed.

--- a/packages/coordination/src/tasks/round/date-planner.ts
+++ b/packages/coordination/src/tasks/round/date-planner.ts
@@ -15,6 +15,9 @@
 /** Deviations above the mean at which run times enter the plan. */
 const planDeviations = 0;
 
+/** Place of a job of which nothing is known and nothing runs. */
+const firstPlace = -1e9;
+
 /** Place of the jobs that are not planned. */
 const laterPlace = 1e9;
 
@@ -56,6 +59,10 @@
    */
   getPlace(job: Job, at: number): number {
     if (at - this.plannedAt >= planMs || at < this.plannedAt) this.plan(at);
+    const {team, name} = job.workload;
+    const unknown = this.learns && this.estimates.getCount(team, name) === 0;
+    // One early item tells whether the declared run time is off by a factor.
+    if (unknown && job.runs.size === 0) return firstPlace;
     return this.places.get(job.name) ?? laterPlace;
   }
 
--- a/packages/coordination/src/tasks/round/run-time-estimates.ts
+++ b/packages/coordination/src/tasks/round/run-time-estimates.ts
@@ -1,7 +1,7 @@
 /** Prior mean and deviation of ln(actual / declared), and the weight of the prior in observations. */
 const priorMean = 0;
 const priorDeviation = Math.log(3);
-const priorWeight = 1;
+const priorWeight = 0.25;
 
 interface Estimate {
   count: number;
--- a/packages/coordination/src/tasks/round/size-estimates.ts
+++ b/packages/coordination/src/tasks/round/size-estimates.ts
@@ -11,6 +11,9 @@
 /** Deviations above the mean that are reserved. */
 const reservedDeviations = 2;
 
+/** Part of an estimate that is rounded away: four tasks of 4001 would not fit on a host of 16000. */
+const grainFraction = 0.005;
+
 /** Least part of the declared size that stays reserved. */
 const leastFraction = 0.1;
 
@@ -50,8 +53,9 @@
     if (!estimate || estimate.count < enoughMeasurements) return resources;
     const upper = estimate.mean + reservedDeviations * Math.sqrt(estimate.variance);
     const least = workload.kind === 'batch' ? leastFraction : 1;
-    const fraction = Math.max(least, upper);
-    const wanted = Math.ceil(resources.processors * fraction);
+    if (upper >= 1 && upper < 1 + grainFraction) return resources;
+    const estimated = Math.floor(resources.processors * upper * (1 - grainFraction));
+    const wanted = Math.max(Math.ceil(resources.processors * least), estimated);
     const processors = Math.min(wanted, Math.max(largest, resources.processors));
     return {...resources, processors};
   }
