--- /dev/null
+++ b/packages/coordination/src/agent/agent-process.ts
@@ -0,0 +1,150 @@
+import {ConfigurationView} from '../configuration/view/configuration-view.js';
+import type {ConfigurationEvent} from '../configuration/view/events.js';
+import type {ProcessMessage} from '../entry/entry-process-events.js';
+import type {Announce} from '../messages/control.js';
+import type {Resources} from '../messages/identity.js';
+import type {Reducer} from '../reducer.js';
+import type {AgentExchangesEffect, AgentExchangesEvent} from '../requests/agent-events.js';
+import {AgentExchanges} from '../requests/agent-exchanges.js';
+import {AgentTasks} from '../tasks/agent-tasks.js';
+import type {AgentTasksEvent} from '../tasks/events.js';
+import type {AgentProcessEffect, AgentProcessEvent} from './agent-process-events.js';
+
+/** Options of `AgentProcess`. */
+export interface AgentProcessOptions {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly region: string;
+  readonly rack: string;
+  readonly capacity: Resources;
+  readonly incarnation: number;
+  /** Seed of all random choices. */
+  readonly seed: number;
+}
+
+/** Time between two ticks of everything but the exchanges. */
+const slowTickMs = 100;
+
+/** All decisions of an agent: exchanges with the backend server, tasks at the worker, configuration. */
+export class AgentProcess implements Reducer<AgentProcessEvent, AgentProcessEffect> {
+  /** Configuration as this agent sees it. */
+  readonly view: ConfigurationView;
+  /** Tasks on the host. */
+  readonly tasks = new AgentTasks();
+  private readonly exchanges: AgentExchanges;
+  private readonly controlPeers = new Set<string>();
+  private announce: Announce | undefined;
+  private out: AgentProcessEffect[] = [];
+  private slowTickAt = -Infinity;
+
+  /** Creates the reducer. */
+  constructor(options: AgentProcessOptions) {
+    const {name: host, rack, capacity} = options;
+    this.view = new ConfigurationView({role: 'agent', ...options});
+    this.exchanges = new AgentExchanges({host, rack, capacity});
+  }
+
+  /** @inheritdoc */
+  reduce(event: AgentProcessEvent, at: number): readonly AgentProcessEffect[] {
+    this.out = [];
+    this.apply(event, at);
+    return this.out;
+  }
+
+  private apply(event: AgentProcessEvent, at: number): void {
+    switch (event.kind) {
+      case 'message':
+        return this.receive(event, at);
+      case 'control-up':
+        this.controlPeers.add(event.peer);
+        if (this.announce) this.sendControl(event.peer, this.announce);
+        this.configure({...event, kind: 'peer-up'}, at);
+        return this.supervise({...event, kind: 'peer-up'}, at);
+      case 'control-down':
+        this.controlPeers.delete(event.peer);
+        this.configure({...event, kind: 'peer-down'}, at);
+        return this.supervise({...event, kind: 'peer-down'}, at);
+      case 'worker-state':
+      case 'worker-unreachable':
+      case 'worker-result':
+      case 'worker-usage':
+        return this.supervise(event, at);
+      case 'tick':
+        this.exchange(event, at);
+        return this.slowTick(at);
+      default:
+        return this.exchange(event, at);
+    }
+  }
+
+  private slowTick(at: number): void {
+    if (at - this.slowTickAt < slowTickMs) return;
+    this.slowTickAt = at;
+    this.configure({kind: 'tick'}, at);
+    this.supervise({kind: 'tick', configVersion: this.view.configuration.version}, at);
+  }
+
+  private receive(event: ProcessMessage, at: number): void {
+    const {peer, message, body} = event;
+    if ('id' in message) {
+      return this.exchange({kind: 'message', peer, message, ...(body && {body})}, at);
+    }
+    switch (message.kind) {
+      case 'config':
+        return this.configure({kind: 'config', peer, message}, at);
+      case 'config-request':
+        return this.configure({kind: 'config-request', peer, message}, at);
+      case 'grant':
+      case 'start':
+      case 'stop':
+      case 'throttle':
+      case 'acknowledge':
+        return this.supervise({kind: 'message', peer, message}, at);
+      default:
+        this.out.push({kind: 'count', name: 'refused-unexpected-kind', by: 1});
+    }
+  }
+
+  private exchange(event: AgentExchangesEvent, at: number): void {
+    for (const effect of this.exchanges.reduce(event, at)) this.takeExchanges(effect);
+  }
+
+  private takeExchanges(effect: AgentExchangesEffect): void {
+    switch (effect.kind) {
+      case 'send':
+        // The announcement goes to every entry when its control connection opens and when it changes.
+        if (effect.message.kind !== 'announce') this.out.push({...effect, channel: 'data'});
+        else this.sendControl(effect.peer, effect.message);
+        return;
+      case 'announce':
+        this.announce = effect.message;
+        for (const peer of this.controlPeers) this.sendControl(peer, effect.message);
+        return;
+      default:
+        this.out.push(effect);
+    }
+  }
+
+  private sendControl(peer: string, message: Announce): void {
+    this.out.push({kind: 'send', peer, channel: 'control', message});
+  }
+
+  private supervise(event: AgentTasksEvent, at: number): void {
+    for (const effect of this.tasks.reduce(event, at)) {
+      if (effect.kind === 'send') this.out.push({...effect, channel: 'control'});
+      else this.out.push(effect);
+    }
+  }
+
+  private configure(event: ConfigurationEvent, at: number): void {
+    for (const effect of this.view.reduce(event, at)) {
+      if (effect.kind === 'send') {
+        this.out.push({...effect, channel: 'control'});
+      } else if (effect.kind === 'configuration') {
+        this.exchange(effect, at);
+      } else if (effect.kind === 'count' || effect.kind === 'observe' || effect.kind === 'record') {
+        this.out.push(effect);
+      }
+    }
+  }
+}
