--- a/packages/coordination/src/admission/fair-queue.ts
+++ b/packages/coordination/src/admission/fair-queue.ts
@@ -81,6 +81,15 @@
     return state.takenPerMs > 0 ? state.size / state.takenPerMs : Infinity;
   }
 
+  /** Whether a request that joins a class now would be shed for its wait. */
+  isShedding(key: string, at: number): boolean {
+    const state = this.classes.get(key);
+    if (!state || state.size === 0) return false;
+    const {standingMs} = this.options;
+    // Twice the bound, because the rate is an estimate; a request that is refused wrongly costs goodput.
+    return at - state.shortAt > standingMs && this.getExpectedWaitMs(state, at) > 2 * standingMs;
+  }
+
   /** Defines or changes a class. */
   setClass(key: string, share: QueueClass): void {
     const level = urgencies.indexOf(share.urgency);
@@ -126,13 +135,10 @@
     return true;
   }
 
-  /**
-   * Takes the next request for whose class `pick` finds a target and counts it as in flight. A request is `lent` a
-   * place when its class is at or above its guaranteed share.
-   */
+  /** Takes the next request for whose class `pick` finds a target and counts it as in flight. */
   take<Target>(
     at: number,
-    pick: (item: Item, lent: boolean) => Target | undefined,
+    pick: (item: Item) => Target | undefined,
   ): Taken<Item, Target> | undefined {
     const tried = new Set<ClassState<Item>>();
     for (;;) {
@@ -141,7 +147,7 @@
       tried.add(state);
       const queued = this.getHead(state);
       if (!queued) continue;
-      const target = pick(queued.item, state.inFlight >= state.share.guaranteed);
+      const target = pick(queued.item);
       if (target === undefined) continue;
       this.remove(queued.item);
       this.noteTaken(state, queued, at);
--- a/packages/coordination/src/requests/entry-requests.ts
+++ b/packages/coordination/src/requests/entry-requests.ts
@@ -1,4 +1,4 @@
-import {FairQueue, type FairQueueOptions} from '../admission/fair-queue.js';
+import {FairQueue} from '../admission/fair-queue.js';
 import {RetryBudget} from '../admission/retry-budget.js';
 import {applyShares} from '../admission/shares.js';
 import type {Configuration} from '../configuration/document.js';
@@ -16,52 +16,16 @@
   PeerMessage,
 } from './entry-events.js';
 import {EntryRoutes, type Target} from '../routing/entry-routes.js';
+import {
+  entryRequestsDefaults,
+  type EntryRequestsOptions,
+  type EntryRequestsSettings,
+} from './entry-options.js';
 import {KeptAnswers} from './kept-answers.js';
-import {Outbox} from './outbox.js';
-import {isIdempotent, type Attempt, type PendingRequest} from './pending-request.js';
+import {Outbox} from '../outbox.js';
+import {isIdempotent, newCourse, type Attempt, type PendingRequest} from './pending-request.js';
 import {RequestTable} from './request-table.js';
 
-/** Options of `EntryRequests`. */
-export interface EntryRequestsOptions {
-  /** Incarnation of this process; the origin of the ids that it assigns. */
-  readonly incarnation: number;
-  readonly dataCentre: string;
-  readonly region: string;
-  /** Seed of the choice between hosts. */
-  readonly seed: number;
-  /** Time after `drain` in which late arrivals are still served. */
-  readonly settleMs: number;
-  readonly maxTimeoutMs: number;
-  readonly maxRequestBytes: number;
-  /** Time without a connection to the target after which a lost attempt counts as unknown. */
-  readonly recoverMs: number;
-  /** Bounds and order of the queue. */
-  readonly queue: Partial<FairQueueOptions>;
-  /** Whether the concurrency per host is learned from latency. */
-  readonly learnLimits: boolean;
-  /** Part of the slots that long exchanges are not lent. */
-  readonly reserve: number;
-}
-
-/** Values of the options that a caller need not give. */
-export const entryRequestsDefaults = {
-  seed: 1,
-  settleMs: 2000,
-  maxTimeoutMs: 60_000,
-  maxRequestBytes: 1024 * 1024,
-  recoverMs: 5000,
-  queue: {},
-  learnLimits: true,
-  reserve: 0.06,
-};
-
-/** Options of `EntryRequests` with defaults for all but the identity of the process. */
-export type EntryRequestsSettings = Pick<
-  EntryRequestsOptions,
-  'incarnation' | 'dataCentre' | 'region'
-> &
-  Partial<EntryRequestsOptions>;
-
 const shareRefreshMs = 200;
 const summaryEveryMs = 1000;
 
@@ -73,7 +37,7 @@
   private readonly table = new RequestTable();
   private readonly queue: FairQueue<PendingRequest>;
   private readonly budget = new RetryBudget();
-  private readonly hedges = new HedgePolicy();
+  private readonly hedges: HedgePolicy;
   private readonly kept = new KeptAnswers();
   private readonly conclusions: Conclusions;
   private readonly results: AttemptResults;
@@ -86,6 +50,7 @@
 
   constructor(settings: EntryRequestsSettings) {
     this.options = {...entryRequestsDefaults, ...settings};
+    this.hedges = new HedgePolicy(this.options.hedgeRatio);
     this.queue = new FairQueue(this.options.queue);
     this.routes = new EntryRoutes(this.options);
     const {outbox, table, queue, routes, kept} = this;
@@ -150,36 +115,35 @@
   }
 
   private receive(event: CallerRequest, at: number): void {
+    const {service, method, path, headers, body, caller} = event;
+    const deadline = at + Math.max(0, Math.min(event.timeoutMs, this.options.maxTimeoutMs));
+    this.outbox.count('requests-received');
+    const refusal = this.getRefusal(service, body.byteLength, deadline, true, at);
+    if (refusal) return this.conclusions.refuseCaller(caller, refusal);
     const id = {origin: this.options.incarnation, sequence: ++this.sequence};
-    const workload = this.configuration?.workloads.get(event.service);
-    const request: PendingRequest = {
-      ...event,
-      id,
-      key: getRequestKey(id),
-      client: {kind: 'caller', caller: event.caller},
-      class: {
-        team: workload?.team ?? '',
-        kind: workload?.kind ?? 'service',
-        urgency: workload?.urgency ?? 'background',
+    const {team, kind, urgency, idempotentMethods} = this.configuration!.workloads.get(service)!;
+    this.admit(
+      {
+        id,
+        key: getRequestKey(id),
+        client: {kind: 'caller', caller},
+        service,
+        class: {team, kind, urgency},
+        idempotent: isIdempotent(method, event.idempotent, idempotentMethods),
+        method,
+        path,
+        headers,
+        body,
+        receivedAt: at,
+        deadline,
+        ...newCourse(),
       },
-      idempotent: isIdempotent(event.method, event.idempotent, workload?.idempotentMethods),
-      receivedAt: at,
-      deadline: at + Math.max(0, Math.min(event.timeoutMs, this.options.maxTimeoutMs)),
-      attempts: new Map(),
-      nextAttempt: 1,
-      mayHaveRun: false,
-      avoided: new Set(),
-      hedged: false,
-      taken: false,
-    };
-    this.admit(request, at);
+      at,
+    );
   }
 
   private admit(request: PendingRequest, at: number): void {
     this.table.add(request);
-    this.outbox.count('requests-received');
-    const refusal = this.getRefusal(request, at);
-    if (refusal) return this.conclusions.notRun(request, refusal, at);
     this.budget.earn();
     this.hedges.earn();
     const {service, body, deadline} = request;
@@ -187,16 +151,22 @@
       this.conclusions.notRun(request, 'shed', at);
   }
 
-  private getRefusal(request: PendingRequest, at: number): NotRunReason | undefined {
+  /** Reason for which a request is refused before anything is kept of it, so that a refusal is cheap. */
+  private getRefusal(
+    service: string,
+    bytes: number,
+    deadline: number,
+    mayForward: boolean,
+    at: number,
+  ): NotRunReason | undefined {
     const {settleMs, maxRequestBytes} = this.options;
     if (this.drainedAt !== undefined && at - this.drainedAt > settleMs) return 'draining';
-    if (request.body.byteLength > maxRequestBytes) return 'too-large';
+    if (bytes > maxRequestBytes) return 'too-large';
     if (!this.configuration) return 'configuration-unknown';
-    if (request.deadline <= at) return 'deadline';
-    if (!this.configuration.workloads.has(request.service)) return 'no-backend';
-    if (!this.routes.isServed(request.service, request.client.kind === 'caller'))
-      return 'no-backend';
-    return undefined;
+    if (deadline <= at) return 'deadline';
+    if (!this.configuration.workloads.has(service)) return 'no-backend';
+    if (!this.routes.isServed(service, mayForward)) return 'no-backend';
+    return this.queue.isShedding(service, at) ? 'shed' : undefined;
   }
 
   private dropCaller(caller: number, at: number): void {
@@ -236,24 +206,33 @@
   ): void {
     const key = getRequestKey(message.id);
     if (this.conclusions.answerDuplicate(peer, message, key)) return;
-    const whole = (body?.byteLength ?? 0) === message.bodyLength;
-    const request: PendingRequest = {
-      ...message,
-      key,
-      client: {kind: 'entry', peer, attempt: message.attempt},
-      body: body ?? new Uint8Array(),
-      receivedAt: at,
-      deadline: at + message.remainingMs,
-      attempts: new Map(),
-      nextAttempt: 1,
-      mayHaveRun: false,
-      avoided: new Set(),
-      hedged: false,
-      taken: false,
-    };
-    if (whole) return this.admit(request, at);
-    this.table.add(request);
-    this.conclusions.notRun(request, 'bad-request', at);
+    const bytes = body?.byteLength ?? 0;
+    const deadline = at + message.remainingMs;
+    this.outbox.count('forwards-received');
+    const refusal =
+      bytes === message.bodyLength
+        ? this.getRefusal(message.service, bytes, deadline, false, at)
+        : 'bad-request';
+    if (refusal) return this.conclusions.rejectForward(peer, message, refusal);
+    const {id, service, idempotent, method, path, headers} = message;
+    this.admit(
+      {
+        id,
+        key,
+        client: {kind: 'entry', peer, attempt: message.attempt},
+        service,
+        class: message.class,
+        idempotent,
+        method,
+        path,
+        headers,
+        body: body ?? new Uint8Array(),
+        receivedAt: at,
+        deadline,
+        ...newCourse(),
+      },
+      at,
+    );
   }
 
   private connect(peer: string, hello: Hello, at: number): void {
@@ -319,8 +298,8 @@
 
   private pump(at: number): void {
     for (;;) {
-      const taken = this.queue.take(at, (request, lent) =>
-        request.deadline <= at ? undefined : this.route(request, lent, at),
+      const taken = this.queue.take(at, request =>
+        request.deadline <= at ? undefined : this.route(request, at),
       );
       if (!taken) return;
       taken.item.taken = true;
@@ -329,10 +308,9 @@
     }
   }
 
-  private route(request: PendingRequest, lent: boolean, at: number): Target | undefined {
+  private route(request: PendingRequest, at: number): Target | undefined {
     const {service, client, avoided} = request;
-    const reserve = lent ? this.routes.getReserve(service) : 0;
-    return this.routes.choose(service, at, client.kind === 'caller', avoided, reserve);
+    return this.routes.choose(service, at, client.kind === 'caller', avoided);
   }
 
   private send(request: PendingRequest, target: Target, at: number): void {
@@ -350,6 +328,7 @@
       replaced: false,
     };
     request.attempts.set(attempt.number, attempt);
+    this.results.noteSent(request, attempt);
     const message: Dispatch | Forward = {
       kind: target.via,
       id: request.id,
@@ -371,9 +350,8 @@
 
   /** Sends a second copy of idempotent requests that are slow, within the hedge budget. */
   private hedge(at: number): void {
-    for (const request of this.results.getHedgeable(at)) {
-      const first = [...request.attempts.values()][0]!;
-      const target = this.routes.choose(request.service, at, false, new Set([first.peer]));
+    for (const {request, attempt} of this.results.takeHedgeable(at)) {
+      const target = this.routes.choose(request.service, at, false, new Set([attempt.peer]));
       if (!target || !this.hedges.spend()) continue;
       request.hedged = true;
       this.outbox.count('requests-hedged');
--- a/packages/lab/src/measure/registry.ts
+++ b/packages/lab/src/measure/registry.ts
@@ -1,6 +1,11 @@
 import {configurationExperiment} from './configuration.js';
 import type {Experiment} from './experiment.js';
 import {floodExperiment} from './flood.js';
+import {routingExperiment} from './routing.js';
 
 /** All experiments; add one line for each. */
-export const experiments: readonly Experiment[] = [floodExperiment, configurationExperiment];
+export const experiments: readonly Experiment[] = [
+  floodExperiment,
+  routingExperiment,
+  configurationExperiment,
+];
--- /dev/null
+++ b/packages/runtime/src/daemon/agent-daemon.ts
@@ -0,0 +1,221 @@
+import {
+  AgentProcess,
+  type AgentProcessEffect,
+  type AgentProcessEvent,
+  type BackendAnnounced,
+  type Hello,
+  type Resources,
+} from '@chervilbeam/coordination';
+import {Announcements, BackendClient} from '../backend/index.js';
+import {ControlServer, readJsonBody} from '../http/index.js';
+import type {Logger} from '../logs/index.js';
+import {Loop, SystemClock} from '../loop/index.js';
+import {PeerNetwork, protocolVersion} from '../peers/index.js';
+import type {Settings} from '../settings/index.js';
+import {WorkerClient} from '../worker/index.js';
+import type {Daemon} from './daemon.js';
+import {createIncarnation} from './incarnation.js';
+import {ProcessMonitor} from './process-monitor.js';
+
+/** Time between two ticks of the loop. */
+const tickMs = 10;
+/** Time between two reads of the worker's usage reports. */
+const usageEveryMs = 1000;
+const workerRetryMs = 500;
+/** Host without a worker: it serves requests and runs no tasks. */
+const withoutWorker: Resources = {processors: 0, memoryMb: 0, accelerators: 0, slots: 8};
+
+interface Running {
+  readonly process: AgentProcess;
+  readonly loop: Loop<AgentProcessEvent, AgentProcessEffect>;
+}
+
+/** The agent role: connections to entries, exchanges with the backend server, tasks at the worker. */
+export class AgentDaemon implements Daemon {
+  private readonly incarnation = createIncarnation();
+  private readonly clock = new SystemClock();
+  private readonly monitor: ProcessMonitor;
+  private readonly control = new ControlServer();
+  private readonly announcements = new Announcements(this.clock);
+  private readonly backends: BackendClient;
+  private readonly worker: WorkerClient | undefined;
+  private readonly network: PeerNetwork;
+  private readonly timers: NodeJS.Timeout[] = [];
+  private running: Running | undefined;
+  private stopping = false;
+  private drained: (() => void) | undefined;
+
+  /** Creates the daemon; `start` opens its sockets. */
+  constructor(
+    private readonly settings: Settings,
+    private readonly logger: Logger,
+  ) {
+    this.monitor = new ProcessMonitor(settings.name, this.clock);
+    const post = (event: AgentProcessEvent) => this.running?.loop.post(event);
+    this.backends = new BackendClient(this.clock, post);
+    this.worker = settings.worker ? new WorkerClient(settings.worker, post) : undefined;
+    this.network = new PeerNetwork(
+      {hello: () => this.createHello(), seeds: settings.seeds},
+      {
+        controlUp: (peer, hello) => post({kind: 'control-up', peer, hello}),
+        controlDown: peer => post({kind: 'control-down', peer}),
+        peerUp: (peer, hello) => post({kind: 'peer-up', peer, hello}),
+        peerDown: peer => post({kind: 'peer-down', peer}),
+        message: (peer, channel, message, body) =>
+          post({kind: 'message', peer, channel, message, ...(body && {body})}),
+        refused: reason => this.monitor.metrics.count(`refused-${reason}`),
+      },
+    );
+    this.addRoutes();
+  }
+
+  /** Opens all sockets. The host's size comes from its worker, so nothing is announced before it answers. */
+  async start(): Promise<void> {
+    await this.control.start(this.settings.listen.control);
+    void this.startProcess();
+    this.logger.info({listen: this.settings.listen}, 'agent started');
+  }
+
+  /** Finishes all requests in flight and closes everything. */
+  async drain(): Promise<void> {
+    this.logger.info('draining');
+    this.stopping = true;
+    if (this.running !== undefined) {
+      const drained = new Promise<void>(resolve => (this.drained = resolve));
+      this.running.loop.post({kind: 'drain'});
+      await drained;
+    }
+    for (const timer of this.timers) clearInterval(timer);
+    await this.network.stop();
+    await this.backends.stop();
+    await this.worker?.stop();
+    await this.control.stop();
+    this.logger.info('stopped');
+  }
+
+  private async startProcess(): Promise<void> {
+    const host = await this.readHost();
+    if (host === undefined) return;
+    const {name, dataCentre, region} = this.settings;
+    const {incarnation} = this;
+    const seed = incarnation;
+    const process = new AgentProcess({name, dataCentre, region, ...host, incarnation, seed});
+    const loop = new Loop(process, this.clock, (effect: AgentProcessEffect) =>
+      this.carryOut(effect),
+    );
+    this.running = {process, loop};
+    await this.network.start();
+    this.timers.push(setInterval(() => this.tick(), tickMs));
+    const {worker} = this;
+    if (worker) this.timers.push(setInterval(() => void worker.readUsage(), usageEveryMs));
+  }
+
+  private async readHost(): Promise<{capacity: Resources; rack: string} | undefined> {
+    const {rack = ''} = this.settings;
+    if (this.worker === undefined) return {capacity: withoutWorker, rack};
+    while (!this.stopping) {
+      const state = await this.worker.getState();
+      if (state !== undefined) return {capacity: state.capacity, rack: state.rack};
+      this.logger.warn('the worker does not answer');
+      await new Promise(resolve => setTimeout(resolve, workerRetryMs));
+    }
+    return undefined;
+  }
+
+  private addRoutes(): void {
+    const {app} = this.control;
+    app.get('/v1/metrics', () => this.monitor.metrics.getSnapshot());
+    app.get('/v1/status', () => this.getStatus());
+    app.get('/v1/timeline', event => {
+      const {searchParams} = event.url;
+      const version = searchParams.get('version');
+      const filter = {
+        request: searchParams.get('request') ?? undefined,
+        task: searchParams.get('task') ?? undefined,
+        version: version === null ? undefined : Number(version),
+      };
+      return {events: this.monitor.getTimeline(filter)};
+    });
+    app.post('/v1/announce', async event => {
+      const announced = this.announcements.take(await readJsonBody(event.req));
+      if ('findings' in announced) {
+        event.res.status = 400;
+        return {findings: announced.findings};
+      }
+      this.takeAnnouncement(announced);
+      return {accepted: true};
+    });
+  }
+
+  private tick(): void {
+    for (const url of this.announcements.takeLapsed()) {
+      this.logger.warn({url}, 'announcement of a backend server has lapsed');
+      this.backends.removeBackend(url);
+      this.running?.loop.post({kind: 'backend-lapsed', url});
+    }
+    this.running?.loop.post({kind: 'tick'});
+  }
+
+  private takeAnnouncement(announced: BackendAnnounced): void {
+    this.backends.setBackend(announced.url, announced.connections);
+    this.running?.loop.post(announced);
+  }
+
+  private carryOut(effect: AgentProcessEffect): void {
+    switch (effect.kind) {
+      case 'send':
+        if (!this.network.send(effect.peer, effect.channel, effect.message, effect.body)) {
+          this.monitor.metrics.count('sends-without-peer');
+        }
+        return;
+      case 'open-exchange':
+        return this.backends.openExchange(effect);
+      case 'abort-exchange':
+        return this.backends.abortExchange(effect.exchange);
+      case 'worker-call':
+        return void this.worker?.call(effect);
+      case 'read-worker':
+        return void this.worker?.read();
+      case 'drained':
+        return this.drained?.();
+      default:
+        return this.monitor.take(effect);
+    }
+  }
+
+  private createHello(): Hello {
+    const {deployment, dataCentre, region, name} = this.settings;
+    return {
+      kind: 'hello',
+      protocol: protocolVersion,
+      deployment,
+      role: 'agent',
+      dataCentre,
+      region,
+      name,
+      incarnation: this.incarnation,
+      purpose: 'control',
+      peers: [],
+      configVersion: this.running?.process.view.configuration.version ?? 0,
+    };
+  }
+
+  private getStatus(): object {
+    const {name, region, dataCentre, deployment} = this.settings;
+    const version = this.running?.process.view.configuration.version ?? 0;
+    const processes = this.network.getHellos().map(hello => ({
+      name: hello.name,
+      role: hello.role,
+      dataCentre: hello.dataCentre,
+      region: hello.region,
+      version: hello.configVersion,
+    }));
+    const own = {name, role: 'agent', dataCentre, region, version};
+    const tasks = this.running?.process.tasks.getAttempts().map(attempt => ({
+      task: attempt.task,
+      attempt: attempt.attempt,
+      state: attempt.state,
+    }));
+    return {deployment, version, processes: [own, ...processes], tasks: tasks ?? []};
+  }
+}
