Ask all entries for the status, and validate settings files

Cause: an entry knows the version of an entry in another data centre only from its handshake, so status showed old versions. Change: status and watch ask all listed entries and merge their answers; validate also checks settings files. Conclusion: the command's tests pass over two entries.

--- a/packages/command/src/commands/status-commands.ts
+++ b/packages/command/src/commands/status-commands.ts
@@ -1,5 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import type {OperatorStatus} from '@chervilbeam/runtime';
+import type {OperatorStatus, ProcessStatus} from '@chervilbeam/runtime';
 import {NoEntryError} from '../client/index.js';
 import {exitCodes, type ExitCode} from '../exit-code.js';
 import {renderStatus} from '../output/index.js';
@@ -9,9 +9,9 @@
 
 /** Prints where the configuration is in force. */
 export async function showStatus(session: Session): Promise<ExitCode> {
-  const answer = await session.client.get('/v1/status');
-  if (answer.status !== 200) return session.reportFailure(answer);
-  session.print(answer.body, () => renderStatus(answer.body as OperatorStatus));
+  const status = await readStatus(session, text => session.context.printError(text));
+  if (!status) return exitCodes.unavailable;
+  session.print(status, () => renderStatus(status));
   return exitCodes.success;
 }
 
@@ -21,15 +21,17 @@
   options: {readonly until?: number},
 ): Promise<ExitCode> {
   let shown = '';
-  const show = (text: string, print: (text: string) => void) => {
-    if (text !== shown) print(text);
-    shown = text;
-  };
+  let reported = '';
   for (;;) {
-    const status = await readStatus(session, text => show(text, session.context.printError));
+    const problems: string[] = [];
+    const status = await readStatus(session, text => problems.push(text));
+    const report = problems.join('\n');
+    if (report !== '' && report !== reported) session.context.printError(report);
+    reported = report;
     if (status) {
       const text = session.isJson ? JSON.stringify(status) : renderStatus(status);
-      show(text, session.context.print);
+      if (text !== shown) session.context.print(text);
+      shown = text;
       const {until} = options;
       if (until !== undefined && status.processes.every(process => process.version >= until)) {
         return exitCodes.success;
@@ -39,18 +41,48 @@
   }
 }
 
-/** Returns undefined after reporting that no entry answers; a watch outlives the restart of its entry. */
+/**
+ * Asks all entries and merges their answers, because an entry knows the present version of an entry in
+ * another data centre only from its handshake. Returns undefined when none answers.
+ */
 async function readStatus(
   session: Session,
   report: (text: string) => void,
 ): Promise<OperatorStatus | undefined> {
-  try {
-    const answer = await session.client.get('/v1/status');
-    if (answer.status === 200) return answer.body as OperatorStatus;
-    report(`the entry answered ${answer.status}`);
-  } catch (error) {
-    if (!(error instanceof NoEntryError) || error.attempts.length === 0) throw error;
-    report(error.message);
+  const {client, context} = session;
+  if (client.entries.length === 0) throw new NoEntryError([], false);
+  const answers = await Promise.all(
+    client.entries.map(async entry => {
+      try {
+        const {status, body} = await client.getFrom(entry, '/v1/status');
+        if (status === 200) return body as OperatorStatus;
+        report(`${entry}: answered ${status}`);
+      } catch (error) {
+        if (context.signal.aborted) throw error;
+        report(`${entry}: not reached`);
+      }
+      return undefined;
+    }),
+  );
+  return mergeStatus(answers.filter(answer => answer !== undefined));
+}
+
+function mergeStatus(answers: readonly OperatorStatus[]): OperatorStatus | undefined {
+  const first = answers[0];
+  if (!first) return undefined;
+  const processes = new Map<string, ProcessStatus>();
+  for (const process of answers.flatMap(answer => answer.processes)) {
+    const known = processes.get(process.name);
+    const version = Math.max(process.version, known?.version ?? 0);
+    processes.set(process.name, {...known, ...process, version});
   }
-  return undefined;
+  const findings = new Map(
+    answers.flatMap(answer => answer.findings).map(finding => [finding.workload, finding]),
+  );
+  return {
+    deployment: first.deployment,
+    version: Math.max(...answers.map(answer => answer.version)),
+    processes: [...processes.values()],
+    findings: [...findings.values()],
+  };
 }
--- a/packages/command/src/commands/validate-command.ts
+++ b/packages/command/src/commands/validate-command.ts
@@ -1,9 +1,10 @@
-import {parseIntentText, type Finding} from '@chervilbeam/coordination';
+import {isRecord, parseIntentText, type Finding} from '@chervilbeam/coordination';
+import {parseSettings} from '@chervilbeam/runtime';
 import {exitCodes, type ExitCode} from '../exit-code.js';
 import {readText} from './files.js';
 import type {Session} from './session.js';
 
-/** Checks intent files without calling an entry, and reports all findings of all files. */
+/** Checks settings and intent files without calling an entry, and reports all findings of all files. */
 export function validateFiles(session: Session, files: readonly string[]): ExitCode {
   const findings = files.flatMap(getFindings);
   if (findings.length > 0) return session.reportFindings(findings);
@@ -12,6 +13,23 @@
 }
 
 function getFindings(file: string): readonly Finding[] {
-  const result = parseIntentText(readText(file), file);
+  const text = readText(file);
+  if (isSettings(text)) {
+    return parseSettings(text, file).match(
+      () => [],
+      findings => findings,
+    );
+  }
+  const result = parseIntentText(text, file);
   return result.ok ? [] : result.findings;
 }
+
+/** Settings files have a role, or addresses to listen on; intent files have neither. */
+function isSettings(text: string): boolean {
+  try {
+    const value = JSON.parse(text) as unknown;
+    return isRecord(value) && ('role' in value || 'listen' in value);
+  } catch {
+    return false;
+  }
+}
--- a/packages/command/src/program.ts
+++ b/packages/command/src/program.ts
@@ -79,7 +79,7 @@
       .option('-y, --yes', 'do not ask');
   const open = (options: SharedOptions) => new Session(context, options);
 
-  add('validate <files...>', 'Check intent files.', 'validate examples/*.json').action(
+  add('validate <files...>', 'Check settings and intent files.', 'validate examples/*.json').action(
     (files: string[], options: SharedOptions) => finish(validateFiles(open(options), files)),
   );
   addCalling('plan <intent>', 'Plan an intent file; nothing changes.', 'plan stalls.json -f p.json')
--- a/packages/lab/test/command/command.test.ts
+++ b/packages/lab/test/command/command.test.ts
@@ -94,7 +94,9 @@
   const plan = bench.file('plan.json');
   const planned = await bench.run(`plan ${bench.file('intent.json', intent)} --out ${plan}`);
   t.match(planned, {code: 0, out: /start +price-check +3/});
-  t.match(await bench.run('status'), {code: 0, out: /configuration version 0/});
+  const status = await bench.run('status');
+  t.match(status, {code: 0, out: /configuration version 0/});
+  t.match(status.out, /entry-a[^]+entry-b/, 'all entries are asked');
   t.match(await bench.run(`show ${plan}`), {code: 0, out: /set service price-check/});
   t.match(await bench.run(`confirm ${plan}`), {code: 0, out: /Accepted as version 1/});
   t.match(await bench.run(`confirm ${plan}`), {code: 0, out: /Accepted as version 1/}, 'repeated');
@@ -154,6 +156,7 @@
   async t => {
     const bench = await Bench.start(t);
     const wrong = bench.file('wrong.json', {operator: 'Kari', services: [{replicas: 'x'}]});
+    const settings = bench.file('settings.json', {role: 'entry', name: 'A B'});
     const cases: Array<{line: string; code: number; out?: RegExp; error?: RegExp}> = [
       {line: '--help', code: 0, out: /Exit codes/},
       {line: 'nonsense', code: 2, error: /unknown command/},
@@ -161,6 +164,8 @@
       {line: 'timeline', code: 2, error: /give one of/},
       {line: 'plan /nonexistent', code: 1, error: /cannot read .*ENOENT/},
       {line: `validate ${wrong}`, code: 1, error: /services\[0\]\.replicas: "x" is not allowed/},
+      {line: `validate ${settings}`, code: 1, error: /settings\.json: name: "A B"/},
+      {line: 'status --entry 127.0.0.1:1', code: 4, error: /127\.0\.0\.1:1: not reached/},
       {line: `plan ${wrong}`, code: 1, error: /services\[0\]\.urgency: missing/},
       {line: 'status --entry not:an:address', code: 2, error: /not an address/},
     ];
