--- a/packages/lab/src/measure/registry.ts
+++ b/packages/lab/src/measure/registry.ts
@@ -1,3 +1,4 @@
+import {configurationExperiment} from './configuration.js';
 import type {Experiment} from './experiment.js';
 import {failuresExperiment} from './failures.js';
 import {floodExperiment} from './flood.js';
@@ -8,4 +9,5 @@
   floodExperiment,
   routingExperiment,
   failuresExperiment,
+  configurationExperiment,
 ];
