Measure the capacity of each role on the real reducers

Cause: the limits for each node and for the store need measured slopes.

Change: npm run capacity measures state, messages, processor time and memory by hosts, tasks, workloads, entries and data centres, fits a line and classifies the growth, and writes JSON.

--- /dev/null
+++ b/packages/lab/src/capacity/experiments/cell.ts
@@ -0,0 +1,105 @@
+import type {CapacityExperiment} from '../experiment.js';
+import {measureHeapBytes} from '../meters.js';
+import {SchedulerDrive} from '../scheduler-drive.js';
+import {createService, twoYears} from '../sizes.js';
+
+const settleMs = 20_000;
+const measuredMs = 20_000;
+const urgentLimitMs = 30_000;
+const waitingMs = 4_000;
+
+/** Cost of the scheduler of a cell by its hosts. */
+export const cellHosts: CapacityExperiment = {
+  name: 'cell scheduler by hosts',
+  role: 'deciding entry',
+  driver: 'hosts of the cell, nine tasks on each',
+  sizes: [10, 75, 150, 300, 600],
+  today: 10,
+  inTwoYears: twoYears.hostsPerCell,
+  metrics: {
+    stateBytes: {unit: 'B', mechanism: 'hosts, runs and jobs of the cell'},
+    msPerSecond: {unit: 'ms/s', mechanism: 'rounds on reports, heartbeats and ticks each 100 ms'},
+    decisionUs: {unit: 'µs', mechanism: 'all processor time of the cell for each started task'},
+    startsPerSecond: {unit: '1/s', mechanism: 'batch tasks that replace finished ones'},
+    sentBytesPerSecond: {unit: 'B/s', mechanism: 'a grant each 3 s a host, a start a task'},
+    receivedBytesPerSecond: {unit: 'B/s', mechanism: 'heartbeats and reports'},
+    ledgerBytes: {unit: 'B', mechanism: 'opened workloads with a bitmap, unfinished tasks'},
+    ledgerWritesPerSecond: {unit: '1/s', mechanism: 'batched, at most one a second'},
+    ledgerWritesPerStart: {unit: '', mechanism: 'the batch is shared by all starts of a second'},
+    urgentStartMs: {unit: 'ms', mechanism: 'ledger write that opens the service, one round'},
+    takeoverMs: {unit: 'ms', mechanism: 'full reports adopted one by one'},
+    takeoverBytes: {unit: 'B', mechanism: 'one full report a host and the ledger'},
+  },
+  measure(size, seed) {
+    const {value: drive, bytes} = measureHeapBytes(() => {
+      const created = new SchedulerDrive(size, seed + 1);
+      created.begin();
+      created.run(settleMs);
+      return created;
+    });
+    const before = {...drive.totals};
+    drive.run(measuredMs);
+    const {totals} = drive;
+    const seconds = measuredMs / 1_000;
+    const starts = totals.starts - before.starts;
+    const ms = totals.ms - before.ms;
+    const writes = totals.ledgerWrites - before.ledgerWrites;
+    const ledgerBytes = JSON.stringify(drive.ledger ?? {}).length;
+    const sentBytesPerSecond = (totals.sentBytes - before.sentBytes) / seconds;
+    const receivedBytesPerSecond = (totals.receivedBytes - before.receivedBytes) / seconds;
+    const urgent = {...createService('urgent-now', 7), urgency: 'critical' as const};
+    const small = {...urgent, resources: {...urgent.resources, processors: 100, memoryMb: 100}};
+    const urgentStartMs = drive.measureStart(small, urgentLimitMs);
+    const takeover = drive.takeOver();
+    return {
+      stateBytes: bytes,
+      msPerSecond: ms / seconds,
+      decisionUs: starts > 0 ? (ms / starts) * 1_000 : 0,
+      startsPerSecond: starts / seconds,
+      sentBytesPerSecond,
+      receivedBytesPerSecond,
+      ledgerBytes,
+      ledgerWritesPerSecond: writes / seconds,
+      ledgerWritesPerStart: starts > 0 ? writes / starts : 0,
+      urgentStartMs,
+      takeoverMs: takeover.ms,
+      takeoverBytes: takeover.receivedBytes + takeover.ledgerBytes,
+    };
+  },
+};
+
+/** Cost of the scheduler of a cell of two years by the jobs that wait in the configuration. */
+export const cellWaiting: CapacityExperiment = {
+  name: 'cell scheduler by waiting jobs',
+  role: 'deciding entry',
+  driver: 'jobs that wait, 75 hosts',
+  sizes: [1, 500, 1_000, 2_000, 4_000],
+  today: 1,
+  inTwoYears: 4_000,
+  metrics: {
+    msPerSecond: {unit: 'ms/s', mechanism: 'every waiting job is looked at in each round'},
+    changeMs: {unit: 'ms', mechanism: 'reconciliation of all jobs at a configuration change'},
+    ledgerBytes: {unit: 'B', mechanism: 'opened workloads stay until they are removed'},
+  },
+  measure(size, seed) {
+    const drive = new SchedulerDrive(75, seed + 1, size);
+    drive.begin();
+    drive.run(waitingMs);
+    const before = drive.totals.ms;
+    drive.run(waitingMs);
+    const ms = drive.totals.ms - before;
+    const changesFrom = drive.totals.ms;
+    for (let i = 0; i < 5; i++) {
+      const version = drive.configuration.version + 1;
+      const workloads = new Map(drive.configuration.workloads);
+      workloads.set(`added-${i}`, createService(`added-${i}`, 1));
+      drive.configuration = {...drive.configuration, version, workloads};
+      drive.handle({kind: 'configuration', configuration: drive.configuration});
+    }
+    return {
+      msPerSecond: (ms / waitingMs) * 1_000,
+      changeMs: (drive.totals.ms - changesFrom) / 5,
+      ledgerBytes: JSON.stringify(drive.ledger ?? {}).length,
+    };
+  },
+};
--- /dev/null
+++ b/packages/lab/src/capacity/main.ts
@@ -0,0 +1,42 @@
+import {mkdirSync, writeFileSync} from 'node:fs';
+import {cpus, totalmem} from 'node:os';
+import {agentTasks, agentWorkloads} from './experiments/agent.js';
+import {cellHosts, cellWaiting} from './experiments/cell.js';
+import {configurationFleet, configurationSize} from './experiments/configuration.js';
+import {entryHosts, entryMesh, entryWorkloads} from './experiments/entry.js';
+import {ownershipEntries} from './experiments/ownership.js';
+import {runExperiment, type CapacityExperiment, type MetricResult} from './experiment.js';
+import {formatResults} from './report.js';
+
+const experiments: readonly CapacityExperiment[] = [
+  entryHosts,
+  entryWorkloads,
+  entryMesh,
+  agentTasks,
+  agentWorkloads,
+  cellHosts,
+  cellWaiting,
+  configurationSize,
+  configurationFleet,
+  ownershipEntries,
+];
+const seeds = (process.env.SEEDS ?? '1,2,3').split(',').map(Number);
+const only = process.env.ONLY;
+
+const results: MetricResult[] = [];
+for (const experiment of experiments) {
+  if (only && !experiment.name.includes(only)) continue;
+  const part = runExperiment(experiment, seeds);
+  results.push(...part);
+  console.log(formatResults(part));
+}
+const machine = {
+  cores: cpus().length,
+  model: cpus()[0]?.model,
+  memoryBytes: totalmem(),
+  node: process.version,
+};
+mkdirSync('output', {recursive: true});
+writeFileSync('output/capacity.json', JSON.stringify({machine, seeds, results}, null, 1));
+console.log(`machine: ${JSON.stringify(machine)}, seeds ${seeds.join(', ')}`);
+console.log(`${results.length} slopes in output/capacity.json`);
--- /dev/null
+++ b/packages/lab/src/capacity/scheduler-drive.ts
@@ -0,0 +1,281 @@
+import {
+  CellScheduler,
+  type Announce,
+  type AttemptReport,
+  type CellSchedulerEffect,
+  type CellSchedulerEvent,
+  type Configuration,
+  type LedgerRecord,
+  type Report,
+  type Start,
+  type Workload,
+} from '@chervilbeam/coordination';
+import {SeededRandom} from '../faults/kernel/seeded-random.js';
+import {passThroughCodec} from './meters.js';
+import {createBatch, createHello, createService, workerCapacity} from './sizes.js';
+
+const stepMs = 100;
+const heartbeatMs = 3_000;
+const meanRunMs = 76_000;
+/** Services and batch tasks on each host in two years: 14,000 and 19,000 tasks on 3,600 hosts. */
+const servicesPerHost = 3.9;
+const batchPerHost = 5.3;
+
+interface RunningTask {
+  readonly task: string;
+  readonly attempt: number;
+  readonly endsAt: number;
+}
+
+interface DrivenHost {
+  readonly name: string;
+  readonly tasks: Map<string, RunningTask>;
+  changed: AttemptReport[];
+}
+
+/** What a drive has measured. */
+export interface DriveTotals {
+  ms: number;
+  events: number;
+  starts: number;
+  ledgerWrites: number;
+  ledgerBytes: number;
+  sentBytes: number;
+  receivedBytes: number;
+}
+
+/** Runs the real scheduler of one cell, with hosts that start, run and finish tasks as they are told. */
+export class SchedulerDrive {
+  readonly totals: DriveTotals = createTotals();
+  scheduler = new CellScheduler({cell: 'main'});
+  configuration: Configuration;
+  ledger: LedgerRecord | undefined;
+  at = 0;
+  readonly #hosts = new Map<string, DrivenHost>();
+  readonly #random: SeededRandom;
+  readonly #startedAt = new Map<string, number>();
+  #revision = 1;
+  #term = 1;
+
+  constructor(
+    readonly hostCount: number,
+    seed: number,
+    extraWorkloads = 0,
+  ) {
+    this.#random = new SeededRandom(seed);
+    const workloads = createCellWorkloads(hostCount, extraWorkloads);
+    this.configuration = {
+      version: 1,
+      workloads: new Map(workloads.map(workload => [workload.name, workload])),
+      teams: new Map(),
+      drains: new Set(),
+    };
+    for (let i = 0; i < hostCount; i++) {
+      const name = `host-${i}`;
+      this.#hosts.set(name, {name, tasks: new Map(), changed: []});
+    }
+  }
+
+  /** Tells the scheduler that it owns the cell. */
+  begin(): void {
+    for (const host of this.#hosts.values()) this.#connect(host);
+    this.handle({kind: 'ownership', mode: 'owner', term: this.#term, until: Infinity});
+    this.handle({kind: 'configuration', configuration: this.configuration});
+  }
+
+  /** Runs for a time, with heartbeats, reports and ticks. */
+  run(durationMs: number): void {
+    const end = this.at + durationMs;
+    while (this.at < end) {
+      this.at += stepMs;
+      this.handle({kind: 'tick', wallTimeMs: this.at});
+      let index = 0;
+      for (const host of this.#hosts.values()) {
+        this.#finishDue(host);
+        const phase = (index++ * 37) % (heartbeatMs / stepMs);
+        if ((this.at / stepMs) % (heartbeatMs / stepMs) === phase) this.#beat(host);
+        if (host.changed.length > 0) this.#report(host, false);
+      }
+    }
+  }
+
+  /** Puts a workload and returns the time until all its tasks were started, with the processor time. */
+  measureStart(workload: Workload, limitMs: number): number {
+    const workloads = new Map(this.configuration.workloads).set(workload.name, workload);
+    this.configuration = {
+      ...this.configuration,
+      version: this.configuration.version + 1,
+      workloads,
+    };
+    const from = this.at;
+    const ms = this.totals.ms;
+    this.handle({kind: 'configuration', configuration: this.configuration});
+    const tasks = Array.from({length: workload.tasks}, (_, i) => `${workload.name}/${i}`);
+    while (this.at < from + limitMs && !tasks.every(task => this.#startedAt.has(task))) {
+      this.run(stepMs);
+    }
+    return this.at - from + this.totals.ms - ms;
+  }
+
+  /** Replaces the scheduler by one that knows nothing, and lets it learn what runs. */
+  takeOver(): {ms: number; receivedBytes: number; ledgerBytes: number} {
+    const before = {...this.totals};
+    this.scheduler = new CellScheduler({cell: 'main'});
+    this.#term += 1;
+    this.begin();
+    for (const host of this.#hosts.values()) this.#beat(host);
+    this.handle({kind: 'tick', wallTimeMs: this.at});
+    return {
+      ms: this.totals.ms - before.ms,
+      receivedBytes: this.totals.receivedBytes - before.receivedBytes,
+      ledgerBytes: JSON.stringify(this.ledger ?? {}).length,
+    };
+  }
+
+  /** Tasks that run at present. */
+  countRunning(): number {
+    let count = 0;
+    for (const host of this.#hosts.values()) count += host.tasks.size;
+    return count;
+  }
+
+  /** Hands an event to the scheduler and carries out its effects. */
+  handle(event: CellSchedulerEvent): void {
+    const begin = performance.now();
+    const effects = this.scheduler.reduce(event, this.at);
+    for (const effect of effects) {
+      if (effect.kind === 'send') this.totals.sentBytes += passThroughCodec(effect.message);
+    }
+    this.totals.ms += performance.now() - begin;
+    this.totals.events++;
+    for (const effect of effects) this.#carryOut(effect);
+  }
+
+  #carryOut(effect: CellSchedulerEffect): void {
+    switch (effect.kind) {
+      case 'read-ledger':
+        this.handle({
+          kind: 'ledger-read',
+          record: this.ledger,
+          revision: this.ledger ? this.#revision : 0,
+        });
+        break;
+      case 'write-ledger': {
+        const text = JSON.stringify(effect.record);
+        this.ledger = JSON.parse(text) as LedgerRecord;
+        this.totals.ledgerWrites++;
+        this.totals.ledgerBytes += text.length;
+        const {sequence} = effect;
+        const revision = ++this.#revision;
+        this.handle({kind: 'ledger-written', sequence, result: 'written', revision});
+        break;
+      }
+      case 'send':
+        // A grant without a lease greets the agent, which answers with a full report.
+        if (effect.message.kind === 'grant' && effect.message.leaseMs === 0) {
+          this.#report(this.#hosts.get(effect.host)!, true);
+        }
+        if (effect.message.kind === 'start') this.#start(effect.host, effect.message);
+        if (effect.message.kind === 'stop') this.#stop(effect.host, effect.message.task);
+        break;
+      default:
+    }
+  }
+
+  #connect({name}: DrivenHost): void {
+    const number = Number(name.slice(5));
+    const hello = createHello(name, 'agent', `dc${number % 24}`, 'r1', number + 2);
+    const announce: Announce = {
+      kind: 'announce',
+      host: name,
+      rack: `rack-${number % 30}`,
+      capacity: workerCapacity,
+      services: [],
+      slots: workerCapacity.slots,
+      connections: 64,
+      draining: false,
+    };
+    this.handle({kind: 'host-up', host: name, hello, announce});
+  }
+
+  #beat({name, tasks}: DrivenHost): void {
+    const message = {
+      kind: 'heartbeat',
+      stamp: this.at,
+      configVersion: this.configuration.version,
+      inFlight: tasks.size,
+    } as const;
+    this.totals.receivedBytes += passThroughCodec(message);
+    this.handle({kind: 'heartbeat', host: name, message});
+  }
+
+  #report(host: DrivenHost, full: boolean): void {
+    const running = [...host.tasks.values()].map(({task, attempt}) => {
+      return {task, attempt, state: 'running' as const};
+    });
+    const attempts = full ? running : host.changed;
+    host.changed = [];
+    const message: Report = {kind: 'report', full, attempts};
+    const begin = performance.now();
+    this.totals.receivedBytes += passThroughCodec(message);
+    this.totals.ms += performance.now() - begin;
+    this.handle({kind: 'report', host: host.name, message});
+  }
+
+  #start(name: string, {task, attempt, workload}: Start): void {
+    const host = this.#hosts.get(name)!;
+    this.totals.starts++;
+    if (!this.#startedAt.has(task)) this.#startedAt.set(task, this.at);
+    const batch = this.configuration.workloads.get(workload)?.kind === 'batch';
+    const runMs = meanRunMs * this.#random.between(0.2, 1.8);
+    host.tasks.set(task, {task, attempt, endsAt: batch ? this.at + runMs : Infinity});
+    host.changed.push({task, attempt, state: 'running'});
+  }
+
+  #stop(name: string, task: string): void {
+    const host = this.#hosts.get(name)!;
+    const running = host.tasks.get(task);
+    if (!running) return;
+    host.tasks.delete(task);
+    const checkpoint = `checkpoint-${running.attempt}`;
+    host.changed.push({task, attempt: running.attempt, state: 'stopped', checkpoint});
+  }
+
+  #finishDue(host: DrivenHost): void {
+    for (const {task, attempt, endsAt} of host.tasks.values()) {
+      if (endsAt > this.at) continue;
+      host.tasks.delete(task);
+      host.changed.push({task, attempt, state: 'finished'});
+    }
+  }
+}
+
+function createTotals(): DriveTotals {
+  return {
+    ms: 0,
+    events: 0,
+    starts: 0,
+    ledgerWrites: 0,
+    ledgerBytes: 0,
+    sentBytes: 0,
+    receivedBytes: 0,
+  };
+}
+
+function createCellWorkloads(hosts: number, extra: number): Workload[] {
+  const workloads: Workload[] = [];
+  const services = Math.ceil((hosts * servicesPerHost) / 7);
+  for (let i = 0; i < services; i++) workloads.push(createService(`service-${i}`, 7));
+  // Enough batch work that the hosts stay full, and no more processors than the work of two years needs.
+  const processors = Math.floor(
+    (workerCapacity.processors - servicesPerHost * 1_000) / batchPerHost,
+  );
+  const jobs = Math.ceil((hosts * batchPerHost * 4) / 40);
+  for (let i = 0; i < jobs; i++) {
+    const job = createBatch(`job-2026-12-04-${i}`, 40);
+    workloads.push({...job, resources: {...job.resources, processors}});
+  }
+  // Jobs that wait for a host with an accelerator count that no host has cost a look each round.
+  for (let i = 0; i < extra; i++) workloads.push(createBatch(`waiting-${i}`, 20));
+  return workloads;
+}
