Check histories of real processes under kills and pauses

Cause: the promises must hold for the daemons, not only for the reducers.

Change: npm run histories starts three entries, three agents, workers and a store stand-in, strikes them with SIGKILL, SIGSTOP, SIGTERM, drains and store outages, and applies the same checks.

--- a/packages/lab/src/faults/kernel/simulated-worker.ts
+++ b/packages/lab/src/faults/kernel/simulated-worker.ts
@@ -46,6 +46,8 @@
   failingUntil = 0;
   term = 0;
   readonly tasks = new Map<string, WorkerTaskState>();
+  /** Highest attempt of each task that was started or stopped; the worker refuses a start that comes late. */
+  readonly #lastAttempt = new Map<string, number>();
 
   constructor(
     private readonly simulation: Simulation,
@@ -123,6 +125,8 @@
       case 'throttle':
         return {ok: current?.state === 'running'};
       case 'stop': {
+        const last = this.#lastAttempt.get(call.task) ?? 0;
+        this.#lastAttempt.set(call.task, Math.max(call.attempt, last));
         if (!current) return {ok: true};
         this.#endRun(current, current.ownCheckpoint ? 'checkpointed' : 'stopped');
         this.tasks.delete(call.task);
@@ -134,7 +138,9 @@
   #start(call: WorkerCall, known: WorkerTaskState | undefined): WorkerReply {
     if (known?.attempt === call.attempt) return {ok: known.state === 'running'};
     if (known?.state === 'running') return {ok: false, detail: 'another attempt is running'};
-    if (known && known.attempt > call.attempt) return {ok: false, detail: 'stale attempt'};
+    if ((this.#lastAttempt.get(call.task) ?? 0) >= call.attempt) {
+      return {ok: false, detail: 'stale attempt'};
+    }
     if (this.failingUntil > this.simulation.now) return {ok: false, detail: 'cannot start'};
     const task: WorkerTaskState = {
       task: call.task,
@@ -149,6 +155,7 @@
       doneBeforeMs: Number(call.checkpoint?.split(':').at(-1) ?? 0),
     };
     this.tasks.set(call.task, task);
+    this.#lastAttempt.set(call.task, call.attempt);
     this.simulation.record({
       kind: 'run-started',
       task: task.task,
--- a/packages/lab/src/histories/main.ts
+++ b/packages/lab/src/histories/main.ts
@@ -1,13 +1,22 @@
 import {mkdirSync, writeFileSync} from 'node:fs';
-import {runInMemory, type MemoryRun} from './memory-run.js';
-import {promises} from './promise.js';
+import {runInMemory} from './memory-run.js';
+import {runProcesses} from './processes/process-run.js';
+import type {HistoryEvent} from './history-event.js';
+import {promises, type PromiseName} from './promise.js';
 
 const seed = Number(process.env.SEED ?? 1);
 const runs = Number(process.env.RUNS ?? 100);
+const processRuns = Number(process.env.PROCESS_RUNS ?? 2);
 const strikes = 6;
 const folder = 'output/histories';
 
-function write(run: MemoryRun): string {
+interface RecordedRun {
+  readonly world: string;
+  readonly seed: number;
+  readonly events: readonly HistoryEvent[];
+}
+
+function write(run: RecordedRun): string {
   const path = `${folder}/${run.world}-${run.seed}.jsonl`;
   writeFileSync(path, run.events.map(event => JSON.stringify(event)).join('\n'));
   return path;
@@ -38,5 +47,19 @@
   const summary = promises.map(promise => `${promise} ${broken.get(promise) ?? 0}`).join(', ');
   console.log(`${world}: ${runs} runs in memory, ${faults} faults, ${events} events; ${summary}`);
 }
+for (let i = 0; i < processRuns; i++) {
+  const run = await runProcesses(seed + i);
+  const broken = new Map<PromiseName, number>();
+  for (const {promise} of run.violations) broken.set(promise, (broken.get(promise) ?? 0) + 1);
+  const summary = promises.map(promise => `${promise} ${broken.get(promise) ?? 0}`).join(', ');
+  const path = write({world: 'processes', seed: run.seed, events: run.events});
+  console.log(`processes seed ${run.seed}, faults ${run.faults.join(' ')}`);
+  console.log(`  ${run.events.length} events in ${path}; ${summary}`);
+  for (const {promise, subject, at, detail} of run.violations.slice(0, 10)) {
+    console.log(`  FAILED ${promise} ${subject} at ${Math.round(at)}: ${detail}`);
+  }
+  if (run.violations.length === 0) passed++;
+  else failed++;
+}
 console.log(`${passed} passed, ${failed} failed`);
 process.exitCode = failed === 0 ? 0 : 1;
--- /dev/null
+++ b/packages/lab/src/histories/processes/process-fleet.ts
@@ -0,0 +1,236 @@
+import {fileURLToPath} from 'node:url';
+import type {Settings} from '@chervilbeam/runtime';
+import {
+  DaemonProcess,
+  getFreePorts,
+  getSharedTime,
+  ManagedProcess,
+  waitUntil,
+  workerDefaults,
+  type WorkerSettings,
+} from '@chervilbeam/standins';
+import type {HistoryEvent} from '../history-event.js';
+
+type WithoutTime<Event> = Event extends unknown ? Omit<Event, 'at'> : never;
+
+/** One daemon with all its lives. */
+export interface FleetDaemon {
+  readonly name: string;
+  readonly settings: Settings;
+  daemon?: DaemonProcess;
+  life: number;
+  stopping: boolean;
+  frozen: boolean;
+}
+
+/** One worker stand-in with its backend server. */
+interface FleetWorker {
+  readonly settings: WorkerSettings;
+  process?: ManagedProcess;
+  life: number;
+}
+
+/** Service that all backend servers answer for. */
+export const fleetService = 'prices';
+
+const capacity = {processors: 4_000, memoryMb: 8_000, accelerators: 0, slots: 8};
+const startLimitMs = 15_000;
+
+function getStandinModule(path: string): string {
+  return fileURLToPath(new URL(path, import.meta.resolve('@chervilbeam/standins')));
+}
+
+/** Real daemons with a stand-in of the store and of the workers, and a record of what they did. */
+export class ProcessFleet {
+  readonly events: HistoryEvent[] = [];
+  readonly entries: FleetDaemon[] = [];
+  readonly agents: FleetDaemon[] = [];
+  readonly #workers = new Map<string, FleetWorker>();
+  readonly #openRuns = new Map<string, HistoryEvent & {readonly kind: 'run-started'}>();
+  readonly #openExchanges = new Map<string, string>();
+  #store?: ManagedProcess;
+  readonly #origin = getSharedTime();
+
+  /** Milliseconds since the start of the fleet. */
+  get now(): number {
+    return getSharedTime() - this.#origin;
+  }
+
+  /** Records an event at the present time. */
+  record(event: WithoutTime<HistoryEvent>): void {
+    this.#add({...event, at: this.now} as HistoryEvent);
+  }
+
+  /** Starts the store, the entries, the agents and the workers. */
+  async start(entryCount: number, hostCount: number): Promise<void> {
+    const ports = await getFreePorts(1 + entryCount * 3 + hostCount * 3);
+    let next = 0;
+    const takeAddress = () => `127.0.0.1:${ports[next++]}`;
+    const storeAddress = takeAddress();
+    this.#store = new ManagedProcess({
+      name: 'store',
+      module: getStandinModule('./store/main.js'),
+      arguments: [storeAddress],
+    });
+    const place = {deployment: 'histories', region: 'north'};
+    const listens = Array.from({length: entryCount}, () => ({
+      callers: takeAddress(),
+      peers: takeAddress(),
+      control: takeAddress(),
+    }));
+    const seeds = listens.map(listen => listen.peers);
+    for (const [i, listen] of listens.entries()) {
+      const dataCentre = i < 2 ? 'north-a' : 'north-b';
+      const settings: Settings = {
+        ...{...place, role: 'entry', name: `e${i + 1}`, dataCentre, listen, seeds},
+        ...{store: `http://${storeAddress}`, cells: ['main'], settleMs: 1_000},
+      };
+      this.entries.push({name: settings.name, settings, life: 0, stopping: false, frozen: false});
+    }
+    for (let i = 0; i < hostCount; i++) {
+      const name = `h${i + 1}`;
+      const [control, workerListen, backendListen] = [takeAddress(), takeAddress(), takeAddress()];
+      const dataCentre = i < 2 ? 'north-a' : 'north-b';
+      const settings: Settings = {
+        ...{...place, role: 'agent', name, dataCentre, rack: `rack-${name}`},
+        ...{listen: {control}, seeds, worker: `http://${workerListen}`},
+      };
+      this.agents.push({name, settings, life: 0, stopping: false, frozen: false});
+      this.#workers.set(name, {
+        life: 0,
+        settings: {
+          ...workerDefaults,
+          ...{name, rack: `rack-${name}`, capacity, services: [fleetService]},
+          ...{workerListen, backendListen, agent: `http://${control}`},
+          runTimesMs: {print: 4_000},
+        },
+      });
+    }
+    for (const host of this.#workers.keys()) this.startWorker(host);
+    await Promise.all([...this.entries, ...this.agents].map(part => this.startDaemon(part)));
+  }
+
+  /** Starts a daemon and records it once it answers. */
+  async startDaemon(part: FleetDaemon): Promise<void> {
+    if (part.daemon?.process.isRunning) return;
+    const life = ++part.life;
+    const daemon = new DaemonProcess(part.settings);
+    part.daemon = daemon;
+    part.stopping = false;
+    part.frozen = false;
+    await waitUntil(
+      `${part.name} answers`,
+      async () => {
+        return !daemon.process.isRunning || (await daemon.getStatus()) !== undefined;
+      },
+      startLimitMs,
+    );
+    if (part.life !== life || !daemon.process.isRunning) return;
+    this.record({kind: 'process-started', process: `${part.name}#${life}`});
+    if (part.settings.role === 'agent') this.record({kind: 'host-returned', host: part.name});
+  }
+
+  /** Kills a daemon. */
+  kill(part: FleetDaemon): void {
+    if (!part.daemon?.process.isRunning) return;
+    part.daemon.process.signal('SIGKILL');
+    this.record({kind: 'process-killed', process: `${part.name}#${part.life}`});
+  }
+
+  /** Stops a daemon with SIGSTOP, or lets it go on. */
+  freeze(part: FleetDaemon, frozen: boolean): void {
+    if (!part.daemon?.process.isRunning) return;
+    part.frozen = frozen;
+    part.daemon.process.signal(frozen ? 'SIGSTOP' : 'SIGCONT');
+  }
+
+  /** Tells a daemon to stop and waits for its end. */
+  async stopGracefully(part: FleetDaemon): Promise<void> {
+    if (!part.daemon?.process.isRunning) return;
+    const process = `${part.name}#${part.life}`;
+    part.stopping = true;
+    this.record({kind: 'shutdown-began', process});
+    if (part.settings.role === 'agent') this.record({kind: 'host-leaving', host: part.name});
+    const result = await part.daemon.stop();
+    if (result === 0) this.record({kind: 'process-exited', process});
+  }
+
+  /** Starts the worker and backend server of a host. */
+  startWorker(host: string): void {
+    const worker = this.#workers.get(host);
+    if (!worker || worker.process?.isRunning) return;
+    const life = ++worker.life;
+    worker.process = new ManagedProcess({
+      name: `worker-${host}`,
+      module: getStandinModule('./worker/main.js'),
+      arguments: [JSON.stringify(worker.settings)],
+      onLine: line => this.#observe(line, life),
+    });
+  }
+
+  /** Kills the worker and backend server of a host; what ran there is gone. */
+  async killWorker(host: string): Promise<void> {
+    const worker = this.#workers.get(host);
+    if (!worker?.process?.isRunning) return;
+    worker.process.signal('SIGKILL');
+    await worker.process.exited;
+    for (const run of [...this.#openRuns.values()]) {
+      if (run.host !== host) continue;
+      const {task, attempt} = run;
+      this.record({kind: 'run-ended', task, attempt, host, end: 'lost'});
+    }
+    for (const [exchange, on] of [...this.#openExchanges]) {
+      if (on === host) this.record({kind: 'exchange-ended', exchange, cut: 'killed'});
+    }
+  }
+
+  /** Lets the backend server of a host announce that it leaves, or that it stays. */
+  async setDraining(host: string, draining: boolean): Promise<void> {
+    const {workerListen} = this.#workers.get(host)!.settings;
+    try {
+      await fetch(`http://${workerListen}/standin/failures`, {
+        method: 'POST',
+        headers: {'content-type': 'application/json'},
+        body: JSON.stringify({draining}),
+        signal: AbortSignal.timeout(1_000),
+      });
+      this.record({kind: draining ? 'host-leaving' : 'host-returned', host});
+    } catch {
+      // A worker that is down is not told; its successor starts without a failure mode.
+    }
+  }
+
+  /** Switches an outage of the store on or off. */
+  toggleStore(): void {
+    this.#store?.signal('SIGUSR2');
+  }
+
+  /** Ends every process. */
+  async stop(): Promise<void> {
+    const daemons = [...this.entries, ...this.agents].flatMap(part => part.daemon ?? []);
+    const workers = [...this.#workers.values()].flatMap(worker => worker.process ?? []);
+    const all = [...daemons.map(daemon => daemon.process), ...workers, this.#store];
+    for (const process of all) process?.signal('SIGKILL');
+    await Promise.all(all.map(process => process?.exited));
+  }
+
+  #observe(line: string, life: number): void {
+    const seen = JSON.parse(line) as HistoryEvent;
+    // A restarted backend server counts its exchanges from one again.
+    const unique = 'exchange' in seen ? {...seen, exchange: `${seen.exchange}#${life}`} : seen;
+    this.#add({...unique, at: seen.at - this.#origin});
+  }
+
+  #add(event: HistoryEvent): void {
+    this.events.push(event);
+    if (event.kind === 'run-started') {
+      this.#openRuns.set(`${event.host}/${event.task}#${event.attempt}`, event);
+    } else if (event.kind === 'run-ended') {
+      this.#openRuns.delete(`${event.host}/${event.task}#${event.attempt}`);
+    } else if (event.kind === 'exchange-started') {
+      this.#openExchanges.set(event.exchange, event.host);
+    } else if (event.kind === 'exchange-ended') {
+      this.#openExchanges.delete(event.exchange);
+    }
+  }
+}
--- /dev/null
+++ b/packages/lab/src/histories/processes/process-run.ts
@@ -0,0 +1,211 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {applyIntent} from '@chervilbeam/standins';
+import {SeededRandom} from '../../faults/kernel/seeded-random.js';
+import {checkHistory} from '../check-history.js';
+import type {HistoryEvent, RequestOutcome} from '../history-event.js';
+import type {Violation} from '../promise.js';
+import {fleetService, ProcessFleet, type FleetDaemon} from './process-fleet.js';
+
+/** What a run of real processes recorded. */
+export interface ProcessRun {
+  readonly seed: number;
+  readonly faults: readonly string[];
+  readonly events: readonly HistoryEvent[];
+  readonly violations: readonly Violation[];
+}
+
+const faultsMs = 24_000;
+const quietMs = 16_000;
+const faultEveryMs = 2_000;
+const requestEveryMs = 25;
+const changeEveryMs = 3_000;
+const pollEveryMs = 200;
+
+const small = {processors: 500, memoryMb: 500, accelerators: 0, slots: 1};
+const team = {
+  name: 'team',
+  quota: {processors: 12_000, memoryMb: 24_000, accelerators: 0, slots: 24},
+  weight: 1,
+};
+
+function createIntent(index: number): object {
+  const service = {name: fleetService, team: 'team', urgency: 'urgent', grant: {slots: 4}};
+  const batch = {name: `print-${index}`, team: 'team', urgency: 'normal', runTimeSeconds: 4};
+  return {
+    operator: 'operator',
+    teams: [team],
+    services: index === 0 ? [{...service, resources: small, replicas: 3}] : [],
+    batches: [{...batch, resources: {...small, slots: 1}, tasks: 4, checkpointSeconds: 1}],
+  };
+}
+
+/** Runs real daemons under kills, pauses, drains and outages of the store, and checks what was recorded. */
+export async function runProcesses(seed: number): Promise<ProcessRun> {
+  const fleet = new ProcessFleet();
+  const random = new SeededRandom(seed);
+  const faults: string[] = [];
+  const end = new AbortController();
+  try {
+    await fleet.start(3, 3);
+    const background = [poll(fleet, end.signal), load(fleet, random, end.signal)];
+    background.push(change(fleet, random, end.signal));
+    await delay(4_000);
+    await disturb(fleet, new SeededRandom(seed ^ 0x5eed), faults);
+    fleet.record({kind: 'faults-over'});
+    await delay(quietMs);
+    end.abort();
+    await Promise.all(background);
+    fleet.record({kind: 'history-ended'});
+    const {events} = fleet;
+    return {seed, faults, events, violations: checkHistory(events)};
+  } finally {
+    end.abort();
+    await fleet.stop();
+  }
+}
+
+async function disturb(fleet: ProcessFleet, random: SeededRandom, faults: string[]): Promise<void> {
+  const until = fleet.now + faultsMs;
+  const pending: Array<Promise<unknown>> = [];
+  const parts = [...fleet.entries, ...fleet.agents];
+  while (fleet.now < until) {
+    const part = random.pick(parts);
+    const kind = random.pick([
+      'kill',
+      'kill',
+      'freeze',
+      'freeze',
+      'stop',
+      'worker',
+      'drain',
+      'store',
+    ]);
+    const ms = random.between(500, 4_500);
+    faults.push(`${kind}@${Math.round(fleet.now)}:${part.name}`);
+    pending.push(strike(fleet, kind, part, random.pick(fleet.agents).name, ms));
+    await delay(faultEveryMs);
+  }
+  await Promise.all(pending);
+}
+
+async function strike(
+  fleet: ProcessFleet,
+  kind: string,
+  part: FleetDaemon,
+  host: string,
+  ms: number,
+): Promise<void> {
+  switch (kind) {
+    case 'kill':
+      if (part.frozen || part.stopping) return;
+      fleet.kill(part);
+      await delay(ms);
+      return fleet.startDaemon(part);
+    case 'freeze':
+      if (part.frozen || part.stopping) return;
+      fleet.freeze(part, true);
+      await delay(ms);
+      return fleet.freeze(part, false);
+    case 'stop':
+      if (part.frozen || part.stopping) return;
+      await fleet.stopGracefully(part);
+      await delay(500);
+      return fleet.startDaemon(part);
+    case 'worker':
+      await fleet.killWorker(host);
+      await delay(ms);
+      return fleet.startWorker(host);
+    case 'drain':
+      await fleet.setDraining(host, true);
+      await delay(5_500);
+      return fleet.setDraining(host, false);
+    default:
+      fleet.toggleStore();
+      await delay(ms);
+      return fleet.toggleStore();
+  }
+}
+
+async function load(fleet: ProcessFleet, random: SeededRandom, end: AbortSignal): Promise<void> {
+  const open = new Set<Promise<void>>();
+  for (let i = 1; !end.aborted; i++) {
+    await delay(requestEveryMs);
+    const ready = fleet.entries.filter(entry => entry.daemon?.process.isRunning && !entry.stopping);
+    if (ready.length === 0) continue;
+    const call = submit(fleet, random.pick(ready), `q${i}`, random).finally(() =>
+      open.delete(call),
+    );
+    open.add(call);
+  }
+  await Promise.all(open);
+}
+
+async function submit(
+  fleet: ProcessFleet,
+  entry: FleetDaemon,
+  request: string,
+  random: SeededRandom,
+): Promise<void> {
+  const idempotent = random.next() < 0.5;
+  const timeoutMs = Math.round(random.between(500, 3_000));
+  const serviceMs = Math.round(random.between(0, 300));
+  const {name} = entry;
+  const service = fleetService;
+  fleet.record({kind: 'request-submitted', request, entry: name, service, idempotent, timeoutMs});
+  try {
+    const response = await fetch(`http://${entry.settings.listen.callers}/${service}/x`, {
+      method: idempotent ? 'GET' : 'POST',
+      headers: {
+        'x-request-id': request,
+        'x-service-ms': String(serviceMs),
+        'x-answer-bytes': String(Math.round(random.between(0, 40_000))),
+        'chervilbeam-timeout-ms': String(timeoutMs),
+      },
+      body: idempotent ? undefined : request,
+      signal: AbortSignal.timeout(timeoutMs + 10_000),
+    });
+    const body = await response.text();
+    const outcome = response.headers.get('chervilbeam-outcome') as RequestOutcome | null;
+    if (!outcome) return;
+    fleet.record({kind: 'request-answered', request, outcome, status: response.status, body});
+  } catch {
+    // The connection to the entry was lost: the caller knows nothing.
+    fleet.record({kind: 'request-abandoned', request});
+  }
+}
+
+async function change(fleet: ProcessFleet, random: SeededRandom, end: AbortSignal): Promise<void> {
+  for (let index = 0; !end.aborted;) {
+    const entry = random.pick(fleet.entries);
+    try {
+      const confirmed = await applyIntent(entry.settings.listen.control, createIntent(index));
+      if (confirmed.outcome === 'accepted') {
+        const {version = 0, changeId = ''} = confirmed;
+        fleet.record({kind: 'configuration-accepted', version, changeId});
+        index++;
+      }
+    } catch {
+      // An entry that is down or without the store refuses; the operator tries another one.
+    }
+    await delay(index === 0 ? 300 : changeEveryMs);
+  }
+}
+
+async function poll(fleet: ProcessFleet, end: AbortSignal): Promise<void> {
+  const known = new Map<string, number>();
+  while (!end.aborted) {
+    await Promise.all(
+      [...fleet.entries, ...fleet.agents].map(async part => {
+        const process = `${part.name}#${part.life}`;
+        if (part.frozen) return;
+        const status = await Promise.race([part.daemon?.getStatus(), delay(1_000, undefined)]);
+        if (!status || process !== `${part.name}#${part.life}`) return;
+        if (known.get(process) === status.version) return;
+        known.set(process, status.version);
+        const {version} = status;
+        fleet.record({kind: 'configuration-in-force', process, version, digest: `${version}`});
+      }),
+    );
+    await delay(pollEveryMs);
+  }
+}
