Wait for the first attempt when its queued retry is shed

Ruled out: the deadline, which had seconds left. Change: a shed retry with an attempt still out leaves the request waiting for that attempt. Conclusion: fewer needless unknown outcomes; the limit on retries is unchanged.

--- a/packages/coordination/src/requests/entry-requests.ts
+++ b/packages/coordination/src/requests/entry-requests.ts
@@ -269,7 +269,7 @@
 
   private tick(at: number): void {
     for (const request of this.table.getDue(at)) this.conclusions.expire(request, at);
-    for (const request of this.queue.shed(at)) this.conclusions.notRun(request, 'shed', at);
+    for (const request of this.queue.shed(at)) this.shed(request, at);
     for (const host of this.routes.hosts.check(at)) {
       this.outbox.count('hosts-suspected');
       this.results.suspect(host.peer, at);
@@ -281,6 +281,14 @@
     if (at - this.summaryAt >= summaryEveryMs) this.sendSummary(at);
   }
 
+  /** Ends a request that waited too long, unless an earlier attempt may still bring its answer. */
+  private shed(request: PendingRequest, at: number): void {
+    if (request.attempts.size === 0 || request.deadline <= at)
+      return this.conclusions.notRun(request, 'shed', at);
+    for (const attempt of request.attempts.values()) attempt.replaced = false;
+    this.outbox.count('retries-shed');
+  }
+
   private refreshShares(at: number): void {
     if (!this.configuration) return;
     this.sharesAt = at;
--- a/packages/coordination/test/requests/entry-requests.test.ts
+++ b/packages/coordination/test/requests/entry-requests.test.ts
@@ -282,3 +282,21 @@
     'the process never closes',
   );
 });
+
+void t.test('a shed retry does not end a request whose first attempt is only in doubt', async t => {
+  const entry = entryWithHosts('a1', 'a2');
+  const effects: EntryRequestsEffect[] = [];
+  const run = (event: EntryRequestsEvent, at: number) => effects.push(...entry.reduce(event, at));
+  for (let caller = 1; caller <= 16; caller++)
+    run(callerRequest(caller, 'GET', {timeoutMs: 5000}), 1);
+  run({kind: 'peer-down', peer: 'a1'}, 10);
+  for (let at = 20; at <= 1000; at += 10) {
+    const message = {kind: 'heartbeat', stamp: at, configVersion: 1, inFlight: 8} as const;
+    if (at % 500 === 0) run({kind: 'heartbeat', peer: 'a2', message}, at);
+    run({kind: 'tick'}, at);
+  }
+  const retries = effects.filter(e => e.kind === 'count' && e.name === 'retries');
+  t.ok(retries.length > 0, 'some requests were queued again');
+  const unknown = effects.filter(e => e.kind === 'answer' && e.outcome === 'unknown');
+  t.same(unknown, [], 'the exchange of the first attempt goes on and its answer is still due');
+});
