--- a/packages/coordination/src/tasks/cell/cell-state.ts
+++ b/packages/coordination/src/tasks/cell/cell-state.ts
@@ -61,6 +61,12 @@
     return used + workload.resources.processors <= workload.grant.processors;
   }
 
+  /** Whether a team uses more than its quota at present. */
+  isOverQuota(name: string): boolean {
+    const team = this.teams.get(name);
+    return team !== undefined && !fits(team.quota, this.getUsage(name), createAmounts());
+  }
+
   /** Whether the bound on evictions allows one more. */
   get mayEvict(): boolean {
     return this.evictions + 1 <= this.starts * evictionsPerStart;
--- a/packages/coordination/src/tasks/round/placement.ts
+++ b/packages/coordination/src/tasks/round/placement.ts
@@ -30,6 +30,7 @@
 /** Chooses hosts for tasks within one scheduling round. */
 export class Placement {
   private readonly promised = new Map<string, Amounts>();
+  private readonly roomless: Resources[] = [];
   private readonly open: CellHost[];
   /** Empty hosts on probation: each may run one batch task that is not urgent. */
   private readonly probation: CellHost[];
@@ -53,11 +54,14 @@
       const tried = this.probation.findIndex(host => this.hasRoom(host, need));
       if (tried >= 0) return this.probation.splice(tried, 1)[0];
     }
+    if (this.isKnownRoomless(need)) return undefined;
     const spread = workload.kind === 'batch' ? undefined : this.countSpread(job);
     let best: CellHost | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
+    let roomless = true;
     for (const host of this.open) {
       if (!this.hasRoom(host, need)) continue;
+      roomless = false;
       const doubt = host.health.isDoubtful ? doubtCost : 0;
       const cost = doubt + (spread ? spread(host) : this.getBatchCost(host, workload));
       if (cost < bestCost) {
@@ -65,9 +69,15 @@
         bestCost = cost;
       }
     }
+    if (roomless) this.roomless.push(need);
     return best;
   }
 
+  /** Room only shrinks within a round, so a need that found none stays without, and so do larger ones. */
+  private isKnownRoomless(need: Resources): boolean {
+    return this.roomless.some(known => fits(need, createAmounts(), known));
+  }
+
   /** Returns a host that has room once the attempts that are stopping there have ended, and keeps it free. */
   awaitRoom(need: Resources): boolean {
     for (const host of this.open) {
--- a/packages/coordination/src/tasks/round/scheduling-round.ts
+++ b/packages/coordination/src/tasks/round/scheduling-round.ts
@@ -14,6 +14,7 @@
 import type {FindingReason} from '../events.js';
 import type {Job} from '../cell/job.js';
 import {Placement, type DisturbanceForecast} from './placement.js';
+import {TeamQueue} from './team-queue.js';
 import type {StopReason, TaskRun} from '../cell/task-run.js';
 
 /** Resources that stand for the whole when a team has no quota. */
@@ -125,22 +126,18 @@
   /** Places tasks of one band; returns the batch jobs that are held back by their quota. */
   private fill(jobs: readonly Job[], lend: boolean): Job[] {
     const heldBack: Job[] = [];
-    const teams = this.groupByTeam(jobs);
+    const teams = new TeamQueue(this.groupByTeam(jobs), team => this.getShare(team));
     const {shares} = this.policy;
-    while (teams.size > 0) {
-      const team = this.pickTeam(teams);
-      const queue = teams.get(team) ?? [];
-      const job = queue[queue.length - 1];
-      if (!job) {
-        teams.delete(team);
-        continue;
-      }
+    for (let job = teams.first; job; job = teams.first) {
       if (shares && !lend && !this.state.isWithinQuota(job.workload, job)) {
-        if (job.workload.kind === 'batch') heldBack.push(job);
+        const {kind, team} = job.workload;
+        if (kind === 'batch') heldBack.push(job);
         else this.addFinding(job, 'over-quota', `team ${team} has used its quota`);
-        queue.pop();
-      } else if (!this.startOne(job, lend)) {
-        queue.pop();
+        teams.drop();
+      } else if (this.startOne(job, lend)) {
+        teams.update();
+      } else {
+        teams.drop();
       }
     }
     return heldBack;
@@ -169,19 +166,10 @@
     return this.context.getPlace(job);
   }
 
-  private pickTeam(teams: ReadonlyMap<string, Job[]>): string {
-    let best = '';
-    let least = Number.POSITIVE_INFINITY;
-    for (const name of teams.keys()) {
-      const team = this.state.teams.get(name);
-      const usage = this.state.getUsage(name);
-      const share = getDominantShare(usage, team?.quota ?? noQuota) / (team?.weight || 1);
-      if (best === '' || share < least) {
-        best = name;
-        least = share;
-      }
-    }
-    return best;
+  private getShare(name: string): number {
+    const team = this.state.teams.get(name);
+    const usage = this.state.getUsage(name);
+    return getDominantShare(usage, team?.quota ?? noQuota) / (team?.weight || 1);
   }
 
   /** Starts one task; returns false when the job can start no more in this round. */
@@ -288,7 +276,8 @@
     if (!owner?.mayEvict(run.index, this.context.at)) return false;
     const band = urgencies.indexOf(job.workload.urgency);
     const victimBand = urgencies.indexOf(run.urgency);
-    if (run.borrowed && run.team !== job.workload.team) return true;
+    const lent = run.borrowed && run.team !== job.workload.team;
+    if (lent && this.state.isOverQuota(run.team)) return true;
     return band <= 1 && victimBand > band && victimBand >= 2;
   }
 
--- /dev/null
+++ b/packages/lab/src/cell/watch-running.ts
@@ -0,0 +1,21 @@
+import type {EventQueue} from './event-queue.js';
+import type {VirtualHost} from './virtual-host.js';
+
+/** Samples the workers every 50 ms and counts the tasks seen in two places. */
+export function watchRunning(
+  queue: EventQueue,
+  hosts: ReadonlyMap<string, VirtualHost>,
+): {readonly doubles: number} {
+  const seen = {doubles: 0};
+  queue.every(50, () => {
+    const places = new Set<string>();
+    for (const host of hosts.values()) {
+      host.worker.advance(queue.now);
+      for (const {task} of host.worker.running) {
+        if (places.has(task)) seen.doubles += 1;
+        places.add(task);
+      }
+    }
+  });
+  return seen;
+}
--- /dev/null
+++ b/packages/lab/src/measure/ownership.ts
@@ -0,0 +1,94 @@
+import type {Workload} from '@chervilbeam/coordination';
+import {RandomSource, VirtualFleet, watchRunning} from '../cell/index.js';
+import type {Experiment, Measure, RunResult} from './experiment.js';
+
+const entries = [
+  {name: 'entry-w1', dataCentre: 'west'},
+  {name: 'entry-w2', dataCentre: 'west'},
+  {name: 'entry-e1', dataCentre: 'east'},
+];
+const capacity = {processors: 16_000, memoryMb: 60_000, accelerators: 0, slots: 8};
+
+/** What happens to the owner or the store at the fault. */
+const faults: Readonly<Record<string, (fleet: VirtualFleet, random: RandomSource) => void>> = {
+  'owner dies': fleet => fleet.killEntry(fleet.owner?.registered.name ?? ''),
+  'owner pauses': (fleet, random) => fleet.owner?.pause(2_000 + random.integer(20_000)),
+  'store away for 60 s': fleet => {
+    fleet.store.down = true;
+    fleet.queue.after(60_000, () => {
+      fleet.store.down = false;
+    });
+  },
+  'store loses 20 answers': fleet => {
+    fleet.store.loseAnswers = 20;
+  },
+  'owner loses the store': (fleet, random) => {
+    const dataCentre = fleet.owner?.registered.dataCentre ?? '';
+    fleet.setStoreCut(dataCentre, true);
+    fleet.queue.after(10_000 + random.integer(50_000), () => fleet.setStoreCut(dataCentre, false));
+  },
+  'data centres part': (fleet, random) => {
+    const side = random.next() < 0.5 ? 'west' : 'east';
+    fleet.setCut(side, true);
+    fleet.setStoreCut(side, true);
+    fleet.queue.after(10_000 + random.integer(50_000), () => {
+      fleet.setCut(side, false);
+      fleet.setStoreCut(side, false);
+    });
+  },
+};
+
+const work: Workload = {
+  kind: 'batch',
+  name: 'proofs',
+  team: 'press',
+  urgency: 'normal',
+  grant: {slots: 0, processors: 0},
+  resources: {processors: 4_000, memoryMb: 1_000, accelerators: 0, slots: 1},
+  tasks: 120,
+  runTimeSeconds: 20,
+  checkpointSeconds: 5,
+};
+
+function runFault(seed: number, name: string): RunResult {
+  const random = new RandomSource(seed);
+  const drift = () => 1 + 0.005 * (2 * random.next() - 1);
+  const fleet = new VirtualFleet({
+    entries: entries.map(entry => ({...entry, clockRate: drift()})),
+    hosts: Array.from({length: 6}, (_, number) => ({
+      name: `host-${number}`,
+      dataCentre: number < 3 ? 'west' : 'east',
+      rack: `rack-${number % 2}`,
+      capacity,
+    })),
+    getBehaviour: () => ({workMs: 20_000, checkpointMs: 5_000}),
+  });
+  const seen = watchRunning(fleet.queue, fleet.hosts);
+  fleet.queue.after(10_000, () => fleet.configure([work]));
+  const faultAt = 20_000 + random.integer(10_000);
+  fleet.queue.after(faultAt, () => faults[name]?.(fleet, random));
+  let ownerless = 0;
+  let longest = 0;
+  fleet.queue.every(50, () => {
+    ownerless = fleet.owner ? 0 : ownerless + 50;
+    if (fleet.queue.now > faultAt) longest = Math.max(longest, ownerless);
+  });
+  fleet.runUntil(300_000);
+  const finished = fleet.owner?.scheduler.getState().jobs.get('proofs')?.finished ?? 0;
+  const measures: Measure[] = [
+    {name: 'tasks in two places', unit: 'samples', value: seen.doubles, target: {atMost: 0}},
+    {name: 'longest time without owner', unit: 's', value: longest / 1000, target: {atMost: 5}},
+    {name: 'items finished', unit: 'of 120', value: finished, target: {atLeast: 120}},
+    {name: 'starts', unit: '', value: fleet.starts},
+    {name: 'store writes with leases', unit: '', value: fleet.store.writes},
+  ];
+  return {scenario: name, policy: 'leases, vouches, fence', measures};
+}
+
+/** Ownership of a cell under faults, with clocks that run up to 0.5% off. */
+export const ownershipExperiment: Experiment = {
+  name: 'ownership',
+  title: 'Ownership of a cell: takeover, hold and fence, 3 entries, 6 hosts',
+  seeds: [1, 2, 3, 4, 5, 6, 7, 8],
+  run: seed => Object.keys(faults).map(name => runFault(seed, name)),
+};
--- /dev/null
+++ b/packages/lab/src/measure/placement.ts
@@ -0,0 +1,170 @@
+import {CellScheduler, type CellSchedulerEffect, type Workload} from '@chervilbeam/coordination';
+import {RandomSource} from '../cell/index.js';
+import type {Experiment, Measure, RunResult} from './experiment.js';
+
+const startsPerSecond = 250;
+const seconds = 20;
+const tickMs = 100;
+const capacity = {processors: 16_000, memoryMb: 60_000, accelerators: 1, slots: 8};
+
+/** Answers every start with `running` at once, and finishes items after their time. */
+class AnsweringHosts {
+  starts = 0;
+  writes = 0;
+  private readonly due: Array<{at: number; host: string; task: string; attempt: number}> = [];
+
+  constructor(
+    private readonly scheduler: CellScheduler,
+    private readonly random: RandomSource,
+  ) {}
+
+  carryOut(effects: readonly CellSchedulerEffect[], at: number): void {
+    const queue = [...effects];
+    for (let effect = queue.shift(); effect; effect = queue.shift()) {
+      if (effect.kind === 'read-ledger') {
+        queue.push(...this.scheduler.reduce({kind: 'ledger-read', revision: 0}, at));
+      } else if (effect.kind === 'write-ledger') {
+        this.writes += 1;
+        const {sequence} = effect;
+        const revision = effect.expectedRevision + 1;
+        const event = {kind: 'ledger-written', sequence, result: 'written', revision} as const;
+        queue.push(...this.scheduler.reduce(event, at));
+      } else if (effect.kind === 'send' && effect.message.kind === 'start') {
+        this.starts += 1;
+        const {task, attempt} = effect.message;
+        const {host} = effect;
+        queue.push(...this.report(host, task, attempt, 'running', at));
+        this.due.push({at: at + 2_000 + this.random.integer(4_000), host, task, attempt});
+      }
+    }
+  }
+
+  finish(at: number): void {
+    const ready = this.due.filter(entry => entry.at <= at);
+    this.due.splice(0, this.due.length, ...this.due.filter(entry => entry.at > at));
+    for (const {host, task, attempt} of ready) {
+      this.carryOut(this.report(host, task, attempt, 'finished', at), at);
+    }
+  }
+
+  private report(
+    host: string,
+    task: string,
+    attempt: number,
+    state: 'running' | 'finished',
+    at: number,
+  ): readonly CellSchedulerEffect[] {
+    const message = {kind: 'report', full: false, attempts: [{task, attempt, state}]} as const;
+    return this.scheduler.reduce({kind: 'report', host, message}, at);
+  }
+}
+
+function createWorkload(number: number): Workload {
+  return {
+    kind: 'batch',
+    name: `job-${number}`,
+    team: `team-${number % 340}`,
+    urgency: 'normal',
+    grant: {slots: 0, processors: 0},
+    resources: {processors: 2_000, memoryMb: 500, accelerators: 0, slots: 0},
+    tasks: 25,
+    runTimeSeconds: 4,
+    dateMs: 3_600_000,
+  };
+}
+
+function connectHosts(scheduler: CellScheduler, hosts: number): void {
+  for (let number = 0; number < hosts; number += 1) {
+    const host = `host-${number}`;
+    const hello = {
+      kind: 'hello',
+      protocol: 1,
+      deployment: 'lab',
+      role: 'agent',
+      dataCentre: `dc-${number % 24}`,
+      region: 'lab',
+      name: host,
+      incarnation: number + 1,
+      purpose: 'control',
+      peers: [],
+      configVersion: 0,
+    } as const;
+    const announce = {
+      kind: 'announce',
+      host,
+      rack: `rack-${Math.floor(number / 3)}`,
+      capacity,
+      services: [],
+      slots: 8,
+      connections: 64,
+      draining: false,
+    } as const;
+    scheduler.reduce({kind: 'host-up', host, hello, announce}, 0);
+    scheduler.reduce(
+      {kind: 'report', host, message: {kind: 'report', full: true, attempts: []}},
+      0,
+    );
+  }
+}
+
+function runHosts(seed: number, hosts: number): RunResult {
+  const scheduler = new CellScheduler({cell: 'main'});
+  const answering = new AnsweringHosts(scheduler, new RandomSource(seed));
+  answering.carryOut(scheduler.reduce({kind: 'ownership', mode: 'owner', term: 1}, 0), 0);
+  answering.carryOut(scheduler.reduce({kind: 'fence-complete', unreachableHeldUntil: 0}, 0), 0);
+  connectHosts(scheduler, hosts);
+  const workloads = new Map<string, Workload>();
+  let spentMs = 0;
+  let worstMs = 0;
+  const starts = answering.starts;
+  for (let at = tickMs; at <= seconds * 1_000; at += tickMs) {
+    if (at % 3_000 === tickMs) {
+      for (const host of scheduler.getState().hosts.keys()) {
+        const message = {kind: 'heartbeat', stamp: at, configVersion: 0, inFlight: 0} as const;
+        scheduler.reduce({kind: 'heartbeat', host, message}, at);
+      }
+    }
+    const number = workloads.size;
+    workloads.set(`job-${number}`, createWorkload(number));
+    const configuration = {
+      version: number + 1,
+      workloads: new Map(workloads),
+      teams: new Map(),
+      drains: new Set<string>(),
+    };
+    answering.finish(at);
+    const begin = process.hrtime.bigint();
+    answering.carryOut(scheduler.reduce({kind: 'configuration', configuration}, at), at);
+    answering.carryOut(scheduler.reduce({kind: 'tick', wallTimeMs: at}, at), at);
+    const ms = Number(process.hrtime.bigint() - begin) / 1e6;
+    spentMs += ms;
+    worstMs = Math.max(worstMs, ms);
+  }
+  const started = answering.starts - starts;
+  const measures: Measure[] = [
+    {
+      name: 'starts per second',
+      unit: '/s',
+      value: started / seconds,
+      target: {atLeast: startsPerSecond * 0.95},
+    },
+    {
+      name: 'store writes per start',
+      unit: '',
+      value: answering.writes / started,
+      target: {atMost: 0.2},
+    },
+    {name: 'time per start', unit: 'us', value: (spentMs * 1_000) / started},
+    {name: 'longest round', unit: 'ms', value: worstMs},
+    {name: 'use of one core', unit: '', value: spentMs / (seconds * 1_000)},
+  ];
+  return {scenario: `${hosts} hosts, 250 starts/s, 340 teams`, policy: 'cell scheduler', measures};
+}
+
+/** Cost of a decision by the number of hosts, on the real reducer and the machine's clock. */
+export const placementExperiment: Experiment = {
+  name: 'placement',
+  title: 'Cost of placement at 250 starts a second',
+  seeds: [1, 2, 3],
+  run: seed => [75, 3_600].map(hosts => runHosts(seed, hosts)),
+};
--- a/packages/lab/src/measure/registry.ts
+++ b/packages/lab/src/measure/registry.ts
@@ -1,6 +1,19 @@
+import {batchesExperiment} from './batches.js';
+import {colocationExperiment} from './colocation.js';
 import type {Experiment} from './experiment.js';
 import {floodExperiment} from './flood.js';
+import {ownershipExperiment} from './ownership.js';
+import {placementExperiment} from './placement.js';
 import {routingExperiment} from './routing.js';
+import {sharesExperiment} from './shares.js';
 
 /** All experiments; add one line for each. */
-export const experiments: readonly Experiment[] = [floodExperiment, routingExperiment];
+export const experiments: readonly Experiment[] = [
+  floodExperiment,
+  routingExperiment,
+  colocationExperiment,
+  batchesExperiment,
+  sharesExperiment,
+  ownershipExperiment,
+  placementExperiment,
+];
