--- a/packages/coordination/src/colocation/colocation-policy.ts
+++ b/packages/coordination/src/colocation/colocation-policy.ts
@@ -73,6 +73,11 @@
   return `${team}/${getWorkloadPrefix(workload)}`;
 }
 
+function hasService(host: CellHost): boolean {
+  for (const run of host.runs.values()) if (run.kind === 'service') return true;
+  return false;
+}
+
 /** Decides which batch tasks may run beside which services, and throttles or moves those that disturb. */
 export class ColocationPolicy implements ColocationAdvisor {
   readonly model = new DisturbanceModel();
@@ -88,7 +93,7 @@
     const record = this.getRecord(host.name);
     if (at - record.sampledAt < sampleMs) return;
     record.sampledAt = at;
-    record.history.add(this.getPresence(host), at);
+    if (hasService(host)) record.history.add(this.getPresence(host), at);
   }
 
   /** Learns from a measured ratio of a service on a host and returns what to do there. */
@@ -117,6 +122,7 @@
   /** Cost of a batch task on a host; infinite when it may not run there. */
   getCost(host: CellHost, workload: Workload, at: number): number {
     const {highRatio, slackRatio} = this.options;
+    if (!hasService(host)) return 0;
     const key = getKey(workload.team, workload.name);
     let cost = 0;
     for (const service of this.getServices(host)) {
--- a/packages/coordination/src/tasks/cell-scheduler.ts
+++ b/packages/coordination/src/tasks/cell-scheduler.ts
@@ -148,6 +148,7 @@
       for (const run of findDrainable(this.state)) this.stop(run, 'drained', at);
     }
     this.round(at);
+    this.reportHeld(at);
     for (const finding of this.planner.findLate(at)) this.findings.add(finding, at, this.effects);
     if (this.mode === 'owner') this.effects.push(...this.ledger.flush(at));
   }
@@ -219,6 +220,14 @@
     if (job) job.blockedUntil = Math.max(this.ownedAt + leaseWaitMs, this.heldUntil);
   }
 
+  /** Names the workloads whose tasks may still run where this owner cannot look. */
+  private reportHeld(at: number): void {
+    if (at < this.ownedAt + leaseWaitMs || at >= this.heldUntil) return;
+    for (const finding of this.reports.describeHeld()) {
+      this.findings.add(finding, at, this.effects);
+    }
+  }
+
   private unblock(): void {
     for (const name of this.reports.blockedWorkloads) this.block(name);
   }
--- a/packages/coordination/src/tasks/cell/cell-state.ts
+++ b/packages/coordination/src/tasks/cell/cell-state.ts
@@ -18,6 +18,8 @@
   drains: ReadonlySet<string> = new Set();
   starts = 0;
   evictions = 0;
+  /** Host at which the next search in a large cell begins. */
+  cursor = 0;
   /** Changes whenever a host's capacity does. */
   capacityVersion = 0;
   private readonly usage = new Map<string, Amounts>();
@@ -123,6 +125,7 @@
     copy.teams = this.teams;
     copy.drains = this.drains;
     copy.starts = this.starts;
+    copy.cursor = this.cursor;
     copy.evictions = this.evictions;
     copy.capacityVersion = this.capacityVersion;
     for (const [name, host] of this.hosts) copy.hosts.set(name, host.clone());
--- a/packages/coordination/src/tasks/cell/report-handler.ts
+++ b/packages/coordination/src/tasks/cell/report-handler.ts
@@ -98,6 +98,16 @@
     return {kind: 'send', host: run.host, message};
   }
 
+  /** Returns a finding for each workload with tasks that an earlier owner may have started elsewhere. */
+  describeHeld(): Array<{workload: string; reason: 'possibly-running'; detail: string}> {
+    return [...this.blockedWorkloads].flatMap(workload => {
+      const waiting = this.state.jobs.get(workload)?.waiting ?? 0;
+      if (waiting === 0) return [];
+      const detail = `${waiting} tasks may run on unreachable hosts; an operator may declare the loss`;
+      return [{workload, reason: 'possibly-running' as const, detail}];
+    });
+  }
+
   /** Returns the throttle message for a run. */
   createThrottle(run: TaskRun): CellSchedulerEffect {
     const {cell, term} = this;
--- a/packages/coordination/src/tasks/round/placement.ts
+++ b/packages/coordination/src/tasks/round/placement.ts
@@ -20,6 +20,13 @@
 /** Weight of the share of a host that stays free, against the predicted disturbance. */
 const packingWeight = 0.05;
 
+/**
+ * Batch tasks look at all hosts up to this number; in larger cells at the first hosts that are eligible from
+ * a moving start, because looking at 3,600 hosts costs more than a slightly better one gains.
+ */
+const fullScanHosts = 256;
+const enoughCandidates = 32;
+
 /** Cost of a host whose newest attempts failed; other hosts with room go first. */
 const doubtCost = 1e9;
 
@@ -59,17 +66,24 @@
     let best: CellHost | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
     let roomless = true;
-    for (const host of this.open) {
-      if (!this.hasRoom(host, need)) continue;
+    const count = this.open.length;
+    const enough = spread || count <= fullScanHosts ? count : enoughCandidates;
+    const first = enough < count ? this.state.cursor : 0;
+    let candidates = 0;
+    for (let step = 0; step < count && candidates < enough; step += 1) {
+      const host = this.open[(first + step) % count];
+      if (!host || !this.hasRoom(host, need)) continue;
       roomless = false;
       const doubt = host.health.isDoubtful ? doubtCost : 0;
       const cost = doubt + (spread ? spread(host) : this.getBatchCost(host, workload));
+      if (cost < Number.POSITIVE_INFINITY) candidates += 1;
       if (cost < bestCost) {
         best = host;
         bestCost = cost;
       }
     }
     if (roomless) this.roomless.push(need);
+    if (enough < count) this.state.cursor = (first + enoughCandidates) % count;
     return best;
   }
 
--- a/packages/lab/src/cell/virtual-entry.ts
+++ b/packages/lab/src/cell/virtual-entry.ts
@@ -70,6 +70,11 @@
     });
   }
 
+  /** Whether the process is stopped at present. */
+  get isPaused(): boolean {
+    return this.paused;
+  }
+
   /** Runs an action in the process, at once or when it continues. */
   run(action: () => void): void {
     if (this.dead) return;
--- a/packages/lab/src/cell/virtual-fleet.ts
+++ b/packages/lab/src/cell/virtual-fleet.ts
@@ -75,7 +75,9 @@
 
   /** The entry that owns the cell or holds it at present, if any. */
   get owner(): VirtualEntry | undefined {
-    return [...this.entries.values()].find(entry => !entry.dead && entry.mode !== 'none');
+    return [...this.entries.values()].find(
+      entry => !entry.dead && !entry.isPaused && entry.mode !== 'none',
+    );
   }
 
   /** Puts workloads into force at all entries. */
