--- a/packages/lab/src/measure/ownership.ts
+++ b/packages/lab/src/measure/tasks/ownership.ts
@@ -1,6 +1,6 @@
 import type {Workload} from '@chervilbeam/coordination';
-import {RandomSource, VirtualFleet, watchRunning} from '../cell/index.js';
-import type {Experiment, Measure, RunResult} from './experiment.js';
+import {RandomSource, VirtualFleet, watchRunning} from '../../cell/index.js';
+import type {Experiment, Measure, RunResult} from '../experiment.js';
 
 const entries = [
   {name: 'entry-w1', dataCentre: 'west'},
--- a/packages/lab/src/measure/placement.ts
+++ b/packages/lab/src/measure/tasks/placement.ts
@@ -1,6 +1,6 @@
 import {CellScheduler, type CellSchedulerEffect, type Workload} from '@chervilbeam/coordination';
-import {RandomSource} from '../cell/index.js';
-import type {Experiment, Measure, RunResult} from './experiment.js';
+import {RandomSource} from '../../cell/index.js';
+import type {Experiment, Measure, RunResult} from '../experiment.js';
 
 const seconds = 20;
 const tickMs = 100;
--- a/packages/lab/src/measure/shares.ts
+++ b/packages/lab/src/measure/tasks/shares.ts
@@ -1,7 +1,7 @@
 import type {RoundPolicy, Team, Workload} from '@chervilbeam/coordination';
-import {RandomSource, VirtualCell} from '../cell/index.js';
-import {getQuantile} from '../cell/quantile.js';
-import type {Experiment, Measure, RunResult} from './experiment.js';
+import {RandomSource, VirtualCell} from '../../cell/index.js';
+import {getQuantile} from '../../cell/quantile.js';
+import type {Experiment, Measure, RunResult} from '../experiment.js';
 
 /** One setting: teams that share a fleet, and when some of them are idle. */
 interface Scenario {
