--- a/packages/lab/src/measure/registry.ts
+++ b/packages/lab/src/measure/registry.ts
@@ -3,6 +3,11 @@
 import {failuresExperiment} from './failures.js';
 import {floodExperiment} from './flood.js';
 import {routingExperiment} from './routing.js';
+import {batchesExperiment} from './tasks/batches.js';
+import {colocationExperiment} from './tasks/colocation.js';
+import {ownershipExperiment} from './tasks/ownership.js';
+import {placementExperiment} from './tasks/placement.js';
+import {sharesExperiment} from './tasks/shares.js';
 
 /** All experiments; add one line for each. */
 export const experiments: readonly Experiment[] = [
@@ -10,4 +15,9 @@
   routingExperiment,
   failuresExperiment,
   configurationExperiment,
+  colocationExperiment,
+  batchesExperiment,
+  sharesExperiment,
+  ownershipExperiment,
+  placementExperiment,
 ];
