Send a whole configuration once to a process that restarts

The command asks the entries in turn for a plan that the scheduler predicted. Arbitrary JSON is given to the checks of intents and plans.

--- a/packages/command/src/client/entry-client.ts
+++ b/packages/command/src/client/entry-client.ts
@@ -44,20 +44,30 @@
 
   /**
    * Posts to the first entry that answers. Only for calls that may be repeated: a plan changes nothing,
-   * and a confirmation of the same plan takes effect once.
+   * and a confirmation of the same plan takes effect once. An answer that is not wanted is kept as
+   * fallback while the next entry is asked.
    */
-  async post(path: string, body: unknown): Promise<ControlAnswer> {
-    return this.#tryAll(entry => this.#call(entry, path, {method: 'POST', body}));
+  async post(
+    path: string,
+    body: unknown,
+    isWanted: (answer: ControlAnswer) => boolean = () => true,
+  ): Promise<ControlAnswer> {
+    return this.#tryAll(entry => this.#call(entry, path, {method: 'POST', body}), isWanted);
   }
 
-  async #tryAll(call: (entry: string) => Promise<ControlAnswer>): Promise<ControlAnswer> {
+  async #tryAll(
+    call: (entry: string) => Promise<ControlAnswer>,
+    isWanted: (answer: ControlAnswer) => boolean = () => true,
+  ): Promise<ControlAnswer> {
     const attempts: string[] = [];
-    let answer: ControlAnswer | undefined;
+    let fallback: ControlAnswer | undefined;
     let isAmbiguous = false;
     for (const entry of this.entries) {
       try {
-        answer = {...(await call(entry)), isAmbiguous};
-        if (answer.status !== 503 && answer.status !== 404) return answer;
+        const answer = {...(await call(entry)), isAmbiguous};
+        const isRefusal = answer.status === 503 || answer.status === 404;
+        if (!isRefusal && isWanted(answer)) return answer;
+        if (!fallback || (!isRefusal && fallback.status !== 200)) fallback = answer;
       } catch (error) {
         if (this.signal.aborted) throw error;
         const reason = getReason(error);
@@ -65,7 +75,7 @@
         attempts.push(`${entry}: ${reason}`);
       }
     }
-    if (answer) return {...answer, isAmbiguous};
+    if (fallback) return {...fallback, isAmbiguous};
     throw new NoEntryError(attempts, isAmbiguous);
   }
 
--- a/packages/command/src/commands/plan-commands.ts
+++ b/packages/command/src/commands/plan-commands.ts
@@ -70,13 +70,18 @@
   return confirmPlan(session, plan);
 }
 
+/** Asks the entries in turn until one predicts the effects as the scheduler of a cell. */
 async function requestPlan(session: Session, intent: unknown): Promise<Plan | ExitCode> {
-  const answer = await session.client.post('/v1/plans', intent);
+  const answer = await session.client.post('/v1/plans', intent, isPredicted);
   if (answer.status !== 200) return session.reportFailure(answer);
   const check = checkPlan(answer.body, 'answer of the entry');
   return check.ok ? check.plan : session.reportFindings(check.findings);
 }
 
+function isPredicted({status, body}: ControlAnswer): boolean {
+  return status !== 200 || (isRecord(body) && body.prediction === 'scheduler');
+}
+
 async function confirmPlan(session: Session, plan: Plan): Promise<ExitCode> {
   const answer = await postConfirmation(session, plan);
   const body = isRecord(answer.body) ? answer.body : {};
--- a/packages/coordination/src/configuration/view/relay.ts
+++ b/packages/coordination/src/configuration/view/relay.ts
@@ -104,7 +104,7 @@
     peer.offered = Math.max(peer.offered, after);
     peer.version = after;
     if (after >= this.context.log.version) this.#sendNote(peer);
-    else this.#update(peer);
+    else this.#transfer(peer);
   }
 
   /** Passes a new version on: to agents always, to entries of the own data centre if it came from the store. */
@@ -186,10 +186,10 @@
     } else {
       this.#advance(message.changes);
     }
-    if (
-      this.#pull?.peer === peer.name &&
-      (log.version > before || message.snapshot === undefined)
-    ) {
+    // A note of a newer version may cross the request; only a peer with nothing newer ends the pull.
+    const told = message.from + message.changes.length;
+    const isSpent = message.snapshot === undefined && told <= before;
+    if (this.#pull?.peer === peer.name && (log.version > before || isSpent)) {
       if (log.version === before) peer.failedAt = at;
       this.#pull = undefined;
     }
@@ -201,8 +201,17 @@
     if (result === 'fork' || result === 'gap') this.context.count(`relay-${result}`);
   }
 
-  /** Sends a peer what it lacks. */
+  /**
+   * Sends a peer the changes that it lacks. A peer that needs the whole configuration is only told of
+   * the version and asks one process for it; several would else send it the same snapshot.
+   */
   #update(peer: Peer): void {
+    if (this.context.log.getChangesAfter(peer.version)) this.#transfer(peer);
+    else this.#sendNote(peer);
+    peer.version = this.context.log.version;
+  }
+
+  #transfer(peer: Peer): void {
     for (const message of buildTransfer(this.context.log, peer.version)) {
       this.context.emit({kind: 'send', peer: peer.name, message});
     }
--- a/packages/coordination/test/configuration/plan.test.ts
+++ b/packages/coordination/test/configuration/plan.test.ts
@@ -1,3 +1,4 @@
+import fc from 'fast-check';
 import t from 'tap';
 import {
   applyOperations,
@@ -122,3 +123,21 @@
     t.match(checkPlan(plan, 'plan.json'), {ok: false, findings: [{source: 'plan.json'}]}, name);
   }
 });
+
+void t.test('whatever is handed in gives findings and never an exception', async t => {
+  const lists = ['services', 'batches', 'watches', 'teams', 'drains', 'cancel', 'operations'];
+  const values = fc.oneof(
+    fc.jsonValue(),
+    fc.dictionary(fc.constantFrom('operator', ...lists), fc.jsonValue()),
+    fc.dictionary(fc.constantFrom(...lists), fc.array(fc.jsonValue())),
+  );
+  fc.assert(
+    fc.property(values, value => {
+      for (const result of [parseIntent(value, 'x'), checkPlan(value, 'x')]) {
+        if (!result.ok && result.findings.length === 0) throw new Error('no finding');
+      }
+    }),
+    {seed: 11, numRuns: 500},
+  );
+  t.pass('500 values');
+});
--- a/packages/lab/test/command/command.test.ts
+++ b/packages/lab/test/command/command.test.ts
@@ -118,6 +118,18 @@
   t.match(await bench.run('cancel nothing --yes'), {code: 1, error: /cancel\[0\]: nothing/});
 });
 
+void t.test(
+  'the plan comes from the entry that schedules, wherever it stands in the list',
+  async t => {
+    const bench = await Bench.start(t);
+    const file = bench.file('intent.json', intent);
+    t.match(await bench.run(`plan ${file}`), {code: 0, out: /this entry schedules no cell/});
+    const effect = {workload: 'price-check', tasks: 3, hosts: ['host-9'], reason: 'there is room'};
+    (bench.entries[1] as OperatorEntry).prediction = [{action: 'start', ...effect}];
+    t.match(await bench.run(`plan ${file}`), {code: 0, out: /scheduler predicts[^]+host-9/});
+  },
+);
+
 void t.test('with the store down nothing is accepted, and the exit code says so', async t => {
   const bench = await Bench.start(t);
   bench.store.setFaults({outage: 'refuse'});
--- a/packages/lab/test/fleet/configuration-fleet.test.ts
+++ b/packages/lab/test/fleet/configuration-fleet.test.ts
@@ -220,6 +220,21 @@
       t.equal(entry.view.configuration.drains.size, 200);
     },
   },
+  {
+    name: 'an agent that restarts gets the whole configuration from one entry and not from each',
+    check: t => {
+      const fleet = start({entriesPerDataCentre: 4, agentsPerDataCentre: 1});
+      fill(fleet, 150);
+      const agent = fleet.processes.find(process => process.role === 'agent') as FleetProcess;
+      const served = fleet.getCount('configuration.served');
+      fleet.kill(agent);
+      fleet.run(1000);
+      fleet.restart(agent);
+      fleet.run(inForceMs);
+      t.equal(agent.version, 150);
+      t.equal(fleet.getCount('configuration.served') - served, 1);
+    },
+  },
   {
     name: 'a full log is compacted by the confirming entry when no owner does it',
     check: t => {
