--- a/packages/lab/src/measure/registry.ts
+++ b/packages/lab/src/measure/registry.ts
@@ -1,5 +1,6 @@
 import {configurationExperiment} from './configuration.js';
 import type {Experiment} from './experiment.js';
+import {failuresExperiment} from './failures.js';
 import {floodExperiment} from './flood.js';
 import {routingExperiment} from './routing.js';
 
@@ -7,5 +8,6 @@
 export const experiments: readonly Experiment[] = [
   floodExperiment,
   routingExperiment,
+  failuresExperiment,
   configurationExperiment,
 ];
