Show that two cells start the same task, and test memory histories

Cause: the sizes of two years use one or two cells for each data centre, and the histories were not part of the tests.

Conclusion: more than one cell needs an assignment of workloads to cells.

--- /dev/null
+++ b/packages/lab/test/faults/cells.test.ts
@@ -0,0 +1,55 @@
+import {CellScheduler, type Announce, type CellSchedulerEvent} from '@chervilbeam/coordination';
+import t from 'tap';
+import {createHello, createService, workerCapacity} from '../../src/capacity/sizes.js';
+
+/** Returns the tasks that the owner of a cell with one host starts for a configuration of one service. */
+function getStarted(cell: string): string[] {
+  const scheduler = new CellScheduler({cell});
+  const started: string[] = [];
+  const host = `host-of-${cell}`;
+  let at = 0;
+  const handle = (event: CellSchedulerEvent): void => {
+    for (const effect of scheduler.reduce(event, at)) {
+      if (effect.kind === 'send' && effect.message.kind === 'start') {
+        started.push(effect.message.task);
+      } else if (effect.kind === 'read-ledger') {
+        handle({kind: 'ledger-read', revision: 0});
+      } else if (effect.kind === 'write-ledger') {
+        const {sequence} = effect;
+        handle({kind: 'ledger-written', sequence, result: 'written', revision: sequence});
+      }
+    }
+  };
+  const message: Announce = {
+    kind: 'announce',
+    host,
+    rack: 'rack',
+    capacity: workerCapacity,
+    services: [],
+    slots: 8,
+    connections: 64,
+    draining: false,
+  };
+  handle({kind: 'host-up', host, hello: createHello(host, 'agent'), announce: message});
+  handle({kind: 'ownership', mode: 'owner', term: 1, until: 100_000});
+  const workloads = new Map([['web', createService('web', 1)]]);
+  const configuration = {version: 1, workloads, teams: new Map(), drains: new Set<string>()};
+  handle({kind: 'configuration', configuration});
+  for (at = 100; at <= 3_000; at += 100) {
+    const beat = {kind: 'heartbeat', stamp: at, configVersion: 1, inFlight: 0} as const;
+    if (at % 1_000 === 0) handle({kind: 'heartbeat', host, message: beat});
+    handle({kind: 'report', host, message: {kind: 'report', full: true, attempts: []}});
+    handle({kind: 'tick', wallTimeMs: at});
+    if (started.length > 0) break;
+  }
+  return started;
+}
+
+void t.test('a cell starts the tasks of its configuration', async t => {
+  t.same(getStarted('a'), ['web/0']);
+});
+
+void t.test('two cells of one deployment never start the same task', async t => {
+  const both = getStarted('a').filter(task => getStarted('b').includes(task));
+  t.same(both, []);
+});
--- /dev/null
+++ b/packages/lab/test/histories/memory-run.test.ts
@@ -0,0 +1,25 @@
+import t from 'tap';
+import {runInMemory} from '../../src/histories/memory-run.js';
+import {getPromiseId, promises} from '../../src/histories/promise.js';
+
+for (const world of ['requests', 'tasks', 'configuration']) {
+  void t.test(`concurrent histories of ${world} keep all promises under random faults`, async t => {
+    for (let seed = 1; seed <= 15; seed++) {
+      const run = runInMemory(world, seed, 6);
+      t.same(run.violations, [], `seed ${seed}, ${run.faults.join(' ')}`);
+    }
+  });
+}
+
+void t.test('promises are numbered as on the design page', async t => {
+  t.equal(getPromiseId('host-limits'), 'P1');
+  t.equal(getPromiseId('configuration-in-force'), 'P9');
+  t.equal(promises.length, 9);
+});
+
+void t.test(
+  'an unknown world is refused, so that a misspelt run is not counted as passed',
+  async t => {
+    t.throws(() => runInMemory('nothing', 1, 1), RangeError);
+  },
+);
