--- a/packages/standins/src/worker/task-table.ts
+++ b/packages/standins/src/worker/task-table.ts
@@ -55,7 +55,7 @@
   ) {}
 
   /** Returns the answer to `GET /v1/worker`. */
-  getState(at: number): object {
+  getState(at: number): {readonly tasks: readonly object[]} {
     const {capacity, rack} = this.settings;
     const tasks = [...this.tasks.values()].map(
       ({task, attempt, workload, resources, state, leaseUntil, latest, detail}) => ({
@@ -69,7 +69,8 @@
         ...(detail !== undefined && {detail}),
       }),
     );
-    return {capacity, rack, tasks, term: this.term};
+    const state = {capacity, rack, tasks, term: this.term};
+    return state;
   }
 
   /** Starts an attempt. A repeated start of the same attempt changes nothing. */
@@ -156,7 +157,7 @@
   }
 
   /** Returns the usage as it was some time ago. */
-  getUsage(at: number): object {
+  getUsage(at: number): {readonly usages: readonly object[]} {
     const visible = this.measurements.filter(m => m.at <= at - this.settings.usageLagMs);
     const last = visible.at(-1);
     this.measurements = this.measurements.slice(Math.max(0, visible.length - 1));
