--- a/packages/lab/src/histories/processes/process-fleet.ts
+++ b/packages/lab/src/histories/processes/process-fleet.ts
@@ -160,6 +160,8 @@
     const worker = this.#workers.get(host);
     if (!worker || worker.process?.isRunning) return;
     const life = ++worker.life;
+    // A restarted backend server announces that it stays, whatever its predecessor announced.
+    if (life > 1) this.record({kind: 'host-returned', host});
     worker.process = new ManagedProcess({
       name: `worker-${host}`,
       module: getStandinModule('./worker/main.js'),
