--- a/packages/coordination/src/tasks/cell/cell-state.ts
+++ b/packages/coordination/src/tasks/cell/cell-state.ts
@@ -18,6 +18,8 @@
   drains: ReadonlySet<string> = new Set();
   starts = 0;
   evictions = 0;
+  /** Host at which the next search in a large cell begins. */
+  cursor = 0;
   /** Changes whenever a host's capacity does. */
   capacityVersion = 0;
   private readonly usage = new Map<string, Amounts>();
@@ -61,6 +63,12 @@
     return used + workload.resources.processors <= workload.grant.processors;
   }
 
+  /** Whether a team uses more than its quota at present. */
+  isOverQuota(name: string): boolean {
+    const team = this.teams.get(name);
+    return team !== undefined && !fits(team.quota, this.getUsage(name), createAmounts());
+  }
+
   /** Whether the bound on evictions allows one more. */
   get mayEvict(): boolean {
     return this.evictions + 1 <= this.starts * evictionsPerStart;
@@ -117,6 +125,7 @@
     copy.teams = this.teams;
     copy.drains = this.drains;
     copy.starts = this.starts;
+    copy.cursor = this.cursor;
     copy.evictions = this.evictions;
     copy.capacityVersion = this.capacityVersion;
     for (const [name, host] of this.hosts) copy.hosts.set(name, host.clone());
