Divide workloads between cells

Cause: nothing assigned a workload to a cell, so the owners of two cells both started web/0 from one configuration. Ways weighed: hashing task ids over the cells (moves tasks when a cell is added), an assignment by a scheduler above the cells (a second decision point that needs its own takeover), shares in the configuration (chosen: one accepted version says who runs what, and it never reverts). Change: a workload may give shares to cells; a cell schedules its own shares under names of their own and only the hosts that name it. A batch job keeps its one cell. Plans for cells that the planning entry does not own show declared effects. Conclusion: moving shares between cells is an operator's plan; automatic moves after the loss of a data centre are not built.

--- a/packages/coordination/src/configuration/document.ts
+++ b/packages/coordination/src/configuration/document.ts
@@ -8,6 +8,12 @@
   readonly processors: number;
 }
 
+/** Part of the tasks of a workload that one cell runs. */
+export interface CellShare {
+  readonly cell: string;
+  readonly tasks: number;
+}
+
 /** A service, a batch job or a standing watch. */
 export interface Workload {
   readonly kind: WorkloadKind;
@@ -19,6 +25,8 @@
   readonly resources: Resources;
   /** Replicas of a service or watch, items of a batch job. */
   readonly tasks: number;
+  /** Cells that run the tasks; the shares add up to `tasks`. Absent when the main cell runs all of them. */
+  readonly cells?: readonly CellShare[];
   /** Declared run time of one item in seconds; only for batch jobs. */
   readonly runTimeSeconds?: number;
   /** Time by which a batch job must be finished, milliseconds since the Unix epoch. */
--- a/packages/coordination/src/configuration/index.ts
+++ b/packages/coordination/src/configuration/index.ts
@@ -1,3 +1,4 @@
+export * from './cell-shares.js';
 export * from './document.js';
 export * from './intent/intent.js';
 export * from './operations.js';
--- a/packages/coordination/src/configuration/plan/create-plan.ts
+++ b/packages/coordination/src/configuration/plan/create-plan.ts
@@ -1,5 +1,6 @@
 import type {Finding} from '../../findings/finding.js';
-import type {Configuration, ConfigurationOperation} from '../document.js';
+import {mainCell} from '../cell-shares.js';
+import type {Configuration, ConfigurationOperation, Workload} from '../document.js';
 import type {Intent} from '../intent/intent.js';
 import {applyOperations, renderCanonical} from '../operations.js';
 import {sealPlan, type EffectPrediction, type Plan, type PlanEffect} from './plan.js';
@@ -63,6 +64,10 @@
   return operations;
 }
 
+function getCellName(workload: Workload): string {
+  return workload.cells?.map(({cell}) => cell).join(', ') ?? mainCell;
+}
+
 function checkReferences(configuration: Configuration, intent: Intent, source: string): Finding[] {
   const findings: Finding[] = [];
   const teams = new Set([...configuration.teams.keys(), ...intent.teams.map(team => team.name)]);
@@ -78,6 +83,11 @@
       const allowed = `a name that is not in use by a ${present.kind}`;
       findings.push({source, place: `${place}.name`, value: workload.name, allowed});
     }
+    if (present && workload.kind !== 'service' && getCellName(present) !== getCellName(workload)) {
+      const allowed = `${getCellName(present)}, because the items already done are known there only`;
+      const value = getCellName(workload);
+      findings.push({source, place: `${place}.cells`, value, allowed});
+    }
     if (intent.cancel.includes(workload.name)) {
       const allowed = 'a name that the same file does not cancel';
       findings.push({source, place: `${place}.name`, value: workload.name, allowed});
--- a/packages/coordination/src/entry/scheduled-cell.ts
+++ b/packages/coordination/src/entry/scheduled-cell.ts
@@ -1,3 +1,4 @@
+import {mainCell} from '../configuration/cell-shares.js';
 import type {Configuration} from '../configuration/document.js';
 import type {ControlMessage, Hello} from '../messages/control.js';
 import {CellOwnership, type CellOwnershipOptions} from '../ownership/cell-ownership.js';
@@ -51,7 +52,8 @@
   /** Applies the state of a control connection. */
   connect(peer: string, hello: Hello, at: number): void {
     this.own({kind: 'peer-up', peer, hello}, at);
-    if (hello.role === 'agent') this.schedule({kind: 'host-up', host: peer, hello}, at);
+    if (hello.role !== 'agent' || (hello.cell ?? mainCell) !== this.cell) return;
+    this.schedule({kind: 'host-up', host: peer, hello}, at);
   }
 
   /** Applies the loss of a control connection. */
--- a/packages/coordination/src/messages/control.ts
+++ b/packages/coordination/src/messages/control.ts
@@ -15,6 +15,8 @@
   /** Addresses (`ip:port`) of entries that the sender knows. */
   readonly peers: readonly string[];
   readonly configVersion: number;
+  /** Cell of the host of an agent; the main cell when absent. */
+  readonly cell?: string;
 }
 
 /** What a host offers at present. Sent on change. */
--- a/packages/coordination/src/tasks/cell-scheduler.ts
+++ b/packages/coordination/src/tasks/cell-scheduler.ts
@@ -1,3 +1,4 @@
+import {getCellConfiguration, getDeclaredName} from '../configuration/cell-shares.js';
 import {ColocationPolicy, type ColocationAdvisor} from '../colocation/colocation-policy.js';
 import type {Configuration, Workload} from '../configuration/document.js';
 import type {Resources} from '../messages/identity.js';
@@ -104,7 +105,7 @@
       }
       case 'configuration':
         if (event.configuration.version < (this.configuration?.version ?? 0)) break;
-        this.configuration = event.configuration;
+        this.configuration = getCellConfiguration(event.configuration, this.options.cell);
         if (this.isActive()) this.reconcile(at);
         this.round(at);
         break;
@@ -380,7 +381,7 @@
         leaseMs: taskLeaseMs,
         task: run.id,
         attempt: run.attempt,
-        workload: run.workload,
+        workload: getDeclaredName(run.workload),
         resources: run.reserved,
         checkpoint,
       },
--- a/packages/coordination/test/configuration/intent.test.ts
+++ b/packages/coordination/test/configuration/intent.test.ts
@@ -82,6 +82,24 @@
       'watchs',
     ],
   },
+  {
+    name: 'tasks that no cell runs, that two cells claim, or a batch job whose items two ledgers count',
+    intent: {
+      operator: 'Kari',
+      services: [{...service, replicas: 3, cells: [{cell: 'a', tasks: 1}]}],
+      batches: [
+        {
+          ...batch,
+          tasks: 2,
+          cells: [
+            {cell: 'a', tasks: 1},
+            {cell: 'b', tasks: 1},
+          ],
+        },
+      ],
+    },
+    places: ['services[0].cells', 'batches[0].cells'],
+  },
   {
     name: 'a name used by a service and a batch would let one replace the other',
     intent: {operator: 'a', services: [service], batches: [{...batch, name: service.name}]},
--- a/packages/lab/test/faults/cells.test.ts
+++ b/packages/lab/test/faults/cells.test.ts
@@ -1,9 +1,14 @@
-import {CellScheduler, type Announce, type CellSchedulerEvent} from '@chervilbeam/coordination';
+import {
+  CellScheduler,
+  type Announce,
+  type CellSchedulerEvent,
+  type Workload,
+} from '@chervilbeam/coordination';
 import t from 'tap';
 import {createHello, createService, workerCapacity} from '../../src/capacity/sizes.js';
 
 /** Returns the tasks that the owner of a cell with one host starts for a configuration of one service. */
-function getStarted(cell: string): string[] {
+function getStarted(cell: string, cells?: Workload['cells']): string[] {
   const scheduler = new CellScheduler({cell});
   const started: string[] = [];
   const host = `host-of-${cell}`;
@@ -32,7 +37,9 @@
   };
   handle({kind: 'host-up', host, hello: createHello(host, 'agent'), announce: message});
   handle({kind: 'ownership', mode: 'owner', term: 1, until: 100_000});
-  const workloads = new Map([['web', createService('web', 1)]]);
+  const workloads = new Map([
+    ['web', {...createService('web', cells?.length ?? 1), ...(cells && {cells})}],
+  ]);
   const configuration = {version: 1, workloads, teams: new Map(), drains: new Set<string>()};
   handle({kind: 'configuration', configuration});
   for (at = 100; at <= 3_000; at += 100) {
@@ -45,11 +52,25 @@
   return started;
 }
 
-void t.test('a cell starts the tasks of its configuration', async t => {
-  t.same(getStarted('a'), ['web/0']);
-});
+const shares = ['a', 'b'].map(cell => ({cell, tasks: 1}));
+const cases = [
+  {
+    guards: 'nothing runs a workload that names no cells',
+    started: [getStarted('main')],
+    tasks: ['web/0'],
+  },
+  {
+    guards: 'a cell takes a workload that is not assigned to it',
+    started: [getStarted('a'), getStarted('b')],
+    tasks: [],
+  },
+  {
+    guards: 'two cells start the same task, or a share is not run',
+    started: [getStarted('a', shares), getStarted('b', shares), getStarted('main', shares)],
+    tasks: ['web@a/0', 'web@b/0'],
+  },
+];
 
 void t.test('two cells of one deployment never start the same task', async t => {
-  const both = getStarted('a').filter(task => getStarted('b').includes(task));
-  t.same(both, []);
+  for (const {guards, started, tasks} of cases) t.same(started.flat(), tasks, guards);
 });
--- a/packages/runtime/src/daemon/agent-daemon.ts
+++ b/packages/runtime/src/daemon/agent-daemon.ts
@@ -184,7 +184,7 @@
   }
 
   private createHello(): Hello {
-    const {deployment, dataCentre, region, name} = this.settings;
+    const {deployment, dataCentre, region, name, cell} = this.settings;
     return {
       kind: 'hello',
       protocol: protocolVersion,
@@ -197,6 +197,7 @@
       purpose: 'control',
       peers: [],
       configVersion: this.running?.process.view.configuration.version ?? 0,
+      ...(cell !== undefined && {cell}),
     };
   }
 
--- a/packages/runtime/src/daemon/entry-operators.ts
+++ b/packages/runtime/src/daemon/entry-operators.ts
@@ -4,6 +4,8 @@
   type ConfirmedPlan,
   type EntryProcess,
   type EntryProcessEvent,
+  getCellConfiguration,
+  getCells,
   type Hello,
   type PlanEffect,
   predictEffects,
@@ -77,7 +79,9 @@
   predict(next: Configuration): readonly PlanEffect[] | undefined {
     const {process, clock} = this.options;
     const cell = process.cells.find(({mode}) => mode === 'owner');
-    return cell && predictEffects(cell.scheduler, next, clock.now());
+    // The state of a cell is known to its owner only.
+    if (!cell || [...getCells(next)].some(name => name !== cell.cell)) return undefined;
+    return predictEffects(cell.scheduler, getCellConfiguration(next, cell.cell), clock.now());
   }
 
   /** @inheritdoc */
--- a/packages/runtime/src/settings/read-settings.ts
+++ b/packages/runtime/src/settings/read-settings.ts
@@ -15,6 +15,7 @@
   ['cells', 'entry'],
   ['settleMs', 'entry'],
   ['rack', 'agent'],
+  ['cell', 'agent'],
   ['worker', 'agent'],
 ]);
 const requiredForEntry = ['listen.callers', 'listen.peers'];
--- a/packages/runtime/src/settings/settings.ts
+++ b/packages/runtime/src/settings/settings.ts
@@ -18,6 +18,7 @@
   readonly store?: string;
   readonly worker?: string;
   readonly cells?: readonly string[];
+  readonly cell?: string;
   readonly settleMs?: number;
   readonly logLevel?: LogLevelString;
 }
