Carry hybrid clock stamps and bound what strangers can send

Cause: timelines of several processes were ordered by wall time only; any host could announce a backend server; a refused body was read without end.

Change: each write on a connection between processes begins with the stamp of the sender's hybrid clock. Announcements are taken on loopback only. The demonstration drains the host that runs the most tasks, so that evictions are always checked.

Conclusion: a dispatch with its stamp stays within 64 bytes beyond its payload (tested).

--- a/packages/lab/src/demo/demo-recorder.ts
+++ b/packages/lab/src/demo/demo-recorder.ts
@@ -18,6 +18,16 @@
     this.events.push(JSON.parse(line) as HistoryEvent);
   }
 
+  /** Returns the number of tasks that run on a host. */
+  countRuns(host: string): number {
+    let count = 0;
+    for (const event of this.events) {
+      if (event.kind === 'run-started' && event.host === host) count += 1;
+      if (event.kind === 'run-ended' && event.host === host) count -= 1;
+    }
+    return count;
+  }
+
   /** Ends everything that was open at a host whose worker and backend server were killed. */
   endHost(host: string, at: number): void {
     const runs = new Map<string, HistoryEvent>();
--- a/packages/lab/src/demo/demo-scenario.ts
+++ b/packages/lab/src/demo/demo-scenario.ts
@@ -64,14 +64,16 @@
   private async disturb(): Promise<void> {
     const {deployment, recorder} = this;
     const [first] = [...deployment.entries.keys()];
-    const [, second, third] = [...deployment.hosts.keys()];
-    if (!first || !second || !third) throw new Error('the plan has too few processes');
+    const [one, two, third] = [...deployment.hosts.keys()];
+    if (!first || !one || !two || !third) throw new Error('the plan has too few processes');
     await deployment.killEntry(first);
     this.say(`killed entry ${first}`);
     await pause(3000);
     await deployment.killBackend(third);
     this.say(`killed worker and backend server of ${third}`);
     await pause(3000);
+    // The drained host has tasks, so that they are evicted and resumed.
+    const second = recorder.countRuns(one) > recorder.countRuns(two) ? one : two;
     const operator = 'Demo Operator';
     await this.applySoon({operator, drains: [second]});
     recorder.record({kind: 'host-leaving', host: second});
--- a/packages/runtime/src/daemon/agent-daemon.ts
+++ b/packages/runtime/src/daemon/agent-daemon.ts
@@ -6,6 +6,7 @@
   type Hello,
   type Resources,
 } from '@chervilbeam/coordination';
+import {getRequestIP} from 'h3';
 import {Announcements, BackendClient} from '../backend/index.js';
 import {ControlServer, readJsonBody} from '../http/index.js';
 import type {Logger} from '../logs/index.js';
@@ -55,7 +56,7 @@
     this.backends = new BackendClient(this.clock, post);
     this.worker = settings.worker ? new WorkerClient(settings.worker, post) : undefined;
     this.network = new PeerNetwork(
-      {hello: () => this.createHello(), seeds: settings.seeds},
+      {hello: () => this.createHello(), seeds: settings.seeds, clock: this.monitor},
       {
         controlUp: (peer, hello) => post({kind: 'control-up', peer, hello}),
         controlDown: peer => post({kind: 'control-down', peer}),
@@ -137,6 +138,11 @@
       return {events: this.monitor.getTimeline(filter)};
     });
     app.post('/v1/announce', async event => {
+      // Only the host's own backend servers may announce themselves.
+      if (!isLoopback(getRequestIP(event))) {
+        event.res.status = 403;
+        return {findings: ['announcements are accepted on loopback only']};
+      }
       const announced = this.announcements.take(await readJsonBody(event.req));
       if ('findings' in announced) {
         event.res.status = 400;
@@ -219,3 +225,7 @@
     return {deployment, version, processes: [own, ...processes], tasks: tasks ?? []};
   }
 }
+
+function isLoopback(address: string | undefined): boolean {
+  return address !== undefined && /^(::ffff:)?127\.|^::1$/.test(address);
+}
--- a/packages/runtime/src/daemon/entry-daemon.ts
+++ b/packages/runtime/src/daemon/entry-daemon.ts
@@ -60,7 +60,7 @@
       gone: caller => post({kind: 'caller-gone', caller}),
     });
     this.network = new PeerNetwork(
-      {hello: () => this.createHello(), listen: listen.peers, seeds},
+      {hello: () => this.createHello(), listen: listen.peers, seeds, clock: this.monitor},
       {
         controlUp: (peer, hello) => this.addPeer(peer, hello),
         controlDown: peer => this.removePeer(peer),
--- a/packages/runtime/src/daemon/process-monitor.ts
+++ b/packages/runtime/src/daemon/process-monitor.ts
@@ -8,9 +8,10 @@
   type TimelineRecord,
 } from '@chervilbeam/coordination';
 import {Metrics} from '../metrics/index.js';
+import type {StampClock} from '../peers/index.js';
 
 /** Metrics and timeline of one process. */
-export class ProcessMonitor {
+export class ProcessMonitor implements StampClock {
   /** Counters and histograms. */
   readonly metrics = new Metrics();
   private readonly timeline: TimelineBuffer;
@@ -24,7 +25,17 @@
     this.timeline = new TimelineBuffer(name);
   }
 
-  /** Carries out an effect that only concerns what operators see; returns false for other effects. */
+  /** Returns the stamp of a write to another process. */
+  next(): number {
+    return this.hybridClock.next(this.clock.wallTime());
+  }
+
+  /** Takes in the stamp of another process. */
+  receive(stamp: number): void {
+    this.hybridClock.receive(stamp, this.clock.wallTime());
+  }
+
+  /** Carries out an effect that only concerns what operators see. */
   take(
     effect:
       | {readonly kind: 'count'; readonly name: string; readonly by: number}
@@ -37,7 +48,7 @@
       case 'observe':
         return this.metrics.observe(effect.name, effect.valueMs);
       case 'record':
-        return this.timeline.record(effect.event, this.hybridClock.next(this.clock.wallTime()));
+        return this.timeline.record(effect.event, this.next());
     }
   }
 
--- a/packages/runtime/src/framing/message-codec.ts
+++ b/packages/runtime/src/framing/message-codec.ts
@@ -11,6 +11,11 @@
   readonly inline?: Uint8Array;
 }
 
+/** A frame that only carries the sender's hybrid clock. */
+export interface ClockFrame {
+  readonly stamp: number;
+}
+
 /** The types of cbor-x leave out the option for tag 259. */
 const options: Options & {readonly useTag259ForMaps: boolean} = {
   useRecords: false,
@@ -51,8 +56,20 @@
   return Buffer.concat(frames);
 }
 
+/** Integer key of a record that only carries the sender's hybrid clock. */
+const clockKey = 17;
+
+/** Encodes the stamp of the sender's hybrid clock; one precedes the messages of each write. */
+export function encodeClock(stamp: number): Buffer {
+  const payload = encoder.encode(new Map([[clockKey, stamp]])) as Buffer;
+  const frame = Buffer.allocUnsafe(prefixBytes + payload.length);
+  frame.writeUInt32BE(payload.length, 0);
+  frame.set(payload, prefixBytes);
+  return frame;
+}
+
 /** Decodes the payload of one frame; throws FrameError when it is no message of this protocol. */
-export function decodeFrame(payload: Buffer, peerOrigin: number): DecodedFrame {
+export function decodeFrame(payload: Buffer, peerOrigin: number): DecodedFrame | ClockFrame {
   let value: unknown;
   try {
     value = encoder.decode(payload);
@@ -62,5 +79,10 @@
   if (typeof value === 'object' && value !== null && 1 in value) {
     return readCompactRecord(value as Record<number, unknown>, peerOrigin);
   }
+  if (typeof value === 'object' && value !== null && clockKey in value) {
+    const stamp = (value as Record<number, unknown>)[clockKey];
+    if (typeof stamp !== 'number') throw new FrameError('bad-field', 'clock');
+    return {stamp};
+  }
   return {message: checkMessage(value)};
 }
--- a/packages/runtime/src/http/caller-front.ts
+++ b/packages/runtime/src/http/caller-front.ts
@@ -8,6 +8,8 @@
 const healthPath = '/healthz';
 const defaultTimeoutMs = 10_000;
 const maxTimeoutMs = 60_000;
+/** Bytes of a refused body that are read, so that its caller gets the answer, before its connection is cut. */
+const maxDiscardedBytes = 4 * maxRequestBodyBytes;
 /** Longest body that is sent in one write with the headers. */
 const maxJoinedBytes = 8 * 1024;
 /** Time for which an idle caller connection is kept; longer than the balancer's, so that it closes first. */
@@ -106,7 +108,8 @@
     let bytes = 0;
     request.on('data', (part: Buffer) => {
       bytes += part.length;
-      if (bytes <= maxRequestBodyBytes) parts.push(part);
+      if (bytes > maxDiscardedBytes) request.destroy();
+      else if (bytes <= maxRequestBodyBytes) parts.push(part);
       else if (this.open.has(caller)) this.refuse(caller, 413, 'too-large');
     });
     request.on('end', () => {
--- a/packages/runtime/src/peers/peer-connection.ts
+++ b/packages/runtime/src/peers/peer-connection.ts
@@ -3,6 +3,7 @@
 import {
   BodyAssembler,
   decodeFrame,
+  encodeClock,
   encodeFrame,
   FrameDecoder,
   FrameError,
@@ -16,6 +17,14 @@
 /** Time in which the other side must send its hello. */
 const helloTimeoutMs = 2000;
 
+/** Hybrid clock of the process; its stamps travel with every write. */
+export interface StampClock {
+  /** Returns the stamp of a write. */
+  next(): number;
+  /** Takes in the stamp of another process. */
+  receive(stamp: number): void;
+}
+
 /** What a connection tells its owner. */
 export interface PeerConnectionHandlers {
   /** The other side's hello was accepted. */
@@ -38,6 +47,7 @@
   private outgoing: Buffer[] = [];
   private flushing = false;
   private blocked = false;
+  private helloSent = false;
   private refusal: string | undefined;
   private readonly helloTimer: NodeJS.Timeout;
 
@@ -48,6 +58,7 @@
     private readonly handlers: PeerConnectionHandlers,
     private readonly ownOrigin: number,
     private readonly dialled: boolean,
+    private readonly clock?: StampClock,
   ) {
     this.chunks = new ChunkQueue(ownOrigin);
     this.assembler = new BodyAssembler((message, body) =>
@@ -114,6 +125,9 @@
     const chunk = this.chunks.takeFrame();
     if (chunk !== undefined) frames.push(chunk);
     if (frames.length === 0) return;
+    // The hello stays the first frame of a connection.
+    if (this.clock && this.helloSent) frames.unshift(encodeClock(this.clock.next()));
+    this.helloSent = true;
     const bytes = frames.length === 1 ? (frames[0] as Buffer) : Buffer.concat(frames);
     this.blocked = !this.socket.write(bytes);
     if (!this.chunks.isEmpty) this.scheduleFlush();
@@ -131,7 +145,9 @@
   private receiveFrame(payload: Buffer): void {
     if (this.socket.destroyed) return;
     try {
-      const {message, inline} = decodeFrame(payload, this.hello?.incarnation ?? 0);
+      const frame = decodeFrame(payload, this.hello?.incarnation ?? 0);
+      if ('stamp' in frame) return this.receiveStamp(frame.stamp);
+      const {message, inline} = frame;
       if (message.kind === 'hello') return this.receiveHello(message);
       if (this.hello === undefined) throw new FrameError('no-hello');
       if ('id' in message) this.assembler.push(message, inline);
@@ -144,6 +160,11 @@
     }
   }
 
+  private receiveStamp(stamp: number): void {
+    if (this.hello === undefined) throw new FrameError('no-hello');
+    this.clock?.receive(stamp);
+  }
+
   private receiveHello(hello: Hello): void {
     if (this.hello !== undefined) throw new FrameError('second-hello');
     const own = this.ownHello();
--- a/packages/runtime/src/peers/peer-dialler.ts
+++ b/packages/runtime/src/peers/peer-dialler.ts
@@ -1,6 +1,6 @@
 import {connect} from 'node:net';
 import type {Hello} from '@chervilbeam/coordination';
-import {PeerConnection, type PeerConnectionHandlers} from './peer-connection.js';
+import {PeerConnection, type PeerConnectionHandlers, type StampClock} from './peer-connection.js';
 
 const firstDelayMs = 100;
 const maxDelayMs = 2000;
@@ -17,6 +17,7 @@
     private readonly address: string,
     private readonly ownHello: () => Hello,
     private readonly handlers: PeerConnectionHandlers,
+    private readonly clock?: StampClock,
     private readonly random: () => number = Math.random,
   ) {}
 
@@ -47,6 +48,7 @@
         },
         this.ownHello().incarnation,
         true,
+        this.clock,
       );
     });
     socket.once('error', () => {
--- a/packages/runtime/src/peers/peer-network.ts
+++ b/packages/runtime/src/peers/peer-network.ts
@@ -1,7 +1,7 @@
 import {createServer, type Server, type Socket} from 'node:net';
 import type {Channel, Hello} from '@chervilbeam/coordination';
 import type {PeerMessage} from '../framing/index.js';
-import {PeerConnection} from './peer-connection.js';
+import {PeerConnection, type StampClock} from './peer-connection.js';
 import {PeerDialler} from './peer-dialler.js';
 import type {PeerHandlers} from './peer-handlers.js';
 import {PeerLinks} from './peer-links.js';
@@ -18,6 +18,8 @@
   readonly listen?: string;
   /** Addresses of entries to connect to. */
   readonly seeds: readonly string[];
+  /** Hybrid clock whose stamps travel with the messages. */
+  readonly clock?: StampClock;
 }
 
 /** All connections of one process to other processes of the system. */
@@ -88,7 +90,8 @@
       this.sockets.add(socket);
       socket.once('close', () => this.sockets.delete(socket));
       const {incarnation} = this.options.hello();
-      new PeerConnection(socket, this.options.hello, this.links, incarnation, false);
+      const {hello, clock} = this.options;
+      new PeerConnection(socket, hello, this.links, incarnation, false, clock);
     });
     this.server = server;
     await new Promise<void>((resolve, reject) => {
@@ -125,7 +128,7 @@
     const name = `${address} ${purpose}`;
     if (this.diallers.has(name)) return;
     const getHello = () => ({...this.options.hello(), purpose});
-    const dialler = new PeerDialler(address, getHello, this.links);
+    const dialler = new PeerDialler(address, getHello, this.links, this.options.clock);
     this.diallers.set(name, dialler);
     dialler.start();
   }
--- a/packages/runtime/test/framing/message-codec.test.ts
+++ b/packages/runtime/test/framing/message-codec.test.ts
@@ -4,6 +4,7 @@
 import {BodyAssembler} from '../../src/framing/body-assembler.js';
 import {
   decodeFrame,
+  encodeClock,
   encodeFrame,
   type FrameError,
   type PeerMessage,
@@ -40,8 +41,8 @@
   'a decoded message equals the sent one, so that no field is lost or mixed up',
   async t => {
     for (const message of messages) {
-      const {message: decoded} = decodeFrame(encodeFrame(message, origin).subarray(4), origin);
-      t.strictSame(decoded, message, message.kind);
+      const decoded = decodeFrame(encodeFrame(message, origin).subarray(4), origin);
+      t.strictSame('message' in decoded && decoded.message, message, message.kind);
     }
   },
 );
@@ -49,7 +50,8 @@
 void t.test('a dispatch costs at most 64 bytes beyond its payload', async t => {
   const payload = 'prices' + 'stalls' + '/list?x=1' + 'accept' + 'text/plain';
   for (const message of [dispatch, {...dispatch, id: {origin: 2 ** 47, sequence: 2 ** 31}}]) {
-    const extra = encodeFrame(message, origin).length - payload.length;
+    const frames = encodeFrame(message, origin).length + encodeClock(2 ** 50).length;
+    const extra = frames - payload.length;
     t.ok(extra <= 64, `${extra} bytes`);
   }
 });
--- a/packages/runtime/test/peers/chunk-queue.test.ts
+++ b/packages/runtime/test/peers/chunk-queue.test.ts
@@ -22,8 +22,10 @@
   queue.remove(reply(3, 0));
   const order: number[] = [];
   for (let frame = queue.takeFrame(); frame !== undefined; frame = queue.takeFrame()) {
-    const {message} = decodeFrame(frame.subarray(4), origin);
-    if (message.kind === 'chunk') order.push(message.id.sequence);
+    const decoded = decodeFrame(frame.subarray(4), origin);
+    if ('message' in decoded && decoded.message.kind === 'chunk') {
+      order.push(decoded.message.id.sequence);
+    }
   }
   t.strictSame(order, [1, 2, 1, 1, 1]);
   t.ok(queue.isEmpty);
