--- a/packages/lab/src/measure/registry.ts
+++ b/packages/lab/src/measure/registry.ts
@@ -1,13 +1,13 @@
 import {configurationExperiment} from './configuration.js';
-import {batchesExperiment} from './batches.js';
-import {colocationExperiment} from './colocation.js';
 import type {Experiment} from './experiment.js';
 import {failuresExperiment} from './failures.js';
 import {floodExperiment} from './flood.js';
-import {ownershipExperiment} from './ownership.js';
-import {placementExperiment} from './placement.js';
 import {routingExperiment} from './routing.js';
-import {sharesExperiment} from './shares.js';
+import {batchesExperiment} from './tasks/batches.js';
+import {colocationExperiment} from './tasks/colocation.js';
+import {ownershipExperiment} from './tasks/ownership.js';
+import {placementExperiment} from './tasks/placement.js';
+import {sharesExperiment} from './tasks/shares.js';
 
 /** All experiments; add one line for each. */
 export const experiments: readonly Experiment[] = [
--- a/packages/lab/src/measure/colocation.ts
+++ b/packages/lab/src/measure/tasks/colocation.ts
@@ -5,9 +5,9 @@
   type ColocationAdvisor,
   type Workload,
 } from '@chervilbeam/coordination';
-import {RandomSource, VirtualCell, type VirtualTask} from '../cell/index.js';
-import {getQuantile} from '../cell/quantile.js';
-import type {Experiment, Measure, RunResult} from './experiment.js';
+import {RandomSource, VirtualCell, type VirtualTask} from '../../cell/index.js';
+import {getQuantile} from '../../cell/quantile.js';
+import type {Experiment, Measure, RunResult} from '../experiment.js';
 
 /** One setting of the experiment. */
 interface Scenario {
