Free the room of an ended attempt before the ledger has its checkpoint

Cause: an urgent task waited for the ledger write of the task evicted for it, up to 1 s. A stopped report that an agent repeats in a store outage counted an eviction and an acknowledgement each time. Change: the reservation ends with the attempt, only the task's own next attempt waits for the ledger; acknowledgements are kept once.

--- a/packages/coordination/src/tasks/cell/cell-state.ts
+++ b/packages/coordination/src/tasks/cell/cell-state.ts
@@ -27,17 +27,25 @@
   /** Adds a run to its host, job and team. */
   addRun(run: TaskRun): void {
     this.runs.set(run.id, run);
-    this.hosts.get(run.host)?.add(run);
     this.jobs.get(run.workload)?.runs.set(run.index, run);
+    if (run.released) return;
+    this.hosts.get(run.host)?.add(run);
     addAmounts(this.getUsage(run.team), run.reserved);
   }
 
+  /** Gives the reservation of an ended attempt back, so that other work need not wait for the ledger. */
+  releaseReservation(run: TaskRun): void {
+    if (run.released || this.runs.get(run.id) !== run) return;
+    run.released = true;
+    this.hosts.get(run.host)?.remove(run);
+    addAmounts(this.getUsage(run.team), run.reserved, -1);
+  }
+
   /** Removes a run; returns the job that it belonged to when the job still exists. */
   removeRun(run: TaskRun): Job | undefined {
     if (this.runs.get(run.id) !== run) return undefined;
+    this.releaseReservation(run);
     this.runs.delete(run.id);
-    this.hosts.get(run.host)?.remove(run);
-    addAmounts(this.getUsage(run.team), run.reserved, -1);
     const job = this.jobs.get(run.workload);
     if (job?.runs.get(run.index) !== run) return undefined;
     job.runs.delete(run.index);
--- a/packages/coordination/src/tasks/cell/report-handler.ts
+++ b/packages/coordination/src/tasks/cell/report-handler.ts
@@ -208,6 +208,10 @@
 
   /** A stopped attempt resumes only after its checkpoint is in the ledger. */
   private end(host: CellHost, run: TaskRun, report: AttemptReport): void {
+    if (run.state === 'settling') {
+      this.acknowledgeLater(host, report);
+      return;
+    }
     const job = this.state.jobs.get(run.workload);
     if (job?.runs.get(run.index) !== run) {
       this.state.removeRun(run);
@@ -225,6 +229,7 @@
     const evictions = (previous?.evictions ?? 0) + evicted;
     this.ledger.putTask(run.id, {checkpoint, attempt: run.attempt, evictions});
     run.state = 'settling';
+    this.state.releaseReservation(run);
     this.acknowledgeLater(host, report);
   }
 
--- a/packages/coordination/src/tasks/cell/task-run.ts
+++ b/packages/coordination/src/tasks/cell/task-run.ts
@@ -9,7 +9,7 @@
 /** Why the scheduler stops an attempt. */
 export type StopReason = 'cancelled' | 'evicted' | 'drained' | 'moved' | 'superseded' | 'shrunk';
 
-/** One attempt of a task that holds a reservation on a host. */
+/** One attempt of a task. It holds a reservation on its host until it has ended. */
 export interface TaskRun {
   readonly id: string;
   readonly workload: string;
@@ -26,6 +26,8 @@
   /** Whether the attempt uses quota lent by other teams. */
   borrowed: boolean;
   state: RunState;
+  /** The attempt has ended and holds no reservation any more, although its task waits for the ledger. */
+  released?: boolean;
   stopReason?: StopReason;
   /** Time of the last stop message, which is repeated until answered. */
   stopSentAt: number;
--- a/packages/coordination/src/tasks/ledger/ledger-keeper.ts
+++ b/packages/coordination/src/tasks/ledger/ledger-keeper.ts
@@ -64,7 +64,7 @@
   private readonly finishedItems = new Map<string, ItemSet>();
   private readonly done = new Set<string>();
   private readonly tasks = new Map<string, LedgerTask>();
-  private acknowledgements: PendingAcknowledgement[] = [];
+  private readonly acknowledgements = new Map<string, PendingAcknowledgement>();
 
   /** Whether the ledger was read and claimed in the present term. */
   get ready(): boolean {
@@ -85,7 +85,7 @@
     this.finishedItems.clear();
     this.done.clear();
     this.tasks.clear();
-    this.acknowledgements = [];
+    this.acknowledgements.clear();
     this.writtenAt = Number.NEGATIVE_INFINITY;
     return this.read(at);
   }
@@ -163,7 +163,14 @@
 
   /** Acknowledges a report after the next write. */
   acknowledgeAfterWrite(acknowledgement: PendingAcknowledgement): void {
-    this.acknowledgements.push(acknowledgement);
+    const {host, task, attempt} = acknowledgement;
+    const isSame = (other: PendingAcknowledgement) =>
+      other.task === task && other.attempt === attempt && other.host === host;
+    // Agents repeat reports until they are acknowledged, in an outage for a long time.
+    if (this.inFlight?.acknowledgements.some(isSame)) return;
+    const key = `${host} ${task} ${attempt}`;
+    if (this.acknowledgements.has(key)) return;
+    this.acknowledgements.set(key, acknowledgement);
     this.dirty = true;
   }
 
@@ -243,7 +250,9 @@
 
   private restore(pending: WriteInFlight | undefined): void {
     this.inFlight = undefined;
-    this.acknowledgements = [...(pending?.acknowledgements ?? []), ...this.acknowledgements];
+    for (const acknowledgement of pending?.acknowledgements ?? []) {
+      this.acknowledgeAfterWrite(acknowledgement);
+    }
   }
 
   private load(record: LedgerRecord | undefined): void {
@@ -271,9 +280,9 @@
     this.inFlight = {
       sequence: this.sequence,
       opening: [...this.opening],
-      acknowledgements: this.acknowledgements,
+      acknowledgements: [...this.acknowledgements.values()],
     };
-    this.acknowledgements = [];
+    this.acknowledgements.clear();
     const workloads: Record<string, {finished: string; done: boolean}> = {};
     for (const name of [...this.openedNames, ...this.opening]) {
       const done = this.done.has(name);
--- /dev/null
+++ b/packages/coordination/test/tasks/cell-scheduler.test.ts
@@ -0,0 +1,79 @@
+import t from 'tap';
+import {CellDriver, createConfiguration, createWorkload} from './cell-driver.js';
+
+function start(tasks: number): CellDriver {
+  const driver = new CellDriver(['host-0']);
+  driver.tick(1_000);
+  const workloads = [createWorkload({name: 'proofs', tasks})];
+  driver.handle({kind: 'configuration', configuration: createConfiguration(1, workloads)});
+  driver.tick(2_000);
+  return driver;
+}
+
+void t.test(
+  'repeated reports during a store outage count once and are acknowledged once',
+  async t => {
+    const driver = start(1);
+    const [first] = driver.getSent('start');
+    const {task = '', attempt = 0} = first?.message ?? {};
+    driver.confirmStarts();
+    driver.storeUp = false;
+    driver.handle({kind: 'ownership', mode: 'hold', term: 1});
+    for (let repeat = 0; repeat < 5; repeat += 1) {
+      driver.report('host-0', {task, attempt, state: 'stopped', checkpoint: 'c1'});
+      driver.tick(6_000);
+    }
+    t.same(driver.getSent('acknowledge'), []);
+    t.same(driver.getSent('start'), [], 'the checkpoint is not resumed before the ledger has it');
+    driver.storeUp = true;
+    driver.handle({kind: 'ownership', mode: 'owner', term: 1});
+    driver.tick(1_000);
+    t.same(
+      driver.getSent('acknowledge').map(({message}) => message.attempts),
+      [[{task, attempt}]],
+    );
+    driver.tick(1_000);
+    t.same(
+      driver.getSent('start').map(({message}) => message.checkpoint),
+      ['c1'],
+      'it resumes once, from the checkpoint',
+    );
+  },
+);
+
+void t.test('room of an ended attempt is free before the ledger has its checkpoint', async t => {
+  const driver = start(8);
+  const starts = driver.getSent('start');
+  driver.confirmStarts();
+  driver.tick(1_000);
+  driver.storeUp = false;
+  const {task = '', attempt = 0} = starts[0]?.message ?? {};
+  driver.report('host-0', {task, attempt, state: 'stopped', checkpoint: 'c1'});
+  driver.tick(100);
+  const next = driver.getSent('start').map(({message}) => message.task);
+  t.equal(next.length, 1);
+  t.not(next[0], task, 'another task takes the room');
+});
+
+void t.test('a scheduler that was paused beyond its ownership sends nothing', async t => {
+  const driver = new CellDriver(['host-0']);
+  driver.handle({kind: 'ownership', mode: 'owner', term: 1, until: 5_000});
+  driver.tick(1_000);
+  t.ok(driver.sent.length > 0);
+  driver.sent.length = 0;
+  driver.tick(6_000);
+  t.same(driver.sent, []);
+});
+
+void t.test('a late checkpoint of an older attempt does not set the work back', async t => {
+  const driver = start(1);
+  const {message} = driver.getSent('start')[0] ?? {};
+  const {task = '', attempt = 0} = message ?? {};
+  driver.confirmStarts();
+  driver.report('host-0', {task, attempt, state: 'stopped', checkpoint: 'new'});
+  driver.report('host-0', {task, attempt: attempt - 1, state: 'stopped', checkpoint: 'old'});
+  driver.tick(1_500);
+  driver.tick(1_500);
+  const [resumed] = driver.getSent('start');
+  t.equal(resumed?.message.checkpoint, 'new');
+});
