Bound the size of the changes that stay in the head after compaction

Cause: a measurement with 2,000 workloads found that after some large changes no further change was accepted. Compaction left the last 8 changes in the head whatever their size; the head stayed above its limit of 512 KiB, and the next compaction had nothing to do. The owner also noticed the size of the log only when it read the head itself.

Change: the changes that stay are bounded to 32 KiB, and the owner judges the size from its own log. The experiment covers 2,000 workloads with the owner in another region.

--- a/packages/coordination/src/configuration/view/compaction.ts
+++ b/packages/coordination/src/configuration/view/compaction.ts
@@ -1,9 +1,11 @@
+import type {ConfigurationChange} from '../document.js';
 import type {ViewContext} from './context.js';
 import type {StoreAnswer} from './events.js';
 import {
   getInlineCount,
   getSnapshotKey,
   inlineChangeLimit,
+  retainedBytes,
   retainedChanges,
   type Head,
   type SnapshotReference,
@@ -45,16 +47,15 @@
   /** Takes note of a head, and compacts it if this process is in charge of that and the log is long. */
   considerHead(head: Head, at: number): void {
     this.#snapshotVersion = head.snapshot?.version ?? 0;
-    const {compactAtBytes = defaultCompactAtBytes} = this.context.options;
-    if (getInlineCount(head) > 0 && getJsonBytes(head) >= compactAtBytes) this.#runIfDue(at);
-    else this.considerVersion(head.version, at);
+    this.considerVersion(head.version, at);
   }
 
   /** Compacts if the log must be long by now; a process that learns changes from others sees no head. */
   considerVersion(version: number, at: number): void {
     const {compactAtChanges = defaultCompactAtChanges} = this.context.options;
     const count = version - this.#snapshotVersion;
-    if (count >= Math.min(compactAtChanges, inlineChangeLimit)) this.#runIfDue(at);
+    const isLong = count >= Math.min(compactAtChanges, inlineChangeLimit);
+    if (isLong || (this.isActive && this.#isLarge())) this.#runIfDue(at);
   }
 
   /** Compacts now; a running compaction is shared. Calls back when it has ended, well or not. */
@@ -72,6 +73,12 @@
     });
   }
 
+  #isLarge(): boolean {
+    const {compactAtBytes = defaultCompactAtBytes} = this.context.options;
+    const changes = this.context.log.getChangesAfter(this.#snapshotVersion) ?? [];
+    return changes.length > 0 && getJsonBytes(changes) >= compactAtBytes;
+  }
+
   #runIfDue(at: number): void {
     if (this.isActive && !this.#isRunning && this.#notBefore <= at) this.run(at, () => {});
   }
@@ -97,7 +104,7 @@
       version: head.version,
       snapshot,
       previousSnapshot: head.snapshot,
-      changes: head.changes.slice(-retainedChanges),
+      changes: getRetained(head.changes),
     };
     this.context.swapHead(next, revision, at, (answer, answeredAt) => {
       if (answer.result === 'ok') {
@@ -134,6 +141,21 @@
   }
 }
 
+/**
+ * Returns the latest changes that stay in the head. Their size is bounded, because a head that stays full
+ * after its compaction would refuse every change.
+ */
+function getRetained(changes: readonly ConfigurationChange[]): readonly ConfigurationChange[] {
+  let bytes = 0;
+  let first = changes.length;
+  while (first > 0 && changes.length - first < retainedChanges) {
+    bytes += getJsonBytes(changes[first - 1]);
+    if (bytes > retainedBytes) break;
+    first--;
+  }
+  return changes.slice(first);
+}
+
 function isInPlace(answer: StoreAnswer): boolean {
   return answer.result === 'ok' || answer.result === 'mismatch';
 }
--- a/packages/coordination/src/configuration/view/head.ts
+++ b/packages/coordination/src/configuration/view/head.ts
@@ -16,6 +16,9 @@
  */
 export const retainedChanges = 8;
 
+/** Size of these changes. Larger ones are left to the snapshot alone. */
+export const retainedBytes = 32 * 1024;
+
 /** Where a snapshot stands in the store. */
 export interface SnapshotReference {
   readonly version: number;
--- a/packages/lab/src/fleet/configuration-fleet.ts
+++ b/packages/lab/src/fleet/configuration-fleet.ts
@@ -17,6 +17,8 @@
   readonly watchWaitMs?: number;
   readonly compactAtChanges?: number;
   readonly tickMs?: number;
+  /** Whether the entry that compacts stands in the last data centre in place of the first. */
+  readonly isOwnerRemote?: boolean;
 }
 
 /** A confirmation and what became of it. */
@@ -191,10 +193,12 @@
     this.#carryOut(process, process.reduce({kind: 'peer-down', peer}));
   }
 
-  /** The first living entry stands for the owner of the first cell. */
+  /** The first or last living entry stands for the owner of the first cell. */
   #appointCompactor(): void {
-    this.entries.forEach((entry, index) => {
-      this.#carryOut(entry, entry.reduce({kind: 'compactor', active: index === 0}));
+    const {entries} = this;
+    const owner = this.options.isOwnerRemote ? entries.length - 1 : 0;
+    entries.forEach((entry, index) => {
+      this.#carryOut(entry, entry.reduce({kind: 'compactor', active: index === owner}));
     });
   }
 
--- a/packages/lab/src/measure/configuration.ts
+++ b/packages/lab/src/measure/configuration.ts
@@ -208,6 +208,46 @@
   };
 }
 
+/** Bytes between regions with many workloads, whose snapshots the owner writes from another region. */
+function runLargeBytes(compactAtChanges: number, seed: number): RunResult {
+  const workloads = 2000;
+  const options = {dataCentres: future, agentsPerDataCentre: 0, tickMs: 250, compactAtChanges};
+  const fleet = createFleet({...options, isOwnerRemote: true}, seed);
+  fleet.run(10_000);
+  for (let first = 0; first < workloads; first += 250) {
+    const operations = Array.from({length: 250}, (_, index) => getOperations(first + index));
+    fleet.confirm(fleet.entries[0] as FleetProcess, `fill-${first}`, operations.flat());
+    fleet.run(5000);
+  }
+  for (let index = 0; index < 100; index++) {
+    fleet.confirm(fleet.entries[0] as FleetProcess, `warm-${index}`, getOperations(index));
+    fleet.run(1000);
+  }
+  const from = fleet.time.now;
+  const before = fleet.traffic.storeBytes + fleet.traffic.relayBytes;
+  const count = 100;
+  for (let index = 0; index < count; index++) {
+    fleet.confirm(pick(fleet), `change-${index}`, getOperations(index));
+    fleet.run(changeIntervalMs);
+  }
+  const bytes = fleet.traffic.storeBytes + fleet.traffic.relayBytes - before;
+  const value = bytes / ((fleet.time.now - from) / 1000);
+  const target = controlBytesPerSecond;
+  return {
+    scenario: `bytes, 24 data centres, ${workloads} workloads, owner in another region`,
+    policy: `${compactAtChanges === 16 ? 'chervilbeam' : 'baseline'} compaction at ${compactAtChanges}`,
+    measures: [
+      {name: 'between regions at 4,500 changes a day', unit: 'B/s', value, target},
+      {name: 'workloads in force', unit: '', value: pick(fleet).view.configuration.workloads.size},
+      {
+        name: 'accepted',
+        unit: `of ${count}`,
+        value: (fleet.store.getHead()?.version ?? 0) - workloads / 250 - 100,
+      },
+    ],
+  };
+}
+
 /** All processes restart with the store down. */
 function runRestart(keepsAgents: boolean, seed: number): RunResult {
   const fleet = createFleet({dataCentres: future, agentsPerDataCentre: 6}, seed);
@@ -303,6 +343,7 @@
     ...deployments.flatMap(deployment =>
       [8, 16, 32, 100].map(at => runBytes(deployment, at, seed)),
     ),
+    ...[8, 16, 32, 100].map(at => runLargeBytes(at, seed)),
     runRestart(true, seed),
     runRestart(false, seed),
     ...[2000, 30_000, 300_000, 3_600_000].map(ms => runOutage(ms, false, seed)),
--- a/packages/lab/test/fleet/configuration-fleet.test.ts
+++ b/packages/lab/test/fleet/configuration-fleet.test.ts
@@ -246,6 +246,26 @@
       t.ok((fleet.store.getHead()?.snapshot?.version ?? 0) >= 100);
     },
   },
+  ...[true, false].map(hasOwner => ({
+    name: `large changes do not fill the head for good, ${hasOwner ? 'with' : 'without'} an owner`,
+    check: (t: Test) => {
+      const fleet = start({agentsPerDataCentre: 0, isOwnerRemote: true});
+      for (const entry of fleet.entries) {
+        if (!hasOwner) entry.reduce({kind: 'compactor', active: false});
+      }
+      const hosts = Array.from({length: 1000}, (_, index) => `host-${index}`.padEnd(60, 'x'));
+      for (let index = 0; index < 20; index++) {
+        const kind = index % 2 === 0 ? ('drain-host' as const) : ('undrain-host' as const);
+        const operations = hosts.map(host => ({kind, host}));
+        fleet.confirm(fleet.entries[0] as FleetProcess, `large-${index}`, operations);
+        fleet.run(2000);
+      }
+      t.same([...new Set(getOutcomes(fleet))], ['accepted']);
+      t.equal(fleet.store.getHead()?.version, 20);
+      t.ok(JSON.stringify(fleet.store.getHead()).length < 600_000);
+      t.ok(fleet.isInForceEverywhere());
+    },
+  })),
   {
     name: 'the owner compacts although it learns of changes from the watcher, or each change costs more bytes',
     check: t => {
