--- a/packages/lab/src/measure/batches.ts
+++ b/packages/lab/src/measure/tasks/batches.ts
@@ -1,7 +1,7 @@
 import type {RoundPolicy, Workload} from '@chervilbeam/coordination';
-import {RandomSource, VirtualCell, type TaskBehaviour} from '../cell/index.js';
-import {getQuantile} from '../cell/quantile.js';
-import type {Experiment, Measure, RunResult} from './experiment.js';
+import {RandomSource, VirtualCell, type TaskBehaviour} from '../../cell/index.js';
+import {getQuantile} from '../../cell/quantile.js';
+import type {Experiment, Measure, RunResult} from '../experiment.js';
 
 const hours = 3;
 const hostCount = 10;
