Report processes that end by themselves in the process histories

Cause: in one run an entry answered no more after a pause, and the run could not tell a crash from a hang.

Change: a daemon that ends although nobody killed or stopped it fails the run, with its last lines.

--- a/packages/lab/src/histories/main.ts
+++ b/packages/lab/src/histories/main.ts
@@ -58,7 +58,8 @@
   for (const {promise, subject, at, detail} of run.violations.slice(0, 10)) {
     console.log(`  FAILED ${promise} ${subject} at ${Math.round(at)}: ${detail}`);
   }
-  if (run.violations.length === 0) passed++;
+  for (const crash of run.crashes) console.log(`  FAILED, a process ended by itself: ${crash}`);
+  if (run.violations.length === 0 && run.crashes.length === 0) passed++;
   else failed++;
 }
 console.log(`${passed} passed, ${failed} failed`);
--- a/packages/lab/src/histories/processes/process-fleet.ts
+++ b/packages/lab/src/histories/processes/process-fleet.ts
@@ -21,6 +21,8 @@
   life: number;
   stopping: boolean;
   frozen: boolean;
+  /** Life that was killed on purpose. */
+  killedLife?: number;
 }
 
 /** One worker stand-in with its backend server. */
@@ -45,10 +47,13 @@
   readonly events: HistoryEvent[] = [];
   readonly entries: FleetDaemon[] = [];
   readonly agents: FleetDaemon[] = [];
+  /** Processes that ended although nobody killed or stopped them. */
+  readonly crashes: string[] = [];
   readonly #workers = new Map<string, FleetWorker>();
   readonly #openRuns = new Map<string, HistoryEvent & {readonly kind: 'run-started'}>();
   readonly #openExchanges = new Map<string, string>();
   #store?: ManagedProcess;
+  #ended = false;
   readonly #origin = getSharedTime();
 
   /** Milliseconds since the start of the fleet. */
@@ -114,8 +119,16 @@
   async startDaemon(part: FleetDaemon): Promise<void> {
     if (part.daemon?.process.isRunning) return;
     const life = ++part.life;
-    const daemon = new DaemonProcess(part.settings);
+    const errors: string[] = [];
+    const daemon = new DaemonProcess(part.settings, line => errors.push(line));
     part.daemon = daemon;
+    void daemon.process.exited.then(status => {
+      if (this.#ended || part.killedLife === life || status === 0) return;
+      this.record({kind: 'process-killed', process: `${part.name}#${life}`});
+      this.crashes.push(
+        `${part.name}#${life} ended with ${status}: ${errors.slice(-8).join(' | ')}`,
+      );
+    });
     part.stopping = false;
     part.frozen = false;
     await waitUntil(
@@ -133,6 +146,7 @@
   /** Kills a daemon. */
   kill(part: FleetDaemon): void {
     if (!part.daemon?.process.isRunning) return;
+    part.killedLife = part.life;
     part.daemon.process.signal('SIGKILL');
     this.record({kind: 'process-killed', process: `${part.name}#${part.life}`});
   }
@@ -209,6 +223,7 @@
 
   /** Ends every process. */
   async stop(): Promise<void> {
+    this.#ended = true;
     const daemons = [...this.entries, ...this.agents].flatMap(part => part.daemon ?? []);
     const workers = [...this.#workers.values()].flatMap(worker => worker.process ?? []);
     const all = [...daemons.map(daemon => daemon.process), ...workers, this.#store];
--- a/packages/lab/src/histories/processes/process-run.ts
+++ b/packages/lab/src/histories/processes/process-run.ts
@@ -10,6 +10,8 @@
 export interface ProcessRun {
   readonly seed: number;
   readonly faults: readonly string[];
+  /** Processes that ended by themselves. */
+  readonly crashes: readonly string[];
   readonly events: readonly HistoryEvent[];
   readonly violations: readonly Violation[];
 }
@@ -56,8 +58,8 @@
     end.abort();
     await Promise.all(background);
     fleet.record({kind: 'history-ended'});
-    const {events} = fleet;
-    return {seed, faults, events, violations: checkHistory(events)};
+    const {events, crashes} = fleet;
+    return {seed, faults, crashes, events, violations: checkHistory(events)};
   } finally {
     end.abort();
     await fleet.stop();
