--- a/packages/lab/src/measure/registry.ts
+++ b/packages/lab/src/measure/registry.ts
@@ -8,10 +8,12 @@
 import {ownershipExperiment} from './tasks/ownership.js';
 import {placementExperiment} from './tasks/placement.js';
 import {sharesExperiment} from './tasks/shares.js';
+import {shedCostExperiment} from './shed-cost.js';
 
 /** All experiments; add one line for each. */
 export const experiments: readonly Experiment[] = [
   floodExperiment,
+  shedCostExperiment,
   routingExperiment,
   failuresExperiment,
   configurationExperiment,
