--- a/packages/coordination/src/configuration/view/compaction.ts
+++ b/packages/coordination/src/configuration/view/compaction.ts
@@ -1,9 +1,11 @@
+import type {ConfigurationChange} from '../document.js';
 import type {ViewContext} from './context.js';
 import type {StoreAnswer} from './events.js';
 import {
   getInlineCount,
   getSnapshotKey,
   inlineChangeLimit,
+  retainedBytes,
   retainedChanges,
   type Head,
   type SnapshotReference,
@@ -13,7 +15,11 @@
 /** Delay after a compaction that failed. */
 const retryMs = 5000;
 
-const defaultCompactAtChanges = 64;
+/**
+ * Every watcher receives the whole log at each change, so a short log saves bytes between regions; each
+ * compaction writes the whole snapshot. docs/decisions/configuration-log.md gives the balance.
+ */
+const defaultCompactAtChanges = 16;
 const defaultCompactAtBytes = 192 * 1024;
 
 /** What compaction needs from the view. */
@@ -28,6 +34,7 @@
 export class Compaction {
   #isRunning = false;
   #notBefore = Number.NEGATIVE_INFINITY;
+  #snapshotVersion = 0;
   #waiting: Array<(at: number) => void> = [];
   /** Whether this process owns the first cell. */
   isActive = false;
@@ -37,17 +44,18 @@
     private readonly access: CompactionAccess,
   ) {}
 
-  /** Starts a compaction if this process is in charge of it and the log is long. */
-  consider(head: Head, at: number): void {
-    if (!this.isActive || this.#isRunning || this.#notBefore > at) return;
-    const {compactAtChanges = defaultCompactAtChanges, compactAtBytes = defaultCompactAtBytes} =
-      this.context.options;
-    const count = getInlineCount(head);
-    if (count === 0) return;
-    if (count < Math.min(compactAtChanges, inlineChangeLimit)) {
-      if (getJsonBytes(head) < compactAtBytes) return;
-    }
-    this.run(at, () => {});
+  /** Takes note of a head, and compacts it if this process is in charge of that and the log is long. */
+  considerHead(head: Head, at: number): void {
+    this.#snapshotVersion = head.snapshot?.version ?? 0;
+    this.considerVersion(head.version, at);
+  }
+
+  /** Compacts if the log must be long by now; a process that learns changes from others sees no head. */
+  considerVersion(version: number, at: number): void {
+    const {compactAtChanges = defaultCompactAtChanges} = this.context.options;
+    const count = version - this.#snapshotVersion;
+    const isLong = count >= Math.min(compactAtChanges, inlineChangeLimit);
+    if (isLong || (this.isActive && this.#isLarge())) this.#runIfDue(at);
   }
 
   /** Compacts now; a running compaction is shared. Calls back when it has ended, well or not. */
@@ -65,6 +73,16 @@
     });
   }
 
+  #isLarge(): boolean {
+    const {compactAtBytes = defaultCompactAtBytes} = this.context.options;
+    const changes = this.context.log.getChangesAfter(this.#snapshotVersion) ?? [];
+    return changes.length > 0 && getJsonBytes(changes) >= compactAtBytes;
+  }
+
+  #runIfDue(at: number): void {
+    if (this.isActive && !this.#isRunning && this.#notBefore <= at) this.run(at, () => {});
+  }
+
   #writeParts(head: Head, revision: number, at: number): void {
     const parts = splitSnapshot(this.context.log.configuration);
     const snapshot = {version: head.version, parts: parts.length};
@@ -86,7 +104,7 @@
       version: head.version,
       snapshot,
       previousSnapshot: head.snapshot,
-      changes: head.changes.slice(-retainedChanges),
+      changes: getRetained(head.changes),
     };
     this.context.swapHead(next, revision, at, (answer, answeredAt) => {
       if (answer.result === 'ok') {
@@ -123,6 +141,21 @@
   }
 }
 
+/**
+ * Returns the latest changes that stay in the head. Their size is bounded, because a head that stays full
+ * after its compaction would refuse every change.
+ */
+function getRetained(changes: readonly ConfigurationChange[]): readonly ConfigurationChange[] {
+  let bytes = 0;
+  let first = changes.length;
+  while (first > 0 && changes.length - first < retainedChanges) {
+    bytes += getJsonBytes(changes[first - 1]);
+    if (bytes > retainedBytes) break;
+    first--;
+  }
+  return changes.slice(first);
+}
+
 function isInPlace(answer: StoreAnswer): boolean {
   return answer.result === 'ok' || answer.result === 'mismatch';
 }
--- a/packages/coordination/src/configuration/view/relay.ts
+++ b/packages/coordination/src/configuration/view/relay.ts
@@ -25,6 +25,7 @@
 /** Exchange of changes with connected processes. */
 export class Relay {
   readonly #peers = new Map<string, Peer>();
+  #neighbours: readonly Hello[] = [];
   #pull: {readonly peer: string; deadline: number} | undefined;
   #remotePullAt = Number.NEGATIVE_INFINITY;
   /** Time at which an entry of the own data centre last sent anything about the configuration. */
@@ -43,6 +44,7 @@
       failedAt: Number.NEGATIVE_INFINITY,
     };
     this.#peers.set(name, peer);
+    this.#listNeighbours();
     if (peer.version < this.context.log.version) {
       if (hello.role === 'agent') this.#update(peer);
       else this.#sendNote(peer);
@@ -53,13 +55,14 @@
   /** Removes a peer. */
   removePeer(name: string, at: number): void {
     this.#peers.delete(name);
+    this.#listNeighbours();
     if (this.#pull?.peer === name) this.#pull = undefined;
     this.#pullIfBehind(at);
   }
 
   /** Returns the hellos of the connected entries of the own data centre. */
-  getNeighbours(): Hello[] {
-    return [...this.#peers.values()].filter(peer => this.#isNeighbour(peer)).map(p => p.hello);
+  getNeighbours(): readonly Hello[] {
+    return this.#neighbours;
   }
 
   /** Tells whether a connected process offers this version. */
@@ -101,7 +104,7 @@
     peer.offered = Math.max(peer.offered, after);
     peer.version = after;
     if (after >= this.context.log.version) this.#sendNote(peer);
-    else this.#update(peer);
+    else this.#transfer(peer);
   }
 
   /** Passes a new version on: to agents always, to entries of the own data centre if it came from the store. */
@@ -136,6 +139,11 @@
     if (this.context.options.role === 'entry' && !this.context.storeAnswers) this.#askElsewhere(at);
   }
 
+  #listNeighbours(): void {
+    const neighbours = [...this.#peers.values()].filter(peer => this.#isNeighbour(peer));
+    this.#neighbours = neighbours.map(peer => peer.hello);
+  }
+
   /** Starts a pull from the best peer that offers more than what is in force here. */
   #pullIfBehind(at: number): void {
     if (this.#pull) return;
@@ -178,10 +186,10 @@
     } else {
       this.#advance(message.changes);
     }
-    if (
-      this.#pull?.peer === peer.name &&
-      (log.version > before || message.snapshot === undefined)
-    ) {
+    // A note of a newer version may cross the request; only a peer with nothing newer ends the pull.
+    const told = message.from + message.changes.length;
+    const isSpent = message.snapshot === undefined && told <= before;
+    if (this.#pull?.peer === peer.name && (log.version > before || isSpent)) {
       if (log.version === before) peer.failedAt = at;
       this.#pull = undefined;
     }
@@ -193,8 +201,17 @@
     if (result === 'fork' || result === 'gap') this.context.count(`relay-${result}`);
   }
 
-  /** Sends a peer what it lacks. */
+  /**
+   * Sends a peer the changes that it lacks. A peer that needs the whole configuration is only told of
+   * the version and asks one process for it; several would else send it the same snapshot.
+   */
   #update(peer: Peer): void {
+    if (this.context.log.getChangesAfter(peer.version)) this.#transfer(peer);
+    else this.#sendNote(peer);
+    peer.version = this.context.log.version;
+  }
+
+  #transfer(peer: Peer): void {
     for (const message of buildTransfer(this.context.log, peer.version)) {
       this.context.emit({kind: 'send', peer: peer.name, message});
     }
--- a/packages/coordination/src/tasks/cell-scheduler.ts
+++ b/packages/coordination/src/tasks/cell-scheduler.ts
@@ -1,3 +1,4 @@
+import {getCellConfiguration, getDeclaredName} from '../configuration/cell-shares.js';
 import {ColocationPolicy, type ColocationAdvisor} from '../colocation/colocation-policy.js';
 import type {Configuration, Workload} from '../configuration/document.js';
 import type {Resources} from '../messages/identity.js';
@@ -104,7 +105,7 @@
       }
       case 'configuration':
         if (event.configuration.version < (this.configuration?.version ?? 0)) break;
-        this.configuration = event.configuration;
+        this.configuration = getCellConfiguration(event.configuration, this.options.cell);
         if (this.isActive()) this.reconcile(at);
         this.round(at);
         break;
@@ -148,6 +149,7 @@
       for (const run of findDrainable(this.state)) this.stop(run, 'drained', at);
     }
     this.round(at);
+    this.reportHeld(at);
     for (const finding of this.planner.findLate(at)) this.findings.add(finding, at, this.effects);
     if (this.mode === 'owner') this.effects.push(...this.ledger.flush(at));
   }
@@ -219,6 +221,14 @@
     if (job) job.blockedUntil = Math.max(this.ownedAt + leaseWaitMs, this.heldUntil);
   }
 
+  /** Names the workloads whose tasks may still run where this owner cannot look. */
+  private reportHeld(at: number): void {
+    if (at < this.ownedAt + leaseWaitMs || at >= this.heldUntil) return;
+    for (const finding of this.reports.describeHeld()) {
+      this.findings.add(finding, at, this.effects);
+    }
+  }
+
   private unblock(): void {
     for (const name of this.reports.blockedWorkloads) this.block(name);
   }
@@ -371,7 +381,7 @@
         leaseMs: taskLeaseMs,
         task: run.id,
         attempt: run.attempt,
-        workload: run.workload,
+        workload: getDeclaredName(run.workload),
         resources: run.reserved,
         checkpoint,
       },
--- a/packages/coordination/src/tasks/cell/cell-state.ts
+++ b/packages/coordination/src/tasks/cell/cell-state.ts
@@ -18,6 +18,8 @@
   drains: ReadonlySet<string> = new Set();
   starts = 0;
   evictions = 0;
+  /** Host at which the next search in a large cell begins. */
+  cursor = 0;
   /** Changes whenever a host's capacity does. */
   capacityVersion = 0;
   private readonly usage = new Map<string, Amounts>();
@@ -25,17 +27,25 @@
   /** Adds a run to its host, job and team. */
   addRun(run: TaskRun): void {
     this.runs.set(run.id, run);
-    this.hosts.get(run.host)?.add(run);
     this.jobs.get(run.workload)?.runs.set(run.index, run);
+    if (run.released) return;
+    this.hosts.get(run.host)?.add(run);
     addAmounts(this.getUsage(run.team), run.reserved);
   }
 
+  /** Gives the reservation of an ended attempt back, so that other work need not wait for the ledger. */
+  releaseReservation(run: TaskRun): void {
+    if (run.released || this.runs.get(run.id) !== run) return;
+    run.released = true;
+    this.hosts.get(run.host)?.remove(run);
+    addAmounts(this.getUsage(run.team), run.reserved, -1);
+  }
+
   /** Removes a run; returns the job that it belonged to when the job still exists. */
   removeRun(run: TaskRun): Job | undefined {
     if (this.runs.get(run.id) !== run) return undefined;
+    this.releaseReservation(run);
     this.runs.delete(run.id);
-    this.hosts.get(run.host)?.remove(run);
-    addAmounts(this.getUsage(run.team), run.reserved, -1);
     const job = this.jobs.get(run.workload);
     if (job?.runs.get(run.index) !== run) return undefined;
     job.runs.delete(run.index);
@@ -61,6 +71,12 @@
     return used + workload.resources.processors <= workload.grant.processors;
   }
 
+  /** Whether a team uses more than its quota at present. */
+  isOverQuota(name: string): boolean {
+    const team = this.teams.get(name);
+    return team !== undefined && !fits(team.quota, this.getUsage(name), createAmounts());
+  }
+
   /** Whether the bound on evictions allows one more. */
   get mayEvict(): boolean {
     return this.evictions + 1 <= this.starts * evictionsPerStart;
@@ -117,6 +133,7 @@
     copy.teams = this.teams;
     copy.drains = this.drains;
     copy.starts = this.starts;
+    copy.cursor = this.cursor;
     copy.evictions = this.evictions;
     copy.capacityVersion = this.capacityVersion;
     for (const [name, host] of this.hosts) copy.hosts.set(name, host.clone());
--- a/packages/coordination/src/tasks/cell/report-handler.ts
+++ b/packages/coordination/src/tasks/cell/report-handler.ts
@@ -98,6 +98,16 @@
     return {kind: 'send', host: run.host, message};
   }
 
+  /** Returns a finding for each workload with tasks that an earlier owner may have started elsewhere. */
+  describeHeld(): Array<{workload: string; reason: 'possibly-running'; detail: string}> {
+    return [...this.blockedWorkloads].flatMap(workload => {
+      const waiting = this.state.jobs.get(workload)?.waiting ?? 0;
+      if (waiting === 0) return [];
+      const detail = `${waiting} tasks may run on unreachable hosts; an operator may declare the loss`;
+      return [{workload, reason: 'possibly-running' as const, detail}];
+    });
+  }
+
   /** Returns the throttle message for a run. */
   createThrottle(run: TaskRun): CellSchedulerEffect {
     const {cell, term} = this;
@@ -198,6 +208,10 @@
 
   /** A stopped attempt resumes only after its checkpoint is in the ledger. */
   private end(host: CellHost, run: TaskRun, report: AttemptReport): void {
+    if (run.state === 'settling') {
+      this.acknowledgeLater(host, report);
+      return;
+    }
     const job = this.state.jobs.get(run.workload);
     if (job?.runs.get(run.index) !== run) {
       this.state.removeRun(run);
@@ -215,6 +229,7 @@
     const evictions = (previous?.evictions ?? 0) + evicted;
     this.ledger.putTask(run.id, {checkpoint, attempt: run.attempt, evictions});
     run.state = 'settling';
+    this.state.releaseReservation(run);
     this.acknowledgeLater(host, report);
   }
 
--- a/packages/lab/src/measure/registry.ts
+++ b/packages/lab/src/measure/registry.ts
@@ -1,7 +1,13 @@
+import {configurationExperiment} from './configuration.js';
 import type {Experiment} from './experiment.js';
 import {failuresExperiment} from './failures.js';
 import {floodExperiment} from './flood.js';
 import {routingExperiment} from './routing.js';
+import {batchesExperiment} from './tasks/batches.js';
+import {colocationExperiment} from './tasks/colocation.js';
+import {ownershipExperiment} from './tasks/ownership.js';
+import {placementExperiment} from './tasks/placement.js';
+import {sharesExperiment} from './tasks/shares.js';
 import {shedCostExperiment} from './shed-cost.js';
 
 /** All experiments; add one line for each. */
@@ -10,4 +16,10 @@
   shedCostExperiment,
   routingExperiment,
   failuresExperiment,
+  configurationExperiment,
+  colocationExperiment,
+  batchesExperiment,
+  sharesExperiment,
+  ownershipExperiment,
+  placementExperiment,
 ];
--- a/packages/lab/test/fleet/configuration-fleet.test.ts
+++ b/packages/lab/test/fleet/configuration-fleet.test.ts
@@ -220,6 +220,21 @@
       t.equal(entry.view.configuration.drains.size, 200);
     },
   },
+  {
+    name: 'an agent that restarts gets the whole configuration from one entry and not from each',
+    check: t => {
+      const fleet = start({entriesPerDataCentre: 4, agentsPerDataCentre: 1});
+      fill(fleet, 150);
+      const agent = fleet.processes.find(process => process.role === 'agent') as FleetProcess;
+      const served = fleet.getCount('configuration.served');
+      fleet.kill(agent);
+      fleet.run(1000);
+      fleet.restart(agent);
+      fleet.run(inForceMs);
+      t.equal(agent.version, 150);
+      t.equal(fleet.getCount('configuration.served') - served, 1);
+    },
+  },
   {
     name: 'a full log is compacted by the confirming entry when no owner does it',
     check: t => {
@@ -231,6 +246,41 @@
       t.ok((fleet.store.getHead()?.snapshot?.version ?? 0) >= 100);
     },
   },
+  ...[true, false].map(hasOwner => ({
+    name: `large changes do not fill the head for good, ${hasOwner ? 'with' : 'without'} an owner`,
+    check: (t: Test) => {
+      const fleet = start({agentsPerDataCentre: 0, isOwnerRemote: true});
+      for (const entry of fleet.entries) {
+        if (!hasOwner) entry.reduce({kind: 'compactor', active: false});
+      }
+      const hosts = Array.from({length: 1000}, (_, index) => `host-${index}`.padEnd(60, 'x'));
+      for (let index = 0; index < 20; index++) {
+        const kind = index % 2 === 0 ? ('drain-host' as const) : ('undrain-host' as const);
+        const operations = hosts.map(host => ({kind, host}));
+        fleet.confirm(fleet.entries[0] as FleetProcess, `large-${index}`, operations);
+        fleet.run(2000);
+      }
+      t.same([...new Set(getOutcomes(fleet))], ['accepted']);
+      t.equal(fleet.store.getHead()?.version, 20);
+      t.ok(JSON.stringify(fleet.store.getHead()).length < 600_000);
+      t.ok(fleet.isInForceEverywhere());
+    },
+  })),
+  {
+    name: 'the owner compacts although it learns of changes from the watcher, or each change costs more bytes',
+    check: t => {
+      const fleet = start({compactAtChanges: 10});
+      const owner = fleet.entries[0] as FleetProcess;
+      const watcher = getEntry(fleet, owner.dataCentre, 0);
+      const others = fleet.entries.filter(entry => entry !== owner && entry !== watcher);
+      for (let index = 0; index < 40; index++) {
+        confirm(fleet, others[index % others.length] as FleetProcess, `change-${index}`);
+        fleet.run(500);
+      }
+      t.equal(fleet.store.accepted.size, 40);
+      t.ok((fleet.store.getHead()?.changes.length ?? 99) < 20);
+    },
+  },
   {
     name: 'the return of the store meets no herd: calls of 48 entries are spread over 2 s',
     check: t => {
