--- a/packages/coordination/test/admission/fair-queue.test.ts
+++ b/packages/coordination/test/admission/fair-queue.test.ts
@@ -99,3 +99,25 @@
   t.same(queue.shed(20), ['late']);
   t.ok(queue.remove('fresh'), 'the fresh request is gone');
 });
+
+void t.test('a flooded class refuses on arrival, and again accepts after the flood', async t => {
+  const queue = new FairQueue<object>();
+  queue.setClass('proof', background);
+  const run = (fromMs: number, toMs: number, arrivals: number) => {
+    let kept = 0;
+    for (let at = fromMs; at < toMs; at += 10) {
+      queue.shed(at);
+      for (let i = 0; i < arrivals; i += 1) {
+        if (queue.isShedding('proof', at)) continue;
+        if (queue.push('proof', {}, at, at + 2000, 0)) kept += 1;
+      }
+      if (queue.take(at, () => true)) queue.release('proof', at);
+    }
+    return kept;
+  };
+  run(0, 500, 20);
+  const kept = run(500, 1500, 20);
+  t.ok(kept < 500, `${kept} of 2000 flooded requests are kept first, most to be shed later`);
+  run(1500, 2000, 1);
+  t.equal(run(2000, 3000, 1), 100, 'requests are refused after the end of the flood');
+});
--- a/packages/coordination/test/admission/limits.test.ts
+++ b/packages/coordination/test/admission/limits.test.ts
@@ -3,6 +3,8 @@
 import {RetryBudget} from '../../src/admission/retry-budget.js';
 import {EntryConnections} from '../../src/membership/entry-connections.js';
 import {ForwardWindow} from '../../src/membership/forward-window.js';
+import {PeerView} from '../../src/membership/peer-view.js';
+import {hello} from '../requests/support.js';
 
 const limitCases = [
   {guards: 'a limit stays low although latency is flat', latency: () => 10, atLeast: 40},
@@ -59,3 +61,12 @@
   entries.noteUse('two', 10);
   t.equal(entries.getCredit('one', 8, 8, 20), 4, 'a busy entry takes the share of another');
 });
+
+void t.test('a flood of one class leaves the forward windows of the others open', async t => {
+  const peers = new PeerView();
+  const peer = peers.connect('far', hello('entry', 'far'));
+  const flooded = peers.getWindow(peer, 'proof');
+  flooded.outstanding = 5000;
+  t.notOk(flooded.hasRoom(), 'the flooded class has no bound');
+  t.ok(peers.getWindow(peer, 'lookup').hasRoom(), 'granted requests wait behind the flood');
+});
