--- a/packages/command/src/commands/status-commands.ts
+++ b/packages/command/src/commands/status-commands.ts
@@ -83,6 +83,7 @@
     deployment: first.deployment,
     version: Math.max(...answers.map(answer => answer.version)),
     processes: [...processes.values()],
+    workloads: answers.flatMap(answer => answer.workloads),
     findings: [...findings.values()],
   };
 }
--- a/packages/command/src/output/render.ts
+++ b/packages/command/src/output/render.ts
@@ -88,6 +88,18 @@
     `Deployment ${status.deployment}, configuration version ${status.version}`,
     renderTable(['PROCESS', 'ROLE', 'REGION', 'DATA CENTRE', 'VERSION', 'STATE'], rows),
   ];
+  if (status.workloads.length > 0) {
+    const workloads = status.workloads.map(({name, kind, team, running, waiting, finished, tasks}) => [
+      name,
+      kind,
+      team,
+      `${running}`,
+      `${waiting}`,
+      kind === 'batch' ? `${finished} of ${tasks}` : '',
+    ]);
+    const header = ['WORKLOAD', 'KIND', 'TEAM', 'RUNNING', 'WAITING', 'FINISHED'];
+    lines.push('', renderTable(header, workloads));
+  }
   if (status.findings.length > 0) {
     const findings = status.findings.map(({workload, reason}) => [workload, reason]);
     lines.push(renderTable(['WORKLOAD', 'FINDING'], findings));
--- /dev/null
+++ b/packages/command/test/program.test.ts
@@ -0,0 +1,108 @@
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {mkdtempSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import t from 'tap';
+import {runCommand} from '../src/program.js';
+
+interface Output {
+  readonly code: number;
+  readonly out: string;
+  readonly errors: string;
+}
+
+/** Runs the command against an entry that answers with the given status and bodies by path. */
+async function run(
+  args: readonly string[],
+  answers: Readonly<Record<string, readonly [number, unknown]>> = {},
+): Promise<Output> {
+  const server = createServer((request, response) => {
+    const [status, body] = answers[request.url ?? ''] ?? [404, {}];
+    response.writeHead(status, {'content-type': 'application/json'});
+    response.end(JSON.stringify(body));
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const out: string[] = [];
+  const errors: string[] = [];
+  const {port} = server.address() as AddressInfo;
+  const code = await runCommand(args, {
+    print: text => void out.push(text),
+    printError: text => void errors.push(text),
+    isTerminal: false,
+    environment: {CHERVILBEAM_ENTRIES: `127.0.0.1:${port}`},
+    signal: new AbortController().signal,
+    ask: async () => 'no',
+  });
+  server.closeAllConnections();
+  server.close();
+  return {code, out: out.join('\n'), errors: errors.join('\n')};
+}
+
+function writeIntent(value: unknown): string {
+  const file = join(mkdtempSync(join(tmpdir(), 'intent-')), 'intent.json');
+  writeFileSync(file, JSON.stringify(value));
+  return file;
+}
+
+const fourMistakes = writeIntent({
+  operator: 'Kari',
+  teams: [{name: 'Print', quota: {processors: 1}}],
+  services: [
+    {name: 'a', team: 'b', urgency: 'high', resources: {processors: -1}, replicas: 1, colour: 1},
+  ],
+});
+
+const status = {
+  deployment: 'd',
+  version: 3,
+  processes: [
+    {name: 'entry-1', role: 'entry', region: 'r', dataCentre: 'c', version: 3},
+    {name: 'host-1', role: 'agent', region: 'r', dataCentre: 'c', version: 2},
+  ],
+  workloads: [
+    {name: 'proofs', kind: 'batch', team: 'print', tasks: 9, running: 2, waiting: 3, finished: 4},
+  ],
+  findings: [{workload: 'proofs', reason: 'never-runnable'}],
+};
+
+const cases = [
+  {
+    guards: 'the first mistake of a file hides the others',
+    args: ['validate', fourMistakes],
+    code: 1,
+    text: ['teams[0].name', 'services[0].urgency', 'services[0].resources.processors', 'colour'],
+  },
+  {
+    guards:
+      'a version that is not in force everywhere looks as if it were, or progress is not shown',
+    args: ['status'],
+    answers: {'/v1/status': [200, status]},
+    code: 0,
+    text: ['behind by 1', 'in force', '4 of 9', 'never-runnable'],
+  },
+  {
+    guards: 'a script reads the table in place of JSON',
+    args: ['status', '--json'],
+    answers: {'/v1/status': [200, status]},
+    code: 0,
+    text: ['"finished"'],
+  },
+  {
+    guards: 'an entry that cannot answer looks like success',
+    args: ['status'],
+    answers: {'/v1/status': [503, {}]},
+    code: 4,
+    text: ['answered 503'],
+  },
+  {guards: 'a misspelt command does nothing silently', args: ['stauts'], code: 2, text: ['status']},
+] as const;
+
+void t.test('the exit code and the output tell what happened', async t => {
+  for (const c of cases) {
+    const answers = 'answers' in c ? c.answers : {};
+    const {code, out, errors} = await run(c.args, answers as never);
+    t.equal(code, c.code, c.guards);
+    for (const text of c.text) t.match(`${out}\n${errors}`, text, `${c.guards}: ${text}`);
+  }
+});
--- a/packages/coordination/src/tasks/index.ts
+++ b/packages/coordination/src/tasks/index.ts
@@ -16,3 +16,4 @@
 export * from './round/scheduling-round.js';
 export * from './round/worker-health.js';
 export * from './timing.js';
+export * from './workload-status.js';
--- a/packages/lab/src/operator/operator-entry.ts
+++ b/packages/lab/src/operator/operator-entry.ts
@@ -112,6 +112,7 @@
             version: this.view.configuration.version,
           },
         ],
+        workloads: [],
         findings: [],
       }),
       getTimeline: (filter: Parameters<TimelineBuffer['select']>[0]) =>
--- a/packages/runtime/src/control/operator-backend.ts
+++ b/packages/runtime/src/control/operator-backend.ts
@@ -6,6 +6,7 @@
   PlanEffect,
   TimelineEvent,
   TimelineFilter,
+  WorkloadStatus,
 } from '@chervilbeam/coordination';
 
 /** Outcome of a confirmation as the configuration view tells it. */
@@ -33,6 +34,8 @@
   readonly version: number;
   /** The answering entry and the processes connected to it. */
   readonly processes: readonly ProcessStatus[];
+  /** Progress of the workloads in the cells that the answering entry owns. */
+  readonly workloads: readonly WorkloadStatus[];
   /** Findings about workloads, for example jobs that can never run. */
   readonly findings: ReadonlyArray<{readonly workload: string; readonly reason: string}>;
 }
--- a/packages/runtime/src/daemon/entry-operators.ts
+++ b/packages/runtime/src/daemon/entry-operators.ts
@@ -6,6 +6,7 @@
   type EntryProcessEvent,
   getCellConfiguration,
   getCells,
+  getWorkloadStatuses,
   type Hello,
   type PlanEffect,
   predictEffects,
@@ -103,7 +104,7 @@
 
   /** @inheritdoc */
   getStatus(): OperatorStatus {
-    const {settings, getHellos} = this.options;
+    const {settings, process, getHellos} = this.options;
     const {deployment, name, dataCentre, region, listen} = settings;
     const {version} = this.getConfiguration();
     const control = `http://${listen.control}`;
@@ -116,7 +117,8 @@
       version: this.versions.get(hello.name) ?? hello.configVersion,
     }));
     const findings = [...this.findings].map(([workload, reason]) => ({workload, reason}));
-    return {deployment, version, processes: [own, ...others], findings};
+    const workloads = process.cells.flatMap(({scheduler}) => getWorkloadStatuses(scheduler));
+    return {deployment, version, processes: [own, ...others], workloads, findings};
   }
 
   /** @inheritdoc */
