--- a/packages/lab/src/histories/checks/graceful-shutdown.ts
+++ b/packages/lab/src/histories/checks/graceful-shutdown.ts
@@ -85,7 +85,10 @@
   return violations;
 }
 
-/** Returns the open requests whose path contains a connection: from their entry to a host or another entry. */
+/**
+ * Returns the open requests whose path contains a connection: from their entry to a host or another entry. While
+ * no exchange is open the host is not known, so every connection of the entry may be the path.
+ */
 function getTouched(
   between: readonly [string, string],
   requests: ReadonlyMap<string, string>,
@@ -95,6 +98,7 @@
   return [...requests].flatMap(([request, entry]) => {
     const hosts = [...exchanges.values()].filter(e => e.request === request).map(e => e.host);
     const isOnPath = (part: string) => part === entry || hosts.includes(part);
+    if (hosts.length === 0 && between.includes(entry)) return [request];
     const touched =
       between.some(isOnPath) && between.every(part => isOnPath(part) || entries.has(part));
     return touched ? [request] : [];
--- a/packages/lab/test/histories/check-history.test.ts
+++ b/packages/lab/test/histories/check-history.test.ts
@@ -294,6 +294,28 @@
       {kind: 'configuration-log', at: 5, changeIds: ['c2']},
     ],
   },
+  {
+    name: 'a lost connection of the entry during a shutdown, before any exchange',
+    events: [
+      request(1, 'r'),
+      shutdown('e1'),
+      {kind: 'connection-lost', at: 25, between: ['e1', 'h1']},
+      answer(30, 'r', 'unknown'),
+      exited('e1'),
+    ],
+  },
+  {
+    name: 'a lost connection to another host than that of the exchange',
+    broken: 'graceful-shutdown',
+    events: [
+      request(1, 'r'),
+      begin(2, 'r', 'x'),
+      shutdown('e1'),
+      {kind: 'connection-lost', at: 25, between: ['e1', 'h2']},
+      answer(30, 'r', 'unknown'),
+      exited('e1'),
+    ],
+  },
 ];
 
 void t.test('checks catch each broken promise and accept what is allowed', async t => {
