--- a/packages/coordination/src/tasks/cell/report-handler.ts
+++ b/packages/coordination/src/tasks/cell/report-handler.ts
@@ -300,6 +300,8 @@
       checkpointAt: at,
       checkpoint: report.checkpoint,
     };
+    // An adopted attempt counts as a start, so that a new owner may evict for urgent work at once.
+    if (wanted) this.state.starts += 1;
     if (!newer) this.state.addRun(run);
     else this.effects.push(this.createStop(run));
   }
--- a/packages/coordination/test/tasks/cell-scheduler.test.ts
+++ b/packages/coordination/test/tasks/cell-scheduler.test.ts
@@ -77,3 +77,20 @@
   const [resumed] = driver.getSent('start');
   t.equal(resumed?.message.checkpoint, 'new');
 });
+
+void t.test('a new owner may evict for urgent work at once', async t => {
+  const hosts = ['host-0', 'host-1'];
+  const driver = new CellDriver(hosts);
+  const resources = {processors: 1_000, memoryMb: 100, accelerators: 0, slots: 0};
+  const batch = createWorkload({name: 'proofs', tasks: 32, resources});
+  driver.handle({kind: 'configuration', configuration: createConfiguration(1, [batch])});
+  for (let index = 0; index < 32; index += 1) {
+    driver.report(hosts[index % 2] ?? '', {task: `proofs/${index}`, attempt: 9, state: 'running'});
+  }
+  driver.tick(1_000);
+  t.same(driver.getSent('start'), [], 'all tasks are adopted');
+  const urgent = createWorkload({name: 'recall', urgency: 'urgent', tasks: 1, resources});
+  driver.handle({kind: 'configuration', configuration: createConfiguration(2, [batch, urgent])});
+  driver.tick(1_000);
+  t.equal(driver.getSent('stop').length, 1);
+});
