--- a/packages/coordination/src/requests/agent-events.ts
+++ b/packages/coordination/src/requests/agent-events.ts
@@ -1,6 +1,6 @@
 import type {Configuration} from '../configuration/document.js';
 import type {Announce, Heartbeat, Hello} from '../messages/control.js';
-import type {DataMessage, Headers} from '../messages/data.js';
+import type {DataMessage, Dispatch, Headers} from '../messages/data.js';
 import type {CommonEffect, PeerMessage} from './entry-events.js';
 
 /** A backend server's sign of life, at most 3 s old. */
@@ -73,3 +73,24 @@
   | {readonly kind: 'abort-exchange'; readonly exchange: number}
   | {readonly kind: 'announce'; readonly message: Announce}
   | {readonly kind: 'drained'};
+
+/** Who waits for the answer to a request at an agent. */
+export interface Waiter {
+  readonly peer: string;
+  readonly attempt: number;
+  cancelled: boolean;
+}
+
+/** A request at an agent, queued or in exchange with the backend server. */
+export interface AgentWork {
+  readonly key: string;
+  readonly dispatch: Dispatch;
+  readonly body: Uint8Array;
+  readonly deadline: number;
+  readonly waiters: Waiter[];
+  exchange?: number;
+  url?: string;
+  readonly receivedAt: number;
+  startedAt: number;
+  aborted: boolean;
+}
--- a/packages/coordination/src/requests/agent-exchanges.ts
+++ b/packages/coordination/src/requests/agent-exchanges.ts
@@ -19,7 +19,7 @@
   type AgentExchangesOptions,
   type AgentExchangesSettings,
 } from './agent-options.js';
-import type {AgentWork, Waiter} from './agent-work.js';
+import type {AgentWork, Waiter} from './agent-events.js';
 import type {PeerMessage} from './entry-events.js';
 import {KeptAnswers, type KeptAnswer} from './kept-answers.js';
 import {Outbox} from '../outbox.js';
