Show that a host with a leaving backend server still gets tasks

Cause: a process history had three tasks begin on a host 5.1 s after its backend server had announced that it leaves.

Conclusion: the announcement must tell that all backend servers are leaving.

--- a/packages/lab/test/faults/found.test.ts
+++ b/packages/lab/test/faults/found.test.ts
@@ -1,3 +1,4 @@
+import {AgentExchanges} from '@chervilbeam/coordination';
 import t from 'tap';
 import {isPassed, parseCase} from '../../src/faults/fault-case.js';
 import {runNamed} from '../../src/faults/matrix-run.js';
@@ -45,3 +46,21 @@
   }
   t.same(broken, []);
 });
+
+void t.test(
+  'a host whose only backend server is leaving is announced as leaving, so that no task starts there',
+  async t => {
+    const capacity = {processors: 4_000, memoryMb: 8_000, accelerators: 0, slots: 8};
+    const agent = new AgentExchanges({host: 'h1', rack: 'r1', capacity});
+    const backend = {
+      kind: 'backend-announced',
+      url: 'http://127.0.0.1:1',
+      services: ['s'],
+    } as const;
+    const announce = (draining: boolean, at: number) =>
+      agent.reduce({...backend, slots: 8, connections: 64, draining}, at);
+    announce(false, 0);
+    const leaving = announce(true, 1_000).flatMap(e => (e.kind === 'announce' ? [e.message] : []));
+    t.equal(leaving.at(-1)?.draining, true);
+  },
+);
