Announce a host as leaving when all its backend servers leave

Change: the announcement says draining when every live backend server of the host is leaving. Conclusion: the scheduler sees a leaving host however it was told.

--- a/packages/coordination/src/membership/backend-view.ts
+++ b/packages/coordination/src/membership/backend-view.ts
@@ -64,6 +64,12 @@
     return refusal;
   }
 
+  /** Whether all backend servers of the host have announced that they are leaving. */
+  isLeaving(at: number): boolean {
+    const alive = [...this.backends.values()].filter(backend => isAlive(backend, at));
+    return alive.length > 0 && alive.every(({announced}) => announced.draining);
+  }
+
   /** Counts an exchange as open. */
   begin(backend: Backend): void {
     backend.running += 1;
--- a/packages/coordination/src/requests/agent-exchanges.ts
+++ b/packages/coordination/src/requests/agent-exchanges.ts
@@ -311,7 +311,8 @@
     const services = this.backends.getServices(at);
     const slots = this.backends.getSlots(at);
     const connections = this.backends.getConnections(at);
-    const draining = this.drainAt !== undefined;
+    // A host whose backend servers all leave takes no new tasks either.
+    const draining = this.drainAt !== undefined || this.backends.isLeaving(at);
     return {kind: 'announce', host, rack, capacity, services, slots, connections, draining};
   }
 
