List evictable tasks once a round and remember needs without room

Cause: each waiting job searched all tasks of all hosts for victims and for room that comes free, in every round. Change: tasks that the bounds allow to evict are listed once a round; no search while the eviction budget is spent; a need that found no room, now or later, is not searched again in the round.

--- a/packages/coordination/src/tasks/round/placement.ts
+++ b/packages/coordination/src/tasks/round/placement.ts
@@ -30,15 +30,25 @@
 /** Cost of a host whose newest attempts failed; other hosts with room go first. */
 const doubtCost = 1e9;
 
+const noAmounts = createAmounts();
+
 function isUrgent(workload: Workload): boolean {
   return workload.urgency === 'critical' || workload.urgency === 'urgent';
 }
 
+/** Whether a need is at least as large as one of those that are known. */
+function isCovered(known: readonly Resources[], need: Resources): boolean {
+  return known.some(smaller => fits(need, noAmounts, smaller));
+}
+
 /** Chooses hosts for tasks within one scheduling round. */
 export class Placement {
   private readonly promised = new Map<string, Amounts>();
+  /** Needs without room now, and needs without room even after the attempts that are stopping have ended. */
   private readonly roomless: Resources[] = [];
+  private readonly neverRoom: Resources[] = [];
   private readonly open: CellHost[];
+  private openSet?: Set<CellHost>;
   /** Empty hosts on probation: each may run one batch task that is not urgent. */
   private readonly probation: CellHost[];
 
@@ -89,11 +99,12 @@
 
   /** Room only shrinks within a round, so a need that found none stays without, and so do larger ones. */
   private isKnownRoomless(need: Resources): boolean {
-    return this.roomless.some(known => fits(need, createAmounts(), known));
+    return isCovered(this.roomless, need);
   }
 
   /** Returns a host that has room once the attempts that are stopping there have ended, and keeps it free. */
   awaitRoom(need: Resources): boolean {
+    if (isCovered(this.neverRoom, need)) return false;
     for (const host of this.open) {
       const later = copyAmounts(host.used);
       for (const run of host.runs.values()) {
@@ -107,6 +118,7 @@
         return true;
       }
     }
+    this.neverRoom.push(need);
     return false;
   }
 
@@ -133,8 +145,9 @@
   }
 
   /** Hosts that take new tasks. */
-  get hosts(): readonly CellHost[] {
-    return this.open;
+  get hosts(): ReadonlySet<CellHost> {
+    this.openSet ??= new Set(this.open);
+    return this.openSet;
   }
 
   private hasRoom(host: CellHost, need: Resources): boolean {
--- a/packages/coordination/src/tasks/round/scheduling-round.ts
+++ b/packages/coordination/src/tasks/round/scheduling-round.ts
@@ -10,6 +10,7 @@
 } from '../amounts.js';
 import type {CellHost} from '../cell/cell-host.js';
 import type {CellState} from '../cell/cell-state.js';
+import {EvictableRuns} from './evictable-runs.js';
 import {defaultRoundPolicy, type RoundPolicy} from './round-policy.js';
 import type {FindingReason} from '../events.js';
 import type {Job} from '../cell/job.js';
@@ -66,6 +67,7 @@
 export class SchedulingRound {
   private readonly decisions: Decision[] = [];
   private readonly placement: Placement;
+  private readonly evictable: EvictableRuns;
   private readonly policy: RoundPolicy;
   private reservedForStuck = false;
 
@@ -74,6 +76,7 @@
     private readonly context: RoundContext,
   ) {
     this.policy = context.policy ?? defaultRoundPolicy;
+    this.evictable = new EvictableRuns(state, context.at);
     this.placement = new Placement(state, context.at, context.disturbance);
   }
 
@@ -238,9 +241,11 @@
 
   /** Evicts the fewest batch tasks of one host so that the task has room soon. */
   private makeRoom(job: Job, need: Resources): void {
+    if (this.state.starts / 10 - this.state.evictions < 1) return;
     let best: {host: CellHost; victims: TaskRun[]} | undefined;
-    for (const host of this.placement.hosts) {
-      const victims = this.findVictims(host, job, need);
+    for (const [host, candidates] of this.evictable.getFor(job)) {
+      const victims =
+        this.placement.hosts.has(host) && this.findVictims(host, candidates, job, need);
       if (victims && (!best || victims.length < best.victims.length)) best = {host, victims};
     }
     if (!best) return;
@@ -254,9 +259,14 @@
     }
   }
 
-  private findVictims(host: CellHost, job: Job, need: Resources): TaskRun[] | undefined {
-    const candidates = [...host.runs.values()]
-      .filter(run => this.isVictim(run, job))
+  private findVictims(
+    host: CellHost,
+    evictable: readonly TaskRun[],
+    job: Job,
+    need: Resources,
+  ): TaskRun[] | undefined {
+    const candidates = evictable
+      .filter(run => this.evictable.isVictim(run, job))
       .sort((a, b) => b.checkpointAt - a.checkpointAt);
     const used = copyAmounts(host.used);
     const victims: TaskRun[] = [];
@@ -270,17 +280,6 @@
     return victims.length <= budget ? victims : undefined;
   }
 
-  private isVictim(run: TaskRun, job: Job): boolean {
-    if (run.kind !== 'batch' || run.state !== 'running') return false;
-    const owner = this.state.jobs.get(run.workload);
-    if (!owner?.mayEvict(run.index, this.context.at)) return false;
-    const band = urgencies.indexOf(job.workload.urgency);
-    const victimBand = urgencies.indexOf(run.urgency);
-    const lent = run.borrowed && run.team !== job.workload.team;
-    if (lent && this.state.isOverQuota(run.team)) return true;
-    return band <= 1 && victimBand > band && victimBand >= 2;
-  }
-
   private addFinding(job: Job, reason: FindingReason, detail: string): void {
     this.decisions.push({kind: 'finding', workload: job.name, reason, detail});
   }
