--- a/packages/runtime/src/loop/index.ts
+++ b/packages/runtime/src/loop/index.ts
@@ -1,2 +1,3 @@
 export * from './loop.js';
 export * from './system-clock.js';
+export * from './ticker.js';
