--- a/packages/coordination/src/agent/agent-process.ts
+++ b/packages/coordination/src/agent/agent-process.ts
@@ -44,11 +44,6 @@
     this.exchanges = new AgentExchanges({host, rack, capacity});
   }
 
-  /** Whether no request is in flight, so that ticks may be rare. */
-  get isIdle(): boolean {
-    return this.exchanges.isIdle;
-  }
-
   /** @inheritdoc */
   reduce(event: AgentProcessEvent, at: number): readonly AgentProcessEffect[] {
     this.out = [];
--- a/packages/coordination/src/entry/entry-process.ts
+++ b/packages/coordination/src/entry/entry-process.ts
@@ -60,11 +60,6 @@
     this.cells = cells.map(cell => new ScheduledCell({cell, entry, ...rest}));
   }
 
-  /** Whether no request is in flight, so that ticks may be rare. */
-  get isIdle(): boolean {
-    return this.requests.isIdle;
-  }
-
   /** @inheritdoc */
   reduce(event: EntryProcessEvent, at: number): readonly EntryProcessEffect[] {
     this.out = [];
--- a/packages/coordination/src/requests/agent-exchanges.ts
+++ b/packages/coordination/src/requests/agent-exchanges.ts
@@ -56,11 +56,6 @@
     );
   }
 
-  /** Whether no dispatch is queued or open. */
-  get isIdle(): boolean {
-    return this.works.size === 0;
-  }
-
   /** Applies an event. */
   reduce(event: AgentExchangesEvent, at: number): readonly AgentExchangesEffect[] {
     this.stalls.note(at);
--- a/packages/coordination/src/requests/entry-requests.ts
+++ b/packages/coordination/src/requests/entry-requests.ts
@@ -72,11 +72,6 @@
     });
   }
 
-  /** Whether no request is without an outcome. */
-  get isIdle(): boolean {
-    return this.table.isEmpty;
-  }
-
   /** Applies an event. */
   reduce(event: EntryRequestsEvent, at: number): readonly EntryRequestsEffect[] {
     this.refused = false;
--- a/packages/coordination/src/requests/request-table.ts
+++ b/packages/coordination/src/requests/request-table.ts
@@ -34,11 +34,6 @@
     }
   }
 
-  /** Whether no request is without an outcome. */
-  get isEmpty(): boolean {
-    return this.requests.size === 0;
-  }
-
   /** Request by its key. */
   getRequest(key: string): PendingRequest | undefined {
     return this.requests.get(key);
--- a/packages/runtime/src/daemon/agent-daemon.ts
+++ b/packages/runtime/src/daemon/agent-daemon.ts
@@ -10,7 +10,7 @@
 import {Announcements, BackendClient} from '../backend/index.js';
 import {ControlServer, readJsonBody} from '../http/index.js';
 import type {Logger} from '../logs/index.js';
-import {Loop, SystemClock, Ticker} from '../loop/index.js';
+import {Loop, SystemClock} from '../loop/index.js';
 import {PeerNetwork, protocolVersion} from '../peers/index.js';
 import type {Settings} from '../settings/index.js';
 import {WorkerClient} from '../worker/index.js';
@@ -19,6 +19,7 @@
 import {ProcessMonitor} from './process-monitor.js';
 
 /** Time between two ticks of the loop. */
+const tickMs = 10;
 /** Time between two reads of the worker's usage reports. */
 const usageEveryMs = 1000;
 const workerRetryMs = 500;
@@ -41,7 +42,6 @@
   private readonly worker: WorkerClient | undefined;
   private readonly network: PeerNetwork;
   private readonly timers: NodeJS.Timeout[] = [];
-  private ticker: Ticker | undefined;
   private running: Running | undefined;
   private stopping = false;
   private drained: (() => void) | undefined;
@@ -86,7 +86,6 @@
       this.running.loop.post({kind: 'drain'});
       await drained;
     }
-    this.ticker?.stop();
     for (const timer of this.timers) clearInterval(timer);
     await this.network.stop();
     await this.backends.stop();
@@ -107,12 +106,7 @@
     );
     this.running = {process, loop};
     await this.network.start();
-    this.ticker = new Ticker(
-      this.clock,
-      () => process.isIdle,
-      () => this.tick(),
-    );
-    this.ticker.start();
+    this.timers.push(setInterval(() => this.tick(), tickMs));
     const {worker} = this;
     if (worker) this.timers.push(setInterval(() => void worker.readUsage(), usageEveryMs));
   }
--- a/packages/runtime/src/daemon/entry-daemon.ts
+++ b/packages/runtime/src/daemon/entry-daemon.ts
@@ -7,7 +7,7 @@
 import {addOperatorRoutes, OperatorService} from '../control/index.js';
 import {CallerFront, ControlServer} from '../http/index.js';
 import type {Logger} from '../logs/index.js';
-import {Loop, SystemClock, Ticker} from '../loop/index.js';
+import {Loop, SystemClock} from '../loop/index.js';
 import {PeerNetwork, protocolVersion} from '../peers/index.js';
 import type {EntrySettings} from '../settings/index.js';
 import type {Daemon} from './daemon.js';
@@ -17,6 +17,7 @@
 import {ProcessMonitor} from './process-monitor.js';
 
 /** Time between two ticks of the loop. */
+const tickMs = 10;
 const defaultSettleMs = 2000;
 
 /** The entry role: callers' HTTP, connections to agents and entries, the store, and operators' HTTP. */
@@ -31,7 +32,7 @@
   private readonly operators: EntryOperators;
   private readonly store: EntryStore | undefined;
   private readonly loop: Loop<EntryProcessEvent, EntryProcessEffect>;
-  private readonly ticker: Ticker;
+  private timer: NodeJS.Timeout | undefined;
   private drained: (() => void) | undefined;
 
   /** Creates the daemon; `start` opens its sockets. */
@@ -53,11 +54,6 @@
       settleMs: settleMs ?? defaultSettleMs,
     });
     this.loop = new Loop(this.process, clock, effect => this.carryOut(effect));
-    this.ticker = new Ticker(
-      clock,
-      () => this.process.isIdle,
-      () => this.loop.post({kind: 'tick', wallTimeMs: clock.wallTime()}),
-    );
     const post = (event: EntryProcessEvent) => this.loop.post(event);
     this.front = new CallerFront({
       request: post,
@@ -98,7 +94,10 @@
     await this.control.start(this.settings.listen.control);
     await this.front.start(this.settings.listen.callers);
     this.store?.start();
-    this.ticker.start();
+    this.timer = setInterval(
+      () => this.loop.post({kind: 'tick', wallTimeMs: this.clock.wallTime()}),
+      tickMs,
+    );
     this.logger.info({listen: this.settings.listen}, 'entry started');
   }
 
@@ -110,7 +109,7 @@
     this.loop.post({kind: 'drain'});
     await drained;
     await this.front.stop();
-    this.ticker.stop();
+    clearInterval(this.timer);
     await this.network.stop();
     await this.store?.stop();
     await this.control.stop();
