--- a/packages/coordination/src/ownership/cell-ownership.ts
+++ b/packages/coordination/src/ownership/cell-ownership.ts
@@ -216,7 +216,7 @@
     }
   }
 
-  private contend(value: unknown, _revision: number, at: number): void {
+  private contend(value: unknown, revision: number, at: number): void {
     const owner = value as (PreviousOwner & {claim: number}) | undefined;
     if (owner === undefined || owner === null) {
       if (!this.draining)
@@ -225,7 +225,7 @@
     }
     const {incarnation} = this.options;
     const own = owner.incarnation === incarnation && owner.claim === this.claim;
-    if (own && this.lease !== undefined && at < this.leaseUntil) this.win(_revision, at);
+    if (own && this.lease !== undefined && at < this.leaseUntil) this.win(revision, at);
   }
 
   private writeOwner(at: number): void {
--- a/packages/lab/src/faults/kernel/seeded-random.ts
+++ b/packages/lab/src/faults/kernel/seeded-random.ts
@@ -1,20 +1,7 @@
-/** Seeded generator (mulberry32), so that a case is repeated exactly by its seed. */
-export class SeededRandom {
-  #state: number;
-
-  constructor(seed: number) {
-    this.#state = seed >>> 0;
-  }
-
-  /** Returns a number from 0 to below 1. */
-  next(): number {
-    this.#state = (this.#state + 0x6d2b79f5) >>> 0;
-    let value = this.#state;
-    value = Math.imul(value ^ (value >>> 15), value | 1);
-    value ^= value + Math.imul(value ^ (value >>> 7), value | 61);
-    return ((value ^ (value >>> 14)) >>> 0) / 0x100000000;
-  }
+import {SeededRandom as Generator} from '@chervilbeam/coordination';
 
+/** Seeded generator with the choices of a case, so that a case is repeated exactly by its seed. */
+export class SeededRandom extends Generator {
   /** Returns a number between two bounds. */
   between(low: number, high: number): number {
     return low + this.next() * (high - low);
--- a/packages/lab/src/faults/kernel/simulated-process.ts
+++ b/packages/lab/src/faults/kernel/simulated-process.ts
@@ -74,6 +74,22 @@
     this.#end();
   }
 
+  /** Carries out the effects of one event in this life, which a fault at any of them may end or stop. */
+  protected carryOut<Effect>(
+    effects: readonly Effect[],
+    execute: (effect: Effect) => void,
+    beforeEffects?: () => void,
+  ): void {
+    const {life} = this;
+    beforeEffects?.();
+    for (const effect of effects) {
+      if (!this.alive || this.life !== life) return;
+      // A process that was stopped between reduction and effects carries them out after its wake.
+      if (this.frozen) this.deliver(() => execute(effect));
+      else execute(effect);
+    }
+  }
+
   /** Stops the process without its notice; input waits until `wake`. */
   freeze(): void {
     if (this.alive) this.frozen = true;
--- a/packages/lab/src/faults/worlds/request-entry.ts
+++ b/packages/lab/src/faults/worlds/request-entry.ts
@@ -158,15 +158,8 @@
   }
 
   #apply(event: EntryRequestsEvent, beforeEffects?: () => void): void {
-    const {life} = this;
     const effects = this.#reducer.reduce(event, this.clock);
-    beforeEffects?.();
-    for (const effect of effects) {
-      if (!this.alive || this.life !== life) return;
-      // A process that was stopped between reduction and effects carries them out after its wake.
-      if (this.frozen) this.deliver(() => this.#execute(effect));
-      else this.#execute(effect);
-    }
+    this.carryOut(effects, effect => this.#execute(effect), beforeEffects);
   }
 
   #execute(effect: EntryRequestsEffect): void {
--- a/packages/lab/src/faults/worlds/task-agent.ts
+++ b/packages/lab/src/faults/worlds/task-agent.ts
@@ -98,14 +98,8 @@
   }
 
   #apply(event: AgentTasksEvent, beforeEffects?: () => void): void {
-    const {life} = this;
     const effects = this.#reducer.reduce(event, this.clock);
-    beforeEffects?.();
-    for (const effect of effects) {
-      if (!this.alive || this.life !== life) return;
-      if (this.frozen) this.deliver(() => this.#execute(effect));
-      else this.#execute(effect);
-    }
+    this.carryOut(effects, effect => this.#execute(effect), beforeEffects);
   }
 
   #execute(effect: AgentTasksEffect): void {
