Use the shared loop in the simulated entry of the task world

Cause: it kept a copy of the loop that SimulatedProcess.carryOut now has. Change: the copy is removed. Conclusion: behaviour is unchanged.

--- a/packages/lab/src/faults/worlds/task-entry.ts
+++ b/packages/lab/src/faults/worlds/task-entry.ts
@@ -133,23 +133,12 @@
 
   #own(event: CellOwnershipEvent, beforeEffects?: () => void): void {
     const effects = this.#reducers.ownership.reduce(event, this.clock);
-    beforeEffects?.();
-    this.#carryOut(effects, effect => this.#executeOwnership(effect));
+    this.carryOut(effects, effect => this.#executeOwnership(effect), beforeEffects);
   }
 
   #schedule(event: CellSchedulerEvent, beforeEffects?: () => void): void {
     const effects = this.#reducers.scheduler.reduce(event, this.clock);
-    beforeEffects?.();
-    this.#carryOut(effects, effect => this.#executeScheduler(effect));
-  }
-
-  #carryOut<Effect>(effects: readonly Effect[], execute: (effect: Effect) => void): void {
-    const {life} = this;
-    for (const effect of effects) {
-      if (!this.alive || this.life !== life) return;
-      if (this.frozen) this.deliver(() => execute(effect));
-      else execute(effect);
-    }
+    this.carryOut(effects, effect => this.#executeScheduler(effect), beforeEffects);
   }
 
   #executeOwnership(effect: CellOwnershipEffect): void {
