--- /dev/null
+++ b/packages/coordination/src/dispatch/active-submission.ts
@@ -0,0 +1,246 @@
+import {
+  FinishedTasks,
+  getDueMs,
+  getOccurrences,
+  getTaskName,
+  isLasting,
+  isTimed,
+  type CheckpointRow,
+  type FailureRow,
+  type ProgressRecord,
+  type Queue,
+  type Step,
+  type Submission,
+  type SubmissionStatus,
+} from '../submissions/index.js';
+import {Task} from './task.js';
+
+/** The tasks of one step of one occurrence. */
+export class StepTasks {
+  finished = 0;
+
+  constructor(
+    readonly occurrence: number,
+    readonly index: number,
+    readonly step: Step,
+    readonly tasks: readonly Task[],
+  ) {}
+
+  /** Whether all tasks are finished. */
+  get isFinished(): boolean {
+    return this.finished >= this.tasks.length;
+  }
+}
+
+/** One occurrence of a submission; a submission without dates has one. */
+export class Occurrence {
+  constructor(
+    readonly index: number,
+    /** Time at which its objective begins. */
+    readonly dueAt: number,
+    readonly steps: readonly StepTasks[],
+  ) {}
+
+  /** Whether all tasks of all steps are finished. */
+  get isFinished(): boolean {
+    return this.steps.every(step => step.isFinished);
+  }
+
+  /** Returns the steps whose tasks may run: unfinished, and everything before them is finished. */
+  getOpenSteps(): StepTasks[] {
+    return this.steps.filter(
+      step => !step.isFinished && step.step.after.every(before => this.steps[before]?.isFinished),
+    );
+  }
+}
+
+/** Options of `ActiveSubmission`. */
+export interface ActiveSubmissionOptions {
+  readonly submission: Submission;
+  readonly queue: Queue | undefined;
+  readonly progress?: ProgressRecord;
+  /** Time at which the submission was accepted. */
+  readonly arrivedAt: number;
+  /** Highest run number that former owners may have used. */
+  readonly firstRun?: number;
+  /** Whether a former owner may have started tasks. */
+  readonly isUncertain?: boolean;
+}
+
+/** A submission that the dispatcher works on, or whose final state it still tells. */
+export class ActiveSubmission {
+  readonly submission: Submission;
+  /** Terms of the queue; those of the last configuration that had it. */
+  queue: Queue | undefined;
+  readonly arrivedAt: number;
+  readonly isLasting: boolean;
+  /** Occurrences that have become due, without those that are finished. */
+  readonly occurrences: Occurrence[] = [];
+  /** Final state as decided; callers see it once it is stored. */
+  final?: ProgressRecord['final'];
+  isFinalStored = false;
+  endedAtMs = 0;
+  hasStarted = false;
+  /** Whether the stored progress is behind. */
+  isChanged = false;
+  private isUncertain: boolean;
+  private nextOccurrence = 0;
+  private readonly firstRun: number;
+  private readonly finished: FinishedTasks;
+  private readonly failures: readonly FailureRow[];
+  private readonly checkpoints: readonly CheckpointRow[];
+
+  constructor(options: ActiveSubmissionOptions) {
+    const {submission, progress} = options;
+    this.submission = submission;
+    this.queue = options.queue;
+    this.arrivedAt = options.arrivedAt;
+    this.isLasting = isLasting(submission);
+    this.firstRun = options.firstRun ?? 0;
+    this.isUncertain = options.isUncertain ?? false;
+    this.finished = FinishedTasks.fromRecord(progress?.finished ?? {});
+    this.failures = progress?.failures ?? [];
+    this.checkpoints = progress?.checkpoints ?? [];
+    this.hasStarted = Object.keys(progress?.finished ?? {}).length > 0;
+    if (progress?.final !== undefined) {
+      this.final = progress.final;
+      this.isFinalStored = true;
+      this.endedAtMs = progress.endedAtMs ?? 0;
+    }
+  }
+
+  /** Caller's id. */
+  get id(): string {
+    return this.submission.id;
+  }
+
+  /** Service whose workers run the tasks. */
+  get service(): string {
+    return this.queue?.service ?? this.submission.service;
+  }
+
+  /** Whether work may still be started. */
+  get isActive(): boolean {
+    return this.final === undefined;
+  }
+
+  /** Whether some task of a former owner has not been accounted for. */
+  get hasUncertainTasks(): boolean {
+    return this.isUncertain;
+  }
+
+  /** State as callers may see it: a final state only after it has been stored. */
+  get status(): SubmissionStatus {
+    if (this.final !== undefined && this.isFinalStored) return this.final;
+    return this.hasStarted ? 'running' : 'queued';
+  }
+
+  /** Opens the occurrences that are due; returns whether there were any. */
+  openDue(at: number, wallMs: number): boolean {
+    let opened = false;
+    while (this.nextOccurrence < getOccurrences(this.submission)) {
+      const dueMs = getDueMs(this.submission, this.nextOccurrence);
+      if (dueMs > wallMs) break;
+      const dueAt = isTimed(this.submission) ? at - (wallMs - dueMs) : this.arrivedAt;
+      const occurrence = this.createOccurrence(this.nextOccurrence, dueAt);
+      if (!occurrence.isFinished) this.occurrences.push(occurrence);
+      this.nextOccurrence += 1;
+      opened = true;
+    }
+    return opened;
+  }
+
+  /** Whether every task of every occurrence is finished. */
+  get isFinished(): boolean {
+    return (
+      this.nextOccurrence >= getOccurrences(this.submission) &&
+      this.occurrences.every(occurrence => occurrence.isFinished)
+    );
+  }
+
+  /** Returns a task by its place; opens its occurrence when a worker already runs it. */
+  getTask(occurrence: number, step: number, index: number): Task | undefined {
+    const open = this.occurrences.find(candidate => candidate.index === occurrence);
+    return open?.steps[step]?.tasks[index];
+  }
+
+  /** Marks a task as finished; returns false when it was before. */
+  finish(task: Task): boolean {
+    if (!this.finished.add(task.occurrence, task.stepIndex, task.index)) return false;
+    task.isFinished = true;
+    const occurrence = this.occurrences.find(candidate => candidate.index === task.occurrence);
+    const step = occurrence?.steps[task.stepIndex];
+    if (step) step.finished += 1;
+    this.isChanged = true;
+    return true;
+  }
+
+  /** Drops occurrences without unfinished tasks or runs. */
+  dropFinished(): void {
+    for (let i = this.occurrences.length - 1; i >= 0; i -= 1) {
+      const occurrence = this.occurrences[i];
+      if (!occurrence?.isFinished) continue;
+      const busy = occurrence.steps.some(step => step.tasks.some(task => task.runs.length > 0));
+      if (!busy && this.occurrences.length > 1) this.occurrences.splice(i, 1);
+    }
+  }
+
+  /** All tasks of the open occurrences. */
+  *getTasks(): Generator<Task> {
+    for (const occurrence of this.occurrences) {
+      for (const step of occurrence.steps) yield* step.tasks;
+    }
+  }
+
+  /** Declares that no former owner's runs are left beyond those that workers have listed. */
+  clearUncertainty(): void {
+    this.isUncertain = false;
+    for (const task of this.getTasks()) task.isUncertain = false;
+  }
+
+  /** Returns the stored form. */
+  toRecord(): ProgressRecord {
+    const failures: FailureRow[] = [];
+    const checkpoints: CheckpointRow[] = [];
+    if (this.final === undefined) {
+      for (const task of this.getTasks()) {
+        if (task.isFinished) continue;
+        const {occurrence, stepIndex, index} = task;
+        if (task.failures > 0) failures.push([occurrence, stepIndex, index, task.failures]);
+        if (task.checkpoint !== '') {
+          checkpoints.push([occurrence, stepIndex, index, task.checkpoint]);
+        }
+      }
+    }
+    return {
+      ...(this.final !== undefined && {final: this.final, endedAtMs: this.endedAtMs}),
+      finished: this.final === undefined ? this.finished.toRecord() : {},
+      failures,
+      checkpoints,
+    };
+  }
+
+  private createOccurrence(index: number, dueAt: number): Occurrence {
+    const steps = this.submission.steps.map((step, stepIndex) => {
+      const tasks = Array.from({length: step.count}, (_, taskIndex) =>
+        this.createTask(index, stepIndex, taskIndex, step),
+      );
+      const group = new StepTasks(index, stepIndex, step, tasks);
+      group.finished = tasks.filter(task => task.isFinished).length;
+      return group;
+    });
+    return new Occurrence(index, dueAt, steps);
+  }
+
+  private createTask(occurrence: number, stepIndex: number, index: number, step: Step): Task {
+    const name = getTaskName(this.id, occurrence, stepIndex, index);
+    const task = new Task(this, name, occurrence, stepIndex, index, step, this.firstRun);
+    task.isFinished = this.finished.has(occurrence, stepIndex, index);
+    task.isUncertain = this.isUncertain;
+    const isOwn = (row: readonly [number, number, number, unknown]) =>
+      row[0] === occurrence && row[1] === stepIndex && row[2] === index;
+    task.failures = this.failures.find(isOwn)?.[3] ?? 0;
+    task.checkpoint = this.checkpoints.find(isOwn)?.[3] ?? '';
+    return task;
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/dispatch/decision-log.ts
@@ -0,0 +1,41 @@
+/** Names of the decisions and beliefs that the dispatching entry logs. */
+export type DecisionEvent =
+  | 'ownership-begun'
+  | 'ownership-ended'
+  | 'recovery-finished'
+  | 'submission-accepted'
+  | 'submission-restored'
+  | 'submission-ended'
+  | 'submission-cancelled'
+  | 'run-placed'
+  | 'run-refused'
+  | 'run-unresolved'
+  | 'run-adopted'
+  | 'run-stopped'
+  | 'run-ended'
+  | 'run-lost'
+  | 'run-unexpected'
+  | 'run-paced'
+  | 'worker-up'
+  | 'worker-draining'
+  | 'worker-gone'
+  | 'worker-unreachable'
+  | 'worker-reachable'
+  | 'worker-suspended'
+  | 'progress-stored'
+  | 'progress-not-stored'
+  | 'configuration-used';
+
+/** One decision with the inputs that decided it. */
+export interface LoggedDecision {
+  readonly event: DecisionEvent;
+  /** Id of the submission that the decision touches. */
+  readonly submission?: string;
+  readonly task?: string;
+  readonly run?: number;
+  readonly worker?: string;
+  readonly reason?: string;
+  /** Age in milliseconds of the input that decided. */
+  readonly ageMs?: number;
+  readonly [field: string]: string | number | boolean | undefined;
+}
--- /dev/null
+++ b/packages/coordination/src/dispatch/dispatch-state.ts
@@ -0,0 +1,90 @@
+import type {Queue, QueueConfiguration} from '../submissions/index.js';
+import {RunTimeEstimates} from '../tasks/round/run-time-estimates.js';
+import type {ActiveSubmission} from './active-submission.js';
+import type {OwnerMessage} from './agent-messages.js';
+import type {LoggedDecision} from './decision-log.js';
+import type {DispatchEffect} from './dispatch-events.js';
+import type {DispatchTiming} from './dispatch-timing.js';
+import type {WorkerView} from './worker-view.js';
+
+/** Name under which run times of a queue are learned; estimates are kept for each queue as a whole. */
+const allWorkloads = '';
+
+/** What the parts of the dispatcher share. */
+export class DispatchState {
+  /** Fencing token of the present ownership; 0 when another process is the owner. */
+  term = 0;
+  generation = 0;
+  configuration: QueueConfiguration | undefined;
+  readonly submissions = new Map<string, ActiveSubmission>();
+  /** Workers by the name of their agent. */
+  readonly workers = new Map<string, WorkerView>();
+  /** Learned ratio of run times to their estimates, for each queue. */
+  readonly runTimes = new RunTimeEstimates();
+  /** Whether tasks may have become startable since the last round. */
+  isRoundDue = false;
+  private wallOffset = 0;
+  private nextOrder = 1;
+  private effects: DispatchEffect[] = [];
+
+  constructor(readonly timing: DispatchTiming) {}
+
+  /** Takes in a reading of the wall clock. */
+  readWall(wallMs: number, at: number): void {
+    this.wallOffset = wallMs - at;
+  }
+
+  /** Returns the Unix time in milliseconds. */
+  getWall(at: number): number {
+    return at + this.wallOffset;
+  }
+
+  /** Returns the factor on the declared run times of a queue. */
+  getRunTimeFactor(queue: Queue | undefined): number {
+    return queue === undefined ? 1 : this.runTimes.getFactor(queue.key, allWorkloads, 0);
+  }
+
+  /** Records the run time of a finished task. */
+  observeRunTime(queue: Queue | undefined, estimatedMs: number, actualMs: number): void {
+    if (queue !== undefined) {
+      this.runTimes.observe(queue.key, allWorkloads, estimatedMs / 1000, actualMs / 1000);
+    }
+  }
+
+  /** Returns the number of a new order. */
+  takeOrder(): number {
+    return this.nextOrder++;
+  }
+
+  /** Sends a message to an agent. */
+  send(agent: string, message: OwnerMessage): void {
+    this.effects.push({kind: 'send', agent, message});
+  }
+
+  /** Logs a decision. */
+  log(decision: LoggedDecision): void {
+    this.effects.push({kind: 'log', decision});
+  }
+
+  /** Adds to a counter. */
+  count(name: string, by = 1): void {
+    this.effects.push({kind: 'count', name, by});
+  }
+
+  /** Adds a duration in milliseconds to a histogram. */
+  observe(name: string, valueMs: number): void {
+    this.effects.push({kind: 'observe', name, valueMs});
+  }
+
+  /** Adds any other effect. */
+  emit(effect: DispatchEffect): void {
+    this.effects.push(effect);
+  }
+
+  /** Returns the collected effects and starts anew. */
+  take(): readonly DispatchEffect[] {
+    const taken = this.effects;
+    this.effects = [];
+    return taken;
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/dispatch/index.ts
@@ -0,0 +1,6 @@
+export * from './agent-messages.js';
+export * from './decision-log.js';
+export * from './dispatch-events.js';
+export * from './dispatch-timing.js';
+export * from './dispatcher.js';
+export {decideAdmission, type Admission, type QueueLevel} from './policy/admission-level.js';
--- /dev/null
+++ b/packages/coordination/src/dispatch/policy/admission-level.ts
@@ -0,0 +1,146 @@
+import {
+  getChainMs,
+  getObjectiveMs,
+  getWorkMs,
+  isLasting,
+  type Queue,
+  type Step,
+} from '../../submissions/index.js';
+import type {DispatchState} from '../dispatch-state.js';
+
+/** Part of its objective that a submission may be expected to exceed before it is refused. */
+const objectiveSlack = 1.1;
+
+/** Part of the free time of the workers that is used in a backlog; rooms of odd sizes stay free. */
+const usableShare = 0.85;
+
+/** Shortest and longest time in seconds after which a refused caller is told to return. */
+const shortestRetrySeconds = 1;
+const longestRetrySeconds = 30;
+
+/** Backlog that new work of one queue finds. */
+export interface QueueLevel {
+  readonly queue: string;
+  /** Accepted submissions without dates of which no task has started. */
+  readonly pending: number;
+  /** Expected time in milliseconds until accepted work of the same or higher urgency is done. */
+  readonly waitMs: number;
+  /** Learned ratio of run times to their estimates. */
+  readonly runTimeFactor: number;
+  /** Processors on which the queue's work can run. */
+  readonly cores: number;
+}
+
+/** Decision on a new submission. */
+export type Admission =
+  | {readonly kind: 'accept'}
+  | {readonly kind: 'refuse'; readonly retryAfterSeconds: number; readonly waitMs: number};
+
+/** Returns the backlog of each queue of the configuration. */
+export function getQueueLevels(state: DispatchState, at: number): QueueLevel[] {
+  const {configuration} = state;
+  if (configuration === undefined) return [];
+  const demand = collectDemand(state);
+  const levels: QueueLevel[] = [];
+  for (const queue of configuration.queues.values()) {
+    const cores = getCores(state, queue.service, at);
+    let work = 0;
+    let lasting = 0;
+    for (const entry of demand) {
+      if (entry.service !== queue.service) continue;
+      if (entry.isLasting) lasting += entry.cores;
+      else if (entry.priority <= queue.priority) work += entry.workMs;
+    }
+    const usable = Math.max(0.1, (cores - lasting) * usableShare);
+    levels.push({
+      queue: queue.key,
+      pending: countPending(state, queue.key),
+      waitMs: cores > 0 ? work / usable : 0,
+      runTimeFactor: state.getRunTimeFactor(queue),
+      cores,
+    });
+  }
+  return levels;
+}
+
+/**
+ * Decides whether a new submission is accepted. It answers a flood: what cannot meet its objective behind the
+ * accepted work is refused at once, so that what was accepted stays in time and the caller can go elsewhere.
+ */
+export function decideAdmission(
+  queue: Queue,
+  steps: readonly Step[],
+  isTimed: boolean,
+  level: QueueLevel | undefined,
+): Admission {
+  if (level === undefined || level.cores === 0 || isTimed || isLasting({steps})) {
+    return {kind: 'accept'};
+  }
+  const factor = level.runTimeFactor;
+  const objectiveMs = getObjectiveMs(queue, steps, factor) * objectiveSlack;
+  const ownMs = getChainMs(steps, factor);
+  const widthMs = getWorkMs(steps, factor) / level.cores;
+  const endMs = level.waitMs + Math.max(ownMs, widthMs);
+  if (endMs <= objectiveMs) return {kind: 'accept'};
+  const seconds = Math.ceil((endMs - objectiveMs) / 1000);
+  const retryAfterSeconds = Math.min(longestRetrySeconds, Math.max(shortestRetrySeconds, seconds));
+  return {kind: 'refuse', retryAfterSeconds, waitMs: Math.round(level.waitMs)};
+}
+
+interface Demand {
+  readonly service: string;
+  readonly priority: number;
+  readonly isLasting: boolean;
+  readonly workMs: number;
+  readonly cores: number;
+}
+
+function collectDemand(state: DispatchState): Demand[] {
+  const demand: Demand[] = [];
+  for (const submission of state.submissions.values()) {
+    if (!submission.isActive) continue;
+    const factor = state.getRunTimeFactor(submission.queue);
+    let workMs = 0;
+    let cores = 0;
+    for (const occurrence of submission.occurrences) {
+      for (const group of occurrence.steps) {
+        const left = group.tasks.length - group.finished;
+        if (group.step.lasting) cores += left * group.step.need.processors;
+        else {
+          const running = group.tasks.reduce(
+            (sum, task) => sum + (task.isFinished ? 0 : (task.runs[0]?.percent ?? 0) / 100),
+            0,
+          );
+          workMs += getWorkMs([{...group.step, count: Math.max(0, left - running)}], factor);
+        }
+      }
+    }
+    demand.push({
+      service: submission.service,
+      priority: submission.queue?.priority ?? 0,
+      isLasting: submission.isLasting,
+      workMs,
+      cores,
+    });
+  }
+  return demand;
+}
+
+function getCores(state: DispatchState, service: string, at: number): number {
+  let cores = 0;
+  for (const worker of state.workers.values()) {
+    if (worker.description.service !== service || worker.isDraining) continue;
+    if (at - worker.heardAt >= state.timing.unreachableMs || worker.health.isSuspended(at)) continue;
+    cores += worker.capacity.processors;
+  }
+  return cores;
+}
+
+function countPending(state: DispatchState, queue: string): number {
+  let pending = 0;
+  for (const submission of state.submissions.values()) {
+    if (submission.submission.queue !== queue || !submission.isActive) continue;
+    if (!submission.hasStarted && submission.submission.repetitions === 0) pending += 1;
+  }
+  return pending;
+}
--- /dev/null
+++ b/packages/coordination/src/dispatch/policy/index.ts
@@ -0,0 +1,6 @@
+export * from './admission-level.js';
+export * from './filler-pacing.js';
+export * from './placement-round.js';
+export * from './run-supervision.js';
+export * from './submission-order.js';
+export * from './worker-choice.js';
--- /dev/null
+++ b/packages/coordination/src/dispatch/policy/worker-choice.ts
@@ -0,0 +1,146 @@
+import type {StepTasks} from '../active-submission.js';
+import type {DispatchState} from '../dispatch-state.js';
+import type {Task} from '../task.js';
+import type {WorkerView} from '../worker-view.js';
+
+/** Rounding error of sums of cores. */
+const coreTolerance = 1e-6;
+
+/** Part of a worker's cores that only the most urgent work may take, so that it starts at once in a flood. */
+const urgentReserve = 0.04;
+
+/** Part of its processors that a filling task must find unused. */
+const fillShare = 0.5;
+
+/** Costs of a place; the place with the lowest sum is taken. */
+const costs = {
+  /** The task has failed or stood still there before. */
+  avoided: 1_000,
+  /** The newest runs there have failed. */
+  doubtful: 100,
+  /** For each multiple of the usual run time. */
+  slowness: 20,
+  /** The data is on another rack, or other tasks of the step are. */
+  otherRack: 5,
+  /** A filling task beside a serving one with a latency target. */
+  besideServing: 8,
+  /** A serving task beside filling ones, for each core that they would use. */
+  besideFills: 0.5,
+  /** A serving task on a worker without others; they are kept together. */
+  firstServing: 2,
+  /** Free part of the worker's cores: full workers first keep room for large tasks. */
+  free: 1,
+};
+
+/** Chooses workers for tasks. It answers scattered free room, slow and failing workers, and interference. */
+export class WorkerChoice {
+  private readonly open: WorkerView[];
+
+  constructor(
+    private readonly state: DispatchState,
+    at: number,
+  ) {
+    const {unreachableMs} = state.timing;
+    this.open = [...state.workers.values()].filter(worker => {
+      if (!worker.isOpen(at, unreachableMs) || worker.health.isSuspended(at)) return false;
+      return !worker.health.isOnProbation(at) || worker.runs.size === 0;
+    });
+  }
+
+  /** Number of workers that may take tasks. */
+  get size(): number {
+    return this.open.length;
+  }
+
+  /** Returns the best worker for a task, or undefined when none has room. */
+  choose(task: Task, group: StepTasks, priority: number): WorkerView | undefined {
+    let best: WorkerView | undefined;
+    let bestCost = Number.POSITIVE_INFINITY;
+    for (const worker of this.open) {
+      if (!this.isEligible(worker, task, group, priority)) continue;
+      const cost = this.getCost(worker, task, group);
+      if (cost < bestCost) {
+        best = worker;
+        bestCost = cost;
+      }
+    }
+    return best;
+  }
+
+  private isEligible(
+    worker: WorkerView,
+    task: Task,
+    group: StepTasks,
+    priority: number,
+  ): boolean {
+    const {description, capacity, used} = worker;
+    const {step} = task;
+    if (description.service !== task.submission.service) return false;
+    if (step.label !== undefined && !description.labels.includes(step.label)) return false;
+    if (task.runs.some(run => run.worker === worker)) return false;
+    if (used.memoryMb + step.need.memoryMb > capacity.memoryMb) return false;
+    if (used.accelerators + step.need.accelerators > capacity.accelerators) return false;
+    const free = capacity.processors - used.processors + coreTolerance;
+    if (step.fills) {
+      if (free - worker.fillLoad < step.need.processors * fillShare) return false;
+    } else {
+      const reserve = priority > 0 ? capacity.processors * urgentReserve : 0;
+      if (free - reserve < step.need.processors) return false;
+    }
+    if (step.spreadLimit !== undefined) {
+      if (countRuns(worker, group) >= step.spreadLimit) return false;
+    }
+    if (worker.health.isOnProbation(worker.heardAt)) return worker.runs.size === 0;
+    return true;
+  }
+
+  private getCost(worker: WorkerView, task: Task, group: StepTasks): number {
+    const {step} = task;
+    const {processors} = worker.capacity;
+    let cost = 0;
+    if (task.avoided.has(worker.life)) cost += costs.avoided;
+    if (worker.health.isDoubtful) cost += costs.doubtful;
+    cost += Math.max(0, worker.slowness - 1) * costs.slowness;
+    if (step.rack !== undefined && step.rack !== worker.description.rack) cost += costs.otherRack;
+    if (step.sameRack && !isOnRackOf(worker, group)) cost += costs.otherRack;
+    const serving = countServing(worker);
+    const free = (processors - worker.used.processors) / Math.max(1, processors);
+    if (step.fills) {
+      const unused = processors - worker.used.processors - worker.fillLoad;
+      return cost + serving * costs.besideServing - unused / Math.max(1, processors);
+    }
+    if (step.lasting) {
+      if (step.tailTargetMs !== undefined) cost += worker.fillLoad * costs.besideFills;
+      if (serving === 0) cost += costs.firstServing;
+    }
+    return cost + free * costs.free;
+  }
+}
+
+/** Number of serving tasks with a latency target on a worker. */
+export function countServing(worker: WorkerView): number {
+  let count = 0;
+  for (const run of worker.runs.values()) {
+    if (run.task.step.lasting && run.task.step.tailTargetMs !== undefined) count += 1;
+  }
+  return count;
+}
+
+function countRuns(worker: WorkerView, group: StepTasks): number {
+  let count = 0;
+  for (const run of worker.runs.values()) {
+    const {task} = run;
+    const sameStep = task.stepIndex === group.index && task.occurrence === group.occurrence;
+    if (sameStep && task.submission === group.tasks[0]?.submission) count += 1;
+  }
+  return count;
+}
+
+/** Whether the tasks of a step that already run are on the worker's rack; true when none runs. */
+function isOnRackOf(worker: WorkerView, group: StepTasks): boolean {
+  for (const task of group.tasks) {
+    const [run] = task.runs;
+    if (run) return run.worker.description.rack === worker.description.rack;
+  }
+  return true;
+}
--- /dev/null
+++ b/packages/coordination/src/dispatch/progress-journal.ts
@@ -0,0 +1,198 @@
+import type {ActiveSubmission} from './active-submission.js';
+import type {ProgressWrite, RosterEntry, WriteResult} from './dispatch-events.js';
+import type {DispatchState} from './dispatch-state.js';
+import type {WorkerView} from './worker-view.js';
+
+/** Records of one write; the store takes 32 entries, two of which are the roster and a reserve. */
+const maxRecords = 30;
+
+interface WaitingEnd {
+  readonly worker: WorkerView;
+  readonly end: number;
+  readonly submission: ActiveSubmission;
+}
+
+interface PendingWrite {
+  readonly sequence: number;
+  readonly write: ProgressWrite;
+  readonly submissions: readonly ActiveSubmission[];
+  readonly finals: readonly ActiveSubmission[];
+  readonly ends: readonly WaitingEnd[];
+  readonly rosterLives?: ReadonlySet<string>;
+  readonly sentAt: number;
+}
+
+/** Stores what has been decided, several submissions in one write, and acknowledges ends once they are stored. */
+export class ProgressJournal {
+  private readonly changed = new Set<ActiveSubmission>();
+  private readonly forgotten = new Set<string>();
+  private ends: WaitingEnd[] = [];
+  private pending: PendingWrite | undefined;
+  private nextSequence = 1;
+  private changedAt = Number.POSITIVE_INFINITY;
+  private isUrgent = false;
+  private retryAt = Number.NEGATIVE_INFINITY;
+  /** Lives of workers that the stored roster lists. */
+  private storedRoster = new Set<string>();
+  private isRosterChanged = false;
+
+  /** `getMissing` returns workers of a former owner that have not been accounted for. */
+  constructor(
+    private readonly state: DispatchState,
+    private readonly getMissing: () => readonly RosterEntry[] = () => [],
+  ) {}
+
+  /** Starts anew with the roster that the store holds. */
+  reset(roster: readonly RosterEntry[]): void {
+    this.changed.clear();
+    this.forgotten.clear();
+    this.ends = [];
+    this.pending = undefined;
+    this.isUrgent = false;
+    this.changedAt = Number.POSITIVE_INFINITY;
+    this.storedRoster = new Set(roster.map(entry => entry.life));
+    this.isRosterChanged = false;
+  }
+
+  /** Notes that a submission must be stored; `urgent` when a caller or a worker waits for it. */
+  change(submission: ActiveSubmission, at: number, urgent = false): void {
+    this.changed.add(submission);
+    this.changedAt = Math.min(this.changedAt, at);
+    this.isUrgent ||= urgent;
+  }
+
+  /** Notes an end that may be acknowledged once the submission has been stored. */
+  addEnd(worker: WorkerView, end: number, submission: ActiveSubmission): void {
+    this.ends.push({worker, end, submission});
+  }
+
+  /** Notes that the records of a submission are no longer needed. */
+  forget(id: string): void {
+    this.forgotten.add(id);
+  }
+
+  /** Notes that the set of workers has changed. */
+  changeRoster(): void {
+    this.isRosterChanged = true;
+  }
+
+  /** Whether the stored roster has the life of a worker. */
+  isListed(life: string): boolean {
+    return this.storedRoster.has(life);
+  }
+
+  /** Sends the next write when one is due. */
+  flush(at: number): void {
+    const {timing} = this.state;
+    if (this.pending !== undefined || at < this.retryAt) return;
+    const due = this.isUrgent || at - this.changedAt >= timing.progressDelayMs;
+    const hasRecords = due && this.changed.size > 0;
+    if (!hasRecords && !this.isRosterChanged && this.forgotten.size === 0) return;
+    const submissions = hasRecords ? this.takeChanged() : [];
+    const forgotten = [...this.forgotten].slice(0, Math.floor((maxRecords - submissions.length) / 3));
+    const roster = this.isRosterChanged ? this.getRoster() : undefined;
+    this.isRosterChanged = false;
+    const included = new Set(submissions);
+    const write: ProgressWrite = {
+      progress: submissions.map(submission => ({id: submission.id, record: submission.toRecord()})),
+      ...(roster && {roster}),
+      forgotten,
+    };
+    for (const id of forgotten) this.forgotten.delete(id);
+    this.pending = {
+      sequence: this.nextSequence++,
+      write,
+      submissions,
+      finals: submissions.filter(submission => submission.final !== undefined),
+      ends: this.ends.filter(end => included.has(end.submission)),
+      ...(roster && {rosterLives: new Set(roster.map(entry => entry.life))}),
+      sentAt: at,
+    };
+    this.ends = this.ends.filter(end => !included.has(end.submission));
+    this.send();
+  }
+
+  /** Takes in the result of a write. */
+  finish(sequence: number, result: WriteResult, at: number): void {
+    const {pending, state} = this;
+    if (pending === undefined || pending.sequence !== sequence) return;
+    if (result === 'conflict') {
+      this.pending = undefined;
+      state.emit({kind: 'deposed', reason: 'write-conflict'});
+      return;
+    }
+    if (result !== 'ok') {
+      state.count('progress_writes_retried');
+      state.log({event: 'progress-not-stored', reason: result, ageMs: at - pending.sentAt});
+      this.retryAt = at + state.timing.writeRetryMs;
+      return;
+    }
+    this.pending = undefined;
+    this.finishWrite(pending, at);
+  }
+
+  /** Repeats a write whose retry is due; a write is idempotent as long as this process is the owner. */
+  retry(at: number): void {
+    if (this.pending === undefined || at < this.retryAt) return;
+    if (this.retryAt === Number.NEGATIVE_INFINITY) return;
+    this.retryAt = Number.NEGATIVE_INFINITY;
+    this.send();
+  }
+
+  private send(): void {
+    const {pending} = this;
+    if (pending === undefined) return;
+    this.state.emit({kind: 'write', sequence: pending.sequence, write: pending.write});
+  }
+
+  private finishWrite(pending: PendingWrite, at: number): void {
+    const {state} = this;
+    state.observe('progress_write', at - pending.sentAt);
+    for (const {worker, end} of pending.ends) worker.ends.store(end);
+    for (const submission of pending.finals) {
+      if (submission.isFinalStored) continue;
+      submission.isFinalStored = true;
+      state.observe(`submission_${submission.final}`, at - submission.arrivedAt);
+      state.log({
+        event: 'submission-ended',
+        submission: submission.id,
+        reason: submission.final,
+        ageMs: Math.round(at - submission.arrivedAt),
+        queue: submission.queue?.name,
+      });
+    }
+    if (pending.rosterLives) {
+      this.storedRoster = new Set(pending.rosterLives);
+      for (const worker of state.workers.values()) {
+        if (this.storedRoster.has(worker.life) && !worker.isListed) {
+          worker.isListed = true;
+          state.isRoundDue = true;
+        }
+      }
+    }
+  }
+
+  private takeChanged(): ActiveSubmission[] {
+    const finals: ActiveSubmission[] = [];
+    const others: ActiveSubmission[] = [];
+    for (const submission of this.changed) {
+      (submission.final === undefined ? others : finals).push(submission);
+    }
+    const taken = [...finals, ...others].slice(0, maxRecords);
+    for (const submission of taken) {
+      this.changed.delete(submission);
+      submission.isChanged = false;
+    }
+    if (this.changed.size === 0) {
+      this.isUrgent = false;
+      this.changedAt = Number.POSITIVE_INFINITY;
+    }
+    return taken;
+  }
+
+  private getRoster(): RosterEntry[] {
+    const present = [...this.state.workers.values()].map(({agent, life}) => ({agent, life}));
+    const lives = new Set(present.map(entry => entry.life));
+    return [...present, ...this.getMissing().filter(entry => !lives.has(entry.life))];
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/dispatch/run-orders.ts
@@ -0,0 +1,129 @@
+import type {DispatchState} from './dispatch-state.js';
+import {Run, type Task} from './task.js';
+import type {WorkerView} from './worker-view.js';
+
+/** Starts, stops and paces runs. */
+export class RunOrders {
+  constructor(private readonly state: DispatchState) {}
+
+  /** Starts the next run of a task; members of a gang pass the run number that they share. */
+  start(task: Task, worker: WorkerView, at: number, number = task.lastRun + 1): Run {
+    const {state} = this;
+    const run = new Run(task, number, worker, at);
+    task.lastRun = number;
+    task.runs.push(run);
+    worker.add(run);
+    run.order = state.takeOrder();
+    run.checkpoint = task.checkpoint;
+    state.count('runs_started');
+    state.log({
+      event: 'run-placed',
+      submission: task.submission.id,
+      task: task.name,
+      run: number,
+      worker: worker.life,
+      ageMs: Math.round(at - worker.heardAt),
+      freeCores: worker.capacity.processors - worker.used.processors,
+      copy: task.runs.length > 1,
+    });
+    state.send(worker.agent, {
+      kind: 'start',
+      order: run.order,
+      life: worker.life,
+      term: state.term,
+      task: task.name,
+      run: number,
+      spec: task.submission.submission.spec,
+      deadlineMs: worker.grantDeadline(state.timing.leaseMs, at),
+      ...(task.checkpoint !== '' && {checkpoint: task.checkpoint}),
+    });
+    return run;
+  }
+
+  /** Stops a run, or repeats the stop. The run stays on the worker until its end is known. */
+  stop(run: Run, reason: string, at: number): void {
+    const {state} = this;
+    const isFirst = run.state !== 'stopping' && run.state !== 'unresolved';
+    if (run.state !== 'unresolved') run.state = 'stopping';
+    run.order = state.takeOrder();
+    run.orderedAt = at;
+    if (isFirst) {
+      state.count('runs_stopped');
+      state.log({
+        event: 'run-stopped',
+        submission: run.task.submission.id,
+        task: run.task.name,
+        run: run.number,
+        worker: run.worker.life,
+        reason,
+        percent: run.percent,
+      });
+    }
+    state.send(run.worker.agent, {
+      kind: 'stop',
+      order: run.order,
+      life: run.worker.life,
+      term: state.term,
+      task: run.task.name,
+      run: run.number,
+    });
+  }
+
+  /** Makes sure that an order without an answer is not carried out later: bars the run on its worker. */
+  resolve(run: Run, reason: string, at: number): void {
+    if (run.state !== 'unresolved') {
+      run.state = 'unresolved';
+      this.state.count('runs_unresolved');
+      this.state.log({
+        event: 'run-unresolved',
+        submission: run.task.submission.id,
+        task: run.task.name,
+        run: run.number,
+        worker: run.worker.life,
+        reason,
+        ageMs: Math.round(at - run.orderedAt),
+      });
+    }
+    this.stop(run, reason, at);
+  }
+
+  /** Stops every run of a task. */
+  stopAll(task: Task, reason: string, at: number): void {
+    for (const run of task.runs) {
+      if (run.state === 'starting' || run.state === 'running') this.stop(run, reason, at);
+    }
+  }
+
+  /** Lets a filling run work at a share of its pace. */
+  pace(run: Run, percent: number, reason: string): void {
+    const {state} = this;
+    run.pace = percent;
+    state.count('runs_paced');
+    state.log({
+      event: 'run-paced',
+      submission: run.task.submission.id,
+      task: run.task.name,
+      run: run.number,
+      worker: run.worker.life,
+      reason,
+      percent,
+    });
+    state.send(run.worker.agent, {
+      kind: 'pace',
+      order: state.takeOrder(),
+      life: run.worker.life,
+      term: state.term,
+      task: run.task.name,
+      run: run.number,
+      percent,
+    });
+  }
+
+  /** Removes a run that has ended or was never there; its task waits for the next one. */
+  remove(run: Run, notBefore = Number.NEGATIVE_INFINITY): void {
+    run.worker.remove(run);
+    run.task.remove(run);
+    run.task.notBefore = Math.max(run.task.notBefore, notBefore);
+    this.state.isRoundDue = true;
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/dispatch/submission-ends.ts
@@ -0,0 +1,60 @@
+import type {ActiveSubmission} from './active-submission.js';
+import type {DispatchState} from './dispatch-state.js';
+import type {ProgressJournal} from './progress-journal.js';
+import type {RunOrders} from './run-orders.js';
+import type {Task} from './task.js';
+
+/** Brings submissions to their final states. */
+export class SubmissionEnds {
+  constructor(
+    private readonly state: DispatchState,
+    private readonly orders: RunOrders,
+    private readonly journal: ProgressJournal,
+  ) {}
+
+  /** Cancels a submission: nothing more is started, and what runs is stopped. */
+  cancel(id: string, at: number): void {
+    const submission = this.state.submissions.get(id);
+    if (submission === undefined || !submission.isActive) return;
+    this.state.log({event: 'submission-cancelled', submission: id});
+    this.state.count('submissions_cancelled');
+    this.end(submission, 'cancelled', at);
+  }
+
+  /** Takes in a failed run of a task. */
+  fail(task: Task, at: number): void {
+    const {submission} = task;
+    task.failures += 1;
+    submission.isChanged = true;
+    if (task.step.lasting || !submission.isActive) return;
+    const limit = submission.queue?.maxAttempts ?? Number.POSITIVE_INFINITY;
+    if (task.failures >= limit) this.end(submission, 'failed', at);
+  }
+
+  /** Completes a submission whose tasks are all finished. */
+  checkFinished(submission: ActiveSubmission, at: number): void {
+    if (submission.isActive && submission.isFinished) this.end(submission, 'completed', at);
+  }
+
+  /** Drops a submission whose final state has been kept long enough. */
+  forgetOld(submission: ActiveSubmission, at: number): void {
+    if (!submission.isFinalStored) return;
+    const ageMs = this.state.getWall(at) - submission.endedAtMs;
+    if (ageMs < this.state.timing.keepFinalMs) return;
+    for (const task of submission.getTasks()) if (task.runs.length > 0) return;
+    this.state.submissions.delete(submission.id);
+    this.journal.forget(submission.id);
+  }
+
+  private end(
+    submission: ActiveSubmission,
+    final: 'completed' | 'failed' | 'cancelled',
+    at: number,
+  ): void {
+    submission.final = final;
+    submission.endedAtMs = Math.round(this.state.getWall(at));
+    for (const task of submission.getTasks()) this.orders.stopAll(task, final, at);
+    this.journal.change(submission, at, true);
+    this.state.count(`submissions_${final}`);
+  }
+}
--- a/packages/coordination/src/ownership/index.ts
+++ b/packages/coordination/src/ownership/index.ts
@@ -1,2 +1,3 @@
 export * from './cell-ownership.js';
 export * from './events.js';
+export * from './owner-election.js';
--- /dev/null
+++ b/packages/coordination/src/submissions/check-submission.ts
@@ -0,0 +1,147 @@
+import {isRecord, renderValue, type Finding} from '../findings/index.js';
+import type {Resources} from '../messages/identity.js';
+import type {Step, Submission} from './submission.js';
+
+/** Largest `spec` in bytes. */
+const maxSpecBytes = 4_000;
+/** Largest number of steps, tasks of a step and occurrences; above them a request is a mistake. */
+const maxSteps = 1_000;
+const maxTasks = 20_000;
+const maxOccurrences = 10_000;
+
+/** What a caller hands in, before it is known to be well formed. */
+export interface SubmissionDraft {
+  readonly spec?: unknown;
+  readonly steps?: unknown;
+  readonly repetitions?: unknown;
+  readonly startAtMs?: unknown;
+  readonly intervalMs?: unknown;
+}
+
+/** A draft that was checked, without what the entry adds on acceptance. */
+export type CheckedDraft = Pick<
+  Submission,
+  'spec' | 'steps' | 'repetitions' | 'startAtMs' | 'intervalMs'
+>;
+
+/** Result of a check. */
+export type DraftCheck =
+  | {readonly draft: CheckedDraft; readonly findings?: undefined}
+  | {readonly draft?: undefined; readonly findings: readonly Finding[]};
+
+class DraftReader {
+  readonly findings: Finding[] = [];
+
+  reject(place: string, value: unknown, allowed: string): void {
+    this.findings.push({source: 'body', place, value: renderValue(value), allowed});
+  }
+
+  number(place: string, value: unknown, max: number, min = 0): number {
+    if (value === undefined || value === null) return 0;
+    if (typeof value === 'number' && value >= min && value <= max) return value;
+    this.reject(place, value, `number from ${min} to ${max}`);
+    return 0;
+  }
+
+  whole(place: string, value: unknown, max: number, min = 0): number {
+    const number = this.number(place, value, max, min);
+    if (Number.isInteger(number)) return number;
+    this.reject(place, value, `whole number from ${min} to ${max}`);
+    return 0;
+  }
+
+  flag(place: string, value: unknown): boolean {
+    if (value === undefined || value === null) return false;
+    if (typeof value === 'boolean') return value;
+    this.reject(place, value, 'true or false');
+    return false;
+  }
+
+  text(place: string, value: unknown): string | undefined {
+    if (value === undefined || value === null || value === '') return undefined;
+    if (typeof value === 'string') return value;
+    this.reject(place, value, 'text');
+    return undefined;
+  }
+}
+
+/** Checks what a caller hands in and returns it or everything that is wrong with it. */
+export function checkDraft(fields: SubmissionDraft): DraftCheck {
+  const reader = new DraftReader();
+  const spec = typeof fields.spec === 'string' ? fields.spec : '';
+  if (typeof fields.spec !== 'string' && fields.spec !== undefined) {
+    reader.reject('spec', fields.spec, 'text');
+  }
+  if (spec.length > maxSpecBytes) {
+    reader.reject('spec', spec, `text of at most ${maxSpecBytes} bytes`);
+  }
+  const steps: Step[] = [];
+  if (!Array.isArray(fields.steps) || fields.steps.length === 0 || fields.steps.length > maxSteps) {
+    reader.reject('steps', fields.steps, `list of 1 to ${maxSteps} steps`);
+  } else {
+    fields.steps.forEach((value: unknown, index) => steps.push(readStep(reader, value, index)));
+  }
+  const draft: CheckedDraft = {
+    spec,
+    steps,
+    repetitions: reader.whole('repetitions', fields.repetitions, maxOccurrences),
+    startAtMs: reader.number('startAtMs', fields.startAtMs, Number.MAX_SAFE_INTEGER),
+    intervalMs: reader.number('intervalMs', fields.intervalMs, Number.MAX_SAFE_INTEGER),
+  };
+  return reader.findings.length > 0 ? {findings: reader.findings} : {draft};
+}
+
+function readStep(reader: DraftReader, value: unknown, index: number): Step {
+  const place = `steps[${index}]`;
+  const fields = isRecord(value) ? value : {};
+  if (!isRecord(value)) reader.reject(place, value, 'an object');
+  const spreadLimit = reader.whole(`${place}.spreadLimit`, fields.spreadLimit, maxTasks);
+  const tailTargetMs = reader.number(`${place}.tailTargetMs`, fields.tailTargetMs, 1e9);
+  const maxUnavailable = reader.whole(`${place}.maxUnavailable`, fields.maxUnavailable, maxTasks);
+  const label = reader.text(`${place}.label`, fields.label);
+  const rack = reader.text(`${place}.rack`, fields.rack);
+  const image = reader.text(`${place}.image`, fields.image);
+  return {
+    count: reader.whole(`${place}.count`, fields.count, maxTasks),
+    need: readNeed(reader, `${place}.need`, fields.need),
+    estimatedMs: reader.number(`${place}.estimatedMs`, fields.estimatedMs, 1e9),
+    after: readAfter(reader, `${place}.after`, fields.after, index),
+    checkpoints: reader.flag(`${place}.checkpoints`, fields.checkpoints),
+    gang: reader.flag(`${place}.gang`, fields.gang),
+    sameRack: reader.flag(`${place}.sameRack`, fields.sameRack),
+    speculative: reader.flag(`${place}.speculative`, fields.speculative),
+    lasting: reader.flag(`${place}.lasting`, fields.lasting),
+    fills: reader.flag(`${place}.fills`, fields.fills),
+    ...(label !== undefined && {label}),
+    ...(rack !== undefined && {rack}),
+    ...(image !== undefined && {image}),
+    ...(spreadLimit > 0 && {spreadLimit}),
+    ...(tailTargetMs > 0 && {tailTargetMs}),
+    ...(maxUnavailable > 0 && {maxUnavailable}),
+  };
+}
+
+function readNeed(reader: DraftReader, place: string, value: unknown): Resources {
+  const fields = isRecord(value) ? value : {};
+  return {
+    processors: reader.number(`${place}.processors`, fields.processors, 1e6),
+    memoryMb: reader.number(`${place}.memoryMb`, fields.memoryMb, 1e9),
+    accelerators: reader.number(`${place}.accelerators`, fields.accelerators, 1e6),
+    slots: 0,
+  };
+}
+
+function readAfter(
+  reader: DraftReader,
+  place: string,
+  value: unknown,
+  index: number,
+): readonly number[] {
+  if (value === undefined || value === null) return [];
+  if (Array.isArray(value) && value.every(step => Number.isInteger(step) && step >= 0)) {
+    const after = value as number[];
+    if (after.every(step => step < index)) return after;
+  }
+  reader.reject(place, value, `numbers of steps below ${index}`);
+  return [];
+}
--- /dev/null
+++ b/packages/coordination/src/submissions/objective.ts
@@ -0,0 +1,65 @@
+import {getOccurrences, type Queue, type Step, type Submission} from './submission.js';
+
+/** Run time in milliseconds that is assumed for a step without an estimate. */
+export const defaultEstimateMs = 1_000;
+
+/** Time in milliseconds of one start: order, worker and report of the end. */
+const startOverheadMs = 100;
+
+/** Returns the estimated run time of one task of a step in milliseconds. */
+export function getEstimateMs(step: Step): number {
+  return step.estimatedMs > 0 ? step.estimatedMs : defaultEstimateMs;
+}
+
+/**
+ * Returns the longest chain of a submission in milliseconds: the sum of run times along the steps that wait
+ * for each other. `isFinished` leaves out steps that are done; `factor` corrects the estimates.
+ */
+export function getChainMs(
+  steps: readonly Step[],
+  factor = 1,
+  isFinished: (step: number) => boolean = () => false,
+): number {
+  const ends: number[] = [];
+  let longest = 0;
+  steps.forEach((step, index) => {
+    let start = 0;
+    for (const before of step.after) start = Math.max(start, ends[before] ?? 0);
+    const own = isFinished(index) ? 0 : getEstimateMs(step) * factor + startOverheadMs;
+    const end = start + own;
+    ends.push(end);
+    longest = Math.max(longest, end);
+  });
+  return longest;
+}
+
+/** Returns the processor time of one occurrence in core-milliseconds. */
+export function getWorkMs(steps: readonly Step[], factor = 1): number {
+  let sum = 0;
+  for (const step of steps) {
+    if (!step.lasting) sum += step.count * step.need.processors * getEstimateMs(step) * factor;
+  }
+  return sum;
+}
+
+/** Whether the tasks of a submission serve until it is cancelled. */
+export function isLasting(submission: Pick<Submission, 'steps'>): boolean {
+  return submission.steps.some(step => step.lasting);
+}
+
+/** Whether a submission runs at given times. */
+export function isTimed(submission: Pick<Submission, 'repetitions'>): boolean {
+  return submission.repetitions > 0;
+}
+
+/** Returns the time in milliseconds within which one occurrence of a submission should be finished. */
+export function getObjectiveMs(queue: Queue, steps: readonly Step[], factor = 1): number {
+  return queue.stretchFactor * getChainMs(steps, factor) + queue.targetLatencyMs;
+}
+
+/** Returns the Unix time in milliseconds at which an occurrence is due; 0 means at once. */
+export function getDueMs(submission: Submission, occurrence: number): number {
+  if (!isTimed(submission)) return 0;
+  if (occurrence >= getOccurrences(submission)) return Number.POSITIVE_INFINITY;
+  return submission.startAtMs + occurrence * submission.intervalMs;
+}
--- /dev/null
+++ b/packages/coordination/src/submissions/progress.ts
@@ -0,0 +1,60 @@
+import {ItemSet} from '../tasks/ledger/item-set.js';
+import type {SubmissionStatus} from './submission.js';
+
+/** Failed runs of one task: occurrence, step, index and their number. */
+export type FailureRow = readonly [number, number, number, number];
+
+/** Checkpoint of one task: occurrence, step, index and the value. */
+export type CheckpointRow = readonly [number, number, number, string];
+
+/** What a new owner needs to know of a submission; stored in one value. */
+export interface ProgressRecord {
+  /** Final state, absent while the submission is active. */
+  readonly final?: 'completed' | 'failed' | 'cancelled';
+  /** Unix time in milliseconds of the final state. */
+  readonly endedAtMs?: number;
+  /** Finished tasks by `occurrence.step`, as hexadecimal digits of an `ItemSet`. */
+  readonly finished: Readonly<Record<string, string>>;
+  readonly failures: readonly FailureRow[];
+  readonly checkpoints: readonly CheckpointRow[];
+}
+
+/** Finished tasks of one submission. */
+export class FinishedTasks {
+  private readonly sets = new Map<string, ItemSet>();
+
+  /** Reads the stored form. */
+  static fromRecord(finished: Readonly<Record<string, string>>): FinishedTasks {
+    const tasks = new FinishedTasks();
+    for (const [key, text] of Object.entries(finished)) tasks.sets.set(key, ItemSet.fromText(text));
+    return tasks;
+  }
+
+  /** Whether a task is finished. */
+  has(occurrence: number, step: number, index: number): boolean {
+    return this.sets.get(`${occurrence}.${step}`)?.has(index) ?? false;
+  }
+
+  /** Adds a task; returns false when it was finished already. */
+  add(occurrence: number, step: number, index: number): boolean {
+    const key = `${occurrence}.${step}`;
+    let set = this.sets.get(key);
+    if (set === undefined) this.sets.set(key, (set = new ItemSet()));
+    return set.add(index);
+  }
+
+  /** Number of finished tasks of a step of an occurrence. */
+  getCount(occurrence: number, step: number): number {
+    return this.sets.get(`${occurrence}.${step}`)?.size ?? 0;
+  }
+
+  /** Returns the stored form. */
+  toRecord(): Record<string, string> {
+    return Object.fromEntries([...this.sets].map(([key, set]) => [key, set.toText()]));
+  }
+}
+
+/** Whether a state can no longer change. */
+export function isFinal(status: SubmissionStatus): boolean {
+  return status === 'completed' || status === 'failed' || status === 'cancelled';
+}
--- /dev/null
+++ b/packages/coordination/src/submissions/queue-index.ts
@@ -0,0 +1,27 @@
+import type {Queue} from './submission.js';
+
+/** Returns the key of a queue. */
+export function getQueueKey(host: string, prefix: string): string {
+  return `${host}${prefix}`;
+}
+
+/** Finds the queue of a request by its host and the longest prefix of its path. */
+export class QueueIndex {
+  private readonly byHost = new Map<string, Queue[]>();
+
+  constructor(queues: Iterable<Queue>) {
+    for (const queue of queues) {
+      const known = this.byHost.get(queue.host);
+      if (known) known.push(queue);
+      else this.byHost.set(queue.host, [queue]);
+    }
+    for (const list of this.byHost.values()) {
+      list.sort((a, b) => b.prefix.length - a.prefix.length);
+    }
+  }
+
+  /** Returns the queue, or undefined when no route matches. */
+  getQueue(host: string, path: string): Queue | undefined {
+    return this.byHost.get(host)?.find(queue => path.startsWith(queue.prefix));
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/dispatch/agent-node.ts
@@ -0,0 +1,381 @@
+import type {
+  AgentMessage,
+  Clock,
+  EndRow,
+  OrderOutcome,
+  OwnerMessage,
+  OwnerRecord,
+  RunRow,
+  WorkerDescription,
+} from '@chervilbeam/coordination';
+import type {Metrics} from '../metrics/index.js';
+import type {DecisionLogger} from './decision-logger.js';
+import {dialLink, type Link} from './link.js';
+import type {RecordStore} from './record-store.js';
+import {entryPrefix, ownerKey} from './store-keys.js';
+import type {HoldReply, WorkerPort} from './worker-port.js';
+
+/** Longest time in milliseconds that one renewal waits for an end; reports come at least this often. */
+const holdWaitMs = 800;
+/** Time in milliseconds between two lists of everything that runs. */
+const listMs = 500;
+/** Time in milliseconds between two attempts of a call that the worker did not answer. */
+const workerRetryMs = 250;
+/** Refused connections in a row that show that no process listens, and not just a restart of the listener. */
+const absentLimit = 3;
+/** Time in milliseconds between two attempts to find the owner. */
+const findOwnerMs = 300;
+/** Time in milliseconds for which a stop is repeated before its result counts as unknown. */
+const stopLimitMs = 2_500;
+
+/** Options of `AgentNode`. */
+export interface AgentNodeOptions {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly incarnation: number;
+  readonly store: RecordStore;
+  readonly worker: WorkerPort;
+  readonly clock: Clock;
+  readonly log: DecisionLogger;
+  readonly metrics: Metrics;
+  /** Addresses of entries that may be up, tried while the store does not answer. */
+  readonly seeds: readonly string[];
+}
+
+type OwnerLink = Link<OwnerMessage, AgentMessage>;
+
+/** An agent: carries the owner's orders to the worker beside it and tells the owner what the worker runs. */
+export class AgentNode {
+  private link: OwnerLink | undefined;
+  private isWelcome = false;
+  private term = 0;
+  private worker: WorkerDescription | undefined;
+  private deadlineMs: number | undefined;
+  private acknowledged = 0;
+  /** Highest end that was sent on the present link. */
+  private sentEnd = 0;
+  private listedAt = Number.NEGATIVE_INFINITY;
+  private isListDue = true;
+  private absences = 0;
+  private holdGeneration = 0;
+  private entries: readonly string[];
+  private nextEntry = 0;
+  private isStopped = false;
+  private findTimer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: AgentNodeOptions) {
+    this.entries = options.seeds;
+  }
+
+  /** Starts to look for the owner. */
+  start(): void {
+    void this.findOwner();
+  }
+
+  /** Closes everything; the worker's runs go on under their lease. */
+  stop(): void {
+    this.isStopped = true;
+    clearTimeout(this.findTimer);
+    this.holdGeneration += 1;
+    this.link?.end();
+  }
+
+  /** Takes in what the worker says of itself. */
+  describe(worker: WorkerDescription): void {
+    const former = this.worker;
+    this.worker = worker;
+    if (former?.life !== worker.life) {
+      this.deadlineMs = undefined;
+      this.acknowledged = 0;
+      this.sentEnd = 0;
+      this.isListDue = true;
+      this.absences = 0;
+      this.options.log.log('worker-up', {worker: worker.life, former: former?.life});
+      this.startHolding();
+    } else if (JSON.stringify(former) === JSON.stringify(worker)) return;
+    if (worker.state === 'draining' && former?.state !== 'draining') {
+      this.options.log.log('worker-draining', {worker: worker.life, remainingMs: worker.remainingMs});
+    }
+    this.send({kind: 'worker', worker});
+  }
+
+  /** Takes in the worker's farewell. */
+  leave(id: string): void {
+    if (this.worker?.id !== id) return;
+    this.forget('farewell');
+  }
+
+  private forget(reason: 'farewell' | 'refused-connection'): void {
+    const {worker} = this;
+    if (worker === undefined) return;
+    this.options.log.log('worker-gone', {worker: worker.life, reason});
+    this.send({kind: 'worker-gone', life: worker.life, reason});
+    this.worker = undefined;
+    this.holdGeneration += 1;
+  }
+
+  private send(message: AgentMessage): void {
+    if (this.isWelcome) this.link?.send(message);
+  }
+
+  private async findOwner(): Promise<void> {
+    if (this.isStopped || this.link !== undefined) return;
+    const address = (await this.readOwner()) ?? this.takeEntry();
+    if (this.isStopped || this.link !== undefined) return;
+    if (address === undefined) return this.findLater();
+    this.dial(address);
+  }
+
+  private findLater(): void {
+    clearTimeout(this.findTimer);
+    if (!this.isStopped) this.findTimer = setTimeout(() => void this.findOwner(), findOwnerMs);
+  }
+
+  private async readOwner(): Promise<string | undefined> {
+    const {store} = this.options;
+    const result = await store.read(ownerKey);
+    if (result.kind !== 'ok') return undefined;
+    if (this.entries.length === 0) {
+      const list = await store.list(entryPrefix, {stale: true});
+      if (list.kind === 'ok') this.entries = list.records.map(record => record.value);
+    }
+    return result.record ? (JSON.parse(result.record.value) as OwnerRecord).address : undefined;
+  }
+
+  private takeEntry(): string | undefined {
+    if (this.entries.length === 0) return undefined;
+    this.nextEntry += 1;
+    return this.entries[this.nextEntry % this.entries.length];
+  }
+
+  private dial(address: string): void {
+    const {name, dataCentre, incarnation, log} = this.options;
+    const link: OwnerLink = dialLink(address, {
+      message: message => this.receive(link, message),
+      closed: reason => {
+        if (this.link !== link) return;
+        if (this.isWelcome) log.log('owner-lost', {address, reason});
+        this.link = undefined;
+        this.isWelcome = false;
+        this.findLater();
+      },
+    });
+    this.link = link;
+    link.send({kind: 'agent', agent: name, dataCentre, incarnation});
+  }
+
+  private receive(link: OwnerLink, message: OwnerMessage): void {
+    if (this.link !== link) return;
+    switch (message.kind) {
+      case 'owner':
+        return this.welcome(message.term, message.entries);
+      case 'elsewhere':
+        return this.redirect(link, message.address, message.entries);
+      case 'lease':
+        if (message.life !== this.worker?.life || message.term !== this.term) return;
+        this.deadlineMs = Math.max(this.deadlineMs ?? 0, message.deadlineMs);
+        this.acknowledged = Math.max(this.acknowledged, message.acknowledged);
+        return;
+      case 'start':
+        return void this.startRun(message);
+      case 'stop':
+        return void this.stopRun(message);
+      case 'pace':
+        return void this.pace(message);
+    }
+  }
+
+  private welcome(term: number, entries: readonly string[]): void {
+    this.options.log.log('owner-found', {term});
+    if (term < this.term) {
+      // A former owner that does not know yet; the worker would refuse its orders.
+      this.link?.destroy('former-owner');
+      return;
+    }
+    this.isWelcome = true;
+    this.term = term;
+    if (entries.length > 0) this.entries = entries;
+    this.sentEnd = 0;
+    this.isListDue = true;
+    if (this.worker) {
+      this.send({kind: 'worker', worker: this.worker});
+      this.startHolding();
+    }
+  }
+
+  private redirect(link: OwnerLink, address: string | undefined, entries: readonly string[]): void {
+    this.link = undefined;
+    this.isWelcome = false;
+    link.end();
+    if (entries.length > 0) this.entries = entries;
+    if (address !== undefined) this.dial(address);
+    else this.findLater();
+  }
+
+  /** Starts a new series of renewals; the former one ends with its call in flight. */
+  private startHolding(): void {
+    if (this.term === 0) return;
+    this.holdGeneration += 1;
+    void this.keepHolding(this.holdGeneration);
+  }
+
+  private async keepHolding(generation: number): Promise<void> {
+    let isFirst = true;
+    while (this.holdGeneration === generation && this.worker !== undefined && !this.isStopped) {
+      const {worker, term, deadlineMs} = this;
+      const reply = await this.options.worker.hold(worker.id, {
+        token: term,
+        acknowledged: this.acknowledged,
+        ...(deadlineMs !== undefined && {deadlineMs}),
+        ...(!isFirst && {waitMs: holdWaitMs}),
+      });
+      if (this.holdGeneration !== generation || this.worker?.life !== worker.life) return;
+      if (reply.kind === 'listed') {
+        isFirst = false;
+        this.takeList(worker, term, reply);
+      } else if (!(await this.takeFailure(reply))) return;
+    }
+  }
+
+  /** Returns whether renewals go on. */
+  private async takeFailure(reply: Exclude<HoldReply, {kind: 'listed'}>): Promise<boolean> {
+    const {log, metrics} = this.options;
+    metrics.count(`holds_${reply.kind}`);
+    if (reply.kind === 'fenced') {
+      log.warn('worker-fenced', {worker: this.worker?.life, term: this.term});
+      this.link?.destroy('fenced');
+      return false;
+    }
+    this.absences = reply.kind === 'absent' ? this.absences + 1 : 0;
+    if (this.absences >= absentLimit) {
+      this.forget('refused-connection');
+      return false;
+    }
+    if (this.absences <= 1) {
+      log.log('worker-silent', {
+        worker: this.worker?.life,
+        reason: reply.kind,
+        ...(reply.kind === 'no-answer' && {detail: reply.detail}),
+      });
+    }
+    await delay(workerRetryMs);
+    return true;
+  }
+
+  private takeList(
+    worker: WorkerDescription,
+    term: number,
+    reply: Extract<HoldReply, {kind: 'listed'}>,
+  ): void {
+    this.absences = 0;
+    const now = this.options.clock.now();
+    const ends: EndRow[] = [];
+    for (const end of reply.ends) if (end[0] > this.sentEnd) ends.push(end);
+    for (const end of ends) this.sentEnd = Math.max(this.sentEnd, end[0]);
+    const isList = this.isListDue || now - this.listedAt >= listMs;
+    if (isList) this.listedAt = now;
+    this.isListDue = false;
+    const running: {running?: readonly RunRow[]} = isList ? {running: reply.running} : {};
+    this.send({
+      kind: 'report',
+      life: worker.life,
+      term,
+      clockMs: reply.clockMs,
+      ends,
+      ...running,
+    });
+  }
+
+  private async startRun(order: Extract<OwnerMessage, {kind: 'start'}>): Promise<void> {
+    const refusal = this.getRefusal(order.life, order.term);
+    if (refusal !== undefined) {
+      this.finish(order.order, refusal);
+      return;
+    }
+    const {worker} = this;
+    if (worker?.state === 'draining') {
+      this.finish(order.order, {kind: 'refused', reason: 'draining'});
+      return;
+    }
+    const id = worker?.id ?? '';
+    const reply = await this.options.worker.start(id, {
+      task: order.task,
+      run: order.run,
+      spec: order.spec,
+      deadlineMs: order.deadlineMs,
+      token: order.term,
+      ...(order.checkpoint !== undefined && {checkpoint: order.checkpoint}),
+      ...(order.ticket !== undefined && {ticket: order.ticket}),
+    });
+    this.logOrder('start', order.task, order.run, reply.outcome);
+    this.finish(order.order, reply.outcome);
+  }
+
+  /** Stops a run and finds out whether the worker still lists it. */
+  private async stopRun(order: Extract<OwnerMessage, {kind: 'stop'}>): Promise<void> {
+    const refusal = this.getRefusal(order.life, order.term);
+    if (refusal !== undefined) {
+      this.finish(order.order, refusal);
+      return;
+    }
+    const {task, run, term} = order;
+    const id = this.worker?.id ?? '';
+    const startedAt = this.options.clock.now();
+    let outcome: OrderOutcome = {kind: 'unknown'};
+    while (outcome.kind === 'unknown' && this.options.clock.now() - startedAt < stopLimitMs) {
+      outcome = (await this.options.worker.stop(id, task, run, term)).outcome;
+      if (outcome.kind === 'unknown') await delay(workerRetryMs);
+    }
+    if (outcome.kind === 'accepted') outcome = await this.checkListed(id, task, run, term);
+    this.logOrder('stop', task, run, outcome);
+    this.finish(order.order, outcome);
+  }
+
+  private async checkListed(
+    id: string,
+    task: string,
+    run: number,
+    token: number,
+  ): Promise<OrderOutcome> {
+    const {acknowledged} = this;
+    const reply = await this.options.worker.hold(id, {token, acknowledged});
+    if (reply.kind !== 'listed') return {kind: 'unknown'};
+    const isRunning = reply.running.some(row => row[0] === task && row[1] === run);
+    const isEnded = reply.ends.some(end => end[1] === task && end[2] === run);
+    return {kind: 'stopped', listed: isRunning || isEnded};
+  }
+
+  private async pace(order: Extract<OwnerMessage, {kind: 'pace'}>): Promise<void> {
+    if (this.getRefusal(order.life, order.term) !== undefined) return;
+    const {task, run, percent, term} = order;
+    const reply = await this.options.worker.pace(this.worker?.id ?? '', task, run, percent, term);
+    this.logOrder('pace', task, run, reply.outcome);
+  }
+
+  private getRefusal(life: string, term: number): OrderOutcome | undefined {
+    if (term < this.term) return {kind: 'refused', reason: 'fenced'};
+    if (this.worker?.life !== life) return {kind: 'refused', reason: 'other-life'};
+    return undefined;
+  }
+
+  private finish(order: number, outcome: OrderOutcome): void {
+    this.send({kind: 'result', order, outcome});
+  }
+
+  private logOrder(order: string, task: string, run: number, outcome: OrderOutcome): void {
+    const {log, metrics} = this.options;
+    metrics.count(`orders_${order}_${outcome.kind}`);
+    log.log(`order-${order}`, {
+      task,
+      run,
+      worker: this.worker?.life,
+      outcome: outcome.kind,
+      ...(outcome.kind === 'refused' && {reason: outcome.reason}),
+      term: this.term,
+    });
+  }
+}
+
+function delay(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/packages/runtime/src/dispatch/entry-node.ts
@@ -0,0 +1,189 @@
+import type {Server, Socket} from 'node:net';
+import type {
+  AgentMessage,
+  Clock,
+  DispatchTiming,
+  ElectionTiming,
+  OwnerMessage,
+  OwnerRecord,
+  QueueConfiguration,
+} from '@chervilbeam/coordination';
+import type {Metrics} from '../metrics/index.js';
+import type {DecisionLogger} from './decision-logger.js';
+import type {EntryRequest, EntryResponse, KnownSubmission} from './entry-messages.js';
+import {EntryPeers} from './entry-peers.js';
+import {Link, listenForLinks} from './link.js';
+import {OwnerProcess} from './owner-process.js';
+import type {RecordStore} from './record-store.js';
+import type {SubmissionCall, SubmissionReply} from './submission-calls.js';
+import {type CallContext, SubmissionService} from './submission-service.js';
+
+/** Time in milliseconds between two messages on the backlog of the queues. */
+const levelsMs = 300;
+
+/** Options of `EntryNode`. */
+export interface EntryNodeOptions {
+  readonly name: string;
+  /** `ip:port` for the other processes of the system. */
+  readonly address: string;
+  readonly incarnation: string;
+  readonly store: RecordStore;
+  readonly clock: Clock;
+  readonly log: DecisionLogger;
+  readonly metrics: Metrics;
+  readonly timing?: Partial<DispatchTiming>;
+  readonly electionTiming?: Partial<ElectionTiming>;
+}
+
+type PeerLink = Link<EntryRequest | AgentMessage, EntryResponse | OwnerMessage>;
+
+/** An entry: serves callers' calls, and owns the submissions when the election gives them to it. */
+export class EntryNode {
+  private readonly owner: OwnerProcess;
+  private readonly service: SubmissionService;
+  private readonly peers: EntryPeers;
+  private readonly entryLinks = new Set<PeerLink>();
+  private readonly links = new Set<PeerLink>();
+  private ownerAddress: string | undefined;
+  private server: Server | undefined;
+  private levelsTimer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: EntryNodeOptions) {
+    const {store, clock, log, metrics} = options;
+    this.owner = new OwnerProcess({
+      ...options,
+      onOwner: owner => this.setOwner(owner),
+      onOwnership: isOwner => this.setOwnership(isOwner),
+    });
+    this.peers = new EntryPeers({
+      ...options,
+      onLevels: levels => this.service.setLevels(levels),
+    });
+    this.service = new SubmissionService({
+      store,
+      clock,
+      log,
+      metrics,
+      peers: {
+        askOwner: id => this.askOwner(id),
+        relay: (call, timeoutMs) => this.peers.relay(call, timeoutMs),
+      },
+    });
+  }
+
+  /** Whether this entry owns the submissions. */
+  get isOwner(): boolean {
+    return this.owner.isOwner;
+  }
+
+  /** Listens for other processes and competes for the ownership. */
+  async start(): Promise<void> {
+    this.server = await listenForLinks(this.options.address, socket => this.accept(socket));
+    this.owner.start();
+    this.peers.start();
+    this.levelsTimer = setInterval(() => this.tellLevels(), levelsMs);
+  }
+
+  /** Takes in a configuration. */
+  configure(configuration: QueueConfiguration): void {
+    this.service.configure(configuration);
+    this.owner.configure(configuration);
+  }
+
+  /** Carries out a caller's call. */
+  execute(call: SubmissionCall, context: CallContext): Promise<SubmissionReply> {
+    return this.service.execute(call, context);
+  }
+
+  /** Gives up the ownership; calls are still carried out. */
+  drain(): void {
+    this.owner.drain();
+  }
+
+  /** Closes everything. */
+  stop(): void {
+    clearInterval(this.levelsTimer);
+    this.peers.stop();
+    this.server?.close();
+    for (const link of this.links) link.end();
+  }
+
+  private accept(socket: Socket): void {
+    let agent: string | undefined;
+    const link: PeerLink = new Link(socket, {
+      message: message => {
+        if (message.kind === 'agent') agent = this.greetAgent(message.agent, link);
+        else if (agent !== undefined) this.owner.receive(agent, asAgentLink(link), message as AgentMessage);
+        else this.serveEntry(link, message as EntryRequest);
+      },
+      closed: reason => {
+        this.links.delete(link);
+        this.entryLinks.delete(link);
+        if (agent === undefined) return;
+        this.owner.removeAgent(agent, asAgentLink(link));
+        this.options.log.log('agent-link-closed', {agent, reason});
+      },
+    });
+    this.links.add(link);
+  }
+
+  private greetAgent(agent: string, link: PeerLink): string | undefined {
+    if (this.owner.addAgent(agent, asAgentLink(link))) {
+      this.options.log.log('agent-link-opened', {agent});
+      return agent;
+    }
+    const {ownerAddress} = this;
+    link.send({
+      kind: 'elsewhere',
+      entries: this.peers.addresses,
+      ...(ownerAddress !== undefined && {address: ownerAddress}),
+    });
+    link.end();
+    return undefined;
+  }
+
+  private serveEntry(link: PeerLink, message: EntryRequest): void {
+    switch (message.kind) {
+      case 'entry':
+        this.entryLinks.add(link);
+        return;
+      case 'query':
+        link.send({kind: 'status', request: message.request, ...this.owner.getKnown(message.id)});
+        return;
+      case 'call':
+        void this.service
+          .execute(message.call, {timeoutMs: relayedCallMs, isRelayed: true})
+          .then(reply => link.send({kind: 'reply', request: message.request, reply}));
+        return;
+    }
+  }
+
+  private askOwner(id: string): Promise<KnownSubmission | undefined> {
+    if (this.owner.isOwner) return Promise.resolve(this.owner.getKnown(id));
+    return this.peers.askOwner(id);
+  }
+
+  private tellLevels(): void {
+    if (!this.owner.isOwner) return;
+    const levels = this.owner.getLevels();
+    this.service.setLevels(levels);
+    for (const link of this.entryLinks) link.send({kind: 'levels', levels});
+  }
+
+  private setOwner(owner: OwnerRecord | undefined): void {
+    this.ownerAddress = owner?.address;
+    this.options.log.log('owner-seen', {owner: owner?.name, address: owner?.address});
+    this.peers.setOwner(owner?.address === this.options.address ? undefined : owner?.address);
+  }
+
+  private setOwnership(isOwner: boolean): void {
+    this.options.metrics.count(isOwner ? 'ownership_gained' : 'ownership_lost');
+  }
+}
+
+/** Time in milliseconds that a relayed call may take. */
+const relayedCallMs = 2_000;
+
+function asAgentLink(link: PeerLink): Link<AgentMessage, OwnerMessage> {
+  return link as unknown as Link<AgentMessage, OwnerMessage>;
+}
--- /dev/null
+++ b/packages/runtime/src/dispatch/entry-peers.ts
@@ -0,0 +1,162 @@
+import type {QueueLevel} from '@chervilbeam/coordination';
+import type {DecisionLogger} from './decision-logger.js';
+import type {EntryRequest, EntryResponse, KnownSubmission} from './entry-messages.js';
+import {dialLink, type Link} from './link.js';
+import type {RecordStore} from './record-store.js';
+import {entryPrefix} from './store-keys.js';
+import type {SubmissionCall, SubmissionReply} from './submission-calls.js';
+
+/** Time in milliseconds within which the owner answers; the far region takes 60 of it. */
+const queryTimeoutMs = 600;
+/** Time in milliseconds between two attempts to reach the owner. */
+const redialMs = 300;
+/** Time in milliseconds between two readings of the list of entries. */
+const listMs = 5_000;
+
+/** Options of `EntryPeers`. */
+export interface EntryPeersOptions {
+  readonly name: string;
+  readonly address: string;
+  readonly store: RecordStore;
+  readonly log: DecisionLogger;
+  readonly onLevels: (levels: readonly QueueLevel[]) => void;
+}
+
+type EntryLink = Link<EntryResponse, EntryRequest>;
+
+interface PendingRequest {
+  readonly link: EntryLink;
+  readonly finish: (response: EntryResponse | undefined) => void;
+}
+
+/** Links of an entry to the owner and, while the store turns it away, to other entries. */
+export class EntryPeers {
+  private ownerAddress: string | undefined;
+  private readonly links = new Map<string, EntryLink>();
+  private readonly pending = new Map<number, PendingRequest>();
+  private known: readonly string[] = [];
+  private nextRequest = 1;
+  private nextRelay = 0;
+  private redialTimer: NodeJS.Timeout | undefined;
+  private listTimer: NodeJS.Timeout | undefined;
+  private isStopped = false;
+
+  constructor(private readonly options: EntryPeersOptions) {}
+
+  /** Addresses of the other entries. */
+  get addresses(): readonly string[] {
+    return this.known;
+  }
+
+  /** Starts to follow the list of entries. */
+  start(): void {
+    void this.list();
+  }
+
+  /** Sets the address of the owner; undefined when it is this process or there is none. */
+  setOwner(address: string | undefined): void {
+    if (address === this.ownerAddress) return;
+    const former = this.ownerAddress;
+    this.ownerAddress = address;
+    if (former !== undefined) this.links.get(former)?.end();
+    this.dialOwner();
+  }
+
+  /** Asks the owner for a submission; undefined when it does not answer in time. */
+  async askOwner(id: string): Promise<KnownSubmission | undefined> {
+    const {ownerAddress} = this;
+    if (ownerAddress === undefined) return undefined;
+    const link = this.getLink(ownerAddress);
+    const response = await this.request(link, queryTimeoutMs, request => ({
+      kind: 'query',
+      request,
+      id,
+    }));
+    return response?.kind === 'status' ? response : undefined;
+  }
+
+  /** Has another entry carry out a call; undefined when none answers in time. */
+  async relay(call: SubmissionCall, timeoutMs: number): Promise<SubmissionReply | undefined> {
+    const candidates = this.known.length > 0 ? this.known : [];
+    if (candidates.length === 0) return undefined;
+    this.nextRelay += 1;
+    const address = candidates[this.nextRelay % candidates.length] ?? '';
+    const response = await this.request(this.getLink(address), timeoutMs, request => ({
+      kind: 'call',
+      request,
+      call,
+    }));
+    return response?.kind === 'reply' ? response.reply : undefined;
+  }
+
+  /** Closes all links. */
+  stop(): void {
+    this.isStopped = true;
+    clearTimeout(this.redialTimer);
+    clearTimeout(this.listTimer);
+    for (const link of this.links.values()) link.end();
+  }
+
+  private async list(): Promise<void> {
+    const {store, address} = this.options;
+    const result = await store.list(entryPrefix, {stale: true});
+    if (this.isStopped) return;
+    if (result.kind === 'ok') {
+      const addresses = result.records.map(record => record.value);
+      // While the store forgets leases, the former addresses are the best that is known.
+      if (addresses.length > 0) this.known = addresses.filter(candidate => candidate !== address);
+    }
+    this.listTimer = setTimeout(() => void this.list(), listMs);
+  }
+
+  private dialOwner(): void {
+    clearTimeout(this.redialTimer);
+    if (this.ownerAddress !== undefined && !this.isStopped) this.getLink(this.ownerAddress);
+  }
+
+  private getLink(address: string): EntryLink {
+    const known = this.links.get(address);
+    if (known) return known;
+    const link: EntryLink = dialLink(address, {
+      message: response => this.receive(response),
+      closed: reason => this.close(address, link, reason),
+    });
+    this.links.set(address, link);
+    link.send({kind: 'entry', name: this.options.name});
+    return link;
+  }
+
+  private close(address: string, link: EntryLink, reason: string): void {
+    if (this.links.get(address) === link) this.links.delete(address);
+    for (const pending of [...this.pending.values()]) {
+      if (pending.link === link) pending.finish(undefined);
+    }
+    if (this.isStopped || address !== this.ownerAddress) return;
+    this.options.log.log('owner-link-closed', {address, reason});
+    clearTimeout(this.redialTimer);
+    this.redialTimer = setTimeout(() => this.dialOwner(), redialMs);
+  }
+
+  private request(
+    link: EntryLink,
+    timeoutMs: number,
+    create: (request: number) => EntryRequest,
+  ): Promise<EntryResponse | undefined> {
+    const request = this.nextRequest++;
+    return new Promise(resolve => {
+      const timer = setTimeout(() => finish(undefined), Math.max(0, timeoutMs));
+      const finish = (response: EntryResponse | undefined) => {
+        clearTimeout(timer);
+        this.pending.delete(request);
+        resolve(response);
+      };
+      this.pending.set(request, {link, finish});
+      link.send(create(request));
+    });
+  }
+
+  private receive(response: EntryResponse): void {
+    if (response.kind === 'levels') this.options.onLevels(response.levels);
+    else if ('request' in response) this.pending.get(response.request)?.finish(response);
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/dispatch/owner-process.ts
@@ -0,0 +1,468 @@
+import {
+  type AgentMessage,
+  type Clock,
+  type DispatchEffect,
+  Dispatcher,
+  type DispatchEvent,
+  type DispatchTiming,
+  type ElectionEffect,
+  type ElectionEvent,
+  type ElectionTiming,
+  OwnerElection,
+  type OwnerMessage,
+  type OwnerRecord,
+  type ProgressRecord,
+  type ProgressWrite,
+  type QueueConfiguration,
+  type QueueLevel,
+  type RosterEntry,
+  type StoredSubmission,
+  type Submission,
+} from '@chervilbeam/coordination';
+import {Loop} from '../loop/index.js';
+import type {Metrics} from '../metrics/index.js';
+import type {DecisionLogger} from './decision-logger.js';
+import type {KnownSubmission} from './entry-messages.js';
+import type {Link} from './link.js';
+import {RecordWatch} from './record-watch.js';
+import type {CommitResult, RecordChange, RecordStore, StoredRecord} from './record-store.js';
+import {
+  cancelPrefix,
+  entryPrefix,
+  generationKey,
+  ownerKey,
+  progressPrefix,
+  rosterKey,
+  submissionPrefix,
+  workPrefix,
+} from './store-keys.js';
+
+/** Time in milliseconds between two ticks of an owner and of a process without ownership. */
+const ownerTickMs = 100;
+const idleTickMs = 250;
+/** Round trip to the store, as a multiple, by which a claim is delayed: the nearest entry goes first. */
+const claimDelayRatio = 8;
+
+/** Options of `OwnerProcess`. */
+export interface OwnerProcessOptions {
+  readonly name: string;
+  /** Address on which other processes reach this one. */
+  readonly address: string;
+  /** Distinguishes this life of the process from others. */
+  readonly incarnation: string;
+  readonly store: RecordStore;
+  readonly clock: Clock;
+  readonly log: DecisionLogger;
+  readonly metrics: Metrics;
+  readonly timing?: Partial<DispatchTiming>;
+  readonly electionTiming?: Partial<ElectionTiming>;
+  /** Called when another owner is known or none. */
+  readonly onOwner: (owner: OwnerRecord | undefined) => void;
+  /** Called when this process becomes or stops being the owner. */
+  readonly onOwnership: (isOwner: boolean) => void;
+}
+
+/** Competes for the ownership of the submissions and, as the owner, runs the dispatcher. */
+export class OwnerProcess {
+  private readonly dispatcher: Dispatcher;
+  private readonly loop: Loop<DispatchEvent, DispatchEffect>;
+  private readonly election: OwnerElection;
+  private readonly electionLoop: Loop<ElectionEvent, ElectionEffect>;
+  private readonly ownerWatch: RecordWatch;
+  private readonly agents = new Map<string, Link<AgentMessage, OwnerMessage>>();
+  private workWatch: RecordWatch | undefined;
+  private electionTerm = 0;
+  private isSettling = false;
+  private tickTimer: NodeJS.Timeout | undefined;
+  private isStopped = false;
+
+  constructor(private readonly options: OwnerProcessOptions) {
+    const {clock, store, log, timing, electionTiming, incarnation} = options;
+    this.dispatcher = new Dispatcher(timing);
+    this.loop = new Loop(this.dispatcher, clock, effect => this.carryOut(effect));
+    this.election = new OwnerElection({
+      incarnation,
+      ...(electionTiming && {timing: electionTiming}),
+    });
+    this.electionLoop = new Loop(this.election, clock, effect => this.carryOutElection(effect));
+    this.ownerWatch = new RecordWatch({
+      store,
+      clock,
+      log,
+      prefix: ownerKey,
+      onList: (records, revision) => this.seeOwner(records[0], revision),
+      onChanges: changes => this.seeOwnerChange(changes.at(-1)),
+    });
+  }
+
+  /** Whether this process owns the submissions and has read them. */
+  get isOwner(): boolean {
+    return this.dispatcher.isOwner;
+  }
+
+  /** Time at which the store last answered the watch of the owner. */
+  get confirmedAt(): number {
+    return this.ownerWatch.confirmedAt;
+  }
+
+  /** Starts to compete. */
+  start(): void {
+    void this.ownerWatch.run();
+    this.tick();
+  }
+
+  /** Gives up the ownership and stops competing. */
+  drain(): void {
+    this.electionLoop.post({kind: 'drain'});
+    this.isStopped = true;
+    clearTimeout(this.tickTimer);
+    this.ownerWatch.stop();
+  }
+
+  /** Takes in a new configuration. */
+  configure(configuration: QueueConfiguration): void {
+    this.post({kind: 'configuration', configuration});
+  }
+
+  /** Takes over the link of an agent; returns false when this process is not the owner. */
+  addAgent(agent: string, link: Link<AgentMessage, OwnerMessage>): boolean {
+    if (!this.isOwner) return false;
+    const known = this.agents.get(agent);
+    this.agents.set(agent, link);
+    known?.destroy('replaced');
+    link.send({kind: 'owner', term: this.dispatcher.term, entries: []});
+    this.post({kind: 'agent-up', agent});
+    return true;
+  }
+
+  /** Takes in a message of an agent. */
+  receive(agent: string, link: Link<AgentMessage, OwnerMessage>, message: AgentMessage): void {
+    if (this.agents.get(agent) === link) this.post({kind: 'message', agent, message});
+  }
+
+  /** Notes that the link of an agent has ended. */
+  removeAgent(agent: string, link: Link<AgentMessage, OwnerMessage>): void {
+    if (this.agents.get(agent) !== link) return;
+    this.agents.delete(agent);
+    this.post({kind: 'agent-down', agent});
+  }
+
+  /** Returns what is known of a submission. */
+  getKnown(id: string): KnownSubmission {
+    if (!this.isOwner) return {isOwner: false};
+    const status = this.dispatcher.getStatus(id);
+    const queue = this.dispatcher.getQueueOf(id);
+    return {isOwner: true, ...(status && {status}), ...(queue !== undefined && {queue})};
+  }
+
+  /** Returns the backlog of each queue; nothing without ownership. */
+  getLevels(): readonly QueueLevel[] {
+    return this.dispatcher.getLevels(this.options.clock.now());
+  }
+
+  private post(event: DispatchEvent): void {
+    this.loop.post(event);
+    if (this.isSettling || !this.isOwner) return;
+    // One round of decisions for all events of a turn of the loop.
+    this.isSettling = true;
+    setImmediate(() => {
+      this.isSettling = false;
+      this.loop.post({kind: 'settle'});
+    });
+  }
+
+  private tick(): void {
+    if (this.isStopped) return;
+    this.electionLoop.post({kind: 'tick'});
+    if (this.isOwner) this.loop.post({kind: 'tick', wallMs: this.options.clock.wallTime()});
+    this.tickTimer = setTimeout(() => this.tick(), this.isOwner ? ownerTickMs : idleTickMs);
+  }
+
+  private carryOut(effect: DispatchEffect): void {
+    const {log, metrics} = this.options;
+    switch (effect.kind) {
+      case 'send':
+        return this.agents.get(effect.agent)?.send(effect.message);
+      case 'write':
+        return void this.write(effect.sequence, effect.write);
+      case 'deposed':
+        return this.electionLoop.post({kind: 'deposed', reason: effect.reason});
+      case 'log':
+        return log.decide(effect.decision);
+      case 'count':
+        return metrics.count(effect.name, effect.by);
+      case 'observe':
+        return metrics.observe(effect.name, effect.valueMs);
+    }
+  }
+
+  private async write(sequence: number, write: ProgressWrite): Promise<void> {
+    const {store} = this.options;
+    const result = await store.commit({
+      // Only the owner may change progress.
+      conditions: [{key: ownerKey, revision: this.dispatcher.term}],
+      writes: [
+        ...write.progress.map(({id, record}) => ({
+          key: progressPrefix + id,
+          value: JSON.stringify(record),
+        })),
+        ...(write.roster ? [{key: rosterKey, value: JSON.stringify(write.roster)}] : []),
+      ],
+      removals: write.forgotten.flatMap(id => [
+        submissionPrefix + id,
+        cancelPrefix + id,
+        progressPrefix + id,
+      ]),
+    });
+    this.post({kind: 'written', sequence, result: toWriteResult(result)});
+  }
+
+  private carryOutElection(effect: ElectionEffect): void {
+    switch (effect.kind) {
+      case 'open-lease':
+        return void this.openLease(effect.ttlMs);
+      case 'keep-lease':
+        return void this.keepLease(effect.lease);
+      case 'claim':
+        return void this.claim(effect.lease, effect.nonce);
+      case 'end-lease':
+        return void this.options.store.endLease(effect.lease);
+      case 'begin':
+        return void this.begin(effect.term, effect.generation);
+      case 'end':
+        return this.end(effect.reason);
+    }
+  }
+
+  private async openLease(ttlMs: number): Promise<void> {
+    const {store, clock, name, address} = this.options;
+    const sentAt = clock.now();
+    const result = await store.openLease(ttlMs);
+    if (result.kind !== 'ok') {
+      this.electionLoop.post({kind: 'call-failed', call: 'open-lease'});
+      return;
+    }
+    const delayMs = (clock.now() - sentAt) * claimDelayRatio;
+    this.electionLoop.post({kind: 'claim-delay', delayMs});
+    this.electionLoop.post({kind: 'lease-opened', lease: result.lease, sentAt});
+    const registration = await store.commit({
+      conditions: [],
+      writes: [{key: entryPrefix + name, value: address, lease: result.lease}],
+      removals: [],
+    });
+    if (registration.kind !== 'ok') {
+      this.options.log.warn('registration-failed', {result: registration.kind});
+    }
+  }
+
+  private async keepLease(lease: string): Promise<void> {
+    const {store, clock} = this.options;
+    const sentAt = clock.now();
+    const result = await store.keepLease(lease);
+    if (result.kind === 'ok') this.electionLoop.post({kind: 'lease-kept', sentAt});
+    else if (result.kind === 'no-lease') this.electionLoop.post({kind: 'lease-ended'});
+    else this.electionLoop.post({kind: 'call-failed', call: 'keep-lease'});
+  }
+
+  private async claim(lease: string, nonce: string): Promise<void> {
+    const {store, name, address} = this.options;
+    const last = await store.read(generationKey);
+    if (last.kind !== 'ok') return this.failClaim();
+    const generation = Number(last.record?.value ?? 0) + 1;
+    const owner: OwnerRecord = {name, address, nonce};
+    const result = await store.commit({
+      conditions: [
+        {key: ownerKey, revision: 0},
+        {key: generationKey, revision: last.record?.revision ?? 0},
+      ],
+      writes: [
+        {key: ownerKey, value: JSON.stringify(owner), lease},
+        {key: generationKey, value: String(generation)},
+      ],
+      removals: [],
+    });
+    if (result.kind === 'ok') {
+      this.electionLoop.post({kind: 'claimed', revision: result.revision, generation});
+    } else if (result.kind === 'unknown') await this.checkClaim(nonce, generation);
+    else if (result.kind === 'no-lease') this.electionLoop.post({kind: 'lease-ended'});
+    else this.failClaim();
+  }
+
+  /** After a lost answer the key itself tells whether the claim took effect. */
+  private async checkClaim(nonce: string, generation: number): Promise<void> {
+    const result = await this.options.store.read(ownerKey);
+    const {record} = result.kind === 'ok' ? result : {record: undefined};
+    if (record && parseOwner(record.value)?.nonce === nonce) {
+      this.electionLoop.post({kind: 'claimed', revision: record.revision, generation});
+    } else this.failClaim();
+  }
+
+  private failClaim(): void {
+    this.electionLoop.post({kind: 'call-failed', call: 'claim'});
+  }
+
+  private seeOwner(record: StoredRecord | undefined, revision: number): void {
+    const owner = record && parseOwner(record.value);
+    this.options.onOwner(owner);
+    this.electionLoop.post({kind: 'owner-seen', owner, revision: record?.revision ?? revision});
+  }
+
+  private seeOwnerChange(change: RecordChange | undefined): void {
+    if (change?.kind === 'written') this.seeOwner(change.record, change.record.revision);
+    else if (change) this.seeOwner(undefined, change.revision);
+  }
+
+  private async begin(term: number, generation: number): Promise<void> {
+    const {store, log, clock} = this.options;
+    this.electionTerm = term;
+    log.log('ownership-claimed', {term, generation});
+    const startedAt = clock.now();
+    const stored = await readAll(store, () => this.electionTerm === term);
+    if (stored === undefined || this.electionTerm !== term) return;
+    log.log('submissions-read', {
+      term,
+      submissions: stored.submissions.length,
+      ageMs: Math.round(clock.now() - startedAt),
+    });
+    this.loop.post({
+      kind: 'begin',
+      term,
+      generation,
+      submissions: stored.submissions,
+      roster: stored.roster,
+      wallMs: clock.wallTime(),
+    });
+    this.workWatch = new RecordWatch({
+      store,
+      clock,
+      log,
+      prefix: workPrefix,
+      onList: records => this.takeRecords(records),
+      onChanges: changes => this.takeChanges(changes),
+    });
+    void this.workWatch.run(stored.revision);
+    this.options.onOwnership(true);
+  }
+
+  private takeRecords(records: readonly StoredRecord[]): void {
+    for (const record of records) this.takeRecord(record);
+  }
+
+  private takeChanges(changes: readonly RecordChange[]): void {
+    for (const change of changes) if (change.kind === 'written') this.takeRecord(change.record);
+  }
+
+  private takeRecord(record: StoredRecord): void {
+    const {key, value, revision} = record;
+    if (key.startsWith(submissionPrefix)) {
+      const submission = parseSubmission(value);
+      if (submission) this.post({kind: 'submitted', submission});
+      else this.options.log.warn('record-unreadable', {key, revision});
+    } else if (key.startsWith(cancelPrefix)) {
+      this.post({kind: 'cancelled', id: key.slice(cancelPrefix.length)});
+    } else if (key === ownerKey) this.seeOwner(record, revision);
+  }
+
+  private end(reason: string): void {
+    this.electionTerm = 0;
+    this.workWatch?.stop();
+    this.workWatch = undefined;
+    if (!this.isOwner) return;
+    this.loop.post({kind: 'end', reason});
+    for (const link of this.agents.values()) {
+      link.send({kind: 'elsewhere', entries: []});
+      link.end();
+    }
+    this.agents.clear();
+    this.options.onOwnership(false);
+  }
+}
+
+interface StoredState {
+  readonly submissions: readonly StoredSubmission[];
+  readonly roster: readonly RosterEntry[];
+  readonly revision: number;
+}
+
+/** Time in milliseconds between two attempts to read everything. */
+const readRetryMs = 200;
+
+/** Reads all submissions with their progress; undefined when `isWanted` turns false. */
+async function readAll(
+  store: RecordStore,
+  isWanted: () => boolean,
+): Promise<StoredState | undefined> {
+  while (isWanted()) {
+    const [work, progress, roster] = await Promise.all([
+      store.list(workPrefix),
+      store.list(progressPrefix),
+      store.read(rosterKey),
+    ]);
+    if (work.kind === 'ok' && progress.kind === 'ok' && roster.kind === 'ok') {
+      return {
+        submissions: joinRecords(work.records, progress.records),
+        roster: roster.record ? (JSON.parse(roster.record.value) as RosterEntry[]) : [],
+        revision: work.revision,
+      };
+    }
+    await new Promise(resolve => setTimeout(resolve, readRetryMs));
+  }
+  return undefined;
+}
+
+function joinRecords(
+  work: readonly StoredRecord[],
+  progress: readonly StoredRecord[],
+): StoredSubmission[] {
+  const progressById = new Map(
+    progress.map(record => [
+      record.key.slice(progressPrefix.length),
+      JSON.parse(record.value) as ProgressRecord,
+    ]),
+  );
+  const cancelled = new Set(
+    work.filter(record => record.key.startsWith(cancelPrefix)).map(record => record.key.slice(cancelPrefix.length)),
+  );
+  const stored: StoredSubmission[] = [];
+  for (const record of work) {
+    if (!record.key.startsWith(submissionPrefix)) continue;
+    const submission = parseSubmission(record.value);
+    if (submission === undefined) continue;
+    const known = progressById.get(submission.id);
+    stored.push({
+      submission,
+      cancelled: cancelled.has(submission.id),
+      ...(known && {progress: known}),
+    });
+  }
+  return stored;
+}
+
+function parseSubmission(value: string): Submission | undefined {
+  try {
+    return JSON.parse(value) as Submission;
+  } catch {
+    return undefined;
+  }
+}
+
+function parseOwner(value: string): OwnerRecord | undefined {
+  try {
+    return JSON.parse(value) as OwnerRecord;
+  } catch {
+    return undefined;
+  }
+}
+
+function toWriteResult(result: CommitResult): 'ok' | 'conflict' | 'unavailable' | 'unknown' {
+  switch (result.kind) {
+    case 'ok':
+    case 'conflict':
+      return result.kind;
+    case 'no-lease':
+    case 'refused':
+      return 'unavailable';
+    case 'unknown':
+      return 'unknown';
+  }
+}
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,6 +1,7 @@
 export * from './backend/index.js';
 export * from './control/index.js';
 export * from './daemon/index.js';
+export * from './dispatch/index.js';
 export * from './framing/index.js';
 export * from './http/index.js';
 export * from './logs/index.js';
