Stop only other copies of a finished task and count only waiting work as backlog

Cause: 607 stops went to runs that had just ended, because the run was still listed with its task; three workers were suspended for 30 s by work that fails everywhere; refusals counted running work as a wait. Change: a run leaves its task before its end is applied; failures blame a worker only when other workers do not share them, and suspensions start at 4 s; the backlog is work that waits for room.

--- a/packages/coordination/src/dispatch/active-submission.ts
+++ b/packages/coordination/src/dispatch/active-submission.ts
@@ -81,6 +81,8 @@
   isFinalStored = false;
   endedAtMs = 0;
   hasStarted = false;
+  /** Lives of workers on which a task has failed. */
+  readonly failedOn = new Set<string>();
   /** Whether the stored progress is behind. */
   isChanged = false;
   private isUncertain: boolean;
@@ -244,3 +246,16 @@
     return task;
   }
 }
+
+/** Returns the steps in one line: number of tasks, cores, estimate, and what is special about them. */
+export function describeSteps(steps: readonly Step[]): string {
+  return steps
+    .map(step => {
+      const flags = (['lasting', 'fills', 'gang', 'checkpoints', 'speculative'] as const)
+        .filter(flag => step[flag])
+        .join(',');
+      const limit = step.spreadLimit === undefined ? '' : `,spread ${step.spreadLimit}`;
+      return `${step.count}x${step.need.processors}c/${step.estimatedMs}ms ${flags}${limit}`;
+    })
+    .join('; ');
+}
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -1,6 +1,6 @@
 import type {Reducer} from '../reducer.js';
 import type {Queue, Submission, SubmissionStatus} from '../submissions/index.js';
-import {ActiveSubmission} from './active-submission.js';
+import {ActiveSubmission, describeSteps} from './active-submission.js';
 import type {DispatchEffect, DispatchEvent, StoredSubmission} from './dispatch-events.js';
 import {DispatchState} from './dispatch-state.js';
 import {defaultDispatchTiming, type DispatchTiming} from './dispatch-timing.js';
@@ -176,6 +176,7 @@
       event: isInherited ? 'submission-restored' : 'submission-accepted',
       submission: submission.id,
       queue: active.queue?.name,
+      steps: describeSteps(submission.steps),
       ...(active.final !== undefined && {reason: active.final}),
     });
     if (!isInherited) state.count('submissions_accepted');
--- a/packages/coordination/src/dispatch/policy/admission-level.ts
+++ b/packages/coordination/src/dispatch/policy/admission-level.ts
@@ -107,11 +107,8 @@
         const left = group.tasks.length - group.finished;
         if (group.step.lasting) cores += left * group.step.need.processors;
         else {
-          const running = group.tasks.reduce(
-            (sum, task) => sum + (task.isFinished ? 0 : (task.runs[0]?.percent ?? 0) / 100),
-            0,
-          );
-          workMs += getWorkMs([{...group.step, count: Math.max(0, left - running)}], factor);
+          const waiting = group.tasks.filter(task => !task.isFinished && task.runs.length === 0);
+          workMs += getWorkMs([{...group.step, count: waiting.length}], factor);
         }
       }
     }
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -16,6 +16,7 @@
 import type {RunOrders} from './run-orders.js';
 import type {SubmissionEnds} from './submission-ends.js';
 import {Run, type Task} from './task.js';
+import {WorkerHealth, type HealthLimits} from '../tasks/round/worker-health.js';
 import {WorkerView} from './worker-view.js';
 
 /** Time in milliseconds for which a worker that refused for want of room gets nothing. */
@@ -27,6 +28,9 @@
 /** Time in milliseconds until a task is started again that a worker could not read. */
 const invalidDelayMs = 2_000;
 
+/** Short tasks tell within seconds whether a worker has recovered. */
+const dispatchHealth: Partial<HealthLimits> = {firstSuspensionMs: 4_000, longestSuspensionMs: 30_000};
+
 /** Parts of the dispatcher that `WorkerReports` uses. */
 export interface WorkerReportsOptions {
   readonly state: DispatchState;
@@ -98,7 +102,7 @@
     }
     if (known) this.drop(known, 'replaced');
     barrier.replace(agent, description.life);
-    const worker = new WorkerView(agent, description, at);
+    const worker = new WorkerView(agent, description, at, new WorkerHealth(dispatchHealth));
     worker.isListed = journal.isListed(description.life);
     state.workers.set(agent, worker);
     this.setLeaving(worker, description, at);
@@ -252,8 +256,8 @@
     task.lastRun = Math.max(task.lastRun, runNumber);
     if (checkpoint !== '') task.checkpoint = checkpoint;
     else if (run && run.checkpoint !== '') task.checkpoint = run.checkpoint;
-    const isNews = this.applyEnd(task, run, worker, end, at);
     if (run) this.parts.orders.remove(run, how === 'failed' ? at + failureDelayMs : undefined);
+    const isNews = this.applyEnd(task, run, worker, end, at);
     if (isNews) {
       journal.addEnd(worker, number, task.submission);
       journal.change(task.submission, at);
@@ -285,7 +289,10 @@
     }
     if (how !== 'failed') return false;
     task.avoided.add(worker.life);
-    if (worker.health.fail(submission.id, at)) {
+    // Work that fails on several workers is at fault itself and says nothing about any of them.
+    const isSuspect = !submission.failedOn.has(worker.life) && submission.failedOn.size === 0;
+    submission.failedOn.add(worker.life);
+    if (isSuspect && worker.health.fail(submission.id, at)) {
       this.parts.state.log({event: 'worker-suspended', worker: worker.life, reason: 'failures'});
     }
     ends.fail(task, at);
