Share the pressure that serving tasks bear among filling ones

Cause: filling steps were kept off every worker whose processors are reserved, though serving tasks leave half of them unused, and were paced and moved without end; os.uptime showed suspensions that never were. Change: the pressure of each filling image is learned from tail latencies, and paces share what serving tasks bear; the validity of the own lease follows jumps of the wall clock, everything else the steady clock.

--- a/packages/coordination/src/dispatch/dispatch-events.ts
+++ b/packages/coordination/src/dispatch/dispatch-events.ts
@@ -1,9 +1,5 @@
 import type {CountEffect, ObserveEffect} from '../tasks/events.js';
-import type {
-  ProgressRecord,
-  QueueConfiguration,
-  Submission,
-} from '../submissions/index.js';
+import type {ProgressRecord, QueueConfiguration, Submission} from '../submissions/index.js';
 import type {AgentMessage, OwnerMessage, WorkerLife} from './agent-messages.js';
 import type {LoggedDecision} from './decision-log.js';
 
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -5,6 +5,7 @@
 import {DispatchState} from './dispatch-state.js';
 import {defaultDispatchTiming, type DispatchTiming} from './dispatch-timing.js';
 import {FillerPacing} from './policy/filler-pacing.js';
+import {Interference} from './policy/interference.js';
 import {getQueueLevels, type QueueLevel} from './policy/admission-level.js';
 import {runPlacementRound} from './policy/placement-round.js';
 import {RunSupervision} from './policy/run-supervision.js';
@@ -26,6 +27,7 @@
   private readonly journal: ProgressJournal;
   private readonly barrier = new RecoveryBarrier();
   private readonly orders: RunOrders;
+  private readonly interference = new Interference();
   private readonly supervision: RunSupervision;
   private readonly ends: SubmissionEnds;
   private readonly reports: WorkerReports;
@@ -35,7 +37,7 @@
     this.state = new DispatchState({...defaultDispatchTiming, ...timing});
     this.journal = new ProgressJournal(this.state, () => this.barrier.entries);
     this.orders = new RunOrders(this.state);
-    this.supervision = new RunSupervision(this.state, this.orders);
+    this.supervision = new RunSupervision(this.state, this.orders, this.interference);
     this.ends = new SubmissionEnds(this.state, this.orders, this.journal);
     this.reports = new WorkerReports({
       state: this.state,
@@ -44,7 +46,7 @@
       orders: this.orders,
       supervision: this.supervision,
       ends: this.ends,
-      pacing: new FillerPacing(this.orders),
+      pacing: new FillerPacing(this.state, this.orders, this.interference),
     });
   }
 
@@ -141,7 +143,9 @@
     this.journal.reset([]);
   }
 
-  private configure(configuration: Extract<DispatchEvent, {kind: 'configuration'}>['configuration']) {
+  private configure(
+    configuration: Extract<DispatchEvent, {kind: 'configuration'}>['configuration'],
+  ) {
     const {state} = this;
     state.configuration = configuration;
     for (const submission of state.submissions.values()) {
@@ -206,7 +210,7 @@
     if (this.isRecovering && this.barrier.isOpen(at)) this.finishRecovery(at);
     if (state.isRoundDue) {
       state.isRoundDue = false;
-      runPlacementRound(state, this.orders, at);
+      runPlacementRound(state, this.orders, this.interference, at);
     }
     this.journal.flush(at);
   }
--- a/packages/coordination/src/dispatch/policy/admission-level.ts
+++ b/packages/coordination/src/dispatch/policy/admission-level.ts
@@ -14,6 +14,11 @@
 /** Part of the free time of the workers that is used in a backlog; rooms of odd sizes stay free. */
 const usableShare = 0.85;
 
+/** Part of their reserved processors that serving tasks use on average. */
+const servingLoad = 0.5;
+/** Part of the unused processors that filling tasks get beside serving ones. */
+const fillableShare = 0.6;
+
 /** Shortest and longest time in seconds after which a refused caller is told to return. */
 const shortestRetrySeconds = 1;
 const longestRetrySeconds = 30;
@@ -23,8 +28,10 @@
   readonly queue: string;
   /** Accepted submissions without dates of which no task has started. */
   readonly pending: number;
-  /** Expected time in milliseconds until accepted work of the same or higher urgency is done. */
+  /** Expected time in milliseconds until accepted work of the same or higher urgency has started. */
   readonly waitMs: number;
+  /** The same for work that fills. */
+  readonly fillWaitMs: number;
   /** Learned ratio of run times to their estimates. */
   readonly runTimeFactor: number;
   /** Processors on which the queue's work can run. */
@@ -45,17 +52,23 @@
   for (const queue of configuration.queues.values()) {
     const cores = getCores(state, queue.service, at);
     let work = 0;
+    let fillWork = 0;
     let lasting = 0;
     for (const entry of demand) {
       if (entry.service !== queue.service) continue;
       if (entry.isLasting) lasting += entry.cores;
-      else if (entry.priority <= queue.priority) work += entry.workMs;
+      else if (entry.priority <= queue.priority) {
+        work += entry.workMs;
+        fillWork += entry.fillWorkMs;
+      }
     }
     const usable = Math.max(0.1, (cores - lasting) * usableShare);
+    const fillable = Math.max(0.1, (cores - lasting * servingLoad) * fillableShare);
     levels.push({
       queue: queue.key,
       pending: countPending(state, queue.key),
       waitMs: cores > 0 ? work / usable : 0,
+      fillWaitMs: cores > 0 ? fillWork / fillable : 0,
       runTimeFactor: state.getRunTimeFactor(queue),
       cores,
     });
@@ -80,11 +93,12 @@
   const objectiveMs = getObjectiveMs(queue, steps, factor) * objectiveSlack;
   const ownMs = getChainMs(steps, factor);
   const widthMs = getWorkMs(steps, factor) / level.cores;
-  const endMs = level.waitMs + Math.max(ownMs, widthMs);
+  const waitMs = steps.some(step => step.fills) ? level.fillWaitMs : level.waitMs;
+  const endMs = waitMs + Math.max(ownMs, widthMs);
   if (endMs <= objectiveMs) return {kind: 'accept'};
   const seconds = Math.ceil((endMs - objectiveMs) / 1000);
   const retryAfterSeconds = Math.min(longestRetrySeconds, Math.max(shortestRetrySeconds, seconds));
-  return {kind: 'refuse', retryAfterSeconds, waitMs: Math.round(level.waitMs)};
+  return {kind: 'refuse', retryAfterSeconds, waitMs: Math.round(waitMs)};
 }
 
 interface Demand {
@@ -92,6 +106,7 @@
   readonly priority: number;
   readonly isLasting: boolean;
   readonly workMs: number;
+  readonly fillWorkMs: number;
   readonly cores: number;
 }
 
@@ -101,6 +116,7 @@
     if (!submission.isActive) continue;
     const factor = state.getRunTimeFactor(submission.queue);
     let workMs = 0;
+    let fillWorkMs = 0;
     let cores = 0;
     for (const occurrence of submission.occurrences) {
       for (const group of occurrence.steps) {
@@ -108,7 +124,9 @@
         if (group.step.lasting) cores += left * group.step.need.processors;
         else {
           const waiting = group.tasks.filter(task => !task.isFinished && task.runs.length === 0);
-          workMs += getWorkMs([{...group.step, count: waiting.length}], factor);
+          const groupMs = getWorkMs([{...group.step, count: waiting.length}], factor);
+          if (group.step.fills) fillWorkMs += groupMs;
+          else workMs += groupMs;
         }
       }
     }
@@ -117,6 +135,7 @@
       priority: submission.queue?.priority ?? 0,
       isLasting: submission.isLasting,
       workMs,
+      fillWorkMs,
       cores,
     });
   }
@@ -127,7 +146,8 @@
   let cores = 0;
   for (const worker of state.workers.values()) {
     if (worker.description.service !== service || worker.isDraining) continue;
-    if (at - worker.heardAt >= state.timing.unreachableMs || worker.health.isSuspended(at)) continue;
+    if (at - worker.heardAt >= state.timing.unreachableMs || worker.health.isSuspended(at))
+      continue;
     cores += worker.capacity.processors;
   }
   return cores;
--- a/packages/coordination/src/dispatch/policy/filler-pacing.ts
+++ b/packages/coordination/src/dispatch/policy/filler-pacing.ts
@@ -1,49 +1,43 @@
+import type {DispatchState} from '../dispatch-state.js';
 import type {RunOrders} from '../run-orders.js';
 import type {Run} from '../task.js';
 import type {WorkerView} from '../worker-view.js';
+import {getFillers, getServing, type Interference} from './interference.js';
 
 /** Limits of `FillerPacing`. */
 export interface FillerPacingOptions {
-  /** Part of its target from which a serving task counts as disturbed. */
+  /** Smallest change of a pace in percent that is worth an order. */
+  readonly smallestChange: number;
+  /** Lowest pace in percent other than 0. */
+  readonly lowestPace: number;
+  /** Part of its target from which a serving task is relieved at once. */
   readonly highShare: number;
-  /** Part of its target below which filling tasks may go faster. */
-  readonly lowShare: number;
-  /** Time in milliseconds until a change of pace shows in the measurements. */
-  readonly settleMs: number;
-  /** Time in milliseconds below `lowShare` before the pace is raised. */
-  readonly calmMs: number;
-  /** Time in milliseconds at pace 0 after which filling tasks are moved away. */
+  /** Time in milliseconds at a pace below `slowPace` after which a filling task is moved. */
   readonly moveAfterMs: number;
+  /** Pace in percent below which a filling task makes too little progress. */
+  readonly slowPace: number;
 }
 
 const defaultOptions: FillerPacingOptions = {
-  highShare: 0.85,
-  lowShare: 0.55,
-  // Half a second of measurement, and the time until a pace takes effect.
-  settleMs: 700,
-  calmMs: 1_500,
-  moveAfterMs: 2_000,
+  smallestChange: 15,
+  lowestPace: 10,
+  highShare: 0.9,
+  moveAfterMs: 1_500,
+  slowPace: 30,
 };
 
-/** Paces of filling tasks in percent, in the order in which they are reduced. */
-const paces = [100, 50, 20, 0];
-
-interface Pressure {
-  changedAt: number;
-  calmSince: number;
-  stoppedSince: number;
-}
-
 /**
- * Keeps filling tasks from disturbing the serving tasks beside them: they are paced down first, and moved when
- * a pace of 0 was needed for a while.
+ * Keeps filling tasks from disturbing the serving tasks beside them: their paces share the pressure that the
+ * serving tasks bear, the most urgent first. What makes too little progress is moved where there is more room.
  */
 export class FillerPacing {
   private readonly options: FillerPacingOptions;
-  private readonly pressures = new WeakMap<WorkerView, Pressure>();
+  private readonly slowSince = new WeakMap<Run, number>();
 
   constructor(
+    private readonly state: DispatchState,
     private readonly orders: RunOrders,
+    private readonly interference: Interference,
     options: Partial<FillerPacingOptions> = {},
   ) {
     this.options = {...defaultOptions, ...options};
@@ -51,72 +45,71 @@
 
   /** Looks at the newest measurements of a worker. */
   check(worker: WorkerView, at: number): void {
-    const fillers: Run[] = [];
-    let worst = 0;
-    for (const run of worker.runs.values()) {
-      const {step} = run.task;
-      if (run.state !== 'running') continue;
-      if (step.fills) fillers.push(run);
-      else if (step.lasting && step.tailTargetMs !== undefined) {
-        worst = Math.max(worst, run.figure / step.tailTargetMs);
-      }
-    }
+    this.interference.observe(worker, at);
+    const fillers = getFillers(worker).filter(run => run.state === 'running');
     if (fillers.length === 0) return;
-    const {highShare, lowShare, settleMs, calmMs, moveAfterMs} = this.options;
-    const pressure = this.getPressure(worker, at);
-    if (worst >= lowShare) pressure.calmSince = at;
-    const isSettled = at - pressure.changedAt >= settleMs;
-    if (worst >= highShare && isSettled) {
-      // Far above the target there is no time for steps.
-      this.reduce(fillers, worst >= 1 ? 0 : undefined, pressure, at);
-    } else if (worst < lowShare && at - pressure.calmSince >= calmMs && isSettled) {
-      this.raise(fillers, pressure, at);
-    }
-    const isStopped = fillers.every(run => run.pace === 0);
-    if (!isStopped) pressure.stoppedSince = Number.POSITIVE_INFINITY;
-    else pressure.stoppedSince = Math.min(pressure.stoppedSince, at);
-    if (isStopped && at - pressure.stoppedSince >= moveAfterMs) {
-      pressure.stoppedSince = Number.POSITIVE_INFINITY;
-      for (const run of fillers) {
-        run.task.avoided.add(worker.life);
-        this.orders.stop(run, 'disturbs-serving-task', at);
-      }
+    let budget = this.isOverTarget(worker) ? 0 : this.interference.getBudget(worker, at);
+    fillers.sort((a, b) => b.percent - a.percent || a.startedAt - b.startedAt);
+    for (const run of fillers) {
+      const pressure = this.interference.getPressure(run.task.step.image, at);
+      const pace = this.round(Math.min(1, budget / pressure) * 100);
+      budget = Math.max(0, budget - (pressure * pace) / 100);
+      this.setPace(run, pace, at);
+      this.checkSlow(run, at);
     }
   }
 
-  private reduce(
-    fillers: readonly Run[],
-    lowest: number | undefined,
-    pressure: Pressure,
-    at: number,
-  ): void {
-    for (const run of fillers) {
-      const pace = lowest ?? paces.find(candidate => candidate < run.pace) ?? 0;
-      if (pace >= run.pace) continue;
-      this.orders.pace(run, pace, 'serving-task-near-target');
-      pressure.changedAt = at;
-    }
+  private round(pace: number): number {
+    return pace < this.options.lowestPace ? 0 : Math.round(pace);
   }
 
-  private raise(fillers: readonly Run[], pressure: Pressure, at: number): void {
-    const [run] = [...fillers].sort((a, b) => a.pace - b.pace);
-    if (run === undefined || run.pace >= 100) return;
-    const pace = [...paces].reverse().find(candidate => candidate > run.pace) ?? 100;
-    this.orders.pace(run, pace, 'serving-task-below-target');
-    pressure.changedAt = at;
-    pressure.calmSince = at;
+  private setPace(run: Run, pace: number, at: number): void {
+    const isLimit = pace === 0 || pace === 100;
+    const change = Math.abs(pace - run.pace);
+    if (change === 0 || (!isLimit && change < this.options.smallestChange)) return;
+    this.orders.pace(run, pace, pace < run.pace ? 'serving-task-near-target' : 'room-to-target');
+    this.interference.change(run.worker, at);
   }
 
-  private getPressure(worker: WorkerView, at: number): Pressure {
-    let pressure = this.pressures.get(worker);
-    if (pressure === undefined) {
-      pressure = {
-        changedAt: Number.NEGATIVE_INFINITY,
-        calmSince: at,
-        stoppedSince: Number.POSITIVE_INFINITY,
-      };
-      this.pressures.set(worker, pressure);
+  private checkSlow(run: Run, at: number): void {
+    const {slowPace, moveAfterMs} = this.options;
+    if (run.pace >= slowPace) {
+      this.slowSince.delete(run);
+      return;
     }
-    return pressure;
+    const since = this.slowSince.get(run) ?? at;
+    this.slowSince.set(run, since);
+    if (at - since < moveAfterMs || !this.hasBetterPlace(run, at)) return;
+    this.slowSince.delete(run);
+    this.orders.stop(run, 'too-little-room-beside-serving', at);
   }
+
+  private hasBetterPlace(run: Run, at: number): boolean {
+    const {need, image} = run.task.step;
+    const pressure = this.interference.getPressure(image, at);
+    for (const worker of this.state.workers.values()) {
+      if (worker === run.worker || !worker.isOpen(at, this.state.timing.unreachableMs)) continue;
+      if (worker.description.service !== run.worker.description.service) continue;
+      const left =
+        this.interference.getBudget(worker, at) - this.interference.getPressureOn(worker, at);
+      if (left >= pressure && getUnusedCores(worker) >= need.processors) return true;
+    }
+    return false;
+  }
+
+  private isOverTarget(worker: WorkerView): boolean {
+    return getServing(worker).some(
+      run => run.figure >= (run.task.step.tailTargetMs ?? 0) * this.options.highShare,
+    );
+  }
+}
+
+/** Part of its reserved processors that a serving task uses at most times. */
+const servingUse = 0.6;
+
+/** Processors of a worker that nothing is expected to use. */
+export function getUnusedCores(worker: WorkerView): number {
+  let unused = worker.capacity.processors - worker.used.processors - worker.fillLoad;
+  for (const run of getServing(worker)) unused += run.task.step.need.processors * (1 - servingUse);
+  return unused;
 }
--- a/packages/coordination/src/dispatch/policy/placement-round.ts
+++ b/packages/coordination/src/dispatch/policy/placement-round.ts
@@ -2,17 +2,23 @@
 import type {DispatchState} from '../dispatch-state.js';
 import type {RunOrders} from '../run-orders.js';
 import type {WorkerView} from '../worker-view.js';
+import type {Interference} from './interference.js';
 import {orderCandidates, type Candidate} from './submission-order.js';
 import {WorkerChoice} from './worker-choice.js';
 
 /** Starts everything that may start now and has room, in the order of `orderCandidates`. */
-export function runPlacementRound(state: DispatchState, orders: RunOrders, at: number): void {
-  const choice = new WorkerChoice(state, at);
+export function runPlacementRound(
+  state: DispatchState,
+  orders: RunOrders,
+  interference: Interference,
+  at: number,
+): void {
+  const choice = new WorkerChoice(state, interference, at);
   if (choice.size === 0) return;
   for (const candidate of orderCandidates(state, at)) {
     for (const group of candidate.occurrence.getOpenSteps()) {
       if (group.step.gang) startGang(candidate, group, choice, orders, at);
-      else startTasks(candidate, group, choice, orders, at);
+      else startTasks(candidate, group, choice, orders, interference, at);
     }
   }
 }
@@ -22,6 +28,7 @@
   group: StepTasks,
   choice: WorkerChoice,
   orders: RunOrders,
+  interference: Interference,
   at: number,
 ): void {
   for (const task of group.tasks) {
@@ -30,6 +37,7 @@
     // Tasks of a step need the same room; only what they avoid differs.
     if (worker === undefined) return;
     orders.start(task, worker, at);
+    if (task.step.fills) interference.change(worker, at);
   }
 }
 
--- a/packages/coordination/src/dispatch/policy/run-supervision.ts
+++ b/packages/coordination/src/dispatch/policy/run-supervision.ts
@@ -3,6 +3,7 @@
 import type {RunOrders} from '../run-orders.js';
 import type {Run} from '../task.js';
 import type {WorkerView} from '../worker-view.js';
+import type {Interference} from './interference.js';
 import {WorkerChoice} from './worker-choice.js';
 
 /** Time in milliseconds without progress, on a worker that reports, after which a run stands still. */
@@ -34,6 +35,7 @@
   constructor(
     private readonly state: DispatchState,
     private readonly orders: RunOrders,
+    private readonly interference: Interference,
   ) {}
 
   /** Records the run time of a finished run. */
@@ -44,14 +46,18 @@
     const actualMs = at - run.startedAt;
     const expectedMs = this.getExpectedMs(run);
     worker.slowness += slownessWeight * (Math.min(10, actualMs / expectedMs) - worker.slowness);
-    this.state.observeRunTime(queue, getEstimateMs(task.step), actualMs / Math.max(1, worker.slowness));
+    this.state.observeRunTime(
+      queue,
+      getEstimateMs(task.step),
+      actualMs / Math.max(1, worker.slowness),
+    );
   }
 
   /** Looks at all runs. */
   check(at: number): void {
     if (at - this.checkedAt < checkMs) return;
     this.checkedAt = at;
-    const choice = new WorkerChoice(this.state, at);
+    const choice = new WorkerChoice(this.state, this.interference, at);
     for (const worker of this.state.workers.values()) {
       worker.slowness += ((1 - worker.slowness) * slownessDecay * checkMs) / 1000;
       if (!worker.isConnected || at - worker.heardAt >= this.state.timing.unreachableMs) continue;
--- a/packages/coordination/src/dispatch/policy/submission-order.ts
+++ b/packages/coordination/src/dispatch/policy/submission-order.ts
@@ -29,7 +29,8 @@
   for (const submission of state.submissions.values()) {
     if (!submission.isActive) continue;
     for (const occurrence of submission.occurrences) {
-      if (!occurrence.isFinished) candidates.push(createCandidate(state, submission, occurrence, at));
+      if (!occurrence.isFinished)
+        candidates.push(createCandidate(state, submission, occurrence, at));
     }
   }
   return candidates.sort(
--- a/packages/coordination/src/dispatch/policy/worker-choice.ts
+++ b/packages/coordination/src/dispatch/policy/worker-choice.ts
@@ -2,6 +2,8 @@
 import type {DispatchState} from '../dispatch-state.js';
 import type {Task} from '../task.js';
 import type {WorkerView} from '../worker-view.js';
+import {getUnusedCores} from './filler-pacing.js';
+import {getServing, type Interference} from './interference.js';
 
 /** Rounding error of sums of cores. */
 const coreTolerance = 1e-6;
@@ -10,7 +12,9 @@
 const urgentReserve = 0.04;
 
 /** Part of its processors that a filling task must find unused. */
-const fillShare = 0.5;
+const fillShare = 0.8;
+/** Part of its pressure that a filling task must find bearable; it is paced down for the rest. */
+const pressureShare = 0.7;
 
 /** Costs of a place; the place with the lowest sum is taken. */
 const costs = {
@@ -22,12 +26,12 @@
   slowness: 20,
   /** The data is on another rack, or other tasks of the step are. */
   otherRack: 5,
-  /** A filling task beside a serving one with a latency target. */
-  besideServing: 8,
+  /** A filling task beside a serving one, and for the part of the bearable pressure that it takes. */
+  besideServing: 2,
   /** A serving task beside filling ones, for each core that they would use. */
-  besideFills: 0.5,
-  /** A serving task on a worker without others; they are kept together. */
-  firstServing: 2,
+  besideFills: 0.2,
+  /** A serving task on a worker without others: they are kept together, so that others stay free to fill. */
+  firstServing: 6,
   /** Free part of the worker's cores: full workers first keep room for large tasks. */
   free: 1,
 };
@@ -38,7 +42,8 @@
 
   constructor(
     private readonly state: DispatchState,
-    at: number,
+    private readonly interference: Interference,
+    private readonly at: number,
   ) {
     const {unreachableMs} = state.timing;
     this.open = [...state.workers.values()].filter(worker => {
@@ -67,12 +72,7 @@
     return best;
   }
 
-  private isEligible(
-    worker: WorkerView,
-    task: Task,
-    group: StepTasks,
-    priority: number,
-  ): boolean {
+  private isEligible(worker: WorkerView, task: Task, group: StepTasks, priority: number): boolean {
     const {description, capacity, used} = worker;
     const {step} = task;
     if (description.service !== task.submission.service) return false;
@@ -82,7 +82,8 @@
     if (used.accelerators + step.need.accelerators > capacity.accelerators) return false;
     const free = capacity.processors - used.processors + coreTolerance;
     if (step.fills) {
-      if (free - worker.fillLoad < step.need.processors * fillShare) return false;
+      if (getUnusedCores(worker) < step.need.processors * fillShare) return false;
+      if (this.getLeftPressure(worker) < this.getPressure(task) * pressureShare) return false;
     } else {
       const reserve = priority > 0 ? capacity.processors * urgentReserve : 0;
       if (free - reserve < step.need.processors) return false;
@@ -94,6 +95,16 @@
     return true;
   }
 
+  private getPressure(task: Task): number {
+    return this.interference.getPressure(task.step.image, this.at);
+  }
+
+  /** Pressure that the serving tasks of a worker bear beyond what is there. */
+  private getLeftPressure(worker: WorkerView): number {
+    const {interference, at} = this;
+    return interference.getBudget(worker, at) - interference.getPressureOn(worker, at);
+  }
+
   private getCost(worker: WorkerView, task: Task, group: StepTasks): number {
     const {step} = task;
     const {processors} = worker.capacity;
@@ -103,11 +114,13 @@
     cost += Math.max(0, worker.slowness - 1) * costs.slowness;
     if (step.rack !== undefined && step.rack !== worker.description.rack) cost += costs.otherRack;
     if (step.sameRack && !isOnRackOf(worker, group)) cost += costs.otherRack;
-    const serving = countServing(worker);
+    const serving = getServing(worker).length;
     const free = (processors - worker.used.processors) / Math.max(1, processors);
     if (step.fills) {
-      const unused = processors - worker.used.processors - worker.fillLoad;
-      return cost + serving * costs.besideServing - unused / Math.max(1, processors);
+      cost -= getUnusedCores(worker) / Math.max(1, processors);
+      if (serving === 0) return cost;
+      const taken = this.getPressure(task) / Math.max(0.01, this.getLeftPressure(worker));
+      return cost + costs.besideServing * (1 + taken);
     }
     if (step.lasting) {
       if (step.tailTargetMs !== undefined) cost += worker.fillLoad * costs.besideFills;
@@ -117,15 +130,6 @@
   }
 }
 
-/** Number of serving tasks with a latency target on a worker. */
-export function countServing(worker: WorkerView): number {
-  let count = 0;
-  for (const run of worker.runs.values()) {
-    if (run.task.step.lasting && run.task.step.tailTargetMs !== undefined) count += 1;
-  }
-  return count;
-}
-
 function countRuns(worker: WorkerView, group: StepTasks): number {
   let count = 0;
   for (const run of worker.runs.values()) {
--- a/packages/coordination/src/dispatch/progress-journal.ts
+++ b/packages/coordination/src/dispatch/progress-journal.ts
@@ -89,7 +89,10 @@
     const hasRecords = due && this.changed.size > 0;
     if (!hasRecords && !this.isRosterChanged && this.forgotten.size === 0) return;
     const submissions = hasRecords ? this.takeChanged() : [];
-    const forgotten = [...this.forgotten].slice(0, Math.floor((maxRecords - submissions.length) / 3));
+    const forgotten = [...this.forgotten].slice(
+      0,
+      Math.floor((maxRecords - submissions.length) / 3),
+    );
     const roster = this.isRosterChanged ? this.getRoster() : undefined;
     this.isRosterChanged = false;
     const included = new Set(submissions);
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -29,7 +29,10 @@
 const invalidDelayMs = 2_000;
 
 /** Short tasks tell within seconds whether a worker has recovered. */
-const dispatchHealth: Partial<HealthLimits> = {firstSuspensionMs: 4_000, longestSuspensionMs: 30_000};
+const dispatchHealth: Partial<HealthLimits> = {
+  firstSuspensionMs: 4_000,
+  longestSuspensionMs: 30_000,
+};
 
 /** Parts of the dispatcher that `WorkerReports` uses. */
 export interface WorkerReportsOptions {
--- a/packages/coordination/src/ownership/owner-election.ts
+++ b/packages/coordination/src/ownership/owner-election.ts
@@ -42,6 +42,8 @@
 /** Input of `OwnerElection`. */
 export type ElectionEvent =
   | {readonly kind: 'tick'}
+  /** Only checks whether the ownership still holds. */
+  | {readonly kind: 'look'}
   | {readonly kind: 'lease-opened'; readonly lease: string; readonly sentAt: number}
   | {readonly kind: 'lease-kept'; readonly sentAt: number}
   /** The store has ended the lease. */
@@ -112,6 +114,8 @@
     switch (event.kind) {
       case 'tick':
         return this.tick(at);
+      case 'look':
+        return;
       case 'lease-opened':
         this.pending = undefined;
         this.lease = event.lease;
--- a/packages/runtime/src/dispatch/agent-node.ts
+++ b/packages/runtime/src/dispatch/agent-node.ts
@@ -94,7 +94,10 @@
       this.startHolding();
     } else if (JSON.stringify(former) === JSON.stringify(worker)) return;
     if (worker.state === 'draining' && former?.state !== 'draining') {
-      this.options.log.log('worker-draining', {worker: worker.life, remainingMs: worker.remainingMs});
+      this.options.log.log('worker-draining', {
+        worker: worker.life,
+        remainingMs: worker.remainingMs,
+      });
     }
     this.send({kind: 'worker', worker});
   }
--- a/packages/runtime/src/dispatch/decision-logger.ts
+++ b/packages/runtime/src/dispatch/decision-logger.ts
@@ -49,7 +49,10 @@
   private reset(): void {
     this.written.clear();
     if (this.omitted.size === 0) return;
-    this.logger.warn({event: 'lines-omitted', omitted: Object.fromEntries(this.omitted)}, 'lines omitted');
+    this.logger.warn(
+      {event: 'lines-omitted', omitted: Object.fromEntries(this.omitted)},
+      'lines omitted',
+    );
     this.omitted.clear();
   }
 }
--- a/packages/runtime/src/dispatch/entry-node.ts
+++ b/packages/runtime/src/dispatch/entry-node.ts
@@ -113,7 +113,8 @@
     const link: PeerLink = new Link(socket, {
       message: message => {
         if (message.kind === 'agent') agent = this.greetAgent(message.agent, link);
-        else if (agent !== undefined) this.owner.receive(agent, asAgentLink(link), message as AgentMessage);
+        else if (agent !== undefined)
+          this.owner.receive(agent, asAgentLink(link), message as AgentMessage);
         else this.serveEntry(link, message as EntryRequest);
       },
       closed: reason => {
--- a/packages/runtime/src/dispatch/owner-process.ts
+++ b/packages/runtime/src/dispatch/owner-process.ts
@@ -23,6 +23,7 @@
 import type {Metrics} from '../metrics/index.js';
 import type {DecisionLogger} from './decision-logger.js';
 import type {KnownSubmission} from './entry-messages.js';
+import {LeaseClock} from './lease-clock.js';
 import type {Link} from './link.js';
 import {RecordWatch} from './record-watch.js';
 import type {CommitResult, RecordChange, RecordStore, StoredRecord} from './record-store.js';
@@ -42,6 +43,8 @@
 const idleTickMs = 250;
 /** Round trip to the store, as a multiple, by which a claim is delayed: the nearest entry goes first. */
 const claimDelayRatio = 8;
+/** Longest delay of a claim in milliseconds; the first call of a process may take long for other reasons. */
+const longestClaimDelayMs = 500;
 
 /** Options of `OwnerProcess`. */
 export interface OwnerProcessOptions {
@@ -68,6 +71,7 @@
   private readonly loop: Loop<DispatchEvent, DispatchEffect>;
   private readonly election: OwnerElection;
   private readonly electionLoop: Loop<ElectionEvent, ElectionEffect>;
+  private readonly leaseClock: LeaseClock;
   private readonly ownerWatch: RecordWatch;
   private readonly agents = new Map<string, Link<AgentMessage, OwnerMessage>>();
   private workWatch: RecordWatch | undefined;
@@ -84,7 +88,12 @@
       incarnation,
       ...(electionTiming && {timing: electionTiming}),
     });
-    this.electionLoop = new Loop(this.election, clock, effect => this.carryOutElection(effect));
+    this.leaseClock = new LeaseClock(clock, ms => {
+      log.log('host-suspended', {ms: Math.round(ms)});
+    });
+    this.electionLoop = new Loop(this.election, this.leaseClock, effect =>
+      this.carryOutElection(effect),
+    );
     this.ownerWatch = new RecordWatch({
       store,
       clock,
@@ -161,6 +170,8 @@
   }
 
   private post(event: DispatchEvent): void {
+    // After a suspension of the host, the election must look before any other decision is taken.
+    if (this.isOwner) this.electionLoop.post({kind: 'look'});
     this.loop.post(event);
     if (this.isSettling || !this.isOwner) return;
     // One round of decisions for all events of a turn of the loop.
@@ -235,14 +246,17 @@
   }
 
   private async openLease(ttlMs: number): Promise<void> {
-    const {store, clock, name, address} = this.options;
-    const sentAt = clock.now();
+    const {store, name, address} = this.options;
+    const sentAt = this.leaseClock.now();
     const result = await store.openLease(ttlMs);
     if (result.kind !== 'ok') {
       this.electionLoop.post({kind: 'call-failed', call: 'open-lease'});
       return;
     }
-    const delayMs = (clock.now() - sentAt) * claimDelayRatio;
+    const delayMs = Math.min(
+      longestClaimDelayMs,
+      (this.leaseClock.now() - sentAt) * claimDelayRatio,
+    );
     this.electionLoop.post({kind: 'claim-delay', delayMs});
     this.electionLoop.post({kind: 'lease-opened', lease: result.lease, sentAt});
     const registration = await store.commit({
@@ -256,8 +270,8 @@
   }
 
   private async keepLease(lease: string): Promise<void> {
-    const {store, clock} = this.options;
-    const sentAt = clock.now();
+    const {store} = this.options;
+    const sentAt = this.leaseClock.now();
     const result = await store.keepLease(lease);
     if (result.kind === 'ok') this.electionLoop.post({kind: 'lease-kept', sentAt});
     else if (result.kind === 'no-lease') this.electionLoop.post({kind: 'lease-ended'});
@@ -421,7 +435,9 @@
     ]),
   );
   const cancelled = new Set(
-    work.filter(record => record.key.startsWith(cancelPrefix)).map(record => record.key.slice(cancelPrefix.length)),
+    work
+      .filter(record => record.key.startsWith(cancelPrefix))
+      .map(record => record.key.slice(cancelPrefix.length)),
   );
   const stored: StoredSubmission[] = [];
   for (const record of work) {
--- a/packages/runtime/src/dispatch/submission-service.ts
+++ b/packages/runtime/src/dispatch/submission-service.ts
@@ -139,7 +139,12 @@
     const isFresh = this.options.clock.now() - this.levelsAt < levelAgeMs;
     const level = isFresh ? this.levels.get(queue.key) : undefined;
     const added = this.acceptedWork.get(queue.key) ?? 0;
-    const now = level && {...level, waitMs: level.waitMs + added / Math.max(1, level.cores)};
+    const addedMs = level ? added / Math.max(1, level.cores) : 0;
+    const now = level && {
+      ...level,
+      waitMs: level.waitMs + addedMs,
+      fillWaitMs: level.fillWaitMs + addedMs,
+    };
     const admission = decideAdmission(queue, draft.steps, draft.repetitions > 0, now);
     if (admission.kind === 'accept') return undefined;
     const {retryAfterSeconds} = admission;
--- a/packages/runtime/src/dispatch/worker-port.ts
+++ b/packages/runtime/src/dispatch/worker-port.ts
@@ -41,13 +41,7 @@
   /** Stops a run, and bars it when it is not there. */
   stop(id: string, task: string, run: number, token: number): Promise<OrderReply>;
   /** Sets the share in percent at which a run works. */
-  pace(
-    id: string,
-    task: string,
-    run: number,
-    percent: number,
-    token: number,
-  ): Promise<OrderReply>;
+  pace(id: string, task: string, run: number, percent: number, token: number): Promise<OrderReply>;
   /** Renews the lease, acknowledges ends and lists runs and ends; waits up to `waitMs` for an end. */
   hold(
     id: string,
