Learn the pressure of filling work for each pair of images

Change: the model keeps a pressure a core for each pair of images and takes the median tail of a step on a worker.

--- a/packages/coordination/src/colocation/disturbance-model.ts
+++ b/packages/coordination/src/colocation/disturbance-model.ts
@@ -1,10 +1,24 @@
-/** Prior of the log-slowdown of a pair, and the half life of what was learned. */
+/** Options of `DisturbanceModel`. */
+export interface DisturbanceOptions {
+  /** Mean and standard deviation of a pair's log-slowdown before anything was measured. */
+  readonly priorMean: number;
+  readonly priorDeviation: number;
+  /** Time in milliseconds after which half of what was learned is forgotten. */
+  readonly halfLifeMs: number;
+  /** Standard deviation of the logarithm of one measured latency ratio. */
+  readonly noiseDeviation: number;
+}
+
+/** Prior of the log-slowdown of a pair by default. */
 export const priorMean = 0.05;
 export const priorDeviation = 0.2;
-const halfLifeMs = 600_000;
 
-/** Standard deviation of the logarithm of one measured latency ratio. */
-const noiseDeviation = 0.1;
+const defaultOptions: DisturbanceOptions = {
+  priorMean,
+  priorDeviation,
+  halfLifeMs: 600_000,
+  noiseDeviation: 0.1,
+};
 
 /** Deviation below which a pair counts as known. */
 const knownDeviation = 0.12;
@@ -24,12 +38,17 @@
  */
 export class DisturbanceModel {
   private readonly pairs = new Map<string, Map<string, Pair>>();
+  private readonly options: DisturbanceOptions;
+
+  constructor(options: Partial<DisturbanceOptions> = {}) {
+    this.options = {...defaultOptions, ...options};
+  }
 
-  /** Updates the pairs of a service from one measured ratio. */
-  observe(service: string, presence: Presence, ratio: number, at: number): void {
+  /** Updates the pairs of a service from one measured ratio; `noise` widens the deviation of the measurement. */
+  observe(service: string, presence: Presence, ratio: number, at: number, noise = 1): void {
     if (presence.size === 0 || ratio <= 0) return;
     let predicted = 0;
-    let variance = noiseDeviation ** 2;
+    let variance = (this.options.noiseDeviation * noise) ** 2;
     const present: Array<{pair: Pair; amount: number}> = [];
     for (const [workload, amount] of presence) {
       const pair = this.decay(service, workload, at);
@@ -67,6 +86,7 @@
       pairs = new Map();
       this.pairs.set(service, pairs);
     }
+    const {priorMean, priorDeviation, halfLifeMs} = this.options;
     let pair = pairs.get(workload);
     if (!pair) {
       pair = {mean: priorMean, variance: priorDeviation ** 2, updatedAt: at};
--- a/packages/coordination/src/dispatch/policy/filler-pacing.ts
+++ b/packages/coordination/src/dispatch/policy/filler-pacing.ts
@@ -1,8 +1,14 @@
+import type {Step} from '../../submissions/index.js';
 import type {DispatchState} from '../dispatch-state.js';
 import type {RunOrders} from '../run-orders.js';
 import type {Run} from '../task.js';
 import type {WorkerView} from '../worker-view.js';
-import {getFillers, getServing, type Interference} from './interference.js';
+import {
+  getFillers,
+  getServingGroups,
+  type Interference,
+  type ServingGroup,
+} from './interference.js';
 
 /** Limits of `FillerPacing`. */
 export interface FillerPacingOptions {
@@ -48,17 +54,31 @@
     this.interference.observe(worker, at);
     const fillers = getFillers(worker).filter(run => run.state === 'running');
     if (fillers.length === 0) return;
-    let budget = this.isOverTarget(worker) ? 0 : this.interference.getBudget(worker, at);
+    const groups = getServingGroups(worker);
+    const left = new Map(groups.map(group => [group, this.getBudget(worker, group, at)]));
     fillers.sort((a, b) => b.percent - a.percent || a.startedAt - b.startedAt);
     for (const run of fillers) {
-      const pressure = this.interference.getPressure(run.task.step.image, at);
-      const pace = this.round(Math.min(1, budget / pressure) * 100);
-      budget = Math.max(0, budget - (pressure * pace) / 100);
+      const {image, need} = run.task.step;
+      const filling = {cores: need.processors, ...(image !== undefined && {image})};
+      let share = 1;
+      for (const [group, budget] of left) {
+        share = Math.min(share, budget / this.interference.getPressure(group, filling, at));
+      }
+      const pace = this.round(share * 100);
+      for (const [group, budget] of left) {
+        const used = (this.interference.getPressure(group, filling, at) * pace) / 100;
+        left.set(group, Math.max(0, budget - used));
+      }
       this.setPace(run, pace, at);
       this.checkSlow(run, at);
     }
   }
 
+  private getBudget(worker: WorkerView, group: ServingGroup, at: number): number {
+    if (group.tailMs >= group.targetMs * this.options.highShare) return 0;
+    return this.interference.getBudget(worker, group, at);
+  }
+
   private round(pace: number): number {
     return pace < this.options.lowestPace ? 0 : Math.round(pace);
   }
@@ -85,23 +105,36 @@
   }
 
   private hasBetterPlace(run: Run, at: number): boolean {
-    const {need, image} = run.task.step;
-    const pressure = this.interference.getPressure(image, at);
+    const {need} = run.task.step;
     for (const worker of this.state.workers.values()) {
       if (worker === run.worker || !worker.isOpen(at, this.state.timing.unreachableMs)) continue;
       if (worker.description.service !== run.worker.description.service) continue;
-      const left =
-        this.interference.getBudget(worker, at) - this.interference.getPressureOn(worker, at);
-      if (left >= pressure && getUnusedCores(worker) >= need.processors) return true;
+      if (getUnusedCores(worker) < need.processors) continue;
+      if (getTakenShare(this.interference, worker, run.task.step, at) <= 1) return true;
     }
     return false;
   }
+}
 
-  private isOverTarget(worker: WorkerView): boolean {
-    return getServing(worker).some(
-      run => run.figure >= (run.task.step.tailTargetMs ?? 0) * this.options.highShare,
-    );
+/**
+ * Returns the largest part of what the serving tasks of a worker still bear that a filling task would take;
+ * 0 on a worker without serving tasks, above 1 where it would have to be paced down.
+ */
+export function getTakenShare(
+  interference: Interference,
+  worker: WorkerView,
+  step: Step,
+  at: number,
+): number {
+  const filling = {cores: step.need.processors, ...(step.image !== undefined && {image: step.image})};
+  let taken = 0;
+  for (const group of getServingGroups(worker)) {
+    const left =
+      interference.getBudget(worker, group, at) - interference.getPressureOn(worker, group, at);
+    const pressure = interference.getPressure(group, filling, at);
+    taken = Math.max(taken, left > 0 ? pressure / left : Number.POSITIVE_INFINITY);
   }
+  return taken;
 }
 
 /** Part of its reserved processors that a serving task uses at most times. */
@@ -110,6 +143,9 @@
 /** Processors of a worker that nothing is expected to use. */
 export function getUnusedCores(worker: WorkerView): number {
   let unused = worker.capacity.processors - worker.used.processors - worker.fillLoad;
-  for (const run of getServing(worker)) unused += run.task.step.need.processors * (1 - servingUse);
+  for (const run of worker.runs.values()) {
+    const {step} = run.task;
+    if (step.lasting && !step.fills) unused += step.need.processors * (1 - servingUse);
+  }
   return unused;
 }
--- a/packages/coordination/src/dispatch/policy/interference.ts
+++ b/packages/coordination/src/dispatch/policy/interference.ts
@@ -1,43 +1,68 @@
-import {DisturbanceModel} from '../../colocation/disturbance-model.js';
+import {DisturbanceModel, type Presence} from '../../colocation/disturbance-model.js';
 import type {Run} from '../task.js';
 import type {WorkerView} from '../worker-view.js';
 
-/** Key under which the model keeps all serving tasks: a filling image disturbs all of them alike. */
-const allServing = 'serving';
-
 /** Part of its target that the tail latency of an unloaded serving task is assumed to be until it is measured. */
 const unloadedShare = 0.2;
 /** Part of the lowest measured tail latency that would remain without any load. */
 const lowestTailShare = 0.8;
 /** Part of its target that a serving task may reach by the tasks beside it. */
-const targetShare = 0.75;
+const targetShare = 0.8;
 /** Bounds of a load that is derived from a tail latency. */
 const lowestLoad = 0.05;
 const highestLoad = 0.97;
 /** Time in milliseconds for which the load is extrapolated; a filling task is paced down within it. */
-const foresightMs = 800;
+const foresightMs = 1_200;
+/** Fastest change of a load in a millisecond that is extrapolated. */
+const steepestSlope = 0.0002;
 /** Time in milliseconds after a change of the filling tasks before measurements show it. */
-const settleMs = 700;
-/** Age in milliseconds of the measurement of another task of the same step that still counts. */
+const settleMs = 900;
+/** Age in milliseconds of the measurement of another group that still counts. */
 const siblingAgeMs = 1_200;
+/** Widening of the measurement noise when the load is extrapolated and not measured elsewhere. */
+const extrapolatedNoise = 2.5;
+/** Part of the deviation of a pressure that is added to its mean, as a caution. */
+const caution = 0.5;
+
+/** Serving tasks of one step on one worker; they share their users, so their loads are alike. */
+export interface ServingGroup {
+  readonly key: string;
+  readonly image: string;
+  readonly targetMs: number;
+  /** Median tail latency of the tasks in milliseconds; 0 when none was measured. */
+  readonly tailMs: number;
+}
 
-interface ServingLoad {
+interface GroupLoad {
   /** Load without the filling tasks beside it. */
   load: number;
   /** Change of the load in a millisecond. */
   slope: number;
+  /** Load as measured, with the filling tasks. */
+  measured: number;
+  /** Pressure of the filling tasks when it was measured. */
+  pressure: number;
   measuredAt: number;
 }
 
 /**
  * Learns how much filling tasks disturb serving tasks, and tells how many more a worker bears. The tail latency
- * of a serving task grows as `base / (1 - load)`; each filling task beside it multiplies the load by
- * `1 + pressure`, and the pressure is learned for each image.
+ * of a serving task grows as `base / (1 - load)`; each core of filling work beside it multiplies the load by
+ * `1 + pressure`, and the pressure is learned for each pair of images.
  */
 export class Interference {
-  readonly model = new DisturbanceModel();
+  /** Pressure of a core of each filling image on each serving image. */
+  private readonly model = new DisturbanceModel({
+    priorMean: 0.1,
+    priorDeviation: 0.12,
+    halfLifeMs: 300_000,
+    noiseDeviation: 0.12,
+  });
   private readonly lowestTails = new Map<string, number>();
-  private readonly loads = new WeakMap<Run, ServingLoad>();
+  /** Loads by worker and group. */
+  private readonly loads = new WeakMap<WorkerView, Map<string, GroupLoad>>();
+  /** Workers that have groups, to find the other groups of a step. */
+  private readonly workersOfGroup = new Map<string, Set<WorkerView>>();
   private readonly changedAt = new WeakMap<WorkerView, number>();
 
   /** Notes that the filling tasks of a worker or their pace have changed. */
@@ -47,104 +72,173 @@
 
   /** Takes in the newest measurements of a worker. */
   observe(worker: WorkerView, at: number): void {
-    const pressure = getPresence(worker);
-    const isSettled = at - (this.changedAt.get(worker) ?? 0) >= settleMs;
-    for (const run of getServing(worker)) {
-      if (run.figure <= 0 || run.percent < 100) continue;
-      this.learnBase(run);
-      const measured = this.getMeasuredLoad(run);
-      const sibling = isSettled && pressure.size > 0 ? this.getSiblingLoad(run, at) : undefined;
-      if (sibling !== undefined) {
-        this.model.observe(allServing, pressure, Math.exp(measured / sibling - 1), at);
-      }
-      const load = sibling ?? measured / (1 + this.getPressureOn(worker, at));
-      this.setLoad(run, load, at);
+    const groups = getServingGroups(worker);
+    const known = this.getLoads(worker);
+    for (const key of known.keys()) {
+      if (groups.some(group => group.key === key)) continue;
+      known.delete(key);
+      this.workersOfGroup.get(key)?.delete(worker);
     }
+    const presence = getPresence(worker);
+    for (const group of groups) if (group.tailMs > 0) this.observeGroup(worker, group, presence, at);
   }
 
-  /** Pressure of one filling task of an image at full pace. */
-  getPressure(image: string | undefined, at: number): number {
-    return Math.max(0.01, this.model.getMean(allServing, image ?? '', at));
+  /** Pressure of a filling task at full pace on one group. */
+  getPressure(group: ServingGroup, run: {readonly image?: string; readonly cores: number}, at: number) {
+    return this.getCorePressure(group.image, run.image ?? '', at) * run.cores;
   }
 
-  /** Sum of the pressures of all filling tasks on a worker at their present pace. */
-  getPressureOn(worker: WorkerView, at: number): number {
-    let sum = 0;
-    for (const [image, amount] of getPresence(worker)) sum += amount * this.getPressure(image, at);
-    return sum;
+  /** Sum of the pressures of all filling tasks of a worker on a group at their present pace. */
+  getPressureOn(worker: WorkerView, group: ServingGroup, at: number): number {
+    return this.sumPressure(group.image, getPresence(worker), at);
   }
 
-  /** Pressure that the serving tasks of a worker bear; infinite without serving tasks. */
-  getBudget(worker: WorkerView, at: number): number {
-    let budget = Number.POSITIVE_INFINITY;
-    for (const run of getServing(worker)) {
-      const target = run.task.step.tailTargetMs ?? 0;
-      const limit = 1 - this.getBase(run) / (target * targetShare);
-      const known = this.loads.get(run);
-      // A task that has not been measured yet may be at its peak.
-      const load = known ? known.load + Math.max(0, known.slope) * foresightMs : limit;
-      budget = Math.min(budget, limit / Math.max(lowestLoad, load) - 1);
-    }
-    return Math.max(0, budget);
+  /** Pressure that a group bears. */
+  getBudget(worker: WorkerView, group: ServingGroup, at: number): number {
+    const limit = 1 - this.getBase(group) / (group.targetMs * targetShare);
+    const known = this.loads.get(worker)?.get(group.key);
+    // A group that has not been measured yet may be at its peak.
+    if (known === undefined) return 0;
+    const age = Math.min(foresightMs, at - known.measuredAt);
+    const load = known.load + Math.max(0, known.slope) * (foresightMs + age);
+    return Math.max(0, limit / Math.max(lowestLoad, load) - 1);
   }
 
-  private learnBase(run: Run): void {
-    const image = run.task.step.image ?? '';
-    const lowest = this.lowestTails.get(image);
-    if (lowest === undefined || run.figure < lowest) this.lowestTails.set(image, run.figure);
+  private observeGroup(
+    worker: WorkerView,
+    group: ServingGroup,
+    presence: Presence,
+    at: number,
+  ): void {
+    const lowest = this.lowestTails.get(group.image);
+    if (lowest === undefined || group.tailMs < lowest) this.lowestTails.set(group.image, group.tailMs);
+    const measured = this.getMeasuredLoad(group);
+    const isSettled = at - (this.changedAt.get(worker) ?? 0) >= settleMs;
+    const before = this.getLoads(worker).get(group.key);
+    if (isSettled && presence.size > 0) this.learn(worker, group, presence, measured, before, at);
+    const pressure = this.sumPressure(group.image, presence, at, 0);
+    const sibling = this.getSiblingLoad(worker, group.key, pressure, at);
+    let load = sibling ?? measured / (1 + pressure);
+    // The tail still shows filling tasks that were paced down or have left.
+    if (!isSettled && sibling === undefined && before) load = Math.min(load, extrapolate(before, at));
+    this.setLoad(worker, group.key, {load, measured, pressure, at});
   }
 
-  private getBase(run: Run): number {
-    const target = run.task.step.tailTargetMs ?? 0;
-    const lowest = this.lowestTails.get(run.task.step.image ?? '');
-    const assumed = target * unloadedShare;
-    return lowest === undefined ? assumed : Math.min(assumed * 1.5, lowest * lowestTailShare);
+  private learn(
+    worker: WorkerView,
+    group: ServingGroup,
+    presence: Presence,
+    measured: number,
+    before: GroupLoad | undefined,
+    at: number,
+  ): void {
+    const pressure = this.sumPressure(group.image, presence, at, 0);
+    const sibling = this.getSiblingLoad(worker, group.key, pressure, at);
+    if (sibling !== undefined) {
+      this.model.observe(group.image, presence, Math.exp(measured / sibling - 1), at);
+    } else if (before !== undefined) {
+      const expected = Math.max(lowestLoad, extrapolate(before, at));
+      const ratio = Math.exp(measured / expected - 1);
+      this.model.observe(group.image, presence, ratio, at, extrapolatedNoise);
+    }
   }
 
-  private getMeasuredLoad(run: Run): number {
-    return Math.min(highestLoad, Math.max(lowestLoad, 1 - this.getBase(run) / run.figure));
+  /** Load of the same step where the least filling work disturbs it, if that is less than here. */
+  private getSiblingLoad(
+    worker: WorkerView,
+    key: string,
+    pressure: number,
+    at: number,
+  ): number | undefined {
+    let best: GroupLoad | undefined;
+    for (const other of this.workersOfGroup.get(key) ?? []) {
+      if (other === worker || at - (this.changedAt.get(other) ?? 0) < settleMs) continue;
+      const candidate = this.loads.get(other)?.get(key);
+      if (!candidate || at - candidate.measuredAt > siblingAgeMs) continue;
+      if (candidate.pressure < (best?.pressure ?? pressure)) best = candidate;
+    }
+    return best && best.measured / (1 + best.pressure);
   }
 
-  /** Load of the tasks of the same step on workers without filling tasks; they share their users. */
-  private getSiblingLoad(run: Run, at: number): number | undefined {
+  private getCorePressure(serving: string, filling: string, at: number, cautionShare = caution): number {
+    const mean = this.model.getMean(serving, filling, at);
+    const deviation = this.model.getScore(serving, filling, at) - mean;
+    return Math.max(0.005, mean + cautionShare * deviation);
+  }
+
+  private sumPressure(
+    serving: string,
+    presence: Presence,
+    at: number,
+    cautionShare = caution,
+  ): number {
     let sum = 0;
-    let count = 0;
-    const {task} = run;
-    const occurrence = task.submission.occurrences.find(each => each.index === task.occurrence);
-    for (const sibling of occurrence?.steps[task.stepIndex]?.tasks ?? []) {
-      const [other] = sibling.runs;
-      if (!other || other === run || other.percent < 100 || other.figure <= 0) continue;
-      if (other.worker === run.worker || at - other.worker.heardAt > siblingAgeMs) continue;
-      if (getPresence(other.worker).size > 0) continue;
-      if (at - (this.changedAt.get(other.worker) ?? 0) < settleMs) continue;
-      sum += this.getMeasuredLoad(other);
-      count += 1;
+    for (const [image, cores] of presence) {
+      sum += cores * this.getCorePressure(serving, image, at, cautionShare);
     }
-    return count > 0 ? sum / count : undefined;
+    return sum;
+  }
+
+  private getBase(group: ServingGroup): number {
+    const lowest = this.lowestTails.get(group.image);
+    const assumed = group.targetMs * unloadedShare;
+    return lowest === undefined ? assumed : Math.min(assumed * 1.5, lowest * lowestTailShare);
   }
 
-  private setLoad(run: Run, load: number, at: number): void {
-    const known = this.loads.get(run);
+  private getMeasuredLoad(group: ServingGroup): number {
+    return Math.min(highestLoad, Math.max(lowestLoad, 1 - this.getBase(group) / group.tailMs));
+  }
+
+  private getLoads(worker: WorkerView): Map<string, GroupLoad> {
+    let loads = this.loads.get(worker);
+    if (loads === undefined) this.loads.set(worker, (loads = new Map()));
+    return loads;
+  }
+
+  private setLoad(
+    worker: WorkerView,
+    key: string,
+    next: {load: number; measured: number; pressure: number; at: number},
+  ): void {
+    const {load, measured, pressure, at} = next;
+    const loads = this.getLoads(worker);
+    const known = loads.get(key);
     if (known === undefined) {
-      this.loads.set(run, {load, slope: 0, measuredAt: at});
+      loads.set(key, {load, slope: 0, measured, pressure, measuredAt: at});
+      const workers = this.workersOfGroup.get(key) ?? new Set();
+      this.workersOfGroup.set(key, workers.add(worker));
       return;
     }
-    const elapsed = Math.max(1, at - known.measuredAt);
-    const slope = (load - known.load) / elapsed;
-    known.slope += (slope - known.slope) / 2;
-    known.load = load;
-    known.measuredAt = at;
+    const slope = (load - known.load) / Math.max(1, at - known.measuredAt);
+    const bounded = Math.max(-steepestSlope, Math.min(steepestSlope, slope));
+    known.slope += (bounded - known.slope) / 2;
+    Object.assign(known, {load, measured, pressure, measuredAt: at});
   }
 }
 
-/** Runs of a worker that serve with a latency target. */
-export function getServing(worker: WorkerView): Run[] {
-  const serving: Run[] = [];
+function extrapolate(known: GroupLoad, at: number): number {
+  return known.load + known.slope * Math.min(2 * foresightMs, at - known.measuredAt);
+}
+
+/** Returns the serving tasks with a latency target on a worker, by step. */
+export function getServingGroups(worker: WorkerView): ServingGroup[] {
+  const groups = new Map<string, Run[]>();
   for (const run of worker.runs.values()) {
-    const {step} = run.task;
-    if (step.lasting && !step.fills && step.tailTargetMs !== undefined) serving.push(run);
+    const {step, submission, stepIndex} = run.task;
+    if (!step.lasting || step.fills || step.tailTargetMs === undefined) continue;
+    const key = `${submission.id}.${run.task.occurrence}.${stepIndex}`;
+    const group = groups.get(key);
+    if (group) group.push(run);
+    else groups.set(key, [run]);
   }
-  return serving;
+  return [...groups].map(([key, runs]) => {
+    const tails = runs
+      .filter(run => run.percent >= 100 && run.figure > 0)
+      .map(run => run.figure)
+      .sort((a, b) => a - b);
+    const {image = '', tailTargetMs = 0} = runs[0]?.task.step ?? {};
+    return {key, image, targetMs: tailTargetMs, tailMs: tails[tails.length >> 1] ?? 0};
+  });
 }
 
 /** Runs of a worker that fill. */
@@ -154,12 +248,13 @@
   return fillers;
 }
 
-/** Number of filling tasks by image, weighted by their pace. */
+/** Cores of filling work on a worker by image, at the present pace. */
 function getPresence(worker: WorkerView): Map<string, number> {
   const presence = new Map<string, number>();
   for (const run of getFillers(worker)) {
-    const image = run.task.step.image ?? '';
-    if (run.pace > 0) presence.set(image, (presence.get(image) ?? 0) + run.pace / 100);
+    const {image = '', need} = run.task.step;
+    const cores = (need.processors * run.pace) / 100;
+    if (cores > 0) presence.set(image, (presence.get(image) ?? 0) + cores);
   }
   return presence;
 }
--- a/packages/coordination/src/dispatch/policy/worker-choice.ts
+++ b/packages/coordination/src/dispatch/policy/worker-choice.ts
@@ -2,8 +2,8 @@
 import type {DispatchState} from '../dispatch-state.js';
 import type {Task} from '../task.js';
 import type {WorkerView} from '../worker-view.js';
-import {getUnusedCores} from './filler-pacing.js';
-import {getServing, type Interference} from './interference.js';
+import {getTakenShare, getUnusedCores} from './filler-pacing.js';
+import {getServingGroups, type Interference} from './interference.js';
 
 /** Rounding error of sums of cores. */
 const coreTolerance = 1e-6;
@@ -83,7 +83,8 @@
     const free = capacity.processors - used.processors + coreTolerance;
     if (step.fills) {
       if (getUnusedCores(worker) < step.need.processors * fillShare) return false;
-      if (this.getLeftPressure(worker) < this.getPressure(task) * pressureShare) return false;
+      const taken = getTakenShare(this.interference, worker, step, this.at);
+      if (taken * pressureShare > 1) return false;
     } else {
       const reserve = priority > 0 ? capacity.processors * urgentReserve : 0;
       if (free - reserve < step.need.processors) return false;
@@ -95,16 +96,6 @@
     return true;
   }
 
-  private getPressure(task: Task): number {
-    return this.interference.getPressure(task.step.image, this.at);
-  }
-
-  /** Pressure that the serving tasks of a worker bear beyond what is there. */
-  private getLeftPressure(worker: WorkerView): number {
-    const {interference, at} = this;
-    return interference.getBudget(worker, at) - interference.getPressureOn(worker, at);
-  }
-
   private getCost(worker: WorkerView, task: Task, group: StepTasks): number {
     const {step} = task;
     const {processors} = worker.capacity;
@@ -114,12 +105,12 @@
     cost += Math.max(0, worker.slowness - 1) * costs.slowness;
     if (step.rack !== undefined && step.rack !== worker.description.rack) cost += costs.otherRack;
     if (step.sameRack && !isOnRackOf(worker, group)) cost += costs.otherRack;
-    const serving = getServing(worker).length;
+    const serving = getServingGroups(worker).length;
     const free = (processors - worker.used.processors) / Math.max(1, processors);
     if (step.fills) {
       cost -= getUnusedCores(worker) / Math.max(1, processors);
       if (serving === 0) return cost;
-      const taken = this.getPressure(task) / Math.max(0.01, this.getLeftPressure(worker));
+      const taken = getTakenShare(this.interference, worker, step, this.at);
       return cost + costs.besideServing * (1 + taken);
     }
     if (step.lasting) {
