Place filling work for the usual load and distrust tails that drain

Cause: filling tasks started in a trough of the users' load and were held back when it rose; tails stay high while piled-up requests drain and misled the load. Change: one load tracker for each serving step, a pair is tried by one task at a time, held-back tasks have the first claim, placement counts with the usual load.

--- a/packages/coordination/src/colocation/disturbance-model.ts
+++ b/packages/coordination/src/colocation/disturbance-model.ts
@@ -75,9 +75,14 @@
     return mean + Math.sqrt(variance);
   }
 
+  /** Standard deviation of the expected log-slowdown. */
+  getDeviation(service: string, workload: string, at: number): number {
+    return Math.sqrt(this.decay(service, workload, at).variance);
+  }
+
   /** Whether enough was measured to rely on the score. */
   isKnown(service: string, workload: string, at: number): boolean {
-    return this.decay(service, workload, at).variance < knownDeviation ** 2;
+    return this.getDeviation(service, workload, at) < knownDeviation;
   }
 
   private decay(service: string, workload: string, at: number): Pair {
--- a/packages/coordination/src/colocation/presence-history.ts
+++ b/packages/coordination/src/colocation/presence-history.ts
@@ -25,4 +25,16 @@
     for (const [name, sum] of sums) sums.set(name, sum / count);
     return sums;
   }
+
+  /** Average over a window of the past, in which each sample holds until the next one. */
+  getHeldAverage(from: number, to: number): Presence {
+    const sums = new Map<string, number>();
+    this.samples.forEach(({at, presence}, index) => {
+      const end = Math.min(to, this.samples[index + 1]?.at ?? to);
+      const share = (end - Math.max(from, at)) / Math.max(1, to - from);
+      if (share <= 0) return;
+      for (const [name, amount] of presence) sums.set(name, (sums.get(name) ?? 0) + amount * share);
+    });
+    return sums;
+  }
 }
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -1,5 +1,5 @@
 import type {Reducer} from '../reducer.js';
-import type {Queue, Submission, SubmissionStatus} from '../submissions/index.js';
+import {getSubmissionId, type Queue, type Submission, type SubmissionStatus} from '../submissions/index.js';
 import {ActiveSubmission, describeSteps} from './active-submission.js';
 import type {DispatchEffect, DispatchEvent, StoredSubmission} from './dispatch-events.js';
 import {DispatchState} from './dispatch-state.js';
@@ -200,6 +200,7 @@
         submission.dropFinished();
       } else this.ends.forgetOld(submission, at);
     }
+    this.interference.retain(key => state.submissions.get(getSubmissionId(key))?.isActive ?? false);
     state.isRoundDue = true;
     this.journal.retry(at);
     this.settle(at);
--- a/packages/coordination/src/dispatch/policy/filler-pacing.ts
+++ b/packages/coordination/src/dispatch/policy/filler-pacing.ts
@@ -55,11 +55,11 @@
     const fillers = getFillers(worker).filter(run => run.state === 'running');
     if (fillers.length === 0) return;
     const groups = getServingGroups(worker);
-    const left = new Map(groups.map(group => [group, this.getBudget(worker, group, at)]));
+    const left = new Map(groups.map(group => [group, this.getBudget(group, at)]));
     fillers.sort((a, b) => b.percent - a.percent || a.startedAt - b.startedAt);
     for (const run of fillers) {
       const {image, need} = run.task.step;
-      const filling = {cores: need.processors, ...(image !== undefined && {image})};
+      const filling = {cores: need.processors, image};
       let share = 1;
       for (const [group, budget] of left) {
         share = Math.min(share, budget / this.interference.getPressure(group, filling, at));
@@ -74,9 +74,9 @@
     }
   }
 
-  private getBudget(worker: WorkerView, group: ServingGroup, at: number): number {
+  private getBudget(group: ServingGroup, at: number): number {
     if (group.tailMs >= group.targetMs * this.options.highShare) return 0;
-    return this.interference.getBudget(worker, group, at);
+    return this.interference.getBudget(group, at);
   }
 
   private round(pace: number): number {
@@ -126,26 +126,32 @@
   step: Step,
   at: number,
 ): number {
-  const filling = {cores: step.need.processors, ...(step.image !== undefined && {image: step.image})};
+  const filling = {cores: step.need.processors, image: step.image};
+  // Tasks that are held back there have the first claim on what becomes bearable.
+  if (getFillers(worker).some(run => run.pace < claimPace)) return Number.POSITIVE_INFINITY;
   let taken = 0;
   for (const group of getServingGroups(worker)) {
     const left =
-      interference.getBudget(worker, group, at) - interference.getPressureOn(worker, group, at);
+      interference.getLastingBudget(group, at) - interference.getPressureOn(worker, group, at);
     const pressure = interference.getPressure(group, filling, at);
     taken = Math.max(taken, left > 0 ? pressure / left : Number.POSITIVE_INFINITY);
   }
   return taken;
 }
 
+/** Pace in percent below which a filling task waits for more. */
+const claimPace = 50;
+
 /** Part of its reserved processors that a serving task uses at most times. */
 const servingUse = 0.6;
 
 /** Processors of a worker that nothing is expected to use. */
 export function getUnusedCores(worker: WorkerView): number {
-  let unused = worker.capacity.processors - worker.used.processors - worker.fillLoad;
+  let unused = worker.capacity.processors - worker.used.processors;
   for (const run of worker.runs.values()) {
-    const {step} = run.task;
-    if (step.lasting && !step.fills) unused += step.need.processors * (1 - servingUse);
+    const {lasting, fills, need} = run.task.step;
+    if (fills) unused -= (need.processors * run.pace) / 100;
+    else if (lasting) unused += need.processors * (1 - servingUse);
   }
   return unused;
 }
--- a/packages/coordination/src/dispatch/policy/interference.ts
+++ b/packages/coordination/src/dispatch/policy/interference.ts
@@ -1,6 +1,8 @@
 import {DisturbanceModel, type Presence} from '../../colocation/disturbance-model.js';
+import {PresenceHistory} from '../../colocation/presence-history.js';
 import type {Run} from '../task.js';
 import type {WorkerView} from '../worker-view.js';
+import {LoadTracker} from './load-tracker.js';
 
 /** Part of its target that the tail latency of an unloaded serving task is assumed to be until it is measured. */
 const unloadedShare = 0.2;
@@ -11,18 +13,22 @@
 /** Bounds of a load that is derived from a tail latency. */
 const lowestLoad = 0.05;
 const highestLoad = 0.97;
+/** Load from which on a tail latency does not tell any more how far a task is overloaded. */
+const saturatedLoad = 0.93;
 /** Time in milliseconds for which the load is extrapolated; a filling task is paced down within it. */
-const foresightMs = 1_200;
-/** Fastest change of a load in a millisecond that is extrapolated. */
-const steepestSlope = 0.0002;
-/** Time in milliseconds after a change of the filling tasks before measurements show it. */
-const settleMs = 900;
-/** Age in milliseconds of the measurement of another group that still counts. */
-const siblingAgeMs = 1_200;
-/** Widening of the measurement noise when the load is extrapolated and not measured elsewhere. */
-const extrapolatedNoise = 2.5;
+const foresightMs = 1_000;
+/** Window of a measurement in milliseconds before its report. */
+const windowMs = 500;
+const lagMs = 100;
+/** Time in milliseconds in which a backlog of requests drains, and the fall of pressure that leaves one. */
+const drainMs = 1_500;
+const drainPressure = 0.15;
 /** Part of the deviation of a pressure that is added to its mean, as a caution. */
 const caution = 0.5;
+/** Decline of the weight of a measurement with the pressure beside it. */
+const pressureDoubt = 4;
+/** Age in milliseconds of a load at which the measurement noise has doubled. */
+const noiseAgeMs = 1_000;
 
 /** Serving tasks of one step on one worker; they share their users, so their loads are alike. */
 export interface ServingGroup {
@@ -33,16 +39,10 @@
   readonly tailMs: number;
 }
 
-interface GroupLoad {
-  /** Load without the filling tasks beside it. */
-  load: number;
-  /** Change of the load in a millisecond. */
-  slope: number;
-  /** Load as measured, with the filling tasks. */
-  measured: number;
-  /** Pressure of the filling tasks when it was measured. */
-  pressure: number;
-  measuredAt: number;
+/** A filling task, as far as it disturbs. */
+export interface FillingLoad {
+  readonly image?: string | undefined;
+  readonly cores: number;
 }
 
 /**
@@ -53,116 +53,129 @@
 export class Interference {
   /** Pressure of a core of each filling image on each serving image. */
   private readonly model = new DisturbanceModel({
-    priorMean: 0.1,
-    priorDeviation: 0.12,
+    priorMean: 0.15,
+    priorDeviation: 0.25,
     halfLifeMs: 300_000,
     noiseDeviation: 0.12,
   });
   private readonly lowestTails = new Map<string, number>();
-  /** Loads by worker and group. */
-  private readonly loads = new WeakMap<WorkerView, Map<string, GroupLoad>>();
-  /** Workers that have groups, to find the other groups of a step. */
-  private readonly workersOfGroup = new Map<string, Set<WorkerView>>();
-  private readonly changedAt = new WeakMap<WorkerView, number>();
+  /** Loads of serving steps without the filling tasks beside them. */
+  private readonly loads = new Map<string, LoadTracker>();
+  private readonly histories = new WeakMap<WorkerView, PresenceHistory>();
 
   /** Notes that the filling tasks of a worker or their pace have changed. */
   change(worker: WorkerView, at: number): void {
-    this.changedAt.set(worker, at);
+    this.getHistory(worker).add(getPresence(worker), at);
   }
 
   /** Takes in the newest measurements of a worker. */
   observe(worker: WorkerView, at: number): void {
-    const groups = getServingGroups(worker);
-    const known = this.getLoads(worker);
-    for (const key of known.keys()) {
-      if (groups.some(group => group.key === key)) continue;
-      known.delete(key);
-      this.workersOfGroup.get(key)?.delete(worker);
+    const to = at - lagMs;
+    const presence = this.getHistory(worker).getHeldAverage(to - windowMs, to);
+    const recent = this.getHistory(worker).getHeldAverage(at - drainMs, at);
+    for (const group of getServingGroups(worker)) {
+      if (group.tailMs <= 0) continue;
+      const isDraining = this.isDraining(group, recent, presence, at);
+      this.observeGroup(group, isDraining ? undefined : presence, at);
     }
-    const presence = getPresence(worker);
-    for (const group of groups) if (group.tailMs > 0) this.observeGroup(worker, group, presence, at);
+    this.change(worker, at);
+  }
+
+  /** After a higher pressure, requests that have piled up keep the tail high for a while. */
+  private isDraining(group: ServingGroup, recent: Presence, presence: Presence, at: number): boolean {
+    const before = this.sumPressure(group.image, recent, at, 0);
+    return before > this.sumPressure(group.image, presence, at, 0) + drainPressure;
+  }
+
+  /** Forgets the loads of serving steps that have ended. */
+  retain(isActive: (key: string) => boolean): void {
+    for (const key of this.loads.keys()) if (!isActive(key)) this.loads.delete(key);
   }
 
   /** Pressure of a filling task at full pace on one group. */
-  getPressure(group: ServingGroup, run: {readonly image?: string; readonly cores: number}, at: number) {
-    return this.getCorePressure(group.image, run.image ?? '', at) * run.cores;
+  getPressure(group: ServingGroup, filling: FillingLoad, at: number): number {
+    return this.getCorePressure(group.image, filling.image ?? '', at, caution) * filling.cores;
+  }
+
+  /** Whether the pressure of a filling image on a serving image has been measured. */
+  isKnown(serving: string, filling: string | undefined, at: number): boolean {
+    return this.model.isKnown(serving, filling ?? '', at);
   }
 
   /** Sum of the pressures of all filling tasks of a worker on a group at their present pace. */
   getPressureOn(worker: WorkerView, group: ServingGroup, at: number): number {
-    return this.sumPressure(group.image, getPresence(worker), at);
+    return this.sumPressure(group.image, getPresence(worker), at, caution);
   }
 
-  /** Pressure that a group bears. */
-  getBudget(worker: WorkerView, group: ServingGroup, at: number): number {
-    const limit = 1 - this.getBase(group) / (group.targetMs * targetShare);
-    const known = this.loads.get(worker)?.get(group.key);
+  /** Pressure that a group bears now and for the next second. */
+  getBudget(group: ServingGroup, at: number): number {
+    const tracker = this.loads.get(group.key);
     // A group that has not been measured yet may be at its peak.
-    if (known === undefined) return 0;
-    const age = Math.min(foresightMs, at - known.measuredAt);
-    const load = known.load + Math.max(0, known.slope) * (foresightMs + age);
-    return Math.max(0, limit / Math.max(lowestLoad, load) - 1);
+    if (tracker === undefined) return 0;
+    return this.getBudgetAt(group, Math.max(tracker.predict(at), tracker.predict(at + foresightMs)));
   }
 
-  private observeGroup(
-    worker: WorkerView,
-    group: ServingGroup,
-    presence: Presence,
-    at: number,
-  ): void {
+  /** Pressure that a group bears for the time of a filling task: its load may soon be the usual one again. */
+  getLastingBudget(group: ServingGroup, at: number): number {
+    const tracker = this.loads.get(group.key);
+    if (tracker === undefined) return 0;
+    return Math.min(this.getBudget(group, at), this.getBudgetAt(group, tracker.usualLoad));
+  }
+
+  private getBudgetAt(group: ServingGroup, load: number): number {
+    const limit = 1 - this.getBase(group) / (group.targetMs * targetShare);
+    return Math.max(0, limit / load - 1);
+  }
+
+  private observeGroup(group: ServingGroup, presence: Presence | undefined, at: number): void {
     const lowest = this.lowestTails.get(group.image);
-    if (lowest === undefined || group.tailMs < lowest) this.lowestTails.set(group.image, group.tailMs);
+    if (lowest === undefined || group.tailMs < lowest) {
+      this.lowestTails.set(group.image, group.tailMs);
+    }
+    if (presence === undefined) return;
     const measured = this.getMeasuredLoad(group);
-    const isSettled = at - (this.changedAt.get(worker) ?? 0) >= settleMs;
-    const before = this.getLoads(worker).get(group.key);
-    if (isSettled && presence.size > 0) this.learn(worker, group, presence, measured, before, at);
+    const tracker = this.loads.get(group.key);
+    if (tracker === undefined) {
+      const pressure = this.sumPressure(group.image, presence, at, 0);
+      this.loads.set(group.key, new LoadTracker(measured / (1 + pressure), at));
+      return;
+    }
+    const middle = at - lagMs - windowMs / 2;
+    this.learn(group, presence, measured / tracker.predict(middle) - 1, tracker.getAge(at), at);
     const pressure = this.sumPressure(group.image, presence, at, 0);
-    const sibling = this.getSiblingLoad(worker, group.key, pressure, at);
-    let load = sibling ?? measured / (1 + pressure);
-    // The tail still shows filling tasks that were paced down or have left.
-    if (!isSettled && sibling === undefined && before) load = Math.min(load, extrapolate(before, at));
-    this.setLoad(worker, group.key, {load, measured, pressure, at});
+    // A saturated task tells no load.
+    const weight = measured >= saturatedLoad ? 0 : 1 / (1 + pressureDoubt * pressure);
+    tracker.update(measured / (1 + pressure), weight, at);
   }
 
   private learn(
-    worker: WorkerView,
     group: ServingGroup,
     presence: Presence,
-    measured: number,
-    before: GroupLoad | undefined,
+    excess: number,
+    ageMs: number,
     at: number,
   ): void {
-    const pressure = this.sumPressure(group.image, presence, at, 0);
-    const sibling = this.getSiblingLoad(worker, group.key, pressure, at);
-    if (sibling !== undefined) {
-      this.model.observe(group.image, presence, Math.exp(measured / sibling - 1), at);
-    } else if (before !== undefined) {
-      const expected = Math.max(lowestLoad, extrapolate(before, at));
-      const ratio = Math.exp(measured / expected - 1);
-      this.model.observe(group.image, presence, ratio, at, extrapolatedNoise);
-    }
+    if (presence.size === 0) return;
+    const expected = this.sumPressure(group.image, presence, at, 0);
+    const isSaturated = this.getMeasuredLoad(group) >= saturatedLoad;
+    if (isSaturated && expected >= excess) return;
+    this.model.observe(group.image, presence, Math.exp(excess), at, 1 + ageMs / noiseAgeMs);
   }
 
-  /** Load of the same step where the least filling work disturbs it, if that is less than here. */
-  private getSiblingLoad(
-    worker: WorkerView,
-    key: string,
-    pressure: number,
-    at: number,
-  ): number | undefined {
-    let best: GroupLoad | undefined;
-    for (const other of this.workersOfGroup.get(key) ?? []) {
-      if (other === worker || at - (this.changedAt.get(other) ?? 0) < settleMs) continue;
-      const candidate = this.loads.get(other)?.get(key);
-      if (!candidate || at - candidate.measuredAt > siblingAgeMs) continue;
-      if (candidate.pressure < (best?.pressure ?? pressure)) best = candidate;
-    }
-    return best && best.measured / (1 + best.pressure);
+  private getHistory(worker: WorkerView): PresenceHistory {
+    let history = this.histories.get(worker);
+    if (history === undefined) this.histories.set(worker, (history = new PresenceHistory()));
+    return history;
   }
 
-  private getCorePressure(serving: string, filling: string, at: number, cautionShare = caution): number {
+  private getCorePressure(
+    serving: string,
+    filling: string,
+    at: number,
+    cautionShare: number,
+  ): number {
     const mean = this.model.getMean(serving, filling, at);
-    const deviation = this.model.getScore(serving, filling, at) - mean;
+    const deviation = this.model.getDeviation(serving, filling, at);
     return Math.max(0.005, mean + cautionShare * deviation);
   }
 
@@ -170,7 +183,7 @@
     serving: string,
     presence: Presence,
     at: number,
-    cautionShare = caution,
+    cautionShare: number,
   ): number {
     let sum = 0;
     for (const [image, cores] of presence) {
@@ -188,45 +201,21 @@
   private getMeasuredLoad(group: ServingGroup): number {
     return Math.min(highestLoad, Math.max(lowestLoad, 1 - this.getBase(group) / group.tailMs));
   }
-
-  private getLoads(worker: WorkerView): Map<string, GroupLoad> {
-    let loads = this.loads.get(worker);
-    if (loads === undefined) this.loads.set(worker, (loads = new Map()));
-    return loads;
-  }
-
-  private setLoad(
-    worker: WorkerView,
-    key: string,
-    next: {load: number; measured: number; pressure: number; at: number},
-  ): void {
-    const {load, measured, pressure, at} = next;
-    const loads = this.getLoads(worker);
-    const known = loads.get(key);
-    if (known === undefined) {
-      loads.set(key, {load, slope: 0, measured, pressure, measuredAt: at});
-      const workers = this.workersOfGroup.get(key) ?? new Set();
-      this.workersOfGroup.set(key, workers.add(worker));
-      return;
-    }
-    const slope = (load - known.load) / Math.max(1, at - known.measuredAt);
-    const bounded = Math.max(-steepestSlope, Math.min(steepestSlope, slope));
-    known.slope += (bounded - known.slope) / 2;
-    Object.assign(known, {load, measured, pressure, measuredAt: at});
-  }
 }
 
-function extrapolate(known: GroupLoad, at: number): number {
-  return known.load + known.slope * Math.min(2 * foresightMs, at - known.measuredAt);
+/** Returns the key of a serving step. */
+export function getServingKey(run: Run): string {
+  const {submission, occurrence, stepIndex} = run.task;
+  return `${submission.id}.${occurrence}.${stepIndex}`;
 }
 
 /** Returns the serving tasks with a latency target on a worker, by step. */
 export function getServingGroups(worker: WorkerView): ServingGroup[] {
   const groups = new Map<string, Run[]>();
   for (const run of worker.runs.values()) {
-    const {step, submission, stepIndex} = run.task;
+    const {step} = run.task;
     if (!step.lasting || step.fills || step.tailTargetMs === undefined) continue;
-    const key = `${submission.id}.${run.task.occurrence}.${stepIndex}`;
+    const key = getServingKey(run);
     const group = groups.get(key);
     if (group) group.push(run);
     else groups.set(key, [run]);
--- a/packages/coordination/src/dispatch/policy/worker-choice.ts
+++ b/packages/coordination/src/dispatch/policy/worker-choice.ts
@@ -3,7 +3,7 @@
 import type {Task} from '../task.js';
 import type {WorkerView} from '../worker-view.js';
 import {getTakenShare, getUnusedCores} from './filler-pacing.js';
-import {getServingGroups, type Interference} from './interference.js';
+import {getFillers, getServingGroups, type Interference} from './interference.js';
 
 /** Rounding error of sums of cores. */
 const coreTolerance = 1e-6;
@@ -13,8 +13,6 @@
 
 /** Part of its processors that a filling task must find unused. */
 const fillShare = 0.8;
-/** Part of its pressure that a filling task must find bearable; it is paced down for the rest. */
-const pressureShare = 0.7;
 
 /** Costs of a place; the place with the lowest sum is taken. */
 const costs = {
@@ -28,10 +26,12 @@
   otherRack: 5,
   /** A filling task beside a serving one, and for the part of the bearable pressure that it takes. */
   besideServing: 2,
-  /** A serving task beside filling ones, for each core that they would use. */
-  besideFills: 0.2,
+  /** A serving task beside filling ones, for each of them. */
+  besideFills: 0.3,
   /** A serving task on a worker without others: they are kept together, so that others stay free to fill. */
   firstServing: 6,
+  /** A serving task beside serving tasks of other images only: filling work suits few images. */
+  otherImage: 1.5,
   /** Free part of the worker's cores: full workers first keep room for large tasks. */
   free: 1,
 };
@@ -84,7 +84,7 @@
     if (step.fills) {
       if (getUnusedCores(worker) < step.need.processors * fillShare) return false;
       const taken = getTakenShare(this.interference, worker, step, this.at);
-      if (taken * pressureShare > 1) return false;
+      if (taken > 1 || this.isBeingTried(worker, step.image)) return false;
     } else {
       const reserve = priority > 0 ? capacity.processors * urgentReserve : 0;
       if (free - reserve < step.need.processors) return false;
@@ -96,6 +96,18 @@
     return true;
   }
 
+  /** An unknown pair of images is tried by one task at a time, so that a bad one harms few serving tasks. */
+  private isBeingTried(worker: WorkerView, filling: string | undefined): boolean {
+    for (const {image} of getServingGroups(worker)) {
+      if (this.interference.isKnown(image, filling, this.at)) continue;
+      for (const other of this.state.workers.values()) {
+        const isTrying = getFillers(other).some(run => run.task.step.image === filling);
+        if (isTrying && getServingGroups(other).some(group => group.image === image)) return true;
+      }
+    }
+    return false;
+  }
+
   private getCost(worker: WorkerView, task: Task, group: StepTasks): number {
     const {step} = task;
     const {processors} = worker.capacity;
@@ -105,7 +117,8 @@
     cost += Math.max(0, worker.slowness - 1) * costs.slowness;
     if (step.rack !== undefined && step.rack !== worker.description.rack) cost += costs.otherRack;
     if (step.sameRack && !isOnRackOf(worker, group)) cost += costs.otherRack;
-    const serving = getServingGroups(worker).length;
+    const groups = getServingGroups(worker);
+    const serving = groups.length;
     const free = (processors - worker.used.processors) / Math.max(1, processors);
     if (step.fills) {
       cost -= getUnusedCores(worker) / Math.max(1, processors);
@@ -114,8 +127,9 @@
       return cost + costs.besideServing * (1 + taken);
     }
     if (step.lasting) {
-      if (step.tailTargetMs !== undefined) cost += worker.fillLoad * costs.besideFills;
+      if (step.tailTargetMs !== undefined) cost += getFillers(worker).length * costs.besideFills;
       if (serving === 0) cost += costs.firstServing;
+      else if (!groups.some(group => group.image === step.image)) cost += costs.otherImage;
     }
     return cost + free * costs.free;
   }
--- a/packages/coordination/src/dispatch/worker-view.ts
+++ b/packages/coordination/src/dispatch/worker-view.ts
@@ -20,8 +20,6 @@
   readonly runs = new Map<string, Run>();
   /** Resources of all runs that do not fill. */
   readonly used: Amounts = createAmounts();
-  /** Processors that filling tasks would use at full pace. */
-  fillLoad = 0;
   readonly ends = new EndCursor();
   readonly health: WorkerHealth;
   isConnected = true;
@@ -130,12 +128,8 @@
   /** Adds (`sign` 1) or takes away (`sign` -1) what a task of a step needs. */
   reserve(step: Step, sign: 1 | -1): void {
     const {need, fills} = step;
-    if (!fills) {
-      addAmounts(this.used, need, sign);
-    } else {
-      addAmounts(this.used, {...need, processors: 0}, sign);
-      this.fillLoad = roundCores(this.fillLoad + sign * need.processors);
-    }
+    // Filling tasks reserve no processors.
+    addAmounts(this.used, fills ? {...need, processors: 0} : need, sign);
     this.used.processors = roundCores(this.used.processors);
   }
 }
