Follow the load of serving steps with a Kalman filter and collect evidence against workers

Cause: the load estimate was polluted by wrong pressures, and three failures in a row suspended sound workers; on probation a worker with serving tasks never got work again. Change: Kalman filter for load and slope, evidence weighted by how unlikely a failure is elsewhere, begun submissions go first, held-back fillers leave; a virtual fleet plays the load without the bench.

--- a/packages/coordination/src/dispatch/active-submission.ts
+++ b/packages/coordination/src/dispatch/active-submission.ts
@@ -81,10 +81,10 @@
   isFinalStored = false;
   endedAtMs = 0;
   hasStarted = false;
-  /** Lives of workers on which a task has failed. */
-  readonly failedOn = new Set<string>();
   /** Whether the stored progress is behind. */
   isChanged = false;
+  /** Ends of runs by the life of their worker: how many, and how many in failure. */
+  private readonly endCounts = new Map<string, {ends: number; failures: number}>();
   private isUncertain: boolean;
   private nextOccurrence = 0;
   private readonly firstRun: number;
@@ -177,6 +177,26 @@
     return true;
   }
 
+  /** Counts the end of a run on a worker. */
+  countEnd(life: string, isFailure: boolean): void {
+    const counts = this.endCounts.get(life) ?? {ends: 0, failures: 0};
+    counts.ends += 1;
+    if (isFailure) counts.failures += 1;
+    this.endCounts.set(life, counts);
+  }
+
+  /** Returns how many runs have ended on other workers, and how many of them in failure. */
+  getEndsElsewhere(life: string): {readonly ends: number; readonly failures: number} {
+    let ends = 0;
+    let failures = 0;
+    for (const [other, counts] of this.endCounts) {
+      if (other === life) continue;
+      ends += counts.ends;
+      failures += counts.failures;
+    }
+    return {ends, failures};
+  }
+
   /** Drops occurrences without unfinished tasks or runs. */
   dropFinished(): void {
     for (let i = this.occurrences.length - 1; i >= 0; i -= 1) {
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -1,5 +1,10 @@
 import type {Reducer} from '../reducer.js';
-import {getSubmissionId, type Queue, type Submission, type SubmissionStatus} from '../submissions/index.js';
+import {
+  getSubmissionId,
+  type Queue,
+  type Submission,
+  type SubmissionStatus,
+} from '../submissions/index.js';
 import {ActiveSubmission, describeSteps} from './active-submission.js';
 import type {DispatchEffect, DispatchEvent, StoredSubmission} from './dispatch-events.js';
 import {DispatchState} from './dispatch-state.js';
--- a/packages/coordination/src/dispatch/policy/filler-pacing.ts
+++ b/packages/coordination/src/dispatch/policy/filler-pacing.ts
@@ -1,4 +1,4 @@
-import type {Step} from '../../submissions/index.js';
+import {getEstimateMs, type Step} from '../../submissions/index.js';
 import type {DispatchState} from '../dispatch-state.js';
 import type {RunOrders} from '../run-orders.js';
 import type {Run} from '../task.js';
@@ -28,8 +28,8 @@
   smallestChange: 15,
   lowestPace: 10,
   highShare: 0.9,
-  moveAfterMs: 1_500,
-  slowPace: 30,
+  moveAfterMs: 1_200,
+  slowPace: 40,
 };
 
 /**
@@ -99,7 +99,9 @@
     }
     const since = this.slowSince.get(run) ?? at;
     this.slowSince.set(run, since);
-    if (at - since < moveAfterMs || !this.hasBetterPlace(run, at)) return;
+    if (at - since < moveAfterMs) return;
+    // Without a checkpoint the work would be lost.
+    if (!run.task.step.checkpoints && !this.hasBetterPlace(run, at)) return;
     this.slowSince.delete(run);
     this.orders.stop(run, 'too-little-room-beside-serving', at);
   }
@@ -127,20 +129,20 @@
   at: number,
 ): number {
   const filling = {cores: step.need.processors, image: step.image};
-  // Tasks that are held back there have the first claim on what becomes bearable.
-  if (getFillers(worker).some(run => run.pace < claimPace)) return Number.POSITIVE_INFINITY;
+  const durationMs = getEstimateMs(step);
   let taken = 0;
   for (const group of getServingGroups(worker)) {
-    const left =
-      interference.getLastingBudget(group, at) - interference.getPressureOn(worker, group, at);
+    if (group.tailMs >= group.targetMs * crowdedShare) return Number.POSITIVE_INFINITY;
+    const budget = interference.getLastingBudget(group, durationMs, at);
+    const left = budget - interference.getPressureOn(worker, group, at);
     const pressure = interference.getPressure(group, filling, at);
     taken = Math.max(taken, left > 0 ? pressure / left : Number.POSITIVE_INFINITY);
   }
   return taken;
 }
 
-/** Pace in percent below which a filling task waits for more. */
-const claimPace = 50;
+/** Part of its target from which a serving task bears nothing more, whatever its load is thought to be. */
+const crowdedShare = 0.8;
 
 /** Part of its reserved processors that a serving task uses at most times. */
 const servingUse = 0.6;
--- a/packages/coordination/src/dispatch/policy/interference.ts
+++ b/packages/coordination/src/dispatch/policy/interference.ts
@@ -2,14 +2,14 @@
 import {PresenceHistory} from '../../colocation/presence-history.js';
 import type {Run} from '../task.js';
 import type {WorkerView} from '../worker-view.js';
-import {LoadTracker} from './load-tracker.js';
+import {type LoadEstimate, LoadTracker} from './load-tracker.js';
 
 /** Part of its target that the tail latency of an unloaded serving task is assumed to be until it is measured. */
 const unloadedShare = 0.2;
 /** Part of the lowest measured tail latency that would remain without any load. */
 const lowestTailShare = 0.8;
 /** Part of its target that a serving task may reach by the tasks beside it. */
-const targetShare = 0.8;
+const targetShare = 0.85;
 /** Bounds of a load that is derived from a tail latency. */
 const lowestLoad = 0.05;
 const highestLoad = 0.97;
@@ -20,15 +20,18 @@
 /** Window of a measurement in milliseconds before its report. */
 const windowMs = 500;
 const lagMs = 100;
+/** Shortest time in milliseconds between two measurements of a worker that are used. */
+const observeMs = 400;
 /** Time in milliseconds in which a backlog of requests drains, and the fall of pressure that leaves one. */
 const drainMs = 1_500;
 const drainPressure = 0.15;
 /** Part of the deviation of a pressure that is added to its mean, as a caution. */
-const caution = 0.5;
-/** Decline of the weight of a measurement with the pressure beside it. */
-const pressureDoubt = 4;
-/** Age in milliseconds of a load at which the measurement noise has doubled. */
-const noiseAgeMs = 1_000;
+const caution = 0.25;
+/** Standard deviation of a tail latency as a part of it, and the least deviation of a load. */
+const tailNoise = 0.06;
+const smallestLoadNoise = 0.02;
+/** Standard deviation of the measured excess of a load that is known. */
+const excessNoise = 0.1;
 
 /** Serving tasks of one step on one worker; they share their users, so their loads are alike. */
 export interface ServingGroup {
@@ -55,12 +58,13 @@
   private readonly model = new DisturbanceModel({
     priorMean: 0.15,
     priorDeviation: 0.25,
-    halfLifeMs: 300_000,
-    noiseDeviation: 0.12,
+    halfLifeMs: 120_000,
+    noiseDeviation: excessNoise,
   });
   private readonly lowestTails = new Map<string, number>();
   /** Loads of serving steps without the filling tasks beside them. */
   private readonly loads = new Map<string, LoadTracker>();
+  private readonly observedAt = new WeakMap<WorkerView, number>();
   private readonly histories = new WeakMap<WorkerView, PresenceHistory>();
 
   /** Notes that the filling tasks of a worker or their pace have changed. */
@@ -68,8 +72,10 @@
     this.getHistory(worker).add(getPresence(worker), at);
   }
 
-  /** Takes in the newest measurements of a worker. */
+  /** Takes in the newest measurements of a worker; those of overlapping windows tell nothing new. */
   observe(worker: WorkerView, at: number): void {
+    if (at - (this.observedAt.get(worker) ?? Number.NEGATIVE_INFINITY) < observeMs) return;
+    this.observedAt.set(worker, at);
     const to = at - lagMs;
     const presence = this.getHistory(worker).getHeldAverage(to - windowMs, to);
     const recent = this.getHistory(worker).getHeldAverage(at - drainMs, at);
@@ -82,7 +88,12 @@
   }
 
   /** After a higher pressure, requests that have piled up keep the tail high for a while. */
-  private isDraining(group: ServingGroup, recent: Presence, presence: Presence, at: number): boolean {
+  private isDraining(
+    group: ServingGroup,
+    recent: Presence,
+    presence: Presence,
+    at: number,
+  ): boolean {
     const before = this.sumPressure(group.image, recent, at, 0);
     return before > this.sumPressure(group.image, presence, at, 0) + drainPressure;
   }
@@ -112,14 +123,14 @@
     const tracker = this.loads.get(group.key);
     // A group that has not been measured yet may be at its peak.
     if (tracker === undefined) return 0;
-    return this.getBudgetAt(group, Math.max(tracker.predict(at), tracker.predict(at + foresightMs)));
+    return this.getBudgetAt(group, tracker.getHighest(at, foresightMs));
   }
 
-  /** Pressure that a group bears for the time of a filling task: its load may soon be the usual one again. */
-  getLastingBudget(group: ServingGroup, at: number): number {
+  /** Pressure that a group is expected to bear for the time in milliseconds that a filling task takes. */
+  getLastingBudget(group: ServingGroup, durationMs: number, at: number): number {
     const tracker = this.loads.get(group.key);
     if (tracker === undefined) return 0;
-    return Math.min(this.getBudget(group, at), this.getBudgetAt(group, tracker.usualLoad));
+    return this.getBudgetAt(group, tracker.getHighest(at, durationMs));
   }
 
   private getBudgetAt(group: ServingGroup, load: number): number {
@@ -134,32 +145,46 @@
     }
     if (presence === undefined) return;
     const measured = this.getMeasuredLoad(group);
+    const pressure = this.sumPressure(group.image, presence, at, 0);
+    const doubt = this.getDoubt(group.image, presence, at);
+    const load = measured / (1 + pressure);
+    const noise = tailNoise * (1 - measured) + smallestLoadNoise;
+    const deviation = Math.hypot(noise, (load * doubt) / (1 + pressure));
+    const middle = at - lagMs - windowMs / 2;
     const tracker = this.loads.get(group.key);
     if (tracker === undefined) {
-      const pressure = this.sumPressure(group.image, presence, at, 0);
-      this.loads.set(group.key, new LoadTracker(measured / (1 + pressure), at));
+      this.loads.set(group.key, new LoadTracker(load, deviation, middle));
       return;
     }
-    const middle = at - lagMs - windowMs / 2;
-    this.learn(group, presence, measured / tracker.predict(middle) - 1, tracker.getAge(at), at);
-    const pressure = this.sumPressure(group.image, presence, at, 0);
+    const known = tracker.estimate(middle);
+    this.learn(group, presence, measured, known, at);
     // A saturated task tells no load.
-    const weight = measured >= saturatedLoad ? 0 : 1 / (1 + pressureDoubt * pressure);
-    tracker.update(measured / (1 + pressure), weight, at);
+    if (measured < saturatedLoad) tracker.update(load, deviation, middle);
   }
 
   private learn(
     group: ServingGroup,
     presence: Presence,
-    excess: number,
-    ageMs: number,
+    measured: number,
+    known: LoadEstimate,
     at: number,
   ): void {
     if (presence.size === 0) return;
-    const expected = this.sumPressure(group.image, presence, at, 0);
-    const isSaturated = this.getMeasuredLoad(group) >= saturatedLoad;
-    if (isSaturated && expected >= excess) return;
-    this.model.observe(group.image, presence, Math.exp(excess), at, 1 + ageMs / noiseAgeMs);
+    const excess = measured / known.load - 1;
+    if (measured >= saturatedLoad && this.sumPressure(group.image, presence, at, 0) >= excess) {
+      return;
+    }
+    const doubt = (known.deviation / known.load) * (1 + Math.max(0, excess));
+    this.model.observe(group.image, presence, Math.exp(excess), at, 1 + doubt / excessNoise);
+  }
+
+  /** Standard deviation of the pressure of filling work on a serving image. */
+  private getDoubt(serving: string, presence: Presence, at: number): number {
+    let variance = 0;
+    for (const [image, cores] of presence) {
+      variance += (cores * this.model.getDeviation(serving, image, at)) ** 2;
+    }
+    return Math.sqrt(variance);
   }
 
   private getHistory(worker: WorkerView): PresenceHistory {
--- a/packages/coordination/src/dispatch/policy/run-supervision.ts
+++ b/packages/coordination/src/dispatch/policy/run-supervision.ts
@@ -108,7 +108,10 @@
   }
 
   private suspect(run: Run, worker: WorkerView, at: number): void {
-    if (!worker.health.fail(run.task.submission.id, at)) return;
+    // A filling task may stand still because nothing is left unused.
+    if (run.task.step.fills) return;
+    const {failures, ends} = run.task.submission.getEndsElsewhere(worker.life);
+    if (!worker.health.fail(failures, ends, at)) return;
     this.state.log({event: 'worker-suspended', worker: worker.life, reason: 'no-progress'});
   }
 
--- a/packages/coordination/src/dispatch/policy/submission-order.ts
+++ b/packages/coordination/src/dispatch/policy/submission-order.ts
@@ -15,6 +15,8 @@
   readonly priority: number;
   /** `0`: can meet its objective; `1`: late; `2`: of no use to its caller any more. */
   readonly lateness: 0 | 1 | 2;
+  /** Whether some of its tasks have run; what was begun is finished first. */
+  readonly isBegun: boolean;
   /** Time at which it should be finished. */
   readonly dueAt: number;
 }
@@ -34,7 +36,11 @@
     }
   }
   return candidates.sort(
-    (a, b) => a.priority - b.priority || a.lateness - b.lateness || a.dueAt - b.dueAt,
+    (a, b) =>
+      a.priority - b.priority ||
+      a.lateness - b.lateness ||
+      Number(b.isBegun) - Number(a.isBegun) ||
+      a.dueAt - b.dueAt,
   );
 }
 
@@ -64,6 +70,9 @@
     occurrence,
     priority: queue?.priority ?? lowestPriority,
     lateness,
+    isBegun: occurrence.steps.some(
+      step => step.finished > 0 || step.tasks.some(task => task.runs.length > 0),
+    ),
     dueAt,
   };
 }
--- a/packages/coordination/src/dispatch/policy/worker-choice.ts
+++ b/packages/coordination/src/dispatch/policy/worker-choice.ts
@@ -48,7 +48,7 @@
     const {unreachableMs} = state.timing;
     this.open = [...state.workers.values()].filter(worker => {
       if (!worker.isOpen(at, unreachableMs) || worker.health.isSuspended(at)) return false;
-      return !worker.health.isOnProbation(at) || worker.runs.size === 0;
+      return !worker.health.isOnProbation(at) || !hasPassingRuns(worker);
     });
   }
 
@@ -92,8 +92,7 @@
     if (step.spreadLimit !== undefined) {
       if (countRuns(worker, group) >= step.spreadLimit) return false;
     }
-    if (worker.health.isOnProbation(worker.heardAt)) return worker.runs.size === 0;
-    return true;
+    return !worker.health.isOnProbation(this.at) || !hasPassingRuns(worker);
   }
 
   /** An unknown pair of images is tried by one task at a time, so that a bad one harms few serving tasks. */
@@ -135,6 +134,12 @@
   }
 }
 
+/** Whether a worker runs tasks that end by themselves; on probation it gets one of them at a time. */
+function hasPassingRuns(worker: WorkerView): boolean {
+  for (const run of worker.runs.values()) if (!run.task.step.lasting) return true;
+  return false;
+}
+
 function countRuns(worker: WorkerView, group: StepTasks): number {
   let count = 0;
   for (const run of worker.runs.values()) {
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -16,7 +16,6 @@
 import type {RunOrders} from './run-orders.js';
 import type {SubmissionEnds} from './submission-ends.js';
 import {Run, type Task} from './task.js';
-import {WorkerHealth, type HealthLimits} from '../tasks/round/worker-health.js';
 import {WorkerView} from './worker-view.js';
 
 /** Time in milliseconds for which a worker that refused for want of room gets nothing. */
@@ -28,12 +27,6 @@
 /** Time in milliseconds until a task is started again that a worker could not read. */
 const invalidDelayMs = 2_000;
 
-/** Short tasks tell within seconds whether a worker has recovered. */
-const dispatchHealth: Partial<HealthLimits> = {
-  firstSuspensionMs: 4_000,
-  longestSuspensionMs: 30_000,
-};
-
 /** Parts of the dispatcher that `WorkerReports` uses. */
 export interface WorkerReportsOptions {
   readonly state: DispatchState;
@@ -105,7 +98,7 @@
     }
     if (known) this.drop(known, 'replaced');
     barrier.replace(agent, description.life);
-    const worker = new WorkerView(agent, description, at, new WorkerHealth(dispatchHealth));
+    const worker = new WorkerView(agent, description, at);
     worker.isListed = journal.isListed(description.life);
     state.workers.set(agent, worker);
     this.setLeaving(worker, description, at);
@@ -283,7 +276,8 @@
     if (how === 'done' && !step.lasting) {
       if (run) {
         supervision.finish(run, at);
-        worker.health.succeed(run.startedAt);
+        worker.health.succeed(run.startedAt, at);
+        submission.countEnd(worker.life, false);
       }
       if (step.gang) this.finishGang(task, submission);
       else submission.finish(task);
@@ -292,10 +286,9 @@
     }
     if (how !== 'failed') return false;
     task.avoided.add(worker.life);
-    // Work that fails on several workers is at fault itself and says nothing about any of them.
-    const isSuspect = !submission.failedOn.has(worker.life) && submission.failedOn.size === 0;
-    submission.failedOn.add(worker.life);
-    if (isSuspect && worker.health.fail(submission.id, at)) {
+    const {failures, ends: count} = submission.getEndsElsewhere(worker.life);
+    submission.countEnd(worker.life, true);
+    if (worker.health.fail(failures, count, at)) {
       this.parts.state.log({event: 'worker-suspended', worker: worker.life, reason: 'failures'});
     }
     ends.fail(task, at);
--- a/packages/coordination/src/dispatch/worker-view.ts
+++ b/packages/coordination/src/dispatch/worker-view.ts
@@ -1,9 +1,9 @@
 import type {Resources} from '../messages/identity.js';
 import type {Step} from '../submissions/index.js';
 import {addAmounts, createAmounts, type Amounts} from '../tasks/amounts.js';
-import {WorkerHealth} from '../tasks/round/worker-health.js';
 import type {WorkerDescription} from './agent-messages.js';
 import {EndCursor} from './end-cursor.js';
+import {WorkerEvidence} from './policy/worker-evidence.js';
 import type {Run} from './task.js';
 
 /** Thousandths of a core are the finest share that workers count. */
@@ -21,7 +21,7 @@
   /** Resources of all runs that do not fill. */
   readonly used: Amounts = createAmounts();
   readonly ends = new EndCursor();
-  readonly health: WorkerHealth;
+  readonly health = new WorkerEvidence();
   isConnected = true;
   heardAt: number;
   /** Whether the worker has listed its runs after it saw this owner's fencing token. */
@@ -49,10 +49,8 @@
     readonly agent: string,
     public description: WorkerDescription,
     readonly seenAt: number,
-    health = new WorkerHealth(),
   ) {
     this.heardAt = seenAt;
-    this.health = health;
   }
 
   /** Id and start of the worker. */
--- a/packages/coordination/src/routing/seeded-random.ts
+++ b/packages/coordination/src/routing/seeded-random.ts
@@ -19,4 +19,9 @@
   nextInteger(bound: number): number {
     return Math.floor(this.next() * bound);
   }
+
+  /** Returns a number in [low, high). */
+  between(low: number, high: number): number {
+    return low + (high - low) * this.next();
+  }
 }
--- a/packages/coordination/src/tasks/round/worker-health.ts
+++ b/packages/coordination/src/tasks/round/worker-health.ts
@@ -1,20 +1,12 @@
-/** Limits of `WorkerHealth`. */
-export interface HealthLimits {
-  /** Failures in a row across at least two workloads that suspend a worker. */
-  readonly failuresAcrossWorkloads: number;
-  /** Failures in a row of any workloads that suspend a worker. */
-  readonly failuresInAll: number;
-  /** First and longest time of suspension in milliseconds. */
-  readonly firstSuspensionMs: number;
-  readonly longestSuspensionMs: number;
-}
+/** Failures in a row across at least two workloads that suspend a worker. */
+const failuresAcrossWorkloads = 3;
+
+/** Failures in a row of any workloads that suspend a worker. */
+const failuresInAll = 5;
 
-const defaultLimits: HealthLimits = {
-  failuresAcrossWorkloads: 3,
-  failuresInAll: 5,
-  firstSuspensionMs: 30_000,
-  longestSuspensionMs: 600_000,
-};
+/** First and longest time of suspension. */
+const firstSuspensionMs = 30_000;
+const longestSuspensionMs = 600_000;
 
 /**
  * Success record of one worker. A worker that fails everything is suspended, then returns on probation
@@ -26,11 +18,6 @@
   private suspendedUntil = Number.NEGATIVE_INFINITY;
   private suspensions = 0;
   private failedAt = Number.NEGATIVE_INFINITY;
-  private readonly limits: HealthLimits;
-
-  constructor(limits: Partial<HealthLimits> = {}) {
-    this.limits = {...defaultLimits, ...limits};
-  }
 
   /** Whether the worker gets nothing at present. */
   isSuspended(at: number): boolean {
@@ -69,8 +56,6 @@
     this.failures += 1;
     this.failedAt = at;
     this.failedWorkloads.add(workload);
-    const {failuresInAll, failuresAcrossWorkloads, firstSuspensionMs, longestSuspensionMs} =
-      this.limits;
     const suspend =
       this.suspensions > 0 ||
       this.failures >= failuresInAll ||
@@ -86,7 +71,7 @@
 
   /** Returns an independent copy. */
   clone(): WorkerHealth {
-    const copy = new WorkerHealth(this.limits);
+    const copy = new WorkerHealth();
     copy.failures = this.failures;
     copy.failedAt = this.failedAt;
     for (const workload of this.failedWorkloads) copy.failedWorkloads.add(workload);
--- /dev/null
+++ b/packages/coordination/test/dispatch/fleet/shared-load.ts
@@ -0,0 +1,215 @@
+import {SeededRandom} from '../../../src/routing/seeded-random.js';
+import {getObjectiveMs, type Step, type Submission} from '../../../src/submissions/index.js';
+import {createQueue, VirtualFleet} from './virtual-fleet.js';
+
+/** Queues of a fleet on which serving tasks reserve most cores and batches fill what they leave unused. */
+export const sharedQueues = {
+  quick: createQueue({name: 'quick', stretchFactor: 1.5, targetLatencyMs: 600}),
+  batch: createQueue({name: 'batch', priority: 2, stretchFactor: 2, targetLatencyMs: 1_000}),
+  watch: createQueue({name: 'watch', maxAttempts: 3, stretchFactor: 2.2, targetLatencyMs: 3_000}),
+};
+
+const plainStep: Step = {
+  count: 1,
+  need: {processors: 1, memoryMb: 500, accelerators: 0, slots: 0},
+  estimatedMs: 1_000,
+  after: [],
+  checkpoints: false,
+  gang: false,
+  sameRack: false,
+  speculative: false,
+  lasting: false,
+  fills: false,
+};
+
+/** Creates a step for tests. */
+export function createStep(fields: Partial<Step> & {readonly cores?: number}): Step {
+  const {cores, ...rest} = fields;
+  const need = {...plainStep.need, ...(cores !== undefined && {processors: cores})};
+  return {...plainStep, need, ...rest};
+}
+
+/** Creates a submission for tests. */
+export function createSubmission(
+  id: string,
+  queue: string,
+  steps: readonly Step[],
+  fields: Partial<Submission> = {},
+): Submission {
+  return {
+    id,
+    queue,
+    service: 'service',
+    spec: 'spec',
+    steps,
+    repetitions: 0,
+    startAtMs: 0,
+    intervalMs: 0,
+    acceptedAtMs: 0,
+    ...fields,
+  };
+}
+
+/** What callers and users got. */
+export interface LoadResult {
+  /** Share of the batches that were finished within their objective. */
+  readonly batchesInTime: number;
+  /** The same up to three times the objective. */
+  readonly batchesLate: number;
+  readonly quickInTime: number;
+  /** Share of the time of all serving tasks in which their tail was above the target. */
+  readonly overTarget: number;
+  /** Longest time in milliseconds for which one serving task was above its target. */
+  readonly longestOverMs: number;
+  /** Share of the time in which the serving tasks were at work. */
+  readonly atWork: number;
+}
+
+/** Plays 40 s of a fleet of eleven workers whose cores are nearly all reserved by serving tasks. */
+export function playSharedLoad(seed: number, batchesPerSecond = 1, burst = 1): LoadResult {
+  const random = new SeededRandom(seed);
+  const targetMs = 50;
+  const pressures = new Map<string, number>();
+  const fleet = new VirtualFleet({
+    seed,
+    queues: Object.values(sharedQueues),
+    workers: Array.from({length: 11}, (_, index) => ({
+      agent: `w${index}`,
+      life: `life-${index}`,
+      cores: index % 4 === 3 ? 24 : 16,
+      rack: `r${index % 4}`,
+    })),
+    getNature: (task, submission) => {
+      const step = submission.steps[Number(task.split('.')[2])];
+      const durationMs = (step?.estimatedMs ?? 0) * random.between(0.7, 1.5);
+      return {durationMs, faultyRuns: random.next() < 0.03 ? 1 : 0};
+    },
+    getLoad: (submission, at) => {
+      const phase = Number.parseInt(submission.id.slice(-2), 16) / 40;
+      return 0.45 * (1 + 0.5 * Math.sin((2 * Math.PI * at) / 14_000 + phase));
+    },
+    getPressure: (serving, filling) => {
+      const key = `${serving} ${filling}`;
+      let pressure = pressures.get(key);
+      if (pressure === undefined) {
+        pressure = random.next() < 0.4 ? random.between(0.25, 1) : random.between(0, 0.06);
+        pressures.set(key, pressure);
+      }
+      return pressure;
+    },
+  });
+  const due = new Map<string, {kind: 'quick' | 'batch'; at: number; objectiveMs: number}>();
+  let next = 1;
+  const createId = () => (next++ * 7919).toString(16).padStart(16, '0');
+  const submit = (kind: keyof typeof sharedQueues, steps: readonly Step[]) => {
+    const queue = sharedQueues[kind];
+    const id = createId();
+    fleet.submit(createSubmission(id, queue.key, steps, {acceptedAtMs: fleet.now}));
+    if (kind === 'watch') return;
+    due.set(id, {kind, at: fleet.now, objectiveMs: getObjectiveMs(queue, steps)});
+  };
+  const pick = (max: number, mean: number, spread: number) =>
+    Math.max(1, Math.round(Math.min(max, mean * Math.exp(spread * (random.next() * 3 - 1.5)))));
+  const submitWatch = () =>
+    submit('watch', [
+      createStep({
+        count: pick(8, 5, 0.3),
+        cores: Math.round(random.between(2.4, 4.8) * 20) / 20,
+        lasting: true,
+        image: `s${Math.floor(random.next() * 5)}`,
+        tailTargetMs: targetMs,
+        need: {
+          processors: Math.round(random.between(2.4, 4.8) * 20) / 20,
+          memoryMb: 6_000,
+          accelerators: 0,
+          slots: 0,
+        },
+        ...(random.next() < 0.5 && {spreadLimit: 2}),
+      }),
+    ]);
+  const createSteps = (fields: () => Partial<Step> & {cores: number}, steps: number) =>
+    Array.from({length: steps}, (_, index) =>
+      createStep({...fields(), after: index > 0 ? [index - 1] : []}),
+    );
+  const submitBatch = () => {
+    const image = `f${Math.floor(random.next() * 9)}`;
+    submit(
+      'batch',
+      createSteps(
+        () => ({
+          count: pick(32, 8, 0.6),
+          cores: Math.round(random.between(1.2, 2.4) * 20) / 20,
+          estimatedMs: Math.round(random.between(600, 4_200)),
+          fills: true,
+          checkpoints: true,
+          image,
+        }),
+        pick(4, 2, 0.4),
+      ),
+    );
+  };
+  const submitQuick = () =>
+    submit(
+      'quick',
+      createSteps(
+        () => ({
+          count: pick(30, 6, 0.8),
+          cores: Math.round(random.between(0.1, 0.4) * 20) / 20,
+          estimatedMs: Math.round(random.between(300, 2_500)),
+        }),
+        pick(3, 1.6, 0.4),
+      ),
+    );
+  let over = 0;
+  let atWork = 0;
+  let serving = 0;
+  let longest = 0;
+  const overSince = new Map<string, number>();
+  fleet.onStep = () => {
+    if (fleet.now < 10_000) return;
+    for (const worker of fleet.workers.values()) {
+      for (const run of worker.runs.values()) {
+        if (!run.nature.step.lasting) continue;
+        serving += 1;
+        if (run.worked >= 400) atWork += 1;
+        if (run.tailMs <= targetMs) overSince.delete(run.task);
+        else {
+          over += 1;
+          if (!overSince.has(run.task)) overSince.set(run.task, fleet.now);
+          longest = Math.max(longest, fleet.now - (overSince.get(run.task) ?? 0));
+        }
+      }
+    }
+  };
+  for (let watch = 0; watch < 9; watch += 1) {
+    submitWatch();
+    fleet.run(fleet.now + 500);
+  }
+  let batchCredit = 0;
+  let quickCredit = 0;
+  for (let second = 8; second < 48; second += 0.25) {
+    const factor = second > 20 && second < 26 ? burst : 1;
+    batchCredit += 0.25 * batchesPerSecond * factor * random.between(0.5, 1.5);
+    quickCredit += 0.25 * 3 * random.between(0.5, 1.5);
+    for (; batchCredit >= 1; batchCredit -= 1) submitBatch();
+    for (; quickCredit >= 1; quickCredit -= 1) submitQuick();
+    fleet.run(second * 1000);
+  }
+  fleet.run(62_000);
+  const judge = (kind: 'quick' | 'batch', factor: number) => {
+    const all = [...due].filter(([, entry]) => entry.kind === kind);
+    const met = all.filter(([id, entry]) => {
+      const ended = fleet.endedAt.get(id);
+      return ended !== undefined && ended - entry.at <= entry.objectiveMs * factor;
+    });
+    return met.length / Math.max(1, all.length);
+  };
+  return {
+    batchesInTime: judge('batch', 1),
+    batchesLate: judge('batch', 3),
+    quickInTime: judge('quick', 1),
+    overTarget: over / Math.max(1, serving),
+    longestOverMs: longest,
+    atWork: atWork / Math.max(1, serving),
+  };
+}
--- /dev/null
+++ b/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
@@ -0,0 +1,290 @@
+import {
+  Dispatcher,
+  type DispatchEffect,
+  type DispatchEvent,
+  type LoggedDecision,
+  type OwnerMessage,
+  type ProgressWrite,
+  type RosterEntry,
+  type StoredSubmission,
+} from '../../../src/dispatch/index.js';
+import {SeededRandom} from '../../../src/routing/seeded-random.js';
+import {
+  getQueueKey,
+  type ProgressRecord,
+  type Queue,
+  type QueueConfiguration,
+  type Submission,
+} from '../../../src/submissions/index.js';
+import {
+  type TaskNature,
+  VirtualWorker,
+  type VirtualWorkerOptions,
+  type World,
+} from './virtual-worker.js';
+
+/** Time in milliseconds of one step of the virtual world. */
+const stepMs = 25;
+const reportMs = 500;
+const tickMs = 100;
+/** Time in milliseconds of an order from the dispatcher to the worker, and of a write. */
+const hopMs = 5;
+
+interface Timed {
+  readonly at: number;
+  readonly action: () => void;
+}
+
+/** Creates the terms of a queue for tests. */
+export function createQueue(fields: Partial<Queue> & {readonly name: string}): Queue {
+  const host = 'queues.example';
+  const prefix = `/${fields.name}/`;
+  return {
+    key: getQueueKey(host, prefix),
+    host,
+    prefix,
+    service: 'service',
+    priority: 0,
+    maxAttempts: 2,
+    stretchFactor: 2,
+    targetLatencyMs: 1_000,
+    timeoutMs: 3_000,
+    advised: false,
+    ...fields,
+  };
+}
+
+/** Creates a configuration for tests. */
+export function createConfiguration(queues: readonly Queue[]): QueueConfiguration {
+  return {
+    version: 1,
+    queues: new Map(queues.map(queue => [queue.key, queue])),
+    services: new Map([['service', {name: 'service', enforcesCapacity: true, standby: false}]]),
+    maxBodyBytes: 262_144,
+    maxHeaderBytes: 16_384,
+    headerTimeoutMs: 3_000,
+    idleTimeoutMs: 15_000,
+  };
+}
+
+/** Options of `VirtualFleet`. */
+export interface VirtualFleetOptions {
+  readonly seed: number;
+  readonly queues: readonly Queue[];
+  readonly workers: readonly VirtualWorkerOptions[];
+  readonly getNature?: (task: string, submission: Submission) => Partial<TaskNature>;
+  readonly getLoad?: (submission: Submission, at: number) => number;
+  readonly getPressure?: (serving: string, filling: string) => number;
+}
+
+/** A dispatcher with workers in virtual time, without a network. */
+export class VirtualFleet {
+  now = 0;
+  dispatcher = new Dispatcher();
+  readonly workers = new Map<string, VirtualWorker>();
+  readonly decisions: Array<LoggedDecision & {readonly at: number}> = [];
+  readonly submissions = new Map<string, Submission>();
+  /** Stored progress by submission. */
+  readonly progress = new Map<string, ProgressRecord>();
+  readonly cancelled = new Set<string>();
+  roster: readonly RosterEntry[] = [];
+  /** Time at which each final state was stored. */
+  readonly endedAt = new Map<string, number>();
+  /** Called after each step of the world. */
+  onStep: () => void = () => {};
+  readonly random: SeededRandom;
+  private generation = 0;
+  private readonly natures = new Map<string, TaskNature>();
+  private timed: Timed[] = [];
+
+  constructor(readonly options: VirtualFleetOptions) {
+    this.random = new SeededRandom(options.seed);
+    const world: World = {
+      random: this.random,
+      getNature: task => this.getNature(task),
+      getLoad: (task, at) => options.getLoad?.(this.getSubmission(task), at) ?? 0.3,
+      getPressure: options.getPressure ?? (() => 0),
+    };
+    for (const worker of options.workers) {
+      this.workers.set(worker.agent, new VirtualWorker(worker, world));
+    }
+    this.begin();
+  }
+
+  /** Starts a new owner that knows the store and what the workers list. */
+  begin(): void {
+    this.dispatcher = new Dispatcher();
+    this.generation += 1;
+    this.post({kind: 'configuration', configuration: createConfiguration(this.options.queues)});
+    const submissions: StoredSubmission[] = [...this.submissions.values()].map(submission => {
+      const progress = this.progress.get(submission.id);
+      return {
+        submission,
+        cancelled: this.cancelled.has(submission.id),
+        ...(progress && {progress}),
+      };
+    });
+    this.post({
+      kind: 'begin',
+      term: 10 * this.generation,
+      generation: this.generation,
+      submissions,
+      roster: this.roster,
+      wallMs: this.now,
+    });
+    for (const worker of this.workers.values()) this.connect(worker);
+  }
+
+  /** Lets an agent connect and describe its worker. */
+  connect(worker: VirtualWorker): void {
+    const {agent, life, cores, rack} = worker.options;
+    this.post({kind: 'agent-up', agent});
+    this.post({
+      kind: 'message',
+      agent,
+      message: {
+        kind: 'worker',
+        worker: {
+          life,
+          id: life,
+          service: 'service',
+          dataCentre: 'dc',
+          rack,
+          labels: ['a', rack],
+          capacity: {processors: cores, memoryMb: 64_000, accelerators: 0, slots: 0},
+          state: 'ready',
+        },
+      },
+    });
+    this.report(worker);
+  }
+
+  /** Hands in a submission. */
+  submit(submission: Submission): void {
+    this.submissions.set(submission.id, submission);
+    this.post({kind: 'submitted', submission});
+  }
+
+  /** Plays until a time in milliseconds. */
+  run(until: number): void {
+    while (this.now < until) {
+      this.now += stepMs;
+      for (const {action} of this.takeDue()) action();
+      for (const worker of this.workers.values()) {
+        const isEnded = worker.work(this.now, stepMs);
+        const phase = worker.options.agent.length * 37 + worker.options.agent.charCodeAt(1) * 25;
+        if (isEnded || (this.now + phase) % reportMs < stepMs) this.report(worker);
+      }
+      if (this.now % tickMs === 0) this.post({kind: 'tick', wallMs: this.now});
+      this.post({kind: 'settle'});
+      this.onStep();
+    }
+  }
+
+  /** Number of workers on which a task runs. */
+  countRuns(task: string): number {
+    return [...this.workers.values()].filter(worker => worker.runs.has(task)).length;
+  }
+
+  /** Passes an event on and carries out the effects. */
+  post(event: DispatchEvent): void {
+    for (const effect of this.dispatcher.reduce(event, this.now)) this.carryOut(effect);
+  }
+
+  private report(worker: VirtualWorker): void {
+    const {agent, life} = worker.options;
+    worker.token = Math.max(worker.token, 10 * this.generation);
+    this.post({
+      kind: 'message',
+      agent,
+      message: {
+        kind: 'report',
+        life,
+        term: worker.token,
+        clockMs: this.now,
+        running: worker.list(),
+        ends: [...worker.ends],
+      },
+    });
+  }
+
+  private carryOut(effect: DispatchEffect): void {
+    if (effect.kind === 'log') this.decisions.push({...effect.decision, at: this.now});
+    else if (effect.kind === 'write') this.later(() => this.write(effect.sequence, effect.write));
+    else if (effect.kind === 'send') this.later(() => this.deliver(effect.agent, effect.message));
+  }
+
+  private deliver(agent: string, message: OwnerMessage): void {
+    const worker = this.workers.get(agent);
+    if (worker === undefined) return;
+    if (message.kind === 'lease') {
+      const index = worker.ends.findIndex(end => end[0] > message.acknowledged);
+      worker.ends.splice(0, index < 0 ? worker.ends.length : index);
+    } else if (message.kind === 'start') {
+      const reason = worker.start(message, this.now);
+      const outcome = reason ? ({kind: 'refused', reason} as const) : ({kind: 'accepted'} as const);
+      this.later(() => this.result(agent, message.order, outcome));
+    } else if (message.kind === 'stop') {
+      const listed = worker.stop(message.task, message.run);
+      this.later(() => this.result(agent, message.order, {kind: 'stopped', listed}));
+    } else if (message.kind === 'pace') {
+      worker.pace(message.task, message.run, message.percent);
+    }
+  }
+
+  private result(
+    agent: string,
+    order: number,
+    outcome: Extract<
+      Parameters<VirtualFleet['post']>[0],
+      {kind: 'message'}
+    >['message'] extends infer M
+      ? M extends {kind: 'result'; outcome: infer O}
+        ? O
+        : never
+      : never,
+  ): void {
+    this.post({kind: 'message', agent, message: {kind: 'result', order, outcome}});
+  }
+
+  private write(sequence: number, write: ProgressWrite): void {
+    for (const {id, record} of write.progress) {
+      this.progress.set(id, record);
+      if (record.final !== undefined && !this.endedAt.has(id)) this.endedAt.set(id, this.now);
+    }
+    if (write.roster) this.roster = write.roster;
+    this.post({kind: 'written', sequence, result: 'ok'});
+  }
+
+  private later(action: () => void): void {
+    this.timed.push({at: this.now + hopMs, action});
+  }
+
+  private takeDue(): Timed[] {
+    const due = this.timed.filter(timed => timed.at <= this.now);
+    this.timed = this.timed.filter(timed => timed.at > this.now);
+    return due;
+  }
+
+  private getSubmission(task: string): Submission {
+    const submission = this.submissions.get(task.slice(0, task.indexOf('.')));
+    if (submission === undefined) throw new RangeError(`no submission of ${task}`);
+    return submission;
+  }
+
+  private getNature(task: string): TaskNature {
+    const known = this.natures.get(task);
+    if (known) return known;
+    const submission = this.getSubmission(task);
+    const step = submission.steps[Number(task.split('.')[2])];
+    if (step === undefined) throw new RangeError(`no step of ${task}`);
+    const nature = {
+      step,
+      durationMs: step.estimatedMs,
+      faultyRuns: 0,
+      ...this.options.getNature?.(task, submission),
+    };
+    this.natures.set(task, nature);
+    return nature;
+  }
+}
--- /dev/null
+++ b/packages/coordination/test/dispatch/fleet/virtual-worker.ts
@@ -0,0 +1,216 @@
+import type {SeededRandom} from '../../../src/routing/seeded-random.js';
+import type {EndRow, OwnerMessage, RunEnd, RunRow} from '../../../src/dispatch/index.js';
+import type {Step} from '../../../src/submissions/index.js';
+
+/** How tasks behave; the dispatcher does not know it. */
+export interface TaskNature {
+  readonly step: Step;
+  /** Run time in milliseconds on a sound worker. */
+  readonly durationMs: number;
+  /** Number of runs that fail through the task's own fault. */
+  readonly faultyRuns: number;
+}
+
+/** Behaviour of the virtual world. */
+export interface World {
+  readonly random: SeededRandom;
+  getNature(task: string): TaskNature;
+  /** Load of a serving step without filling tasks. */
+  getLoad(task: string, at: number): number;
+  /** Pressure of a core of a filling image on a serving image. */
+  getPressure(serving: string, filling: string): number;
+}
+
+interface VirtualRun {
+  readonly task: string;
+  readonly run: number;
+  readonly nature: TaskNature;
+  readonly workedFrom: number;
+  worked: number;
+  pace: number;
+  tailMs: number;
+}
+
+/** Options of `VirtualWorker`. */
+export interface VirtualWorkerOptions {
+  readonly agent: string;
+  readonly life: string;
+  readonly cores: number;
+  readonly rack: string;
+  /** Run times are multiplied by this. */
+  readonly slowness?: number;
+  /** Everything that starts fails. */
+  readonly failsAll?: boolean;
+  /** Runs make no progress. */
+  readonly hangs?: boolean;
+}
+
+/** Tail latency in milliseconds of an idle serving task. */
+const baseTailMs = 10;
+const slowTailMs = 600;
+/** Time in milliseconds until a serving task is at work. */
+const startupMs = 400;
+const restoreMs = 250;
+const checkpointMs = 500;
+const memoryMb = 64_000;
+
+/** A worker of the virtual fleet: runs tasks, measures them and ends them. */
+export class VirtualWorker {
+  readonly runs = new Map<string, VirtualRun>();
+  readonly ends: EndRow[] = [];
+  /** Highest run number that was started, stopped or ended, by task. */
+  private readonly barred = new Map<string, number>();
+  private nextEnd = 1;
+  token = 0;
+  slowness: number;
+  failsAll: boolean;
+  hangs: boolean;
+
+  constructor(
+    readonly options: VirtualWorkerOptions,
+    private readonly world: World,
+  ) {
+    this.slowness = options.slowness ?? 1;
+    this.failsAll = options.failsAll ?? false;
+    this.hangs = options.hangs ?? false;
+  }
+
+  /** Cores that are reserved. */
+  get reservedCores(): number {
+    let sum = 0;
+    for (const {nature} of this.runs.values()) {
+      if (!nature.step.fills) sum += nature.step.need.processors;
+    }
+    return sum;
+  }
+
+  /** Starts a run; returns a refusal or undefined. */
+  start(
+    order: Extract<OwnerMessage, {kind: 'start'}>,
+    at: number,
+  ): 'room' | 'old-run' | 'fenced' | undefined {
+    if (order.term < this.token) return 'fenced';
+    this.token = order.term;
+    if (order.run <= (this.barred.get(order.task) ?? 0)) return 'old-run';
+    const nature = this.world.getNature(order.task);
+    const {step} = nature;
+    const memory = [...this.runs.values()].reduce(
+      (sum, run) => sum + run.nature.step.need.memoryMb,
+      0,
+    );
+    if (memory + step.need.memoryMb > memoryMb) return 'room';
+    const cores = step.fills ? 0 : step.need.processors;
+    if (this.reservedCores + cores > this.options.cores + 1e-6) return 'room';
+    this.barred.set(order.task, order.run);
+    const worked = order.checkpoint ? Number(order.checkpoint) : 0;
+    const workedFrom = at + (order.checkpoint ? restoreMs : 0);
+    this.runs.set(order.task, {
+      task: order.task,
+      run: order.run,
+      nature,
+      workedFrom,
+      worked,
+      pace: 100,
+      tailMs: 0,
+    });
+    return undefined;
+  }
+
+  /** Stops a run; returns whether it was there. */
+  stop(task: string, run: number): boolean {
+    this.barred.set(task, Math.max(run, this.barred.get(task) ?? 0));
+    const present = this.runs.get(task);
+    if (present?.run !== run) return false;
+    this.finish(present, 'stopped');
+    return true;
+  }
+
+  /** Sets the pace of a run. */
+  pace(task: string, run: number, percent: number): void {
+    const present = this.runs.get(task);
+    if (present?.run === run) present.pace = percent;
+  }
+
+  /** Lets all runs work for a time in milliseconds; returns whether any has ended. */
+  work(at: number, ms: number): boolean {
+    const before = this.ends.length;
+    const fillers = [...this.runs.values()].filter(run => run.nature.step.fills);
+    let used = 0;
+    for (const run of this.runs.values()) {
+      const {step} = run.nature;
+      if (step.lasting) used += step.need.processors * this.world.getLoad(run.task, at);
+      else if (!step.fills) used += step.need.processors;
+    }
+    const wanted = fillers.reduce((sum, run) => sum + getPacedCores(run), 0);
+    const share = wanted > 0 ? Math.min(1, Math.max(0, this.options.cores - used) / wanted) : 1;
+    for (const run of [...this.runs.values()]) this.workRun(run, share, at, ms);
+    for (const run of this.runs.values()) {
+      if (run.nature.step.lasting) run.tailMs = this.getTail(run, fillers, share, at);
+    }
+    return this.ends.length > before;
+  }
+
+  /** Returns everything that runs. */
+  list(): RunRow[] {
+    return [...this.runs.values()].map(run => [
+      run.task,
+      run.run,
+      run.nature.step.checkpoints ? this.getCheckpoint(run) : '',
+      this.getPercent(run),
+      run.nature.step.lasting
+        ? Math.round(run.tailMs * this.world.random.next() * 0.1 + run.tailMs * 0.95)
+        : run.nature.step.need.processors * 1000,
+    ]);
+  }
+
+  private workRun(run: VirtualRun, share: number, at: number, ms: number): void {
+    if (at < run.workedFrom || this.hangs) return;
+    const {step, durationMs, faultyRuns} = run.nature;
+    const speed = step.fills ? (share * run.pace) / 100 : 1;
+    run.worked += (ms * speed) / this.slowness;
+    if (step.lasting) return;
+    const isFaulty = run.run <= faultyRuns || this.failsAll;
+    if (isFaulty && run.worked >= durationMs * 0.4) this.finish(run, 'failed');
+    else if (run.worked >= durationMs) this.finish(run, 'done');
+  }
+
+  private getTail(
+    run: VirtualRun,
+    fillers: readonly VirtualRun[],
+    share: number,
+    at: number,
+  ): number {
+    let pressure = 0;
+    const serving = run.nature.step.image ?? '';
+    for (const filler of fillers) {
+      const {image = ''} = filler.nature.step;
+      pressure += getPacedCores(filler) * share * this.world.getPressure(serving, image);
+    }
+    const load = this.world.getLoad(run.task, at) * (1 + pressure);
+    const tailMs = load < 0.98 ? baseTailMs / (1 - load) : slowTailMs;
+    // Requests that have piled up drain over time.
+    return run.tailMs > tailMs ? Math.max(tailMs, run.tailMs * 0.93) : tailMs;
+  }
+
+  private getPercent(run: VirtualRun): number {
+    const {step, durationMs} = run.nature;
+    const whole = step.lasting ? startupMs : durationMs;
+    return Math.min(step.lasting ? 100 : 99, Math.floor((100 * run.worked) / whole));
+  }
+
+  private getCheckpoint(run: VirtualRun): string {
+    const saved = Math.floor(run.worked / checkpointMs) * checkpointMs;
+    return saved > 0 ? String(saved) : '';
+  }
+
+  private finish(run: VirtualRun, how: RunEnd): void {
+    this.runs.delete(run.task);
+    const saved =
+      how === 'stopped' && run.nature.step.checkpoints ? String(Math.floor(run.worked)) : '';
+    this.ends.push([this.nextEnd++, run.task, run.run, how, saved]);
+  }
+}
+
+function getPacedCores(run: VirtualRun): number {
+  return (run.nature.step.need.processors * run.pace) / 100;
+}
--- a/packages/lab/src/faults/kernel/seeded-random.ts
+++ b/packages/lab/src/faults/kernel/seeded-random.ts
@@ -2,11 +2,6 @@
 
 /** Seeded generator with the choices of a case, so that a case is repeated exactly by its seed. */
 export class SeededRandom extends Generator {
-  /** Returns a number between two bounds. */
-  between(low: number, high: number): number {
-    return low + this.next() * (high - low);
-  }
-
   /** Returns one of the values. */
   pick<Value>(values: readonly Value[]): Value {
     return values[Math.floor(this.next() * values.length)]!;
