Tell the owner of a cancel over its link

Ruled out: a late order and a change of the owner (the log shows the owner in office without the cancel). Change: an entry that acknowledges a cancel also tells the owner over the link between them.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,7 +16,7 @@
 ];
 
 export default [
-  {ignores: ['**/dist/**', '**/output/**', 'node_modules/**']},
+  {ignores: ['**/dist/**', 'target/**', 'journal/**', '**/output/**', 'node_modules/**']},
   ...gts,
   ...tseslint.configs.recommended,
   {
@@ -40,6 +40,30 @@
       'max-lines': ['error', {max: 400}],
     },
   },
+  {
+    // Only the adapter knows the platform.
+    files: ['packages/**/*.ts'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            {
+              group: ['@chervilbeam/platform', '**/platform/src/**'],
+              message: 'The product does not import its adapters.',
+            },
+          ],
+        },
+      ],
+      'no-restricted-syntax': [
+        'error',
+        {
+          selector: 'Literal[value=/x-chervilbeam-(duty|fencing|expected)|kv-(key|txn|range)/]',
+          message: 'Names of the platform stay in platform/.',
+        },
+      ],
+    },
+  },
   {
     // Decisions never import an edge.
     files: ['packages/coordination/src/**/*.ts'],
--- /dev/null
+++ b/packages/coordination/src/dispatch/order-results.ts
@@ -0,0 +1,112 @@
+import type {OrderOutcome, StartRefusal} from './agent-messages.js';
+import type {DispatchState} from './dispatch-state.js';
+import type {RunOrders} from './run-orders.js';
+import type {Run} from './task.js';
+import type {WorkerView} from './worker-view.js';
+
+/** Time in milliseconds for which a worker that refused for want of room gets nothing. */
+const roomBlockMs = 250;
+/** Time in milliseconds for which a worker that was overloaded gets nothing. */
+const busyBlockMs = 1_000;
+/** Time in milliseconds until a task is started again that a worker could not read. */
+const invalidDelayMs = 2_000;
+
+/** Takes in the results of orders, and resolves orders that have none. */
+export class OrderResults {
+  constructor(
+    private readonly state: DispatchState,
+    private readonly orders: RunOrders,
+  ) {}
+
+  /** Takes in the result of an order. */
+  finish(worker: WorkerView, order: number, outcome: OrderOutcome, at: number): void {
+    const run = [...worker.runs.values()].find(candidate => candidate.order === order);
+    if (run === undefined) return;
+    if (outcome.kind !== 'unknown') worker.heardAt = at;
+    switch (outcome.kind) {
+      case 'accepted':
+        if (run.state !== 'starting') return;
+        run.state = 'running';
+        run.isConfirmed = true;
+        run.task.submission.hasStarted = true;
+        this.state.observe('run_start', at - run.startedAt);
+        return;
+      case 'refused':
+        return this.refuse(worker, run, outcome.reason, at);
+      case 'stopped':
+        if (!outcome.listed) this.lose(run, 'not-on-worker');
+        else if (run.state === 'unresolved') run.state = 'stopping';
+        return;
+      case 'unknown':
+        return this.orders.resolve(run, 'no-answer', at);
+    }
+  }
+
+  private refuse(worker: WorkerView, run: Run, reason: StartRefusal, at: number): void {
+    const {state, orders} = this;
+    state.count(`runs_refused_${reason}`);
+    state.log({
+      event: 'run-refused',
+      submission: run.task.submission.id,
+      task: run.task.name,
+      run: run.number,
+      worker: worker.life,
+      reason,
+    });
+    if (run.state === 'stopping' || run.state === 'unresolved') {
+      if (reason === 'fenced') state.emit({kind: 'deposed', reason: 'fenced-by-worker'});
+      return;
+    }
+    switch (reason) {
+      case 'fenced':
+        state.emit({kind: 'deposed', reason: 'fenced-by-worker'});
+        return;
+      case 'room':
+        worker.blockedUntil = at + roomBlockMs;
+        break;
+      case 'busy':
+        worker.blockedUntil = at + busyBlockMs;
+        break;
+      case 'draining':
+      case 'other-life':
+        worker.blockedUntil = at + busyBlockMs;
+        break;
+      case 'invalid':
+        orders.remove(run, at + invalidDelayMs);
+        return;
+      default:
+        break;
+    }
+    orders.remove(run);
+  }
+
+  /** Removes a run that is gone without a listed end. */
+  lose(run: Run, reason: string): void {
+    const {state, orders} = this;
+    state.log({
+      event: 'run-lost',
+      submission: run.task.submission.id,
+      task: run.task.name,
+      run: run.number,
+      worker: run.worker.life,
+      reason,
+    });
+    state.count('runs_lost');
+    orders.remove(run);
+  }
+
+  /** Resolves orders of a worker that have had no result for too long. */
+  check(worker: WorkerView, at: number): void {
+    const {state, orders} = this;
+    const {orderLimitMs, stopRetryMs, stopMs} = state.timing;
+    for (const run of worker.runs.values()) {
+      const age = at - run.orderedAt;
+      if (run.state === 'starting' && age >= orderLimitMs) orders.resolve(run, 'no-result', at);
+      else if (run.state === 'unresolved' && age >= stopRetryMs + stopMs) {
+        orders.resolve(run, 'no-result', at);
+      } else if (run.state === 'stopping' && age >= stopRetryMs + stopMs) {
+        orders.stop(run, 'repeated', at);
+      }
+    }
+  }
+}
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -1,16 +1,10 @@
 import type {ActiveSubmission} from './active-submission.js';
 import {getSubmissionId} from '../submissions/index.js';
-import type {
-  AgentMessage,
-  EndRow,
-  OrderOutcome,
-  RunRow,
-  StartRefusal,
-  WorkerDescription,
-} from './agent-messages.js';
+import type {AgentMessage, EndRow, RunRow, WorkerDescription} from './agent-messages.js';
 import type {DispatchState} from './dispatch-state.js';
 import type {FillerPacing} from './policy/filler-pacing.js';
 import type {RunSupervision} from './policy/run-supervision.js';
+import {OrderResults} from './order-results.js';
 import type {ProgressJournal} from './progress-journal.js';
 import type {RecoveryBarrier} from './recovery-barrier.js';
 import type {RunOrders} from './run-orders.js';
@@ -18,14 +12,8 @@
 import {Run, type Task} from './task.js';
 import {WorkerView} from './worker-view.js';
 
-/** Time in milliseconds for which a worker that refused for want of room gets nothing. */
-const roomBlockMs = 250;
-/** Time in milliseconds for which a worker that was overloaded gets nothing. */
-const busyBlockMs = 1_000;
 /** Time in milliseconds between a failed run and the next one. */
 const failureDelayMs = 100;
-/** Time in milliseconds until a task is started again that a worker could not read. */
-const invalidDelayMs = 2_000;
 
 /** Parts of the dispatcher that `WorkerReports` uses. */
 export interface WorkerReportsOptions {
@@ -40,7 +28,11 @@
 
 /** Takes in what agents tell of their workers and keeps the leases of the workers. */
 export class WorkerReports {
-  constructor(private readonly parts: WorkerReportsOptions) {}
+  private readonly results: OrderResults;
+
+  constructor(private readonly parts: WorkerReportsOptions) {
+    this.results = new OrderResults(parts.state, parts.orders);
+  }
 
   /** Notes whether an agent is connected. */
   setConnected(agent: string, isConnected: boolean, at: number): void {
@@ -70,7 +62,7 @@
         if (worker?.life === message.life) this.report(worker, message, at);
         return;
       case 'result':
-        if (worker) this.finishOrder(worker, message.order, message.outcome, at);
+        if (worker) this.results.finish(worker, message.order, message.outcome, at);
         return;
     }
   }
@@ -85,7 +77,7 @@
         continue;
       }
       this.renew(worker, at);
-      if (worker.isFenced) this.checkOrders(worker, at);
+      if (worker.isFenced) this.results.check(worker, at);
     }
   }
 
@@ -301,95 +293,6 @@
     for (const member of occurrence?.steps[task.stepIndex]?.tasks ?? []) submission.finish(member);
   }
 
-  private finishOrder(worker: WorkerView, order: number, outcome: OrderOutcome, at: number): void {
-    const run = [...worker.runs.values()].find(candidate => candidate.order === order);
-    if (run === undefined) return;
-    if (outcome.kind !== 'unknown') worker.heardAt = at;
-    switch (outcome.kind) {
-      case 'accepted':
-        if (run.state !== 'starting') return;
-        run.state = 'running';
-        run.isConfirmed = true;
-        run.task.submission.hasStarted = true;
-        this.parts.state.observe('run_start', at - run.startedAt);
-        return;
-      case 'refused':
-        return this.refuse(worker, run, outcome.reason, at);
-      case 'stopped':
-        if (!outcome.listed) this.lose(run, 'not-on-worker');
-        else if (run.state === 'unresolved') run.state = 'stopping';
-        return;
-      case 'unknown':
-        return this.parts.orders.resolve(run, 'no-answer', at);
-    }
-  }
-
-  private refuse(worker: WorkerView, run: Run, reason: StartRefusal, at: number): void {
-    const {state, orders} = this.parts;
-    state.count(`runs_refused_${reason}`);
-    state.log({
-      event: 'run-refused',
-      submission: run.task.submission.id,
-      task: run.task.name,
-      run: run.number,
-      worker: worker.life,
-      reason,
-    });
-    if (run.state === 'stopping' || run.state === 'unresolved') {
-      if (reason === 'fenced') state.emit({kind: 'deposed', reason: 'fenced-by-worker'});
-      return;
-    }
-    switch (reason) {
-      case 'fenced':
-        state.emit({kind: 'deposed', reason: 'fenced-by-worker'});
-        return;
-      case 'room':
-        worker.blockedUntil = at + roomBlockMs;
-        break;
-      case 'busy':
-        worker.blockedUntil = at + busyBlockMs;
-        break;
-      case 'draining':
-      case 'other-life':
-        worker.blockedUntil = at + busyBlockMs;
-        break;
-      case 'invalid':
-        orders.remove(run, at + invalidDelayMs);
-        return;
-      default:
-        break;
-    }
-    orders.remove(run);
-  }
-
-  private lose(run: Run, reason: string): void {
-    const {state, orders} = this.parts;
-    state.log({
-      event: 'run-lost',
-      submission: run.task.submission.id,
-      task: run.task.name,
-      run: run.number,
-      worker: run.worker.life,
-      reason,
-    });
-    state.count('runs_lost');
-    orders.remove(run);
-  }
-
-  private checkOrders(worker: WorkerView, at: number): void {
-    const {state, orders} = this.parts;
-    const {orderLimitMs, stopRetryMs, stopMs} = state.timing;
-    for (const run of worker.runs.values()) {
-      const age = at - run.orderedAt;
-      if (run.state === 'starting' && age >= orderLimitMs) orders.resolve(run, 'no-result', at);
-      else if (run.state === 'unresolved' && age >= stopRetryMs + stopMs) {
-        orders.resolve(run, 'no-result', at);
-      } else if (run.state === 'stopping' && age >= stopRetryMs + stopMs) {
-        orders.stop(run, 'repeated', at);
-      }
-    }
-  }
-
   private renew(worker: WorkerView, at: number): void {
     const {state} = this.parts;
     const acknowledged = worker.ends.value;
@@ -421,13 +324,13 @@
 
   /** The lease of everything on an unreachable worker has run out. */
   private expire(worker: WorkerView): void {
-    for (const run of [...worker.runs.values()]) this.lose(run, 'lease-expired');
+    for (const run of [...worker.runs.values()]) this.results.lose(run, 'lease-expired');
     if (!worker.isConnected) this.drop(worker, 'lease-expired');
   }
 
   private drop(worker: WorkerView, reason: string): void {
     const {state, journal} = this.parts;
-    for (const run of [...worker.runs.values()]) this.lose(run, reason);
+    for (const run of [...worker.runs.values()]) this.results.lose(run, reason);
     if (state.workers.get(worker.agent) === worker) state.workers.delete(worker.agent);
     journal.changeRoster();
     state.log({event: 'worker-gone', worker: worker.life, reason});
--- /dev/null
+++ b/packages/coordination/test/dispatch/dispatcher.test.ts
@@ -0,0 +1,230 @@
+import t from 'tap';
+import type {Submission} from '../../src/submissions/index.js';
+import {createStep, createSubmission} from './fleet/shared-load.js';
+import {createQueue, VirtualFleet, type VirtualFleetOptions} from './fleet/virtual-fleet.js';
+
+const queue = createQueue({name: 'proofs'});
+const id = '00000000000000a1';
+
+function createFleet(options: Partial<VirtualFleetOptions> = {}): VirtualFleet {
+  return new VirtualFleet({
+    seed: 1,
+    queues: [queue],
+    workers: ['w1', 'w2', 'w3'].map((agent, index) => ({
+      agent,
+      life: `${agent}-life`,
+      cores: 16,
+      rack: `r${index}`,
+    })),
+    ...options,
+  });
+}
+
+/** Counts the starts of each task, and checks in each step that no task runs twice. */
+function watchRuns(t: {fail(message: string): unknown}, fleet: VirtualFleet): void {
+  fleet.onStep = () => {
+    const seen = new Set<string>();
+    for (const worker of fleet.workers.values()) {
+      for (const task of worker.runs.keys()) {
+        if (seen.has(task)) t.fail(`${task} runs twice at ${fleet.now}`);
+        seen.add(task);
+      }
+    }
+  };
+}
+
+function getStarts(fleet: VirtualFleet, task: string): number {
+  return fleet.decisions.filter(entry => entry.event === 'run-placed' && entry.task === task)
+    .length;
+}
+
+void t.test('a step starts only after all tasks of the steps before it are finished', async t => {
+  const fleet = createFleet();
+  watchRuns(t, fleet);
+  const steps = [createStep({count: 5}), createStep({count: 3, after: [0]})];
+  fleet.submit(createSubmission(id, queue.key, steps));
+  fleet.run(5_000);
+  const ended = fleet.decisions.filter(entry => entry.event === 'run-ended');
+  const firstOfLater = fleet.decisions.find(
+    entry => entry.event === 'run-placed' && entry.task?.split('.')[2] === '1',
+  );
+  t.equal(ended.filter(entry => entry.at <= (firstOfLater?.at ?? 0)).length, 5);
+  t.equal(fleet.progress.get(id)?.final, 'completed');
+  t.equal(fleet.dispatcher.getStatus(id), 'completed');
+});
+
+void t.test('a submission is not shown as completed before the store has it', async t => {
+  const fleet = createFleet();
+  fleet.submit(createSubmission(id, queue.key, [createStep({count: 2})]));
+  let shownEarly = false;
+  fleet.onStep = () => {
+    const isStored = fleet.progress.get(id)?.final === 'completed';
+    if (fleet.dispatcher.getStatus(id) === 'completed' && !isStored) shownEarly = true;
+  };
+  fleet.run(3_000);
+  t.notOk(shownEarly);
+  t.equal(fleet.dispatcher.getStatus(id), 'completed');
+});
+
+const takeovers = [150, 400, 900, 1_400, 2_300];
+for (const at of takeovers) {
+  void t.test(
+    `a new owner at ${at} ms continues without a second run of a finished task`,
+    async t => {
+      const fleet = createFleet();
+      watchRuns(t, fleet);
+      const steps = [createStep({count: 6}), createStep({count: 4, after: [0]})];
+      fleet.submit(createSubmission(id, queue.key, steps));
+      fleet.run(at);
+      fleet.begin();
+      fleet.run(at + 8_000);
+      t.equal(fleet.progress.get(id)?.final, 'completed');
+      const done = fleet.decisions.filter(entry => entry.event === 'run-ended');
+      const tasks = new Set(done.map(entry => entry.task));
+      t.equal(tasks.size, 10);
+      const startsAfterEnd = fleet.decisions.filter(
+        entry =>
+          entry.event === 'run-placed' &&
+          done.some(end => end.task === entry.task && end.reason === 'done' && end.at < entry.at),
+      );
+      t.same(startsAfterEnd, []);
+    },
+  );
+}
+
+void t.test('a task that fails as often as allowed fails its submission', async t => {
+  const fleet = createFleet({getNature: () => ({faultyRuns: 9})});
+  fleet.submit(createSubmission(id, queue.key, [createStep({count: 2})]));
+  fleet.run(6_000);
+  t.equal(fleet.progress.get(id)?.final, 'failed');
+  const worst = Math.max(...[0, 1].map(index => getStarts(fleet, `${id}.0.0.${index}`)));
+  t.ok(worst <= queue.maxAttempts, `${worst} starts`);
+});
+
+void t.test('a failed task runs again on another worker', async t => {
+  const fleet = createFleet({getNature: () => ({faultyRuns: 1})});
+  fleet.submit(createSubmission(id, queue.key, [createStep({count: 1})]));
+  fleet.run(6_000);
+  t.equal(fleet.progress.get(id)?.final, 'completed');
+  const places = fleet.decisions.filter(entry => entry.event === 'run-placed');
+  t.equal(new Set(places.map(entry => entry.worker)).size, 2);
+});
+
+void t.test('a cancelled submission is stopped and starts nothing more', async t => {
+  const fleet = createFleet();
+  fleet.submit(createSubmission(id, queue.key, [createStep({count: 60, estimatedMs: 3_000})]));
+  fleet.run(1_000);
+  fleet.cancelled.add(id);
+  fleet.post({kind: 'cancelled', id});
+  const before = fleet.decisions.filter(entry => entry.event === 'run-placed').length;
+  fleet.run(3_000);
+  t.equal(fleet.decisions.filter(entry => entry.event === 'run-placed').length, before);
+  t.equal(
+    [...fleet.workers.values()].reduce((sum, worker) => sum + worker.runs.size, 0),
+    0,
+  );
+  t.equal(fleet.dispatcher.getStatus(id), 'cancelled');
+});
+
+void t.test(
+  'tasks of an unreachable worker start elsewhere only after its lease has run out',
+  async t => {
+    const fleet = createFleet();
+    fleet.submit(createSubmission(id, queue.key, [createStep({count: 1, estimatedMs: 20_000})]));
+    fleet.run(1_000);
+    const [worker] = [...fleet.workers.values()].filter(candidate => candidate.runs.size > 0);
+    if (!worker) throw new Error('the task does not run');
+    const {agent} = worker.options;
+    fleet.post({kind: 'agent-down', agent});
+    fleet.workers.delete(agent);
+    // The lease of 6 s was granted or renewed after the start of the test.
+    fleet.run(5_900);
+    t.equal(getStarts(fleet, `${id}.0.0.0`), 1, 'the lease still runs');
+    fleet.run(9_000);
+    t.equal(getStarts(fleet, `${id}.0.0.0`), 2);
+  },
+);
+
+void t.test('a new life of a worker frees its tasks at once, with a higher run number', async t => {
+  const fleet = createFleet();
+  fleet.submit(createSubmission(id, queue.key, [createStep({count: 1, estimatedMs: 20_000})]));
+  fleet.run(1_000);
+  const [worker] = [...fleet.workers.values()].filter(candidate => candidate.runs.size > 0);
+  if (!worker) throw new Error('the task does not run');
+  worker.runs.clear();
+  fleet.post({
+    kind: 'message',
+    agent: worker.options.agent,
+    message: {kind: 'worker-gone', life: worker.options.life, reason: 'refused-connection'},
+  });
+  fleet.run(1_500);
+  const runs = fleet.decisions.filter(entry => entry.event === 'run-placed');
+  t.same(
+    runs.map(entry => entry.run),
+    [1, 2],
+  );
+});
+
+void t.test('at most so many tasks of a step run on one worker', async t => {
+  const fleet = createFleet();
+  const steps = [createStep({count: 9, estimatedMs: 4_000, spreadLimit: 2})];
+  fleet.submit(createSubmission(id, queue.key, steps));
+  fleet.run(2_000);
+  t.same(
+    [...fleet.workers.values()].map(worker => worker.runs.size),
+    [2, 2, 2],
+  );
+});
+
+void t.test('the members of a gang start together with one run number, or not at all', async t => {
+  const fleet = createFleet();
+  const gang = createStep({count: 4, cores: 9, gang: true});
+  fleet.submit(createSubmission(id, queue.key, [gang]));
+  fleet.run(2_000);
+  t.equal(fleet.decisions.filter(entry => entry.event === 'run-placed').length, 0);
+  const fitting = createStep({count: 3, cores: 9, gang: true});
+  fleet.submit(createSubmission('00000000000000a2', queue.key, [fitting]));
+  fleet.run(5_000);
+  const runs = fleet.decisions.filter(entry => entry.event === 'run-placed');
+  t.same(
+    runs.map(entry => entry.run),
+    [1, 1, 1],
+  );
+  t.equal(fleet.dispatcher.getStatus('00000000000000a2'), 'completed');
+});
+
+void t.test('an occurrence starts when it is due and not before', async t => {
+  const fleet = createFleet();
+  const dates: Partial<Submission> = {repetitions: 2, startAtMs: 1_000, intervalMs: 2_000};
+  fleet.submit(createSubmission(id, queue.key, [createStep({count: 1, estimatedMs: 500})], dates));
+  fleet.run(6_000);
+  const starts = fleet.decisions
+    .filter(entry => entry.event === 'run-placed')
+    .map(entry => entry.at);
+  t.ok(starts[0]! >= 1_000 && starts[0]! < 1_250, `first at ${starts[0]}`);
+  t.ok(starts[1]! >= 3_000 && starts[1]! < 3_250, `second at ${starts[1]}`);
+  t.equal(fleet.dispatcher.getStatus(id), 'completed');
+});
+
+void t.test('a worker on which everything stands still loses its tasks to others', async t => {
+  const fleet = createFleet();
+  const worker = fleet.workers.get('w1');
+  if (worker) worker.hangs = true;
+  fleet.submit(createSubmission(id, queue.key, [createStep({count: 12, cores: 3})]));
+  fleet.run(8_000);
+  t.equal(fleet.dispatcher.getStatus(id), 'completed');
+});
+
+void t.test('a worker that fails everything is left out before it burns all attempts', async t => {
+  const fleet = createFleet();
+  const worker = fleet.workers.get('w1');
+  if (worker) worker.failsAll = true;
+  for (let index = 0; index < 20; index += 1) {
+    const name = (0xb00 + index).toString(16).padStart(16, '0');
+    fleet.submit(createSubmission(name, queue.key, [createStep({count: 4, cores: 0.5})]));
+    fleet.run(fleet.now + 500);
+  }
+  fleet.run(fleet.now + 5_000);
+  const failed = [...fleet.progress.values()].filter(record => record.final === 'failed');
+  t.equal(failed.length, 0);
+});
--- /dev/null
+++ b/packages/coordination/test/ownership/owner-election.test.ts
@@ -0,0 +1,108 @@
+import t from 'tap';
+import {
+  type ElectionEffect,
+  type ElectionEvent,
+  OwnerElection,
+} from '../../src/ownership/owner-election.js';
+
+type Timed = readonly [at: number, event: ElectionEvent];
+
+const owner = {name: 'other', address: '10.0.0.2:1', nonce: 'other-1'};
+const vacant = {kind: 'owner-seen', owner: undefined, revision: 5} as const;
+
+/** Opens a lease at 0 and claims the vacant key at 10. */
+const claimed: readonly Timed[] = [
+  [0, {kind: 'tick'}],
+  [5, {kind: 'lease-opened', lease: '7', sentAt: 0}],
+  [10, vacant],
+  [20, {kind: 'claimed', revision: 9, generation: 1}],
+];
+
+const cases: ReadonlyArray<{
+  readonly name: string;
+  readonly events: readonly Timed[];
+  readonly last: ReadonlyArray<ElectionEffect['kind']>;
+}> = [
+  {name: 'a process first opens a lease', events: [[0, {kind: 'tick'}]], last: ['open-lease']},
+  {
+    name: 'nothing is claimed before the key was seen',
+    events: [
+      [0, {kind: 'tick'}],
+      [5, {kind: 'lease-opened', lease: '7', sentAt: 0}],
+    ],
+    last: [],
+  },
+  {name: 'a vacant key is claimed', events: claimed.slice(0, 3), last: ['claim']},
+  {name: 'a claim that took effect begins the ownership', events: claimed, last: ['begin']},
+  {
+    name: 'an owned key is left alone',
+    events: [...claimed.slice(0, 2), [10, {kind: 'owner-seen', owner, revision: 4}]],
+    last: [],
+  },
+  {
+    name: 'an older observation of the vacant key does not end a newer ownership',
+    events: [...claimed, [30, {kind: 'owner-seen', owner: undefined, revision: 8}]],
+    last: [],
+  },
+  {
+    name: 'a key that was taken by another process ends the ownership',
+    events: [...claimed, [30, {kind: 'owner-seen', owner, revision: 12}]],
+    last: ['end', 'end-lease', 'open-lease'],
+  },
+  {
+    name: 'a removed key ends the ownership',
+    events: [...claimed, [30, {kind: 'owner-seen', owner: undefined, revision: 12}]],
+    last: ['end', 'end-lease', 'open-lease'],
+  },
+  {
+    name: 'an owner whose store does not answer goes on for a while',
+    events: [
+      ...claimed,
+      [1_100, {kind: 'tick'}],
+      [2_000, {kind: 'call-failed', call: 'keep-lease'}],
+      [5_900, {kind: 'look'}],
+    ],
+    last: [],
+  },
+  {
+    name: 'an owner that was frozen past its validity wakes without the ownership',
+    events: [...claimed, [6_100, {kind: 'look'}]],
+    last: ['end', 'end-lease'],
+  },
+  {
+    name: 'a lease that the store has ended ends the ownership and is opened anew',
+    events: [...claimed, [1_100, {kind: 'tick'}], [1_110, {kind: 'lease-ended'}]],
+    last: ['end', 'open-lease'],
+  },
+  {
+    name: 'a worker that has seen a higher token ends the ownership',
+    events: [...claimed, [30, {kind: 'deposed', reason: 'fenced-by-worker'}]],
+    last: ['end', 'end-lease'],
+  },
+  {
+    name: 'a draining owner hands the key on at once and claims nothing more',
+    events: [...claimed, [30, {kind: 'drain'}]],
+    last: ['end', 'end-lease'],
+  },
+];
+
+for (const {name, events, last} of cases) {
+  void t.test(name, async t => {
+    const election = new OwnerElection({incarnation: 'self'});
+    let effects: readonly ElectionEffect[] = [];
+    for (const [at, event] of events) effects = election.reduce(event, at);
+    t.same(
+      effects.map(effect => effect.kind),
+      last,
+    );
+  });
+}
+
+void t.test('a claim waits for its delay, so that an entry near the store goes first', async t => {
+  const election = new OwnerElection({incarnation: 'self', claimDelayMs: 400});
+  election.reduce({kind: 'tick'}, 0);
+  election.reduce({kind: 'lease-opened', lease: '7', sentAt: 0}, 5);
+  t.same(election.reduce(vacant, 10), []);
+  t.same(election.reduce({kind: 'tick'}, 300), []);
+  t.match(election.reduce({kind: 'tick'}, 411), [{kind: 'claim', nonce: 'self-1'}]);
+});
--- /dev/null
+++ b/packages/coordination/test/submissions/check-submission.test.ts
@@ -0,0 +1,42 @@
+import t from 'tap';
+import {checkDraft, type SubmissionDraft} from '../../src/submissions/index.js';
+
+const step = {count: 2, need: {processors: 0.5, memoryMb: 100}, estimatedMs: 900};
+
+const cases: ReadonlyArray<{
+  readonly name: string;
+  readonly draft: SubmissionDraft;
+  readonly places: readonly string[];
+}> = [
+  {name: 'a plain submission passes', draft: {spec: 'x', steps: [step]}, places: []},
+  {
+    name: 'omitted fields read as 0, false or empty',
+    draft: {spec: '', steps: [{count: 1}]},
+    places: [],
+  },
+  {name: 'steps are required', draft: {spec: 'x'}, places: ['steps']},
+  {name: 'an empty list of steps is refused', draft: {steps: []}, places: ['steps']},
+  {
+    name: 'a step that waits for itself or a later one can never run',
+    draft: {steps: [step, {...step, after: [1]}]},
+    places: ['steps[1].after'],
+  },
+  {
+    name: 'all findings are reported together with their place',
+    draft: {spec: 7, steps: [{...step, count: -1, need: {processors: 'many'}, gang: 'yes'}]},
+    places: ['spec', 'steps[0].count', 'steps[0].need.processors', 'steps[0].gang'],
+  },
+  {
+    name: 'a spec above the limit is refused',
+    draft: {spec: 'x'.repeat(4_001), steps: [step]},
+    places: ['spec'],
+  },
+  {name: 'a step that is no object is refused', draft: {steps: ['x']}, places: ['steps[0]']},
+];
+
+for (const {name, draft, places} of cases) {
+  void t.test(name, async t => {
+    const {findings = []} = checkDraft(draft);
+    t.same([...findings.map(finding => finding.place)].sort(), [...places].sort());
+  });
+}
--- a/packages/runtime/src/dispatch/entry-messages.ts
+++ b/packages/runtime/src/dispatch/entry-messages.ts
@@ -6,6 +6,8 @@
   | {readonly kind: 'entry'; readonly name: string}
   /** Asks the owner for the state of a submission. */
   | {readonly kind: 'query'; readonly request: number; readonly id: string}
+  /** Tells the owner that the store holds a request to cancel a submission. */
+  | {readonly kind: 'cancelled'; readonly id: string}
   /** Asks another entry to carry out a caller's call, because the store turns the sender away. */
   | {readonly kind: 'call'; readonly request: number; readonly call: SubmissionCall};
 
--- a/packages/runtime/src/dispatch/entry-node.ts
+++ b/packages/runtime/src/dispatch/entry-node.ts
@@ -66,6 +66,10 @@
       metrics,
       peers: {
         askOwner: id => this.askOwner(id),
+        tellCancelled: id => {
+          if (this.owner.isOwner) this.owner.cancel(id);
+          else this.peers.tellCancelled(id);
+        },
         relay: (call, timeoutMs) => this.peers.relay(call, timeoutMs),
       },
     });
@@ -151,6 +155,9 @@
       case 'query':
         link.send({kind: 'status', request: message.request, ...this.owner.getKnown(message.id)});
         return;
+      case 'cancelled':
+        this.owner.cancel(message.id);
+        return;
       case 'call':
         void this.service
           .execute(message.call, {timeoutMs: relayedCallMs, isRelayed: true})
--- a/packages/runtime/src/dispatch/entry-peers.ts
+++ b/packages/runtime/src/dispatch/entry-peers.ts
@@ -75,6 +75,13 @@
     return response?.kind === 'status' ? response : undefined;
   }
 
+  /** Tells the owner of a cancelled submission. */
+  tellCancelled(id: string): void {
+    if (this.ownerAddress !== undefined) {
+      this.getLink(this.ownerAddress).send({kind: 'cancelled', id});
+    }
+  }
+
   /** Has another entry carry out a call; undefined when none answers in time. */
   async relay(call: SubmissionCall, timeoutMs: number): Promise<SubmissionReply | undefined> {
     const candidates = this.known.length > 0 ? this.known : [];
--- a/packages/runtime/src/dispatch/owner-process.ts
+++ b/packages/runtime/src/dispatch/owner-process.ts
@@ -11,13 +11,9 @@
   OwnerElection,
   type OwnerMessage,
   type OwnerRecord,
-  type ProgressRecord,
   type ProgressWrite,
   type QueueConfiguration,
   type QueueLevel,
-  type RosterEntry,
-  type StoredSubmission,
-  type Submission,
 } from '@chervilbeam/coordination';
 import {Loop} from '../loop/index.js';
 import type {Metrics} from '../metrics/index.js';
@@ -26,7 +22,8 @@
 import {LeaseClock} from './lease-clock.js';
 import type {Link} from './link.js';
 import {RecordWatch} from './record-watch.js';
-import type {CommitResult, RecordChange, RecordStore, StoredRecord} from './record-store.js';
+import type {RecordChange, RecordStore, StoredRecord} from './record-store.js';
+import {parseOwner, parseSubmission, readStoredState, toWriteResult} from './stored-state.js';
 import {
   cancelPrefix,
   entryPrefix,
@@ -156,6 +153,11 @@
     this.post({kind: 'agent-down', agent});
   }
 
+  /** Takes in that the store holds a request to cancel a submission. */
+  cancel(id: string): void {
+    if (this.isOwner) this.post({kind: 'cancelled', id});
+  }
+
   /** Returns what is known of a submission. */
   getKnown(id: string): KnownSubmission {
     if (!this.isOwner) return {isOwner: false};
@@ -331,7 +333,7 @@
     this.electionTerm = term;
     log.log('ownership-claimed', {term, generation});
     const startedAt = clock.now();
-    const stored = await readAll(store, () => this.electionTerm === term);
+    const stored = await readStoredState(store, () => this.electionTerm === term);
     if (stored === undefined || this.electionTerm !== term) return;
     log.log('submissions-read', {
       term,
@@ -391,94 +393,3 @@
     this.options.onOwnership(false);
   }
 }
-
-interface StoredState {
-  readonly submissions: readonly StoredSubmission[];
-  readonly roster: readonly RosterEntry[];
-  readonly revision: number;
-}
-
-/** Time in milliseconds between two attempts to read everything. */
-const readRetryMs = 200;
-
-/** Reads all submissions with their progress; undefined when `isWanted` turns false. */
-async function readAll(
-  store: RecordStore,
-  isWanted: () => boolean,
-): Promise<StoredState | undefined> {
-  while (isWanted()) {
-    const [work, progress, roster] = await Promise.all([
-      store.list(workPrefix),
-      store.list(progressPrefix),
-      store.read(rosterKey),
-    ]);
-    if (work.kind === 'ok' && progress.kind === 'ok' && roster.kind === 'ok') {
-      return {
-        submissions: joinRecords(work.records, progress.records),
-        roster: roster.record ? (JSON.parse(roster.record.value) as RosterEntry[]) : [],
-        revision: work.revision,
-      };
-    }
-    await new Promise(resolve => setTimeout(resolve, readRetryMs));
-  }
-  return undefined;
-}
-
-function joinRecords(
-  work: readonly StoredRecord[],
-  progress: readonly StoredRecord[],
-): StoredSubmission[] {
-  const progressById = new Map(
-    progress.map(record => [
-      record.key.slice(progressPrefix.length),
-      JSON.parse(record.value) as ProgressRecord,
-    ]),
-  );
-  const cancelled = new Set(
-    work
-      .filter(record => record.key.startsWith(cancelPrefix))
-      .map(record => record.key.slice(cancelPrefix.length)),
-  );
-  const stored: StoredSubmission[] = [];
-  for (const record of work) {
-    if (!record.key.startsWith(submissionPrefix)) continue;
-    const submission = parseSubmission(record.value);
-    if (submission === undefined) continue;
-    const known = progressById.get(submission.id);
-    stored.push({
-      submission,
-      cancelled: cancelled.has(submission.id),
-      ...(known && {progress: known}),
-    });
-  }
-  return stored;
-}
-
-function parseSubmission(value: string): Submission | undefined {
-  try {
-    return JSON.parse(value) as Submission;
-  } catch {
-    return undefined;
-  }
-}
-
-function parseOwner(value: string): OwnerRecord | undefined {
-  try {
-    return JSON.parse(value) as OwnerRecord;
-  } catch {
-    return undefined;
-  }
-}
-
-function toWriteResult(result: CommitResult): 'ok' | 'conflict' | 'unavailable' | 'unknown' {
-  switch (result.kind) {
-    case 'ok':
-    case 'conflict':
-      return result.kind;
-    case 'no-lease':
-    case 'refused':
-      return 'unavailable';
-    case 'unknown':
-      return 'unknown';
-  }
-}
--- a/packages/runtime/src/dispatch/submission-service.ts
+++ b/packages/runtime/src/dispatch/submission-service.ts
@@ -31,6 +31,8 @@
 export interface SubmissionPeers {
   /** Asks the owner for a submission; undefined when no owner answers. */
   askOwner(id: string): Promise<KnownSubmission | undefined>;
+  /** Tells the owner of a cancelled submission, also when the store turns the owner away. */
+  tellCancelled(id: string): void;
   /** Has another entry carry out a call; undefined when none answers. */
   relay(call: SubmissionCall, timeoutMs: number): Promise<SubmissionReply | undefined>;
 }
@@ -260,6 +262,7 @@
     while (this.options.clock.now() < deadline) {
       const result = await store.commit(commit);
       if (result.kind === 'ok') {
+        this.options.peers.tellCancelled(call.id);
         log.log('cancel-acknowledged', {submission: call.id, revision: result.revision});
         return {kind: 'cancelled'};
       }
--- /dev/null
+++ b/packages/runtime/test/dispatch/lease-clock.test.ts
@@ -0,0 +1,29 @@
+import t from 'tap';
+import {LeaseClock} from '../../src/dispatch/index.js';
+
+const cases = [
+  {name: 'time passes on both clocks', steady: 1_000, wall: 1_000, expected: 1_000},
+  {name: 'a suspended host counts the time', steady: 100, wall: 5_100, expected: 5_100},
+  {
+    name: 'a clock that is set back never makes a lease last longer',
+    steady: 1_000,
+    wall: -4_000,
+    expected: 1_000,
+  },
+  {
+    name: 'small corrections of the wall clock do not count',
+    steady: 1_000,
+    wall: 1_050,
+    expected: 1_000,
+  },
+];
+
+for (const {name, steady, wall, expected} of cases) {
+  void t.test(name, async t => {
+    let times = {steady: 0, wall: 1_000_000};
+    const clock = new LeaseClock({now: () => times.steady, wallTime: () => times.wall});
+    const before = clock.now();
+    times = {steady, wall: 1_000_000 + wall};
+    t.equal(clock.now() - before, expected);
+  });
+}
--- /dev/null
+++ b/packages/runtime/test/dispatch/record-watch.test.ts
@@ -0,0 +1,55 @@
+import t from 'tap';
+import {RecordWatch} from '../../src/dispatch/index.js';
+import {SystemClock} from '../../src/loop/index.js';
+import {MemoryStore} from './memory-store.js';
+import {createTestLog} from './silent-log.js';
+
+function follow(store: MemoryStore) {
+  const seen = new Map<string, string>();
+  const watch = new RecordWatch({
+    store,
+    clock: new SystemClock(),
+    log: createTestLog().log,
+    prefix: 'a/',
+    waitMs: 50,
+    onList: records => records.forEach(record => seen.set(record.key, record.value)),
+    onChanges: changes => {
+      for (const change of changes) {
+        if (change.kind === 'written') seen.set(change.record.key, change.record.value);
+        else seen.delete(change.key);
+      }
+    },
+  });
+  const ended = watch.run();
+  return {seen, stop: () => (watch.stop(), ended)};
+}
+
+async function waitFor(check: () => boolean): Promise<void> {
+  while (!check()) await new Promise(resolve => setTimeout(resolve, 5));
+}
+
+const cases: ReadonlyArray<{readonly name: string; readonly break: (store: MemoryStore) => void}> =
+  [
+    {name: 'changes arrive in a calm store', break: () => {}},
+    {name: 'a dropped history is read anew', break: store => store.compact()},
+    {
+      name: 'calls without an answer are repeated',
+      break: store => (store.faults = ['unknown', 'refused', 'unknown']),
+    },
+  ];
+
+for (const {name, break: breakStore} of cases) {
+  void t.test(name, async t => {
+    const store = new MemoryStore();
+    store.put('a/1', 'old');
+    store.put('b/1', 'other');
+    const {seen, stop} = follow(store);
+    await waitFor(() => seen.get('a/1') === 'old');
+    breakStore(store);
+    store.put('a/2', 'new');
+    store.put('a/1', 'newer');
+    await waitFor(() => seen.get('a/2') === 'new' && seen.get('a/1') === 'newer');
+    t.equal(seen.has('b/1'), false);
+    await stop();
+  });
+}
--- /dev/null
+++ b/packages/runtime/test/dispatch/submission-service.test.ts
@@ -0,0 +1,252 @@
+import {
+  type CheckedDraft,
+  getQueueKey,
+  type Queue,
+  type QueueConfiguration,
+  type QueueLevel,
+  type SubmissionStatus,
+} from '@chervilbeam/coordination';
+import t from 'tap';
+import {
+  type SubmissionCall,
+  type SubmissionReply,
+  SubmissionService,
+} from '../../src/dispatch/index.js';
+import {SystemClock} from '../../src/loop/index.js';
+import {Metrics} from '../../src/metrics/index.js';
+import {MemoryStore, type StoreFault} from './memory-store.js';
+import {createTestLog} from './silent-log.js';
+
+const queue: Queue = {
+  key: getQueueKey('a.example', '/proofs/'),
+  name: 'proofs',
+  host: 'a.example',
+  prefix: '/proofs/',
+  service: 'press',
+  priority: 1,
+  maxAttempts: 2,
+  stretchFactor: 2,
+  targetLatencyMs: 1_000,
+  timeoutMs: 3_000,
+  advised: false,
+};
+const configuration: QueueConfiguration = {
+  version: 1,
+  queues: new Map([[queue.key, queue]]),
+  services: new Map(),
+  maxBodyBytes: 1,
+  maxHeaderBytes: 1,
+  headerTimeoutMs: 1,
+  idleTimeoutMs: 1,
+};
+const id = '00000000000000a1';
+const draft: CheckedDraft = {
+  spec: 'x',
+  steps: [
+    {
+      count: 4,
+      need: {processors: 1, memoryMb: 1, accelerators: 0, slots: 0},
+      estimatedMs: 1_000,
+      after: [],
+      checkpoints: false,
+      gang: false,
+      sameRack: false,
+      speculative: false,
+      lasting: false,
+      fills: false,
+    },
+  ],
+  repetitions: 0,
+  startAtMs: 0,
+  intervalMs: 0,
+};
+const submit: SubmissionCall = {kind: 'submit', queue: queue.key, id, draft};
+const full: QueueLevel = {
+  queue: queue.key,
+  pending: 7,
+  waitMs: 60_000,
+  fillWaitMs: 60_000,
+  runTimeFactor: 1,
+  cores: 16,
+};
+
+interface Fixture {
+  readonly configured?: boolean;
+  readonly faults?: ReadonlyArray<StoreFault | undefined>;
+  readonly stored?: readonly string[];
+  readonly level?: QueueLevel;
+  /** State that the owner tells; absent when no owner answers. */
+  readonly known?: SubmissionStatus;
+  readonly relayed?: SubmissionReply;
+  readonly timeoutMs?: number;
+}
+
+async function execute(call: SubmissionCall, fixture: Fixture) {
+  const store = new MemoryStore();
+  const told: string[] = [];
+  for (const key of fixture.stored ?? []) {
+    const value = key.startsWith('progress/')
+      ? {final: 'completed', finished: {}, failures: [], checkpoints: []}
+      : {id, queue: queue.key};
+    store.put(key, JSON.stringify(value));
+  }
+  store.faults = [...(fixture.faults ?? [])];
+  const service = new SubmissionService({
+    store,
+    clock: new SystemClock(),
+    log: createTestLog().log,
+    metrics: new Metrics(),
+    peers: {
+      askOwner: async () =>
+        fixture.known && {isOwner: true, status: fixture.known, queue: queue.key},
+      relay: async () => fixture.relayed,
+      tellCancelled: cancelled => told.push(cancelled),
+    },
+  });
+  if (fixture.configured !== false) service.configure(configuration);
+  if (fixture.level) service.setLevels([fixture.level]);
+  const reply = await service.execute(call, {timeoutMs: fixture.timeoutMs ?? 800});
+  return {reply, store, told};
+}
+
+const cases: ReadonlyArray<{
+  readonly name: string;
+  readonly call?: SubmissionCall;
+  readonly fixture: Fixture;
+  readonly reply: Partial<SubmissionReply>;
+  readonly stored?: boolean;
+}> = [
+  {
+    name: 'a submission is accepted once the store has it',
+    fixture: {},
+    reply: {kind: 'accepted'},
+    stored: true,
+  },
+  {
+    name: 'the same submission again is accepted and stays one',
+    fixture: {stored: [`work/job/${id}`]},
+    reply: {kind: 'accepted'},
+  },
+  {
+    name: 'nothing is accepted without a configuration',
+    fixture: {configured: false},
+    reply: {kind: 'refused', reason: 'not-configured'},
+    stored: false,
+  },
+  {
+    name: 'an unknown queue has its own answer',
+    call: {...submit, queue: 'elsewhere'},
+    fixture: {},
+    reply: {kind: 'no-queue'},
+  },
+  {
+    name: 'a write whose answer was lost is repeated and found',
+    fixture: {faults: ['lost']},
+    reply: {kind: 'accepted'},
+    stored: true,
+  },
+  {
+    name: 'a write without any answer is not told as refused, because it may take effect',
+    fixture: {faults: Array.from({length: 200}, () => 'unknown' as const), timeoutMs: 400},
+    reply: {kind: 'unknown'},
+  },
+  {
+    name: 'a store that turns this entry away is reached through another one',
+    fixture: {faults: ['refused'], relayed: {kind: 'accepted'}},
+    reply: {kind: 'accepted'},
+  },
+  {
+    name: 'a refusal of the store is told at once when no other entry answers',
+    fixture: {faults: ['refused']},
+    reply: {kind: 'refused', reason: 'store-unreachable'},
+    stored: false,
+  },
+  {
+    name: 'work that cannot be finished in time is refused at once',
+    fixture: {level: full},
+    reply: {kind: 'refused', reason: 'backlog'},
+    stored: false,
+  },
+  {
+    name: 'a submission that was accepted before is not refused on its second arrival',
+    fixture: {level: full, known: 'running'},
+    reply: {kind: 'accepted'},
+  },
+  {
+    name: 'a submission that the owner does not know yet but the store has is not refused',
+    fixture: {level: full, stored: [`work/job/${id}`]},
+    reply: {kind: 'accepted'},
+  },
+  {
+    name: 'whether a submission was accepted before is unknown while nobody answers',
+    fixture: {level: full, faults: ['unknown']},
+    reply: {kind: 'unknown'},
+  },
+  {
+    name: 'the state comes from the owner',
+    call: {kind: 'query', queue: queue.key, id},
+    fixture: {known: 'running'},
+    reply: {kind: 'state', status: 'running'},
+  },
+  {
+    name: 'an accepted submission that the owner does not know yet is queued, not absent',
+    call: {kind: 'query', queue: queue.key, id},
+    fixture: {stored: [`work/job/${id}`]},
+    reply: {kind: 'state', status: 'queued'},
+  },
+  {
+    name: 'a final state is told without an owner',
+    call: {kind: 'query', queue: queue.key, id},
+    fixture: {stored: [`work/job/${id}`, `progress/${id}`]},
+    reply: {kind: 'state', status: 'completed'},
+  },
+  {
+    name: 'a submission of another queue is absent',
+    call: {kind: 'query', queue: 'other', id},
+    fixture: {stored: [`work/job/${id}`]},
+    reply: {kind: 'absent'},
+  },
+  {
+    name: 'a submission is absent only when the store says so',
+    call: {kind: 'query', queue: queue.key, id},
+    fixture: {faults: ['unknown']},
+    reply: {kind: 'refused', reason: 'store-unreachable'},
+  },
+  {
+    name: 'a cancel is acknowledged once the store has it, also after a lost answer',
+    call: {kind: 'cancel', queue: queue.key, id},
+    fixture: {stored: [`work/job/${id}`], faults: [undefined, 'unknown']},
+    reply: {kind: 'cancelled'},
+  },
+  {
+    name: 'a cancel of an unknown submission has its own answer',
+    call: {kind: 'cancel', queue: queue.key, id},
+    fixture: {},
+    reply: {kind: 'absent'},
+  },
+  {
+    name: 'the number of waiting submissions is the owner’s',
+    call: {kind: 'count', queue: queue.key},
+    fixture: {level: full},
+    reply: {kind: 'pending', count: 7},
+  },
+];
+
+for (const {name, call = submit, fixture, reply, stored} of cases) {
+  void t.test(name, async t => {
+    const result = await execute(call, fixture);
+    t.match(result.reply, reply);
+    if (stored !== undefined) t.equal(result.store.records.has(`work/job/${id}`), stored);
+  });
+}
+
+void t.test(
+  'the owner hears of a cancel from the entry, also when the store turns the owner away',
+  async t => {
+    const cancel: SubmissionCall = {kind: 'cancel', queue: queue.key, id};
+    const {told} = await execute(cancel, {stored: [`work/job/${id}`]});
+    t.same(told, [id]);
+    const refused = await execute(cancel, {});
+    t.same(refused.told, [], 'a cancel that did not take effect is not told');
+  },
+);
