Accept work up to twice its objective and keep a reserve for urgent work that ends

Change: submissions are accepted up to twice their objective, since late results are still of use; 5% of the cores of each worker are kept from lasting tasks and less urgent work.

--- a/packages/coordination/src/dispatch/policy/admission-level.ts
+++ b/packages/coordination/src/dispatch/policy/admission-level.ts
@@ -8,8 +8,8 @@
 } from '../../submissions/index.js';
 import type {DispatchState} from '../dispatch-state.js';
 
-/** Part of its objective that a submission may be expected to exceed before it is refused. */
-const objectiveSlack = 1.1;
+/** Multiple of its objective up to which a submission is accepted: late results are still of use to callers. */
+const acceptedObjectives = 2;
 
 /** Part of the free time of the workers that is used in a backlog; rooms of odd sizes stay free. */
 const usableShare = 0.85;
@@ -90,7 +90,7 @@
     return {kind: 'accept'};
   }
   const factor = level.runTimeFactor;
-  const objectiveMs = getObjectiveMs(queue, steps, factor) * objectiveSlack;
+  const objectiveMs = getObjectiveMs(queue, steps, factor) * acceptedObjectives;
   const ownMs = getChainMs(steps, factor);
   const widthMs = getWorkMs(steps, factor) / level.cores;
   const waitMs = steps.some(step => step.fills) ? level.fillWaitMs : level.waitMs;
--- a/packages/coordination/src/dispatch/policy/worker-choice.ts
+++ b/packages/coordination/src/dispatch/policy/worker-choice.ts
@@ -8,8 +8,8 @@
 /** Rounding error of sums of cores. */
 const coreTolerance = 1e-6;
 
-/** Part of a worker's cores that only the most urgent work may take, so that it starts at once in a flood. */
-const urgentReserve = 0.04;
+/** Part of a worker's cores that only urgent work that ends may take, so that it starts at once in a flood. */
+const urgentReserve = 0.05;
 
 /** Part of its processors that a filling task must find unused. */
 const fillShare = 0.8;
@@ -86,7 +86,8 @@
       const taken = getTakenShare(this.interference, worker, step, this.at);
       if (taken > 1 || this.isBeingTried(worker, step.image)) return false;
     } else {
-      const reserve = priority > 0 ? capacity.processors * urgentReserve : 0;
+      const isReserved = priority > 0 || step.lasting;
+      const reserve = isReserved ? capacity.processors * urgentReserve : 0;
       if (free - reserve < step.need.processors) return false;
     }
     if (step.spreadLimit !== undefined) {
--- a/packages/coordination/test/dispatch/dispatcher.test.ts
+++ b/packages/coordination/test/dispatch/dispatcher.test.ts
@@ -228,3 +228,13 @@
   const failed = [...fleet.progress.values()].filter(record => record.final === 'failed');
   t.equal(failed.length, 0);
 });
+
+void t.test('serving tasks leave room on each worker for urgent work that ends', async t => {
+  const fleet = createFleet();
+  const serving = createStep({count: 24, cores: 2, lasting: true});
+  fleet.submit(createSubmission('00000000000000b1', queue.key, [serving]));
+  fleet.run(2_000);
+  fleet.submit(createSubmission(id, queue.key, [createStep({count: 6, cores: 0.25})]));
+  fleet.run(4_000);
+  t.equal(fleet.dispatcher.getStatus(id), 'completed');
+});
