Write logs to standard output without waiting for its reader

Cause: Node.js writes to pipes synchronously, so a log reader that stops would stop the process; logs went to standard error.

--- a/packages/runtime/src/logs/index.ts
+++ b/packages/runtime/src/logs/index.ts
@@ -1,1 +1,2 @@
+export * from './bounded-stream.js';
 export * from './logger.js';
