Bar unanswered starts on the next life of their worker

Change: unanswered runs are carried over to the new life and barred there before the task is started again. Measured: the new test fails without the change (the task runs twice) and passes with it.

--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -88,12 +88,14 @@
       this.update(known, description, at);
       return;
     }
+    const unanswered = known ? [...known.runs.values()].filter(run => !run.isConfirmed) : [];
     if (known) this.drop(known, 'replaced');
     barrier.replace(agent, description.life);
     const worker = new WorkerView(agent, description, at);
     worker.isListed = journal.isListed(description.life);
     state.workers.set(agent, worker);
     this.setLeaving(worker, description, at);
+    for (const run of unanswered) this.carryOver(run, worker, at);
     journal.changeRoster();
     state.log({
       event: 'worker-up',
@@ -105,6 +107,13 @@
     });
   }
 
+  /** An order without an answer may reach the next life of its worker, so the run is barred there as well. */
+  private carryOver(run: Run, worker: WorkerView, at: number): void {
+    const next = new Run(run.task, run.number, worker, at);
+    run.task.runs.push(next);
+    worker.add(next);
+  }
+
   private update(worker: WorkerView, description: WorkerDescription, at: number): void {
     const wasDraining = worker.isDraining;
     worker.description = description;
--- a/packages/coordination/test/dispatch/dispatcher.test.ts
+++ b/packages/coordination/test/dispatch/dispatcher.test.ts
@@ -238,3 +238,17 @@
   fleet.run(4_000);
   t.equal(fleet.dispatcher.getStatus(id), 'completed');
 });
+
+void t.test('a start without an answer is barred on the next life of its worker', async t => {
+  const fleet = createFleet();
+  for (const worker of fleet.workers.values()) worker.isMute = true;
+  fleet.submit(createSubmission(id, queue.key, [createStep({count: 1, estimatedMs: 5_000})]));
+  fleet.run(500);
+  const [late] = fleet.undelivered;
+  if (late === undefined) throw new Error('no order was sent');
+  for (const worker of fleet.workers.values()) worker.isMute = false;
+  const next = fleet.replace(late.agent, 'next-life');
+  fleet.run(1_500);
+  t.equal(next.start(late.order, fleet.now), 'old-run', 'the late order is refused');
+  t.equal(fleet.countRuns(`${id}.0.0.0`), 1, 'the task runs once');
+});
--- a/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
@@ -87,12 +87,18 @@
   /** Stored progress by submission. */
   readonly progress = new Map<string, ProgressRecord>();
   readonly cancelled = new Set<string>();
+  /** Orders that a mute worker has not answered; a test may carry them out later. */
+  readonly undelivered: Array<{
+    readonly agent: string;
+    readonly order: Extract<OwnerMessage, {kind: 'start'}>;
+  }> = [];
   roster: readonly RosterEntry[] = [];
   /** Time at which each final state was stored. */
   readonly endedAt = new Map<string, number>();
   /** Called after each step of the world. */
   onStep: () => void = () => {};
   readonly random: SeededRandom;
+  private readonly world: World;
   private generation = 0;
   private readonly natures = new Map<string, TaskNature>();
   private timed: Timed[] = [];
@@ -105,6 +111,7 @@
       getLoad: (task, at) => options.getLoad?.(this.getSubmission(task), at) ?? 0.3,
       getPressure: options.getPressure ?? (() => 0),
     };
+    this.world = world;
     for (const worker of options.workers) {
       this.workers.set(worker.agent, new VirtualWorker(worker, world));
     }
@@ -159,6 +166,16 @@
     this.report(worker);
   }
 
+  /** Replaces a worker by a new life of it. */
+  replace(agent: string, life: string): VirtualWorker {
+    const known = this.workers.get(agent);
+    if (known === undefined) throw new RangeError(`no worker of ${agent}`);
+    const worker = new VirtualWorker({...known.options, life}, this.world);
+    this.workers.set(agent, worker);
+    this.connect(worker);
+    return worker;
+  }
+
   /** Hands in a submission. */
   submit(submission: Submission): void {
     this.submissions.set(submission.id, submission);
@@ -221,6 +238,10 @@
       const index = worker.ends.findIndex(end => end[0] > message.acknowledged);
       worker.ends.splice(0, index < 0 ? worker.ends.length : index);
     } else if (message.kind === 'start') {
+      if (worker.isMute) {
+        this.undelivered.push({agent, order: message});
+        return;
+      }
       const reason = worker.start(message, this.now);
       const outcome = reason ? ({kind: 'refused', reason} as const) : ({kind: 'accepted'} as const);
       this.later(() => this.result(agent, message.order, outcome));
--- a/packages/coordination/test/dispatch/fleet/virtual-worker.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-worker.ts
@@ -62,6 +62,8 @@
   private readonly barred = new Map<string, number>();
   private nextEnd = 1;
   token = 0;
+  /** Orders to start are neither answered nor carried out. */
+  isMute = false;
   slowness: number;
   failsAll: boolean;
   hangs: boolean;
