--- a/packages/coordination/src/dispatch/active-submission.ts
+++ b/packages/coordination/src/dispatch/active-submission.ts
@@ -228,7 +228,9 @@
       for (const task of this.getTasks()) {
         if (task.isFinished) continue;
         const {occurrence, stepIndex, index} = task;
-        if (task.failures > 0) failures.push([occurrence, stepIndex, index, task.failures]);
+        if (task.failedRuns.size > 0) {
+          failures.push([occurrence, stepIndex, index, [...task.failedRuns]]);
+        }
         if (task.checkpoint !== '') {
           checkpoints.push([occurrence, stepIndex, index, task.checkpoint]);
         }
@@ -261,7 +263,7 @@
     task.isUncertain = this.isUncertain;
     const isOwn = (row: readonly [number, number, number, unknown]) =>
       row[0] === occurrence && row[1] === stepIndex && row[2] === index;
-    task.failures = this.failures.find(isOwn)?.[3] ?? 0;
+    for (const run of this.failures.find(isOwn)?.[3] ?? []) task.failedRuns.add(run);
     task.checkpoint = this.checkpoints.find(isOwn)?.[3] ?? '';
     return task;
   }
--- a/packages/coordination/src/dispatch/submission-ends.ts
+++ b/packages/coordination/src/dispatch/submission-ends.ts
@@ -22,13 +22,13 @@
   }
 
   /** Takes in a failed run of a task. */
-  fail(task: Task, at: number): void {
+  fail(task: Task, run: number, at: number): void {
     const {submission} = task;
-    task.failures += 1;
+    task.failedRuns.add(run);
     submission.isChanged = true;
     if (task.step.lasting || !submission.isActive) return;
     const limit = submission.queue?.maxAttempts ?? Number.POSITIVE_INFINITY;
-    if (task.failures >= limit) this.end(submission, 'failed', at);
+    if (task.failedRuns.size >= limit) this.end(submission, 'failed', at);
   }
 
   /** Completes a submission whose tasks are all finished. */
--- a/packages/coordination/src/dispatch/task.ts
+++ b/packages/coordination/src/dispatch/task.ts
@@ -43,7 +43,8 @@
   isFinished = false;
   /** A former owner may have started the task on a worker that has not been heard yet. */
   isUncertain = false;
-  failures = 0;
+  /** Numbers of the runs that have failed; an end that is listed again to a new owner counts once. */
+  readonly failedRuns = new Set<number>();
   checkpoint = '';
   lastRun: number;
   /** Time before which the task is not started again. */
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -292,7 +292,7 @@
     if (worker.health.fail(failures, count, at)) {
       this.parts.state.log({event: 'worker-suspended', worker: worker.life, reason: 'failures'});
     }
-    ends.fail(task, at);
+    ends.fail(task, end[2], at);
     return !step.lasting;
   }
 
--- a/packages/coordination/src/submissions/progress.ts
+++ b/packages/coordination/src/submissions/progress.ts
@@ -1,8 +1,8 @@
 import {ItemSet} from '../tasks/ledger/item-set.js';
 import type {SubmissionStatus} from './submission.js';
 
-/** Failed runs of one task: occurrence, step, index and their number. */
-export type FailureRow = readonly [number, number, number, number];
+/** Failed runs of one task: occurrence, step, index and their run numbers. */
+export type FailureRow = readonly [number, number, number, readonly number[]];
 
 /** Checkpoint of one task: occurrence, step, index and the value. */
 export type CheckpointRow = readonly [number, number, number, string];
--- a/packages/coordination/test/dispatch/dispatcher.test.ts
+++ b/packages/coordination/test/dispatch/dispatcher.test.ts
@@ -252,3 +252,15 @@
   t.equal(next.start(late.order, fleet.now), 'old-run', 'the late order is refused');
   t.equal(fleet.countRuns(`${id}.0.0.0`), 1, 'the task runs once');
 });
+
+void t.test('a failure that is listed again to a new owner counts once', async t => {
+  const fleet = createFleet({getNature: () => ({faultyRuns: 1})});
+  for (const worker of fleet.workers.values()) worker.keepsEnds = true;
+  const steps = [createStep({count: 1, estimatedMs: 3_000})];
+  fleet.submit(createSubmission(id, queue.key, steps));
+  fleet.run(2_000);
+  t.equal(fleet.progress.get(id)?.failures.length, 1, 'the failure is stored');
+  fleet.begin();
+  fleet.run(9_000);
+  t.equal(fleet.progress.get(id)?.final, 'completed');
+});
--- a/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
@@ -235,6 +235,7 @@
     const worker = this.workers.get(agent);
     if (worker === undefined) return;
     if (message.kind === 'lease') {
+      if (worker.keepsEnds) return;
       const index = worker.ends.findIndex(end => end[0] > message.acknowledged);
       worker.ends.splice(0, index < 0 ? worker.ends.length : index);
     } else if (message.kind === 'start') {
--- a/packages/coordination/test/dispatch/fleet/virtual-worker.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-worker.ts
@@ -64,6 +64,8 @@
   token = 0;
   /** Orders to start are neither answered nor carried out. */
   isMute = false;
+  /** Acknowledgements of ends are lost, so that ends stay listed. */
+  keepsEnds = false;
   slowness: number;
   failsAll: boolean;
   hangs: boolean;
--- a/packages/runtime/src/dispatch/entry-node.ts
+++ b/packages/runtime/src/dispatch/entry-node.ts
@@ -1,39 +1,22 @@
 import type {Server, Socket} from 'node:net';
 import type {
   AgentMessage,
-  Clock,
-  DispatchTiming,
-  ElectionTiming,
   OwnerMessage,
   OwnerRecord,
   QueueConfiguration,
 } from '@chervilbeam/coordination';
-import type {Metrics} from '../metrics/index.js';
-import type {DecisionLogger} from './decision-logger.js';
 import type {EntryRequest, EntryResponse, KnownSubmission} from './entry-messages.js';
 import {EntryPeers} from './entry-peers.js';
 import {Link, listenForLinks} from './link.js';
-import {OwnerProcess} from './owner-process.js';
-import type {RecordStore} from './record-store.js';
+import {OwnerProcess, type OwnerProcessOptions} from './owner-process.js';
 import type {SubmissionCall, SubmissionReply} from './submission-calls.js';
 import {type CallContext, SubmissionService} from './submission-service.js';
 
 /** Time in milliseconds between two messages on the backlog of the queues. */
 const levelsMs = 300;
 
-/** Options of `EntryNode`. */
-export interface EntryNodeOptions {
-  readonly name: string;
-  /** `ip:port` for the other processes of the system. */
-  readonly address: string;
-  readonly incarnation: string;
-  readonly store: RecordStore;
-  readonly clock: Clock;
-  readonly log: DecisionLogger;
-  readonly metrics: Metrics;
-  readonly timing?: Partial<DispatchTiming>;
-  readonly electionTiming?: Partial<ElectionTiming>;
-}
+/** Options of `EntryNode`: those of its `OwnerProcess` without what the entry itself provides. */
+export type EntryNodeOptions = Omit<OwnerProcessOptions, 'onOwner' | 'onOwnership'>;
 
 type PeerLink = Link<EntryRequest | AgentMessage, EntryResponse | OwnerMessage>;
 
@@ -133,7 +116,7 @@
   }
 
   private greetAgent(agent: string, link: PeerLink): string | undefined {
-    if (this.owner.addAgent(agent, asAgentLink(link))) {
+    if (this.owner.addAgent(agent, asAgentLink(link), this.peers.addresses)) {
       this.options.log.log('agent-link-opened', {agent});
       return agent;
     }
--- a/packages/runtime/src/dispatch/owner-process.ts
+++ b/packages/runtime/src/dispatch/owner-process.ts
@@ -106,11 +106,6 @@
     return this.dispatcher.isOwner;
   }
 
-  /** Time at which the store last answered the watch of the owner. */
-  get confirmedAt(): number {
-    return this.ownerWatch.confirmedAt;
-  }
-
   /** Starts to compete. */
   start(): void {
     void this.ownerWatch.run();
@@ -130,13 +125,20 @@
     this.post({kind: 'configuration', configuration});
   }
 
-  /** Takes over the link of an agent; returns false when this process is not the owner. */
-  addAgent(agent: string, link: Link<AgentMessage, OwnerMessage>): boolean {
+  /**
+   * Takes over the link of an agent and tells it the addresses of other entries; returns false when this process
+   * is not the owner.
+   */
+  addAgent(
+    agent: string,
+    link: Link<AgentMessage, OwnerMessage>,
+    entries: readonly string[],
+  ): boolean {
     if (!this.isOwner) return false;
     const known = this.agents.get(agent);
     this.agents.set(agent, link);
     known?.destroy('replaced');
-    link.send({kind: 'owner', term: this.dispatcher.term, entries: []});
+    link.send({kind: 'owner', term: this.dispatcher.term, entries});
     this.post({kind: 'agent-up', agent});
     return true;
   }
