--- a/packages/coordination/src/dispatch/active-submission.ts
+++ b/packages/coordination/src/dispatch/active-submission.ts
@@ -81,8 +81,6 @@
   isFinalStored = false;
   endedAtMs = 0;
   hasStarted = false;
-  /** Whether the stored progress is behind. */
-  isChanged = false;
   /** Ends of runs by the life of their worker: how many, and how many in failure. */
   private readonly endCounts = new Map<string, {ends: number; failures: number}>();
   private isUncertain: boolean;
@@ -126,11 +124,6 @@
     return this.final === undefined;
   }
 
-  /** Whether some task of a former owner has not been accounted for. */
-  get hasUncertainTasks(): boolean {
-    return this.isUncertain;
-  }
-
   /** State as callers may see it: a final state only after it has been stored. */
   get status(): SubmissionStatus {
     if (this.final !== undefined && this.isFinalStored) return this.final;
@@ -173,7 +166,6 @@
     const occurrence = this.occurrences.find(candidate => candidate.index === task.occurrence);
     const step = occurrence?.steps[task.stepIndex];
     if (step) step.finished += 1;
-    this.isChanged = true;
     return true;
   }
 
--- a/packages/coordination/src/dispatch/agent-messages.ts
+++ b/packages/coordination/src/dispatch/agent-messages.ts
@@ -63,9 +63,7 @@
   /** The worker cannot read the order. */
   | 'invalid'
   /** Another life of the worker is present. */
-  | 'other-life'
-  /** The worker did not answer, and the run is now barred there. */
-  | 'barred';
+  | 'other-life';
 
 /** Result of an order. */
 export type OrderOutcome =
--- a/packages/coordination/src/dispatch/progress-journal.ts
+++ b/packages/coordination/src/dispatch/progress-journal.ts
@@ -182,10 +182,7 @@
       (submission.final === undefined ? others : finals).push(submission);
     }
     const taken = [...finals, ...others].slice(0, maxRecords);
-    for (const submission of taken) {
-      this.changed.delete(submission);
-      submission.isChanged = false;
-    }
+    for (const submission of taken) this.changed.delete(submission);
     if (this.changed.size === 0) {
       this.isUrgent = false;
       this.changedAt = Number.POSITIVE_INFINITY;
--- a/packages/coordination/src/dispatch/submission-ends.ts
+++ b/packages/coordination/src/dispatch/submission-ends.ts
@@ -25,7 +25,6 @@
   fail(task: Task, run: number, at: number): void {
     const {submission} = task;
     task.failedRuns.add(run);
-    submission.isChanged = true;
     if (task.step.lasting || !submission.isActive) return;
     const limit = submission.queue?.maxAttempts ?? Number.POSITIVE_INFINITY;
     if (task.failedRuns.size >= limit) this.end(submission, 'failed', at);
--- a/packages/coordination/src/submissions/progress.ts
+++ b/packages/coordination/src/submissions/progress.ts
@@ -1,5 +1,4 @@
 import {ItemSet} from '../tasks/ledger/item-set.js';
-import type {SubmissionStatus} from './submission.js';
 
 /** Failed runs of one task: occurrence, step, index and their run numbers. */
 export type FailureRow = readonly [number, number, number, readonly number[]];
@@ -53,8 +52,3 @@
     return Object.fromEntries([...this.sets].map(([key, set]) => [key, set.toText()]));
   }
 }
-
-/** Whether a state can no longer change. */
-export function isFinal(status: SubmissionStatus): boolean {
-  return status === 'completed' || status === 'failed' || status === 'cancelled';
-}
--- a/packages/runtime/src/dispatch/link.ts
+++ b/packages/runtime/src/dispatch/link.ts
@@ -51,11 +51,6 @@
     socket.on('close', () => this.finish());
   }
 
-  /** Address of the other side. */
-  get remoteAddress(): string {
-    return this.socket.remoteAddress ?? '';
-  }
-
   /** Sends a message; all messages of a turn of the loop share one write. */
   send(message: Outgoing): void {
     if (this.isClosed) return;
