Learn interference as load added for each part of a worker, and forecast loads by their cycle

The model so far multiplied loads, counted cores whatever the worker's size, and extrapolated a slope for 2.5 s.

--- /dev/null
+++ b/packages/coordination/src/dispatch/policy/cycle-fit.ts
@@ -0,0 +1,138 @@
+/** Load that is expected before anything was measured, its deviation, and that of the height of a cycle. */
+const priorLoad = 0.4;
+const priorLevelDeviation = 0.25;
+const priorHeightDeviation = 0.2;
+/** Least deviation of a measurement from the cycle: loads are no exact sine. */
+const misfitDeviation = 0.03;
+/** Time in milliseconds in which half of the weight of a measurement is forgotten. */
+const halfLifeMs = 60_000;
+
+/**
+ * Fits a level and a sine of one period to measurements by Bayesian linear regression with forgetting.
+ * The measurements enter as sums, so the work for each does not grow.
+ */
+export class CycleFit {
+  private readonly frequency: number;
+  /** Sums of weights times products of 1, cosine and sine. */
+  private sum = 0;
+  private cosine = 0;
+  private sine = 0;
+  private cosineCosine = 0;
+  private cosineSine = 0;
+  private sineSine = 0;
+  /** Sums of weights times load times 1, cosine, sine and load. */
+  private load = 0;
+  private loadCosine = 0;
+  private loadSine = 0;
+  private loadLoad = 0;
+  private updatedAt = 0;
+  private solution: Solution | undefined;
+
+  /** Creates a fit for a period in milliseconds. */
+  constructor(periodMs: number) {
+    this.frequency = (2 * Math.PI) / periodMs;
+  }
+
+  /** Adds a measurement with its standard deviation. */
+  add(load: number, deviation: number, at: number): void {
+    this.forget(at);
+    const weight = 1 / (deviation ** 2 + misfitDeviation ** 2);
+    const cos = Math.cos(this.frequency * at);
+    const sin = Math.sin(this.frequency * at);
+    const value = load - priorLoad;
+    this.sum += weight;
+    this.cosine += weight * cos;
+    this.sine += weight * sin;
+    this.cosineCosine += weight * cos * cos;
+    this.cosineSine += weight * cos * sin;
+    this.sineSine += weight * sin * sin;
+    this.load += weight * value;
+    this.loadCosine += weight * value * cos;
+    this.loadSine += weight * value * sin;
+    this.loadLoad += weight * value * value;
+    this.solution = undefined;
+  }
+
+  /** Returns the fitted load at a time in milliseconds. */
+  getValue(at: number): number {
+    const {level, cosine, sine} = this.solve();
+    const angle = this.frequency * at;
+    return priorLoad + level + cosine * Math.cos(angle) + sine * Math.sin(angle);
+  }
+
+  /** Returns the variance of the fitted load at a time in milliseconds. */
+  getVariance(at: number): number {
+    const {inverse} = this.solve();
+    const angle = this.frequency * at;
+    const cos = Math.cos(angle);
+    const sin = Math.sin(angle);
+    const [a, b, c, d, e, f] = inverse;
+    return a + 2 * b * cos + 2 * c * sin + d * cos * cos + 2 * e * cos * sin + f * sin * sin;
+  }
+
+  /** Returns the logarithm of the likelihood of all measurements, up to a constant of the measurements. */
+  getEvidence(): number {
+    return this.solve().evidence;
+  }
+
+  private forget(at: number): void {
+    const kept = 0.5 ** (Math.max(0, at - this.updatedAt) / halfLifeMs);
+    this.updatedAt = Math.max(at, this.updatedAt);
+    if (kept === 1) return;
+    this.sum *= kept;
+    this.cosine *= kept;
+    this.sine *= kept;
+    this.cosineCosine *= kept;
+    this.cosineSine *= kept;
+    this.sineSine *= kept;
+    this.load *= kept;
+    this.loadCosine *= kept;
+    this.loadSine *= kept;
+    this.loadLoad *= kept;
+  }
+
+  /** Solves the normal equations, with the prior as additional measurements. */
+  private solve(): Solution {
+    if (this.solution !== undefined) return this.solution;
+    const heightPrecision = 1 / priorHeightDeviation ** 2;
+    const levelPrecision = 1 / priorLevelDeviation ** 2;
+    const a = this.sum + levelPrecision;
+    const b = this.cosine;
+    const c = this.sine;
+    const d = this.cosineCosine + heightPrecision;
+    const e = this.cosineSine;
+    const f = this.sineSine + heightPrecision;
+    // Cofactors of the symmetric matrix [[a, b, c], [b, d, e], [c, e, f]].
+    const aa = d * f - e * e;
+    const bb = c * e - b * f;
+    const cc = b * e - c * d;
+    const determinant = a * aa + b * bb + c * cc;
+    const inverse: Solution['inverse'] = [
+      aa / determinant,
+      bb / determinant,
+      cc / determinant,
+      (a * f - c * c) / determinant,
+      (b * c - a * e) / determinant,
+      (a * d - b * b) / determinant,
+    ];
+    const [ia, ib, ic, id, ie, jf] = inverse;
+    const {load, loadCosine, loadSine} = this;
+    const level = ia * load + ib * loadCosine + ic * loadSine;
+    const cosine = ib * load + id * loadCosine + ie * loadSine;
+    const sine = ic * load + ie * loadCosine + jf * loadSine;
+    const explained = level * load + cosine * loadCosine + sine * loadSine;
+    const priorDeterminant = levelPrecision * heightPrecision ** 2;
+    const evidence = (explained - this.loadLoad + Math.log(priorDeterminant / determinant)) / 2;
+    this.solution = {level, cosine, sine, inverse, evidence};
+    return this.solution;
+  }
+}
+
+interface Solution {
+  readonly level: number;
+  readonly cosine: number;
+  readonly sine: number;
+  /** Upper triangle of the covariance of level, cosine and sine, by rows. */
+  readonly inverse: readonly [number, number, number, number, number, number];
+  readonly evidence: number;
+}
--- a/packages/coordination/src/dispatch/policy/filler-pacing.ts
+++ b/packages/coordination/src/dispatch/policy/filler-pacing.ts
@@ -59,7 +59,7 @@
     fillers.sort((a, b) => b.percent - a.percent || a.startedAt - b.startedAt);
     for (const run of fillers) {
       const {image, need} = run.task.step;
-      const filling = {cores: need.processors, image};
+      const filling = {share: need.processors / worker.capacity.processors, image};
       let share = 1;
       for (const [group, budget] of left) {
         share = Math.min(share, budget / this.interference.getPressure(group, filling, at));
@@ -69,7 +69,7 @@
         const used = (this.interference.getPressure(group, filling, at) * pace) / 100;
         left.set(group, Math.max(0, budget - used));
       }
-      this.setPace(run, pace, at);
+      this.setPace(run, pace);
       this.checkSlow(run, at);
     }
   }
@@ -83,12 +83,11 @@
     return pace < this.options.lowestPace ? 0 : Math.round(pace);
   }
 
-  private setPace(run: Run, pace: number, at: number): void {
+  private setPace(run: Run, pace: number): void {
     const isLimit = pace === 0 || pace === 100;
     const change = Math.abs(pace - run.pace);
     if (change === 0 || (!isLimit && change < this.options.smallestChange)) return;
     this.orders.pace(run, pace, pace < run.pace ? 'serving-task-near-target' : 'room-to-target');
-    this.interference.change(run.worker, at);
   }
 
   private checkSlow(run: Run, at: number): void {
@@ -128,7 +127,7 @@
   step: Step,
   at: number,
 ): number {
-  const filling = {cores: step.need.processors, image: step.image};
+  const filling = {share: step.need.processors / worker.capacity.processors, image: step.image};
   const durationMs = getEstimateMs(step);
   let taken = 0;
   for (const group of getServingGroups(worker)) {
--- /dev/null
+++ b/packages/coordination/src/dispatch/policy/load-forecasts.ts
@@ -0,0 +1,170 @@
+import {CycleFit} from './cycle-fit.js';
+
+/** Periods in milliseconds of the load that are looked for, and the ratio of two neighbours. */
+const shortestPeriodMs = 4_000;
+const longestPeriodMs = 64_000;
+const periodRatio = 1.05;
+/** Periods whose weight is below this part of the largest are left out. */
+const smallestWeight = 1e-3;
+/** Part of the evidence that counts: neighbouring measurements are not independent. */
+const evidenceShare = 0.3;
+/** Time in milliseconds for which the weights of the periods are kept. */
+const weightsMs = 500;
+/** Time in milliseconds in which a difference from the cycle falls to 1/e. */
+const differenceMs = 2_000;
+/** Least and largest weight of the newest measurement in the difference from the cycle. */
+const leastDifferenceWeight = 0.05;
+const largestDifferenceWeight = 0.4;
+/** Weight of the newest measurement in how well the cycle fits. */
+const misfitWeight = 0.2;
+/** Multiple of the variance of the measurements up to which a misfit counts as noise. */
+const noiseRatio = 2;
+/** Growth of the doubt in a load for a second without measurements. */
+const doubtGrowth = 0.03;
+/** Largest doubt; without measurements the load can be anything. */
+const largestDeviation = 0.2;
+/** Multiple of its deviation by which a measurement may move the fit; bursts of requests exceed it. */
+const outlierLimit = 3;
+/** Time in milliseconds between two points at which a forecast is evaluated. */
+const forecastStepMs = 250;
+
+/** A load and how sure it is. */
+export interface LoadEstimate {
+  readonly load: number;
+  readonly deviation: number;
+}
+
+interface Series {
+  readonly fits: readonly CycleFit[];
+  /** Recent difference between the measurements and the fitted cycle. */
+  difference: number;
+  /** Average square of the distance of the measurements from the cycle, and of their deviations. */
+  misfit: number;
+  noise: number;
+  updatedAt: number;
+}
+
+interface WeightedPeriod {
+  readonly index: number;
+  readonly weight: number;
+}
+
+const periods: readonly number[] = Array.from(
+  {length: Math.floor(Math.log(longestPeriodMs / shortestPeriodMs) / Math.log(periodRatio)) + 1},
+  (_, index) => shortestPeriodMs * periodRatio ** index,
+);
+
+/**
+ * Forecasts the loads of serving steps. The users of all steps share the rhythm of the day, so the period of the
+ * cycle is learned from all steps together, its level, height and phase for each step. What differs from the
+ * cycle is expected to fade.
+ */
+export class LoadForecasts {
+  private readonly series = new Map<string, Series>();
+  private weights: readonly WeightedPeriod[] = [];
+  private weighedAt = Number.NEGATIVE_INFINITY;
+
+  /** Whether the load of a step has been measured. */
+  has(key: string): boolean {
+    return this.series.has(key);
+  }
+
+  /** Takes in a measured load with its standard deviation. */
+  update(key: string, load: number, deviation: number, at: number): void {
+    let series = this.series.get(key);
+    if (series === undefined) {
+      series = {
+        fits: periods.map(period => new CycleFit(period)),
+        difference: 0,
+        misfit: 0,
+        noise: 0,
+        updatedAt: at,
+      };
+      this.series.set(key, series);
+    }
+    const cycle = this.getCycle(series, at);
+    const elapsed = Math.max(0, at - series.updatedAt);
+    series.difference *= Math.exp(-elapsed / differenceMs);
+    const expected = cycle.load + series.difference;
+    const bound = outlierLimit * Math.hypot(deviation, cycle.deviation);
+    const surprise = Math.max(-bound, Math.min(bound, load - expected));
+    for (const fit of series.fits) fit.add(expected + surprise, deviation, at);
+    series.misfit += misfitWeight * ((load - cycle.load) ** 2 - series.misfit);
+    series.noise += misfitWeight * (deviation ** 2 + cycle.deviation ** 2 - series.noise);
+    series.difference += surprise * getDifferenceWeight(series);
+    series.updatedAt = Math.max(series.updatedAt, at);
+  }
+
+  /** Returns the load of a step at a time in milliseconds, also ahead. */
+  estimate(key: string, at: number): LoadEstimate {
+    const series = this.series.get(key);
+    if (series === undefined) return {load: 0, deviation: largestDeviation};
+    this.weigh(at);
+    const cycle = this.getCycle(series, at);
+    const elapsed = Math.max(0, at - series.updatedAt);
+    const grown = Math.hypot(cycle.deviation, (doubtGrowth * elapsed) / 1000);
+    return {
+      load: cycle.load + series.difference * Math.exp(-elapsed / differenceMs),
+      deviation: Math.min(largestDeviation, grown),
+    };
+  }
+
+  /** Returns the highest load that is expected within a time in milliseconds. */
+  getHighest(key: string, at: number, durationMs: number): number {
+    let highest = Number.NEGATIVE_INFINITY;
+    for (let ahead = 0; ahead <= durationMs; ahead += forecastStepMs) {
+      highest = Math.max(highest, this.estimate(key, at + ahead).load);
+    }
+    return highest;
+  }
+
+  /** Forgets the loads of steps that have ended. */
+  retain(isActive: (key: string) => boolean): void {
+    for (const key of this.series.keys()) if (!isActive(key)) this.series.delete(key);
+  }
+
+  /** Average over the periods that may be right. */
+  private getCycle(series: Series, at: number): LoadEstimate {
+    let load = 0;
+    let square = 0;
+    let variance = 0;
+    for (const {index, weight} of this.getWeights()) {
+      const fit = series.fits[index];
+      if (fit === undefined) continue;
+      const value = fit.getValue(at);
+      load += weight * value;
+      square += weight * value ** 2;
+      variance += weight * fit.getVariance(at);
+    }
+    return {load, deviation: Math.sqrt(variance + Math.max(0, square - load ** 2))};
+  }
+
+  private getWeights(): readonly WeightedPeriod[] {
+    if (this.weights.length === 0) {
+      this.weights = periods.map((_, index) => ({index, weight: 1 / periods.length}));
+    }
+    return this.weights;
+  }
+
+  private weigh(at: number): void {
+    if (at - this.weighedAt < weightsMs) return;
+    this.weighedAt = at;
+    const evidence = periods.map(() => 0);
+    for (const {fits} of this.series.values()) {
+      fits.forEach((fit, index) => (evidence[index] = (evidence[index] ?? 0) + fit.getEvidence()));
+    }
+    const highest = Math.max(...evidence);
+    const likelihoods = evidence.map(value => Math.exp((value - highest) * evidenceShare));
+    const kept = likelihoods
+      .map((weight, index) => ({index, weight}))
+      .filter(({weight}) => weight >= smallestWeight);
+    const sum = kept.reduce((total, {weight}) => total + weight, 0);
+    this.weights = kept.map(({index, weight}) => ({index, weight: weight / sum}));
+  }
+}
+
+/** Where the cycle fits, differences are noise; where it does not, the load has changed. */
+function getDifferenceWeight({misfit, noise}: Series): number {
+  const share = 1 - (noiseRatio * noise) / Math.max(misfit, Number.MIN_VALUE);
+  return Math.max(leastDifferenceWeight, Math.min(largestDifferenceWeight, share));
+}
--- a/packages/coordination/src/dispatch/policy/placement-round.ts
+++ b/packages/coordination/src/dispatch/policy/placement-round.ts
@@ -18,7 +18,7 @@
   for (const candidate of orderCandidates(state, at)) {
     for (const group of candidate.occurrence.getOpenSteps()) {
       if (group.step.gang) startGang(candidate, group, choice, orders, at);
-      else startTasks(candidate, group, choice, orders, interference, at);
+      else startTasks(candidate, group, choice, orders, at);
     }
   }
 }
@@ -28,7 +28,6 @@
   group: StepTasks,
   choice: WorkerChoice,
   orders: RunOrders,
-  interference: Interference,
   at: number,
 ): void {
   for (const task of group.tasks) {
@@ -37,7 +36,6 @@
     // Tasks of a step need the same room; only what they avoid differs.
     if (worker === undefined) return;
     orders.start(task, worker, at);
-    if (task.step.fills) interference.change(worker, at);
   }
 }
 
