--- a/packages/coordination/src/dispatch/policy/admission-level.ts
+++ b/packages/coordination/src/dispatch/policy/admission-level.ts
@@ -7,6 +7,8 @@
   type Step,
 } from '../../submissions/index.js';
 import type {DispatchState} from '../dispatch-state.js';
+import type {WorkerView} from '../worker-view.js';
+import {urgentReserve} from './worker-choice.js';
 
 /** Multiple of its objective up to which a submission is accepted: late results are still of use to callers. */
 const acceptedObjectives = 2;
@@ -53,17 +55,15 @@
     const cores = getCores(state, queue.service, at);
     let work = 0;
     let fillWork = 0;
-    let lasting = 0;
     for (const entry of demand) {
-      if (entry.service !== queue.service) continue;
-      if (entry.isLasting) lasting += entry.cores;
-      else if (entry.priority <= queue.priority) {
-        work += entry.workMs;
-        fillWork += entry.fillWorkMs;
-      }
+      if (entry.service !== queue.service || entry.priority > queue.priority) continue;
+      work += entry.workMs;
+      fillWork += entry.fillWorkMs;
     }
-    const usable = Math.max(0.1, (cores - lasting) * usableShare);
-    const fillable = Math.max(0.1, (cores - lasting * servingLoad) * fillableShare);
+    const lasting = Math.min(cores, getLastingCores(state, queue.service, at));
+    // Serving tasks that wait leave the reserve of urgent work free.
+    const usable = Math.max(cores * urgentReserve, cores - lasting) * usableShare;
+    const fillable = (cores - lasting * servingLoad) * fillableShare;
     levels.push({
       queue: queue.key,
       pending: countPending(state, queue.key),
@@ -104,10 +104,8 @@
 interface Demand {
   readonly service: string;
   readonly priority: number;
-  readonly isLasting: boolean;
   readonly workMs: number;
   readonly fillWorkMs: number;
-  readonly cores: number;
 }
 
 function collectDemand(state: DispatchState): Demand[] {
@@ -117,26 +115,20 @@
     const factor = state.getRunTimeFactor(submission.queue);
     let workMs = 0;
     let fillWorkMs = 0;
-    let cores = 0;
     for (const occurrence of submission.occurrences) {
       for (const group of occurrence.steps) {
-        const left = group.tasks.length - group.finished;
-        if (group.step.lasting) cores += left * group.step.need.processors;
-        else {
-          const waiting = group.tasks.filter(task => !task.isFinished && task.runs.length === 0);
-          const groupMs = getWorkMs([{...group.step, count: waiting.length}], factor);
-          if (group.step.fills) fillWorkMs += groupMs;
-          else workMs += groupMs;
-        }
+        if (group.step.lasting) continue;
+        const waiting = group.tasks.filter(task => !task.isFinished && task.runs.length === 0);
+        const groupMs = getWorkMs([{...group.step, count: waiting.length}], factor);
+        if (group.step.fills) fillWorkMs += groupMs;
+        else workMs += groupMs;
       }
     }
     demand.push({
       service: submission.service,
       priority: submission.queue?.priority ?? 0,
-      isLasting: submission.isLasting,
       workMs,
       fillWorkMs,
-      cores,
     });
   }
   return demand;
@@ -144,15 +136,31 @@
 
 function getCores(state: DispatchState, service: string, at: number): number {
   let cores = 0;
-  for (const worker of state.workers.values()) {
-    if (worker.description.service !== service || worker.isDraining) continue;
-    if (at - worker.heardAt >= state.timing.unreachableMs || worker.health.isSuspended(at))
-      continue;
-    cores += worker.capacity.processors;
+  for (const worker of getUsableWorkers(state, service, at)) cores += worker.capacity.processors;
+  return cores;
+}
+
+/** Cores that running serving tasks reserve. */
+function getLastingCores(state: DispatchState, service: string, at: number): number {
+  let cores = 0;
+  for (const worker of getUsableWorkers(state, service, at)) {
+    for (const {task} of worker.runs.values()) {
+      if (task.step.lasting && !task.step.fills) cores += task.step.need.processors;
+    }
   }
   return cores;
 }
 
+function getUsableWorkers(state: DispatchState, service: string, at: number): WorkerView[] {
+  return [...state.workers.values()].filter(
+    worker =>
+      worker.description.service === service &&
+      !worker.isDraining &&
+      at - worker.heardAt < state.timing.unreachableMs &&
+      !worker.health.isSuspended(at),
+  );
+}
+
 function countPending(state: DispatchState, queue: string): number {
   let pending = 0;
   for (const submission of state.submissions.values()) {
--- a/packages/coordination/src/dispatch/policy/interference.ts
+++ b/packages/coordination/src/dispatch/policy/interference.ts
@@ -60,7 +60,7 @@
   private readonly model = new DisturbanceModel({
     priorMean: 0.8,
     priorDeviation: 1,
-    halfLifeMs: 120_000,
+    halfLifeMs: 1_800_000,
     knownDeviation: 0.4,
   });
   /** Loads of serving steps without the filling tasks beside them. */
--- a/packages/coordination/src/dispatch/policy/worker-choice.ts
+++ b/packages/coordination/src/dispatch/policy/worker-choice.ts
@@ -9,7 +9,7 @@
 const coreTolerance = 1e-6;
 
 /** Part of a worker's cores that only urgent work that ends may take, so that it starts at once in a flood. */
-const urgentReserve = 0.05;
+export const urgentReserve = 0.05;
 
 /** Part of its processors that a filling task must find unused. */
 const fillShare = 0.8;
--- a/packages/coordination/test/dispatch/fleet/shared-load.ts
+++ b/packages/coordination/test/dispatch/fleet/shared-load.ts
@@ -1,5 +1,6 @@
+import {decideAdmission} from '../../../src/dispatch/policy/admission-level.js';
 import {SeededRandom} from '../../../src/routing/seeded-random.js';
-import type {Step, Submission} from '../../../src/submissions/index.js';
+import {getWorkMs, type Step, type Submission} from '../../../src/submissions/index.js';
 import {createQueue, VirtualFleet} from './virtual-fleet.js';
 
 /** Queues of a fleet on which serving tasks reserve most cores and batches fill what they leave unused. */
@@ -50,8 +51,23 @@
   };
 }
 
+/** Times a refused caller returns. */
+const maxRetries = 4;
+/** Part of its worth that a batch keeps up to three times its objective. */
+const lateShare = 0.15;
+
+interface Handed {
+  readonly kind: keyof typeof sharedQueues;
+  readonly at: number;
+  readonly steps: readonly Step[];
+}
+
 /** What callers and users got. */
 export interface LoadResult {
+  /** Share of the worth of the batches that callers got; a late batch is worth little. */
+  readonly batchWorth: number;
+  /** Share of the batches that were refused for good. */
+  readonly batchesRefused: number;
   /** Share of the batches that were finished within their objective. */
   readonly batchesInTime: number;
   /** The same up to three times the objective. */
@@ -103,7 +119,9 @@
       return pressure;
     },
   });
-  const due = new Map<string, {kind: 'quick' | 'batch'; at: number}>();
+  const due = new Map<string, Handed>();
+  const refused = new Set<string>();
+  let returns: Array<{at: number; id: string; attempt: number}> = [];
   /** The objective follows from the real run times, which the dispatcher does not know. */
   const getObjective = (id: string, kind: 'quick' | 'batch') => {
     const {stretchFactor, targetLatencyMs} = sharedQueues[kind];
@@ -113,11 +131,28 @@
   let next = 1;
   const createId = () => (next++ * 7919).toString(16).padStart(16, '0');
   const submit = (kind: keyof typeof sharedQueues, steps: readonly Step[]) => {
-    const queue = sharedQueues[kind];
     const id = createId();
-    fleet.submit(createSubmission(id, queue.key, steps, {acceptedAtMs: fleet.now}));
-    if (kind === 'watch') return;
-    due.set(id, {kind, at: fleet.now});
+    due.set(id, {kind, at: fleet.now, steps});
+    send(id, 1);
+  };
+  /** Hands a submission in; a refused caller returns when it was told to, a few times. */
+  const send = (id: string, attempt: number) => {
+    const {kind, steps} = due.get(id) ?? {kind: 'batch', steps: []};
+    const queue = sharedQueues[kind];
+    const level = fleet.dispatcher.getLevels(fleet.now).find(each => each.queue === queue.key);
+    const admission = decideAdmission(queue, steps, false, level);
+    if (admission.kind === 'accept') {
+      fleet.submit(createSubmission(id, queue.key, steps, {acceptedAtMs: fleet.now}));
+    } else if (attempt > maxRetries) refused.add(id);
+    else {
+      const at = fleet.now + admission.retryAfterSeconds * 1_000;
+      returns.push({at, id, attempt: attempt + 1});
+    }
+  };
+  const sendReturned = () => {
+    const now = returns.filter(({at}) => at <= fleet.now);
+    returns = returns.filter(({at}) => at > fleet.now);
+    for (const {id, attempt} of now) send(id, attempt);
   };
   const pick = (max: number, mean: number, spread: number) =>
     Math.max(1, Math.round(Math.min(max, mean * Math.exp(spread * (random.next() * 3 - 1.5)))));
@@ -204,18 +239,37 @@
     quickCredit += 0.25 * 3 * random.between(0.5, 1.5);
     for (; batchCredit >= 1; batchCredit -= 1) submitBatch();
     for (; quickCredit >= 1; quickCredit -= 1) submitQuick();
+    sendReturned();
     fleet.run(second * 1000);
   }
   fleet.run(62_000);
+  const isMet = (id: string, entry: Handed, factor: number) => {
+    const ended = fleet.endedAt.get(id);
+    if (ended === undefined || entry.kind === 'watch') return false;
+    return ended - entry.at <= getObjective(id, entry.kind) * factor;
+  };
   const judge = (kind: 'quick' | 'batch', factor: number) => {
     const all = [...due].filter(([, entry]) => entry.kind === kind);
-    const met = all.filter(([id, entry]) => {
-      const ended = fleet.endedAt.get(id);
-      return ended !== undefined && ended - entry.at <= getObjective(id, kind) * factor;
+    return all.filter(([id, entry]) => isMet(id, entry, factor)).length / Math.max(1, all.length);
+  };
+  const judgeWorth = () => {
+    const batches = [...due].filter(([, entry]) => entry.kind === 'batch');
+    const works = batches.map(([, entry]) => getWorkMs(entry.steps));
+    const mean = works.reduce((sum, work) => sum + work, 0) / Math.max(1, works.length);
+    let owed = 0;
+    let earned = 0;
+    batches.forEach(([id, entry], index) => {
+      const worth = Math.min(4, 0.3 + (0.7 * (works[index] ?? 0)) / mean);
+      owed += worth;
+      if (isMet(id, entry, 1)) earned += worth;
+      else if (isMet(id, entry, 3)) earned += worth * lateShare;
     });
-    return met.length / Math.max(1, all.length);
+    return earned / Math.max(1, owed);
   };
+  const batches = [...due.values()].filter(entry => entry.kind === 'batch').length;
   return {
+    batchWorth: judgeWorth(),
+    batchesRefused: refused.size / Math.max(1, batches),
     batchesInTime: judge('batch', 1),
     batchesLate: judge('batch', 3),
     quickInTime: judge('quick', 1),
--- a/packages/coordination/test/dispatch/policy/admission-level.test.ts
+++ b/packages/coordination/test/dispatch/policy/admission-level.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
 import {decideAdmission, type QueueLevel} from '../../../src/dispatch/index.js';
-import {createStep} from '../fleet/shared-load.js';
-import {createQueue} from '../fleet/virtual-fleet.js';
+import {createStep, createSubmission} from '../fleet/shared-load.js';
+import {createQueue, VirtualFleet} from '../fleet/virtual-fleet.js';
 
 const queue = createQueue({name: 'proofs', stretchFactor: 2, targetLatencyMs: 1_000});
 const idle: QueueLevel = {
@@ -71,3 +71,20 @@
     if (admission.kind === 'refuse') t.ok(admission.retryAfterSeconds >= 1, 'tells when to return');
   });
 }
+
+void t.test('serving tasks that wait for room do not have urgent work refused', async t => {
+  const urgent = createQueue({name: 'checks', stretchFactor: 1.5, targetLatencyMs: 600});
+  const fleet = new VirtualFleet({
+    seed: 1,
+    queues: [urgent],
+    workers: [{agent: 'w', life: 'life', cores: 16, rack: 'r'}],
+  });
+  const serving = [createStep({count: 20, cores: 3, lasting: true})];
+  fleet.submit(createSubmission('0'.repeat(16), urgent.key, serving));
+  fleet.run(1_000);
+  const check = [createStep({count: 2, cores: 0.2, estimatedMs: 800})];
+  fleet.submit(createSubmission('1'.repeat(16), urgent.key, check, {acceptedAtMs: fleet.now}));
+  const [level] = fleet.dispatcher.getLevels(fleet.now);
+  t.ok(fleet.countRuns(`${'0'.repeat(16)}.0.0.0`) > 0, 'serving tasks take the worker');
+  t.equal(decideAdmission(urgent, check, false, level).kind, 'accept');
+});
