Take the learned load of serving tasks for the cores that they leave unused

Cause: filling tasks were placed as if each serving task used 0.6 of its cores, whatever its measured load; in the virtual fleet most waiting filling tasks found no worker with enough unused cores.

Change: the unused cores follow from the forecast load of each step.

--- a/packages/coordination/src/dispatch/policy/filler-pacing.ts
+++ b/packages/coordination/src/dispatch/policy/filler-pacing.ts
@@ -110,7 +110,7 @@
     for (const worker of this.state.workers.values()) {
       if (worker === run.worker || !worker.isOpen(at, this.state.timing.unreachableMs)) continue;
       if (worker.description.service !== run.worker.description.service) continue;
-      if (getUnusedCores(worker) < need.processors) continue;
+      if (getUnusedCores(this.interference, worker, at) < need.processors) continue;
       if (getTakenShare(this.interference, worker, run.task.step, at) <= 1) return true;
     }
     return false;
@@ -143,16 +143,13 @@
 /** Part of its target from which a serving task bears nothing more, whatever its load is thought to be. */
 const crowdedShare = 0.8;
 
-/** Part of its reserved processors that a serving task uses at most times. */
-const servingUse = 0.6;
-
 /** Processors of a worker that nothing is expected to use. */
-export function getUnusedCores(worker: WorkerView): number {
+export function getUnusedCores(interference: Interference, worker: WorkerView, at: number): number {
   let unused = worker.capacity.processors - worker.used.processors;
   for (const run of worker.runs.values()) {
     const {lasting, fills, need} = run.task.step;
     if (fills) unused -= (need.processors * run.pace) / 100;
-    else if (lasting) unused += need.processors * (1 - servingUse);
+    else if (lasting) unused += need.processors * (1 - interference.getUse(run, at));
   }
   return unused;
 }
--- a/packages/coordination/src/dispatch/policy/interference.ts
+++ b/packages/coordination/src/dispatch/policy/interference.ts
@@ -7,6 +7,8 @@
 const coreFractions = 1_000;
 /** Tail latency, as a part of the target, that counts as a load of 0; it only sets the scale of loads. */
 const idleTailShare = 0.2;
+/** Part of its reserved processors that a serving task uses as long as its load is not known. */
+const assumedUse = 0.6;
 /** Part of its target that a serving task may reach by the tasks beside it. */
 const targetShare = 0.85;
 /** Load from which on a tail latency does not tell any more how far a task is overloaded. */
@@ -111,6 +113,13 @@
     return this.sumPressure(group.image, getOrderedPresence(worker), at, caution);
   }
 
+  /** Part of its reserved processors that a serving task is expected to use. */
+  getUse(run: Run, at: number): number {
+    const key = getServingKey(run);
+    if (!this.loads.has(key)) return assumedUse;
+    return Math.max(0, Math.min(1, this.loads.estimate(key, at).load));
+  }
+
   /** Load that a group bears beside its own, now and for the next second. */
   getBudget(group: ServingGroup, at: number): number {
     return this.getLastingBudget(group, foresightMs, at);
--- a/packages/coordination/src/dispatch/policy/worker-choice.ts
+++ b/packages/coordination/src/dispatch/policy/worker-choice.ts
@@ -82,7 +82,8 @@
     if (used.accelerators + step.need.accelerators > capacity.accelerators) return false;
     const free = capacity.processors - used.processors + coreTolerance;
     if (step.fills) {
-      if (getUnusedCores(worker) < step.need.processors * fillShare) return false;
+      const unused = getUnusedCores(this.interference, worker, this.at);
+      if (unused < step.need.processors * fillShare) return false;
       const taken = getTakenShare(this.interference, worker, step, this.at);
       if (taken > 1 || this.isBeingTried(worker, step.image)) return false;
     } else {
@@ -121,7 +122,7 @@
     const serving = groups.length;
     const free = (processors - worker.used.processors) / Math.max(1, processors);
     if (step.fills) {
-      cost -= getUnusedCores(worker) / Math.max(1, processors);
+      cost -= getUnusedCores(this.interference, worker, this.at) / Math.max(1, processors);
       if (serving === 0) return cost;
       const taken = getTakenShare(this.interference, worker, step, this.at);
       return cost + costs.besideServing * (1 + taken);
