Follow the owner's key in the agents

An agent whose owner had been replaced while it was cut off noticed only when its link fell silent.

Change: OwnerSearch watches the owner's key; a new owner replaces whatever is being dialled or linked, entries are asked only while the store is silent.

--- a/packages/runtime/src/dispatch/agent-node.ts
+++ b/packages/runtime/src/dispatch/agent-node.ts
@@ -4,15 +4,14 @@
   EndRow,
   OrderOutcome,
   OwnerMessage,
-  OwnerRecord,
   RunRow,
   WorkerDescription,
 } from '@chervilbeam/coordination';
 import type {Metrics} from '../metrics/index.js';
 import type {DecisionLogger} from './decision-logger.js';
-import {dialLink, type Link} from './link.js';
+import {dialLink, type Link, type LinkDialer} from './link.js';
+import {OwnerSearch} from './owner-search.js';
 import type {RecordStore} from './record-store.js';
-import {entryPrefix, ownerKey} from './store-keys.js';
 import type {HoldReply, WorkerPort} from './worker-port.js';
 
 /** Longest time in milliseconds that one renewal waits for an end; reports come at least this often. */
@@ -23,8 +22,10 @@
 const workerRetryMs = 250;
 /** Refused connections in a row that show that no process listens, and not just a restart of the listener. */
 const absentLimit = 3;
-/** Time in milliseconds between two attempts to find the owner. */
-const findOwnerMs = 300;
+/** Time in milliseconds for which an entry that may know the owner may take to answer. */
+const askMs = 700;
+/** Redirections that are followed at once; entries that disagree on the owner may send an agent in circles. */
+const maxRedirections = 2;
 /** Time in milliseconds for which a stop is repeated before its result counts as unknown. */
 const stopLimitMs = 2_500;
 
@@ -40,13 +41,19 @@
   readonly metrics: Metrics;
   /** Addresses of entries that may be up, tried while the store does not answer. */
   readonly seeds: readonly string[];
+  /** Opens links; by default over TCP. */
+  readonly dial?: LinkDialer<OwnerMessage, AgentMessage>;
 }
 
 type OwnerLink = Link<OwnerMessage, AgentMessage>;
 
 /** An agent: carries the owner's orders to the worker beside it and tells the owner what the worker runs. */
 export class AgentNode {
+  private readonly search: OwnerSearch;
   private link: OwnerLink | undefined;
+  private linkAddress = '';
+  private dialledAt = 0;
+  private redirections = 0;
   private isWelcome = false;
   private term = 0;
   private worker: WorkerDescription | undefined;
@@ -58,24 +65,25 @@
   private isListDue = true;
   private absences = 0;
   private holdGeneration = 0;
-  private entries: readonly string[];
-  private nextEntry = 0;
   private isStopped = false;
-  private findTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: AgentNodeOptions) {
-    this.entries = options.seeds;
+    this.search = new OwnerSearch({
+      ...options,
+      onOwner: (address, term) => this.approachOwner(address, term),
+      onEntry: address => this.askEntry(address),
+    });
   }
 
   /** Starts to look for the owner. */
   start(): void {
-    void this.findOwner();
+    this.search.start();
   }
 
   /** Closes everything; the worker's runs go on under their lease. */
   stop(): void {
     this.isStopped = true;
-    clearTimeout(this.findTimer);
+    this.search.stop();
     this.holdGeneration += 1;
     this.link?.end();
   }
@@ -121,49 +129,45 @@
     if (this.isWelcome) this.link?.send(message);
   }
 
-  private async findOwner(): Promise<void> {
-    if (this.isStopped || this.link !== undefined) return;
-    const address = (await this.readOwner()) ?? this.takeEntry();
-    if (this.isStopped || this.link !== undefined) return;
-    if (address === undefined) return this.findLater();
-    this.dial(address);
-  }
-
-  private findLater(): void {
-    clearTimeout(this.findTimer);
-    if (!this.isStopped) this.findTimer = setTimeout(() => void this.findOwner(), findOwnerMs);
+  /** Dials the owner unless it is reached or being dialled; a newer owner replaces an older one. */
+  private approachOwner(address: string, term: number): void {
+    if (this.isStopped || (this.isWelcome && term <= this.term)) return;
+    if (this.link !== undefined && this.linkAddress === address && !this.isWelcome) return;
+    this.replaceLink(address);
   }
 
-  private async readOwner(): Promise<string | undefined> {
-    const {store} = this.options;
-    const result = await store.read(ownerKey);
-    if (result.kind !== 'ok') return undefined;
-    if (this.entries.length === 0) {
-      const list = await store.list(entryPrefix, {stale: true});
-      if (list.kind === 'ok') this.entries = list.records.map(record => record.value);
-    }
-    return result.record ? (JSON.parse(result.record.value) as OwnerRecord).address : undefined;
+  /** Dials an entry that may know the owner; a host without power does not answer, so others are tried. */
+  private askEntry(address: string): void {
+    if (this.isStopped || this.isWelcome) return;
+    const isPending = this.link !== undefined;
+    if (isPending && this.options.clock.now() - this.dialledAt < askMs) return;
+    this.replaceLink(address);
   }
 
-  private takeEntry(): string | undefined {
-    if (this.entries.length === 0) return undefined;
-    this.nextEntry += 1;
-    return this.entries[this.nextEntry % this.entries.length];
+  private replaceLink(address: string): void {
+    const {link} = this;
+    this.link = undefined;
+    this.isWelcome = false;
+    link?.destroy('other-address');
+    this.redirections = 0;
+    this.dial(address);
   }
 
   private dial(address: string): void {
-    const {name, dataCentre, incarnation, log} = this.options;
-    const link: OwnerLink = dialLink(address, {
+    const {name, dataCentre, incarnation, log, clock, dial = dialLink} = this.options;
+    const link: OwnerLink = dial(address, {
       message: message => this.receive(link, message),
       closed: reason => {
         if (this.link !== link) return;
         if (this.isWelcome) log.log('owner-lost', {address, reason});
         this.link = undefined;
         this.isWelcome = false;
-        this.findLater();
+        if (!this.isStopped) this.search.start();
       },
     });
     this.link = link;
+    this.linkAddress = address;
+    this.dialledAt = clock.now();
     link.send({kind: 'agent', agent: name, dataCentre, incarnation});
   }
 
@@ -197,7 +201,8 @@
     }
     this.isWelcome = true;
     this.term = term;
-    if (entries.length > 0) this.entries = entries;
+    this.search.settle();
+    this.search.setEntries(entries);
     this.sentEnd = 0;
     this.isListDue = true;
     if (this.worker) {
@@ -210,9 +215,10 @@
     this.link = undefined;
     this.isWelcome = false;
     link.end();
-    if (entries.length > 0) this.entries = entries;
-    if (address !== undefined) this.dial(address);
-    else this.findLater();
+    this.search.setEntries(entries);
+    this.search.start();
+    this.redirections += 1;
+    if (address !== undefined && this.redirections <= maxRedirections) this.dial(address);
   }
 
   /** Starts a new series of renewals; the former one ends with its call in flight. */
--- a/packages/runtime/src/dispatch/index.ts
+++ b/packages/runtime/src/dispatch/index.ts
@@ -6,6 +6,7 @@
 export * from './lease-clock.js';
 export * from './link.js';
 export * from './owner-process.js';
+export * from './owner-search.js';
 export * from './record-store.js';
 export * from './record-watch.js';
 export * from './store-keys.js';
--- a/packages/runtime/src/dispatch/link.ts
+++ b/packages/runtime/src/dispatch/link.ts
@@ -127,6 +127,12 @@
   }
 }
 
+/** Opens links to `ip:port`. */
+export type LinkDialer<Incoming, Outgoing> = (
+  address: string,
+  handlers: LinkHandlers<Incoming>,
+) => Link<Incoming, Outgoing>;
+
 /** Opens a link to `ip:port`. */
 export function dialLink<Incoming, Outgoing>(
   address: string,
--- a/packages/runtime/src/dispatch/record-watch.ts
+++ b/packages/runtime/src/dispatch/record-watch.ts
@@ -9,8 +9,8 @@
   readonly log: DecisionLogger;
   /** Prefix of the keys. */
   readonly prefix: string;
-  /** Longest time in milliseconds that one call waits. */
-  readonly waitMs?: number;
+  /** Returns the longest time in milliseconds that the next call waits. */
+  readonly getWaitMs?: () => number;
   /** Receives all records after each full read. */
   readonly onList: (records: readonly StoredRecord[], revision: number) => void;
   /** Receives changes in the order of their revisions. */
@@ -60,7 +60,8 @@
   }
 
   private async watch(): Promise<boolean> {
-    const {store, prefix, clock, waitMs = defaultWaitMs, log} = this.options;
+    const {store, prefix, clock, getWaitMs, log} = this.options;
+    const waitMs = getWaitMs?.() ?? defaultWaitMs;
     const sentAt = clock.now();
     const result = await store.watch(prefix, this.revision ?? 0, waitMs);
     if (this.isStopped) return true;
--- a/packages/runtime/test/dispatch/record-watch.test.ts
+++ b/packages/runtime/test/dispatch/record-watch.test.ts
@@ -11,7 +11,7 @@
     clock: new SystemClock(),
     log: createTestLog().log,
     prefix: 'a/',
-    waitMs: 50,
+    getWaitMs: () => 50,
     onList: records => records.forEach(record => seen.set(record.key, record.value)),
     onChanges: changes => {
       for (const change of changes) {
