Let a restarted owner replace the key of its former life at once

Cause: after a kill or a loss of power the key of the former owner stays until its lease of 3 s ends, also when the same host is back after one second.

Change: the election treats a key with the own address and a foreign nonce as that of a former life, which has ended because its address is taken, and claims on condition of its revision. The new revision is a higher fencing token, so nothing of the former life can be carried out later than the takeover.

--- a/packages/coordination/src/ownership/owner-election.ts
+++ b/packages/coordination/src/ownership/owner-election.ts
@@ -34,6 +34,8 @@
 export interface OwnerElectionOptions {
   /** Prefix of the nonces of this process. */
   readonly incarnation: string;
+  /** Address of this process for the others; no two processes share one at the same time. */
+  readonly address?: string;
   /** Time in milliseconds by which a claim is delayed, so that a process near the store goes first. */
   readonly claimDelayMs?: number;
   readonly timing?: Partial<ElectionTiming>;
@@ -66,7 +68,13 @@
 export type ElectionEffect =
   | {readonly kind: 'open-lease'; readonly ttlMs: number}
   | {readonly kind: 'keep-lease'; readonly lease: string}
-  | {readonly kind: 'claim'; readonly lease: string; readonly nonce: string}
+  | {
+      readonly kind: 'claim';
+      readonly lease: string;
+      readonly nonce: string;
+      /** Revision of the owner's key that is replaced; 0 when the key is absent. */
+      readonly replaces: number;
+    }
   | {readonly kind: 'end-lease'; readonly lease: string}
   | {readonly kind: 'begin'; readonly term: number; readonly generation: number}
   | {readonly kind: 'end'; readonly reason: string};
@@ -85,6 +93,8 @@
   private term = 0;
   private hasSeenOwner = false;
   private vacantSince: number | undefined;
+  /** Revision of the key when a former life of this process holds it, otherwise 0. */
+  private formerLifeRevision = 0;
   private claims = 0;
   private claimDelayMs: number;
   private isDraining = false;
@@ -162,12 +172,15 @@
     } else if (this.term === 0 && this.isVacant(at)) {
       this.claims += 1;
       const nonce = `${this.options.incarnation}-${this.claims}`;
-      this.call('claim', {kind: 'claim', lease: this.lease, nonce}, at);
+      const replaces = this.formerLifeRevision;
+      this.call('claim', {kind: 'claim', lease: this.lease, nonce, replaces}, at);
     }
   }
 
   private isVacant(at: number): boolean {
     if (!this.hasSeenOwner || this.vacantSince === undefined) return false;
+    // No other process can be nearer to the end of a former life of this one.
+    if (this.formerLifeRevision > 0) return true;
     return at - this.vacantSince >= this.claimDelayMs;
   }
 
@@ -179,13 +192,20 @@
 
   private see(owner: OwnerRecord | undefined, revision: number, at: number): void {
     this.hasSeenOwner = true;
-    if (owner === undefined) this.vacantSince ??= at;
+    this.formerLifeRevision = this.isFormerLife(owner) ? revision : 0;
+    if (owner === undefined || this.formerLifeRevision > 0) this.vacantSince ??= at;
     else this.vacantSince = undefined;
     // An observation from before the own claim tells nothing.
     if (this.term > 0 && revision > this.term) this.end(owner ? 'replaced' : 'key-removed');
     this.tick(at);
   }
 
+  /** Whether the owner is an earlier life of this process; it has ended, since its address is taken. */
+  private isFormerLife(owner: OwnerRecord | undefined): boolean {
+    if (owner === undefined || owner.address !== this.options.address) return false;
+    return !owner.nonce.startsWith(`${this.options.incarnation}-`);
+  }
+
   private begin(term: number, generation: number): void {
     if (this.isDraining || this.term >= term) return;
     this.term = term;
--- a/packages/coordination/test/ownership/owner-election.test.ts
+++ b/packages/coordination/test/ownership/owner-election.test.ts
@@ -8,6 +8,7 @@
 type Timed = readonly [at: number, event: ElectionEvent];
 
 const owner = {name: 'other', address: '10.0.0.2:1', nonce: 'other-1'};
+const ownAddress = '10.0.0.1:1';
 const vacant = {kind: 'owner-seen', owner: undefined, revision: 5} as const;
 
 /** Opens a lease at 0 and claims the vacant key at 10. */
@@ -39,6 +40,27 @@
     events: [...claimed.slice(0, 2), [10, {kind: 'owner-seen', owner, revision: 4}]],
     last: [],
   },
+  {
+    name: 'the key of a former life on the same address is claimed without waiting for its lease',
+    events: [
+      ...claimed.slice(0, 2),
+      [10, {kind: 'owner-seen', owner: {...owner, address: ownAddress}, revision: 4}],
+    ],
+    last: ['claim'],
+  },
+  {
+    name: 'the own key is not claimed again after a lost ownership',
+    events: [
+      ...claimed,
+      [30, {kind: 'deposed', reason: 'write-conflict'}],
+      [40, {kind: 'lease-opened', lease: '8', sentAt: 35}],
+      [
+        50,
+        {kind: 'owner-seen', owner: {...owner, address: ownAddress, nonce: 'self-1'}, revision: 9},
+      ],
+    ],
+    last: [],
+  },
   {
     name: 'an older observation of the vacant key does not end a newer ownership',
     events: [...claimed, [30, {kind: 'owner-seen', owner: undefined, revision: 8}]],
@@ -88,7 +110,7 @@
 
 for (const {name, events, last} of cases) {
   void t.test(name, async t => {
-    const election = new OwnerElection({incarnation: 'self'});
+    const election = new OwnerElection({incarnation: 'self', address: ownAddress});
     let effects: readonly ElectionEffect[] = [];
     for (const [at, event] of events) effects = election.reduce(event, at);
     t.same(
--- a/packages/runtime/src/dispatch/owner-process.ts
+++ b/packages/runtime/src/dispatch/owner-process.ts
@@ -78,11 +78,12 @@
   private isStopped = false;
 
   constructor(private readonly options: OwnerProcessOptions) {
-    const {clock, store, log, timing, electionTiming, incarnation} = options;
+    const {clock, store, log, timing, electionTiming, incarnation, address} = options;
     this.dispatcher = new Dispatcher(timing);
     this.loop = new Loop(this.dispatcher, clock, effect => this.carryOut(effect));
     this.election = new OwnerElection({
       incarnation,
+      address,
       ...(electionTiming && {timing: electionTiming}),
     });
     this.leaseClock = new LeaseClock(clock, ms => {
@@ -239,7 +240,7 @@
       case 'keep-lease':
         return void this.keepLease(effect.lease);
       case 'claim':
-        return void this.claim(effect.lease, effect.nonce);
+        return void this.claim(effect);
       case 'end-lease':
         return void this.options.store.endLease(effect.lease);
       case 'begin':
@@ -282,7 +283,8 @@
     else this.electionLoop.post({kind: 'call-failed', call: 'keep-lease'});
   }
 
-  private async claim(lease: string, nonce: string): Promise<void> {
+  private async claim(effect: Extract<ElectionEffect, {kind: 'claim'}>): Promise<void> {
+    const {lease, nonce, replaces} = effect;
     const {store, name, address} = this.options;
     const last = await store.read(generationKey);
     if (last.kind !== 'ok') return this.failClaim();
@@ -290,7 +292,7 @@
     const owner: OwnerRecord = {name, address, nonce};
     const result = await store.commit({
       conditions: [
-        {key: ownerKey, revision: 0},
+        {key: ownerKey, revision: replaces},
         {key: generationKey, revision: last.record?.revision ?? 0},
       ],
       writes: [
--- a/packages/runtime/test/dispatch/agent-node.test.ts
+++ b/packages/runtime/test/dispatch/agent-node.test.ts
@@ -104,7 +104,9 @@
   agent.start();
   await waitUntil(() => links.length === 1);
   for (let hop = 0; hop < 5; hop += 1) {
-    links.at(-1)?.handlers.message({kind: 'elsewhere', address: `10.0.0.${hop + 2}:1`, entries: []});
+    links
+      .at(-1)
+      ?.handlers.message({kind: 'elsewhere', address: `10.0.0.${hop + 2}:1`, entries: []});
   }
   t.equal(links.length, 3, 'two redirections are followed at once');
   agent.stop();
