Relay calls to other entries while the store is silent to this one

Only a proven refusal of the store was relayed. After a relay without an answer the caller was told that the submission never runs, though the other entry may have stored it.

Change: CallRelays asks other entries in turn after 350 ms without an answer of the store, at once while the store is known to be silent, with one call at a time as a probe. A refusal is told only when all that was tried was refused. SubmissionWriter keeps the doubtful writes. The test that expected a refusal after a relay without answer was wrong: a refusal must be true, so it now needs that there is no other entry, and cases for the unanswered relay are added.

--- a/packages/runtime/src/dispatch/entry-node.ts
+++ b/packages/runtime/src/dispatch/entry-node.ts
@@ -53,6 +53,7 @@
           if (this.owner.isOwner) this.owner.cancel(id);
           else this.peers.tellCancelled(id);
         },
+        getCount: () => this.peers.addresses.length,
         relay: (call, timeoutMs) => this.peers.relay(call, timeoutMs),
       },
     });
--- a/packages/runtime/src/dispatch/entry-peers.ts
+++ b/packages/runtime/src/dispatch/entry-peers.ts
@@ -82,18 +82,21 @@
     }
   }
 
-  /** Has another entry carry out a call; undefined when none answers in time. */
+  /** Has the next other entry carry out a call; undefined when it does not answer in time. */
   async relay(call: SubmissionCall, timeoutMs: number): Promise<SubmissionReply | undefined> {
-    const candidates = this.known.length > 0 ? this.known : [];
-    if (candidates.length === 0) return undefined;
     this.nextRelay += 1;
-    const address = candidates[this.nextRelay % candidates.length] ?? '';
-    const response = await this.request(this.getLink(address), timeoutMs, request => ({
+    const address = this.known[this.nextRelay % this.known.length];
+    if (address === undefined) return undefined;
+    const link = this.getLink(address);
+    const response = await this.request(link, timeoutMs, request => ({
       kind: 'call',
       request,
       call,
     }));
-    return response?.kind === 'reply' ? response.reply : undefined;
+    if (response?.kind === 'reply') return response.reply;
+    return link.wasOpen
+      ? undefined
+      : {kind: 'refused', retryAfterSeconds: 1, reason: 'store-unreachable'};
   }
 
   /** Closes all links. */
--- a/packages/runtime/src/dispatch/link.ts
+++ b/packages/runtime/src/dispatch/link.ts
@@ -39,18 +39,26 @@
   private sentAt = performance.now();
   private probedAt = performance.now();
   private readonly probeTimer: NodeJS.Timeout;
+  private hasOpened: boolean;
 
   constructor(
     private readonly socket: Socket,
     private readonly handlers: LinkHandlers<Incoming>,
   ) {
     socket.setNoDelay(true);
+    this.hasOpened = !socket.connecting;
+    socket.once('connect', () => (this.hasOpened = true));
     this.probeTimer = setInterval(() => this.probe(), probeMs);
     socket.on('data', bytes => this.receive(bytes));
     socket.on('error', error => (this.reason = (error as NodeJS.ErrnoException).code ?? 'error'));
     socket.on('close', () => this.finish());
   }
 
+  /** Whether the connection has been open; before that, nothing was sent. */
+  get wasOpen(): boolean {
+    return this.hasOpened;
+  }
+
   /** Sends a message; all messages of a turn of the loop share one write. */
   send(message: Outgoing): void {
     if (this.isClosed) return;
--- a/packages/runtime/src/dispatch/submission-service.ts
+++ b/packages/runtime/src/dispatch/submission-service.ts
@@ -10,11 +10,13 @@
   type Submission,
 } from '@chervilbeam/coordination';
 import type {Metrics} from '../metrics/index.js';
+import {CallRelays} from './call-relays.js';
 import type {DecisionLogger} from './decision-logger.js';
 import type {KnownSubmission} from './entry-messages.js';
-import type {CommitResult, ReadResult, RecordStore} from './record-store.js';
+import type {ReadResult, RecordStore} from './record-store.js';
 import {cancelPrefix, progressPrefix, submissionPrefix} from './store-keys.js';
 import type {SubmissionCall, SubmissionReply} from './submission-calls.js';
+import {SubmissionWriter} from './submission-writer.js';
 
 /** Retry-After in seconds while the store cannot be reached; its outages last seconds. */
 const outageRetrySeconds = 2;
@@ -22,8 +24,6 @@
 const answerReserveMs = 150;
 /** Time in milliseconds between two attempts of a write whose answer was lost. */
 const writeRetryMs = 150;
-/** Time in milliseconds for which a write without an answer is tried again after its caller has gone. */
-const doubtMs = 20_000;
 /** Age in milliseconds up to which the queues' levels decide on admission. */
 const levelAgeMs = 3_000;
 
@@ -33,7 +33,9 @@
   askOwner(id: string): Promise<KnownSubmission | undefined>;
   /** Tells the owner of a cancelled submission, also when the store turns the owner away. */
   tellCancelled(id: string): void;
-  /** Has another entry carry out a call; undefined when none answers. */
+  /** Returns the number of other entries that may carry out a call. */
+  getCount(): number;
+  /** Has another entry carry out a call; undefined when it does not answer. Each call asks the next one. */
   relay(call: SubmissionCall, timeoutMs: number): Promise<SubmissionReply | undefined>;
 }
 
@@ -61,10 +63,13 @@
   private levelsAt = Number.NEGATIVE_INFINITY;
   /** Work in core-milliseconds that was accepted here since the newest levels, by priority. */
   private readonly acceptedWork = new Map<string, number>();
-  /** Submissions whose write has had no answer yet. */
-  private readonly doubtful = new Map<string, Promise<CommitResult>>();
+  private readonly writer: SubmissionWriter;
+  private readonly relays: CallRelays;
 
-  constructor(private readonly options: SubmissionServiceOptions) {}
+  constructor(private readonly options: SubmissionServiceOptions) {
+    this.writer = new SubmissionWriter(options);
+    this.relays = new CallRelays(options);
+  }
 
   /** Takes in a configuration. */
   configure(configuration: QueueConfiguration): void {
@@ -108,7 +113,7 @@
   ): Promise<SubmissionReply> {
     const {id, draft} = call;
     const refusal = this.decide(queue, draft);
-    if (refusal !== undefined && !this.doubtful.has(id)) {
+    if (refusal !== undefined && !this.writer.isDoubtful(id)) {
       // The same submission may have been accepted before, at any entry.
       const known = await this.find(id);
       if (known === 'absent') {
@@ -118,20 +123,24 @@
       if (known === 'present') return this.accept(queue, id, 'known');
       return {kind: 'unknown'};
     }
-    const result = await this.storeWithin(queue, id, draft, context.timeoutMs - answerReserveMs);
-    if (result === 'timeout') return {kind: 'unknown'};
+    const reply = await this.relays.run(call, context, () => this.store(queue, call, context));
+    if (reply.kind === 'accepted') this.writer.settle(id);
+    else this.note('submission-refused', id, reply);
+    return reply;
+  }
+
+  private async store(
+    queue: Queue,
+    call: Extract<SubmissionCall, {kind: 'submit'}>,
+    context: CallContext,
+  ): Promise<SubmissionReply> {
+    const {id, draft} = call;
+    const timeoutMs = context.timeoutMs - answerReserveMs;
+    const result = await this.writer.store(queue, id, draft, timeoutMs);
+    if (result === 'timeout' || result.kind === 'unknown') return {kind: 'unknown'};
     if (result.kind === 'ok') return this.accept(queue, id, 'stored', draft);
     if (result.kind === 'conflict') return this.accept(queue, id, 'known');
-    if (result.kind === 'unknown') return {kind: 'unknown'};
-    const reply = await this.relay(call, context);
-    if (reply !== undefined) return reply;
-    const unreachable: SubmissionReply = {
-      kind: 'refused',
-      retryAfterSeconds: outageRetrySeconds,
-      reason: 'store-unreachable',
-    };
-    this.note('submission-refused', id, unreachable);
-    return unreachable;
+    return this.getUnreachable();
   }
 
   private decide(
@@ -164,58 +173,6 @@
     return {kind: 'accepted'};
   }
 
-  /** Stores a submission; a write without an answer is repeated until it is known, also after the time limit. */
-  private async storeWithin(
-    queue: Queue,
-    id: string,
-    draft: CheckedDraft,
-    timeoutMs: number,
-  ): Promise<CommitResult | 'timeout'> {
-    let write = this.doubtful.get(id);
-    if (write === undefined) {
-      const submission: Submission = {
-        id,
-        queue: queue.key,
-        service: queue.service,
-        ...draft,
-        acceptedAtMs: this.options.clock.wallTime(),
-      };
-      write = this.storeUntilKnown(submission).finally(() => this.doubtful.delete(id));
-      this.doubtful.set(id, write);
-    }
-    let timer: NodeJS.Timeout | undefined;
-    const timeout = new Promise<'timeout'>(resolve => {
-      timer = setTimeout(() => resolve('timeout'), Math.max(0, timeoutMs));
-    });
-    const result = await Promise.race([write, timeout]);
-    clearTimeout(timer);
-    return result;
-  }
-
-  private async storeUntilKnown(submission: Submission): Promise<CommitResult> {
-    const {store, clock, log} = this.options;
-    const key = submissionPrefix + submission.id;
-    const commit = {
-      conditions: [{key, revision: 0}],
-      writes: [{key, value: JSON.stringify(submission)}],
-      removals: [],
-    };
-    const startedAt = clock.now();
-    let isDoubtful = false;
-    for (;;) {
-      const result = await store.commit(commit);
-      if (result.kind === 'ok' || result.kind === 'conflict') return result;
-      if (result.kind === 'unknown') isDoubtful = true;
-      // A refusal proves nothing about an earlier attempt that had no answer.
-      if (!isDoubtful) return result;
-      if (clock.now() - startedAt > doubtMs) {
-        log.warn('submission-unresolved', {submission: submission.id});
-        return {kind: 'unknown', detail: 'no answer from the store'};
-      }
-      await new Promise(resolve => setTimeout(resolve, writeRetryMs));
-    }
-  }
-
   /** Whether a submission exists, as the owner or the store knows it. */
   private async find(id: string): Promise<'present' | 'absent' | 'unknown'> {
     const known = await this.options.peers.askOwner(id);
@@ -234,36 +191,40 @@
       if (known.queue !== call.queue) return {kind: 'absent'};
       return {kind: 'state', status: known.status};
     }
-    const [submission, progress] = await Promise.all([
-      this.options.store.read(submissionPrefix + call.id),
-      this.options.store.read(progressPrefix + call.id),
-    ]);
-    if (submission.kind !== 'ok' || progress.kind !== 'ok') {
-      return (await this.relay(call, context)) ?? this.getUnreachable();
-    }
-    return readState(call.queue, submission, progress);
+    return this.relays.run(call, context, async () => {
+      const [submission, progress] = await Promise.all([
+        this.options.store.read(submissionPrefix + call.id),
+        this.options.store.read(progressPrefix + call.id),
+      ]);
+      const isRead = submission.kind === 'ok' && progress.kind === 'ok';
+      return isRead ? readState(call.queue, submission, progress) : this.getUnreachable();
+    });
   }
 
-  private async cancel(
+  private cancel(
     call: Extract<SubmissionCall, {kind: 'cancel'}>,
     context: CallContext,
   ): Promise<SubmissionReply> {
-    const {store, log} = this.options;
-    const key = submissionPrefix + call.id;
+    return this.relays.run(call, context, () => this.storeCancel(call.id, context));
+  }
+
+  private async storeCancel(id: string, context: CallContext): Promise<SubmissionReply> {
+    const {store, log, clock} = this.options;
+    const deadline = clock.now() + context.timeoutMs - answerReserveMs;
+    const key = submissionPrefix + id;
     const read = await store.read(key);
-    if (read.kind !== 'ok') return (await this.relay(call, context)) ?? this.getUnreachable();
+    if (read.kind !== 'ok') return this.getUnreachable();
     if (read.record === undefined) return {kind: 'absent'};
     const commit = {
       conditions: [{key, revision: read.record.revision}],
-      writes: [{key: cancelPrefix + call.id, value: '{}'}],
+      writes: [{key: cancelPrefix + id, value: '{}'}],
       removals: [],
     };
-    const deadline = this.options.clock.now() + context.timeoutMs - answerReserveMs;
-    while (this.options.clock.now() < deadline) {
+    while (clock.now() < deadline) {
       const result = await store.commit(commit);
       if (result.kind === 'ok') {
-        this.options.peers.tellCancelled(call.id);
-        log.log('cancel-acknowledged', {submission: call.id, revision: result.revision});
+        this.options.peers.tellCancelled(id);
+        log.log('cancel-acknowledged', {submission: id, revision: result.revision});
         return {kind: 'cancelled'};
       }
       if (result.kind === 'conflict') return {kind: 'absent'};
@@ -272,16 +233,6 @@
     return {kind: 'unknown'};
   }
 
-  private async relay(
-    call: SubmissionCall,
-    context: CallContext,
-  ): Promise<SubmissionReply | undefined> {
-    if (context.isRelayed) return undefined;
-    const reply = await this.options.peers.relay(call, context.timeoutMs - answerReserveMs);
-    if (reply) this.options.metrics.count('calls_relayed');
-    return reply;
-  }
-
   private getUnreachable(): SubmissionReply {
     return {
       kind: 'refused',
