Remember cancels of submissions that the owner does not know yet

Cause: an entry tells the owner of a cancel over its link. With mute watches (platform_compact) the owner heard of it before the submission, dropped it, and started the submission when the watch told of it; a full read lists cancels before submissions as well.

Change: early cancels are kept until their submission comes.

--- a/packages/coordination/src/dispatch/decision-log.ts
+++ b/packages/coordination/src/dispatch/decision-log.ts
@@ -7,6 +7,7 @@
   | 'submission-restored'
   | 'submission-ended'
   | 'submission-cancelled'
+  | 'cancel-early'
   | 'run-placed'
   | 'run-refused'
   | 'run-unresolved'
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -189,7 +189,8 @@
       ...(active.final !== undefined && {reason: active.final}),
     });
     if (!isInherited) state.count('submissions_accepted');
-    if (stored.cancelled) this.ends.cancel(submission.id, at);
+    const wasCancelled = this.ends.takeEarlyCancel(submission.id);
+    if (stored.cancelled || wasCancelled) this.ends.cancel(submission.id, at);
     else if (active.isActive && active.isFinished) this.ends.checkFinished(active, at);
   }
 
@@ -205,6 +206,7 @@
         submission.dropFinished();
       } else this.ends.forgetOld(submission, at);
     }
+    this.ends.forgetEarly(at);
     this.interference.retain(key => state.submissions.get(getSubmissionId(key))?.isActive ?? false);
     state.isRoundDue = true;
     this.journal.retry(at);
--- a/packages/coordination/src/dispatch/submission-ends.ts
+++ b/packages/coordination/src/dispatch/submission-ends.ts
@@ -6,6 +6,9 @@
 
 /** Brings submissions to their final states. */
 export class SubmissionEnds {
+  /** Times of cancels whose submissions are not known here yet. */
+  private readonly early = new Map<string, number>();
+
   constructor(
     private readonly state: DispatchState,
     private readonly orders: RunOrders,
@@ -15,12 +18,30 @@
   /** Cancels a submission: nothing more is started, and what runs is stopped. */
   cancel(id: string, at: number): void {
     const submission = this.state.submissions.get(id);
-    if (submission === undefined || !submission.isActive) return;
+    if (submission === undefined) {
+      // Entries tell of a cancel over their links, and a watch of the store may be behind them.
+      this.early.set(id, at);
+      this.state.log({event: 'cancel-early', submission: id});
+      return;
+    }
+    if (!submission.isActive) return;
     this.state.log({event: 'submission-cancelled', submission: id});
     this.state.count('submissions_cancelled');
     this.end(submission, 'cancelled', at);
   }
 
+  /** Whether a submission was cancelled before it was known here. */
+  takeEarlyCancel(id: string): boolean {
+    return this.early.delete(id);
+  }
+
+  /** Forgets early cancels whose submissions have not come; the store has had time to tell of them. */
+  forgetEarly(at: number): void {
+    for (const [id, since] of this.early) {
+      if (at - since >= this.state.timing.keepFinalMs) this.early.delete(id);
+    }
+  }
+
   /** Takes in a failed run of a task. */
   fail(task: Task, run: number, at: number): void {
     const {submission} = task;
--- a/packages/coordination/test/dispatch/dispatcher.test.ts
+++ b/packages/coordination/test/dispatch/dispatcher.test.ts
@@ -264,3 +264,13 @@
   fleet.run(9_000);
   t.equal(fleet.progress.get(id)?.final, 'completed');
 });
+
+void t.test('a cancel that is heard before its submission holds', async t => {
+  const fleet = createFleet();
+  fleet.post({kind: 'cancelled', id});
+  fleet.run(500);
+  fleet.submit(createSubmission(id, queue.key, [createStep({count: 2})]));
+  fleet.run(3_000);
+  t.equal(getStarts(fleet, `${id}.0.0.0`), 0, 'nothing is started');
+  t.equal(fleet.dispatcher.getStatus(id), 'cancelled');
+});
