Work out once a round what each worker has to offer to filling tasks

Cause: at 77 workers the dispatcher takes 7.1 s of processor time for 62 s of load in the virtual fleet, most of it in working out the same serving groups, unused cores and shares again for each task of a step.

Change: WorkerOutlook holds them for a worker until its runs, paces or measurements change, at most 250 ms; WorkerChoice collects the pairs that are being tried once. playSharedLoad takes its load as options, with one of 77 workers.

--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -14,6 +14,8 @@
 import {getQueueLevels, type QueueLevel} from './policy/admission-level.js';
 import {runPlacementRound} from './policy/placement-round.js';
 import {RunSupervision} from './policy/run-supervision.js';
+import {WorkerChoice} from './policy/worker-choice.js';
+import {WorkerOutlooks} from './policy/worker-outlook.js';
 import {ProgressJournal} from './progress-journal.js';
 import {RecoveryBarrier} from './recovery-barrier.js';
 import {RunOrders} from './run-orders.js';
@@ -33,6 +35,7 @@
   private readonly barrier = new RecoveryBarrier();
   private readonly orders: RunOrders;
   private readonly interference = new Interference();
+  private readonly outlooks = new WorkerOutlooks(this.interference);
   private readonly supervision: RunSupervision;
   private readonly ends: SubmissionEnds;
   private readonly reports: WorkerReports;
@@ -42,7 +45,7 @@
     this.state = new DispatchState({...defaultDispatchTiming, ...timing});
     this.journal = new ProgressJournal(this.state, () => this.barrier.entries);
     this.orders = new RunOrders(this.state);
-    this.supervision = new RunSupervision(this.state, this.orders, this.interference);
+    this.supervision = new RunSupervision(this.state, this.orders, at => this.createChoice(at));
     this.ends = new SubmissionEnds(this.state, this.orders, this.journal);
     this.reports = new WorkerReports({
       state: this.state,
@@ -51,7 +54,7 @@
       orders: this.orders,
       supervision: this.supervision,
       ends: this.ends,
-      pacing: new FillerPacing(this.state, this.orders, this.interference),
+      pacing: new FillerPacing(this.state, this.orders, this.interference, this.outlooks),
     });
   }
 
@@ -218,11 +221,15 @@
     if (this.isRecovering && this.barrier.isOpen(at)) this.finishRecovery(at);
     if (state.isRoundDue) {
       state.isRoundDue = false;
-      runPlacementRound(state, this.orders, this.interference, at);
+      runPlacementRound(state, this.orders, this.createChoice(at), at);
     }
     this.journal.flush(at);
   }
 
+  private createChoice(at: number): WorkerChoice {
+    return new WorkerChoice(this.state, this.interference, this.outlooks, at);
+  }
+
   private finishRecovery(at: number): void {
     const {state} = this;
     this.isRecovering = false;
--- a/packages/coordination/src/dispatch/policy/filler-pacing.ts
+++ b/packages/coordination/src/dispatch/policy/filler-pacing.ts
@@ -1,4 +1,3 @@
-import {getEstimateMs, type Step} from '../../submissions/index.js';
 import type {DispatchState} from '../dispatch-state.js';
 import type {RunOrders} from '../run-orders.js';
 import type {Run} from '../task.js';
@@ -9,6 +8,7 @@
   type Interference,
   type ServingGroup,
 } from './interference.js';
+import type {WorkerOutlooks} from './worker-outlook.js';
 
 /** Limits of `FillerPacing`. */
 export interface FillerPacingOptions {
@@ -44,6 +44,7 @@
     private readonly state: DispatchState,
     private readonly orders: RunOrders,
     private readonly interference: Interference,
+    private readonly outlooks: WorkerOutlooks,
     options: Partial<FillerPacingOptions> = {},
   ) {
     this.options = {...defaultOptions, ...options};
@@ -110,46 +111,10 @@
     for (const worker of this.state.workers.values()) {
       if (worker === run.worker || !worker.isOpen(at, this.state.timing.unreachableMs)) continue;
       if (worker.description.service !== run.worker.description.service) continue;
-      if (getUnusedCores(this.interference, worker, at) < need.processors) continue;
-      if (getTakenShare(this.interference, worker, run.task.step, at) <= 1) return true;
+      const outlook = this.outlooks.get(worker, at);
+      if (outlook.unusedCores < need.processors) continue;
+      if (outlook.getTakenShare(run.task.step) <= 1) return true;
     }
     return false;
   }
 }
-
-/**
- * Returns the largest part of what the serving tasks of a worker still bear that a filling task would take;
- * 0 on a worker without serving tasks, above 1 where it would have to be paced down.
- */
-export function getTakenShare(
-  interference: Interference,
-  worker: WorkerView,
-  step: Step,
-  at: number,
-): number {
-  const filling = {share: step.need.processors / worker.capacity.processors, image: step.image};
-  const durationMs = getEstimateMs(step);
-  let taken = 0;
-  for (const group of getServingGroups(worker)) {
-    if (group.tailMs >= group.targetMs * crowdedShare) return Number.POSITIVE_INFINITY;
-    const budget = interference.getLastingBudget(group, durationMs, at);
-    const left = budget - interference.getPressureOn(worker, group, at);
-    const pressure = interference.getPressure(group, filling, at);
-    taken = Math.max(taken, left > 0 ? pressure / left : Number.POSITIVE_INFINITY);
-  }
-  return taken;
-}
-
-/** Part of its target from which a serving task bears nothing more, whatever its load is thought to be. */
-const crowdedShare = 0.8;
-
-/** Processors of a worker that nothing is expected to use. */
-export function getUnusedCores(interference: Interference, worker: WorkerView, at: number): number {
-  let unused = worker.capacity.processors - worker.used.processors;
-  for (const run of worker.runs.values()) {
-    const {lasting, fills, need} = run.task.step;
-    if (fills) unused -= (need.processors * run.pace) / 100;
-    else if (lasting) unused += need.processors * (1 - interference.getUse(run, at));
-  }
-  return unused;
-}
--- a/packages/coordination/src/dispatch/policy/placement-round.ts
+++ b/packages/coordination/src/dispatch/policy/placement-round.ts
@@ -2,18 +2,16 @@
 import type {DispatchState} from '../dispatch-state.js';
 import type {RunOrders} from '../run-orders.js';
 import type {WorkerView} from '../worker-view.js';
-import type {Interference} from './interference.js';
 import {orderCandidates, type Candidate} from './submission-order.js';
-import {WorkerChoice} from './worker-choice.js';
+import type {WorkerChoice} from './worker-choice.js';
 
 /** Starts everything that may start now and has room, in the order of `orderCandidates`. */
 export function runPlacementRound(
   state: DispatchState,
   orders: RunOrders,
-  interference: Interference,
+  choice: WorkerChoice,
   at: number,
 ): void {
-  const choice = new WorkerChoice(state, interference, at);
   if (choice.size === 0) return;
   for (const candidate of orderCandidates(state, at)) {
     for (const group of candidate.occurrence.getOpenSteps()) {
@@ -36,6 +34,7 @@
     // Tasks of a step need the same room; only what they avoid differs.
     if (worker === undefined) return;
     orders.start(task, worker, at);
+    choice.notePlaced(worker);
   }
 }
 
--- a/packages/coordination/src/dispatch/policy/run-supervision.ts
+++ b/packages/coordination/src/dispatch/policy/run-supervision.ts
@@ -3,8 +3,7 @@
 import type {RunOrders} from '../run-orders.js';
 import type {Run} from '../task.js';
 import type {WorkerView} from '../worker-view.js';
-import type {Interference} from './interference.js';
-import {WorkerChoice} from './worker-choice.js';
+import type {WorkerChoice} from './worker-choice.js';
 
 /** Time in milliseconds without progress, on a worker that reports, after which a run stands still. */
 const stallMs = 2_000;
@@ -35,7 +34,7 @@
   constructor(
     private readonly state: DispatchState,
     private readonly orders: RunOrders,
-    private readonly interference: Interference,
+    private readonly createChoice: (at: number) => WorkerChoice,
   ) {}
 
   /** Records the run time of a finished run. */
@@ -57,7 +56,7 @@
   check(at: number): void {
     if (at - this.checkedAt < checkMs) return;
     this.checkedAt = at;
-    const choice = new WorkerChoice(this.state, this.interference, at);
+    const choice = this.createChoice(at);
     for (const worker of this.state.workers.values()) {
       worker.slowness += ((1 - worker.slowness) * slownessDecay * checkMs) / 1000;
       if (!worker.isConnected || at - worker.heardAt >= this.state.timing.unreachableMs) continue;
--- a/packages/coordination/src/dispatch/policy/worker-choice.ts
+++ b/packages/coordination/src/dispatch/policy/worker-choice.ts
@@ -1,9 +1,10 @@
+import type {Step} from '../../submissions/index.js';
 import type {StepTasks} from '../active-submission.js';
 import type {DispatchState} from '../dispatch-state.js';
 import type {Task} from '../task.js';
 import type {WorkerView} from '../worker-view.js';
-import {getTakenShare, getUnusedCores} from './filler-pacing.js';
-import {getFillers, getServingGroups, type Interference} from './interference.js';
+import type {Interference} from './interference.js';
+import {getPairKey, type WorkerOutlook, type WorkerOutlooks} from './worker-outlook.js';
 
 /** Rounding error of sums of cores. */
 const coreTolerance = 1e-6;
@@ -39,13 +40,17 @@
 /** Chooses workers for tasks. It answers scattered free room, slow and failing workers, and interference. */
 export class WorkerChoice {
   private readonly open: WorkerView[];
+  /** Pairs of images that are being tried somewhere. */
+  private readonly triedPairs = new Set<string>();
 
   constructor(
     private readonly state: DispatchState,
     private readonly interference: Interference,
+    private readonly outlooks: WorkerOutlooks,
     private readonly at: number,
   ) {
     const {unreachableMs} = state.timing;
+    for (const worker of state.workers.values()) this.noteTrials(worker);
     this.open = [...state.workers.values()].filter(worker => {
       if (!worker.isOpen(at, unreachableMs) || worker.health.isSuspended(at)) return false;
       return !worker.health.isOnProbation(at) || !hasPassingRuns(worker);
@@ -57,6 +62,11 @@
     return this.open.length;
   }
 
+  /** Notes that a task was placed on a worker. */
+  notePlaced(worker: WorkerView): void {
+    this.noteTrials(worker);
+  }
+
   /** Returns the best worker for a task, or undefined when none has room. */
   choose(task: Task, group: StepTasks, priority: number): WorkerView | undefined {
     let best: WorkerView | undefined;
@@ -82,10 +92,10 @@
     if (used.accelerators + step.need.accelerators > capacity.accelerators) return false;
     const free = capacity.processors - used.processors + coreTolerance;
     if (step.fills) {
-      const unused = getUnusedCores(this.interference, worker, this.at);
-      if (unused < step.need.processors * fillShare) return false;
-      const taken = getTakenShare(this.interference, worker, step, this.at);
-      if (taken > 1 || this.isBeingTried(worker, step.image)) return false;
+      const outlook = this.outlooks.get(worker, this.at);
+      if (outlook.unusedCores < step.need.processors * fillShare) return false;
+      if (outlook.getTakenShare(step) > 1) return false;
+      if (this.isBeingTried(outlook, step.image)) return false;
     } else {
       const isReserved = priority > 0 || step.lasting;
       const reserve = isReserved ? capacity.processors * urgentReserve : 0;
@@ -98,15 +108,16 @@
   }
 
   /** An unknown pair of images is tried by one task at a time, so that a bad one harms few serving tasks. */
-  private isBeingTried(worker: WorkerView, filling: string | undefined): boolean {
-    for (const {image} of getServingGroups(worker)) {
-      if (this.interference.isKnown(image, filling, this.at)) continue;
-      for (const other of this.state.workers.values()) {
-        const isTrying = getFillers(other).some(run => run.task.step.image === filling);
-        if (isTrying && getServingGroups(other).some(group => group.image === image)) return true;
-      }
-    }
-    return false;
+  private isBeingTried(outlook: WorkerOutlook, filling: string | undefined): boolean {
+    return outlook.groups.some(
+      ({image}) =>
+        this.triedPairs.has(getPairKey(image, filling)) &&
+        !this.interference.isKnown(image, filling, this.at),
+    );
+  }
+
+  private noteTrials(worker: WorkerView): void {
+    for (const pair of this.outlooks.get(worker, this.at).triedPairs) this.triedPairs.add(pair);
   }
 
   private getCost(worker: WorkerView, task: Task, group: StepTasks): number {
@@ -118,24 +129,26 @@
     cost += Math.max(0, worker.slowness - 1) * costs.slowness;
     if (step.rack !== undefined && step.rack !== worker.description.rack) cost += costs.otherRack;
     if (step.sameRack && !isOnRackOf(worker, group)) cost += costs.otherRack;
-    const groups = getServingGroups(worker);
-    const serving = groups.length;
     const free = (processors - worker.used.processors) / Math.max(1, processors);
-    if (step.fills) {
-      cost -= getUnusedCores(this.interference, worker, this.at) / Math.max(1, processors);
-      if (serving === 0) return cost;
-      const taken = getTakenShare(this.interference, worker, step, this.at);
-      return cost + costs.besideServing * (1 + taken);
-    }
-    if (step.lasting) {
-      if (step.tailTargetMs !== undefined) cost += getFillers(worker).length * costs.besideFills;
-      if (serving === 0) cost += costs.firstServing;
+    if (step.fills || step.lasting) {
+      const outlook = this.outlooks.get(worker, this.at);
+      if (step.fills) return cost + getFillingCost(worker, outlook, step);
+      if (step.tailTargetMs !== undefined) cost += outlook.fillers.length * costs.besideFills;
+      const {groups} = outlook;
+      if (groups.length === 0) cost += costs.firstServing;
       else if (!groups.some(group => group.image === step.image)) cost += costs.otherImage;
     }
     return cost + free * costs.free;
   }
 }
 
+/** Cost of a place for a filling task: little is unused, or serving tasks beside it bear little. */
+function getFillingCost(worker: WorkerView, outlook: WorkerOutlook, step: Step): number {
+  const cost = -outlook.unusedCores / Math.max(1, worker.capacity.processors);
+  if (outlook.groups.length === 0) return cost;
+  return cost + costs.besideServing * (1 + outlook.getTakenShare(step));
+}
+
 /** Whether a worker runs tasks that end by themselves; on probation it gets one of them at a time. */
 function hasPassingRuns(worker: WorkerView): boolean {
   for (const run of worker.runs.values()) if (!run.task.step.lasting) return true;
--- a/packages/coordination/src/dispatch/run-orders.ts
+++ b/packages/coordination/src/dispatch/run-orders.ts
@@ -98,6 +98,7 @@
   pace(run: Run, percent: number, reason: string): void {
     const {state} = this;
     run.pace = percent;
+    run.worker.changes += 1;
     state.count('runs_paced');
     state.log({
       event: 'run-paced',
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -153,6 +153,7 @@
     }
     if (!worker.isFenced) this.fence(worker, listed, at);
     barrier.account(worker.life);
+    worker.changes += 1;
     pacing.check(worker, at);
   }
 
--- a/packages/coordination/src/dispatch/worker-view.ts
+++ b/packages/coordination/src/dispatch/worker-view.ts
@@ -30,6 +30,8 @@
   isListed = false;
   /** Whether a message that the worker is unreachable was logged. */
   isSilent = false;
+  /** Rises with each change of the runs, their pace or their measurements. */
+  changes = 0;
   /** Time before which the worker gets nothing because it refused. */
   blockedUntil = Number.NEGATIVE_INFINITY;
   /** Time of the newest lease message. */
@@ -110,12 +112,15 @@
   /** Adds a run and its resources. */
   add(run: Run): void {
     this.runs.set(getRunKey(run.task.name, run.number), run);
+    this.changes += 1;
     this.reserve(run.task.step, 1);
   }
 
   /** Removes a run and its resources. */
   remove(run: Run): void {
-    if (this.runs.delete(getRunKey(run.task.name, run.number))) this.reserve(run.task.step, -1);
+    if (!this.runs.delete(getRunKey(run.task.name, run.number))) return;
+    this.changes += 1;
+    this.reserve(run.task.step, -1);
   }
 
   /** Returns a run by task name and number. */
--- a/packages/coordination/test/dispatch/fleet/shared-load.ts
+++ b/packages/coordination/test/dispatch/fleet/shared-load.ts
@@ -81,8 +81,52 @@
   readonly atWork: number;
 }
 
-/** Plays 40 s of a fleet of eleven workers whose cores are nearly all reserved by serving tasks. */
-export function playSharedLoad(seed: number, batchesPerSecond = 1, burst = 1): LoadResult {
+/** Load that `playSharedLoad` plays. */
+export interface LoadOptions {
+  readonly workers: number;
+  readonly batchesPerSecond: number;
+  /** Multiple of the batches for six seconds in the middle. */
+  readonly burst: number;
+  readonly quickPerSecond: number;
+  /** Mean numbers of tasks of a step. */
+  readonly batchTasks: number;
+  readonly quickTasks: number;
+  /** Serving submissions, mean number of their tasks, and numbers of images. */
+  readonly watches: number;
+  readonly watchTasks: number;
+  readonly servingImages: number;
+  readonly fillingImages: number;
+}
+
+const defaultLoad: LoadOptions = {
+  workers: 11,
+  batchesPerSecond: 1,
+  burst: 1,
+  quickPerSecond: 3,
+  batchTasks: 8,
+  quickTasks: 6,
+  watches: 9,
+  watchTasks: 5,
+  servingImages: 5,
+  fillingImages: 9,
+};
+
+/** A fleet of seven times as many workers. */
+export const grownLoad: Partial<LoadOptions> = {
+  workers: 77,
+  batchesPerSecond: 1.8,
+  quickPerSecond: 7,
+  batchTasks: 20,
+  quickTasks: 10,
+  watches: 26,
+  watchTasks: 13,
+  servingImages: 10,
+  fillingImages: 18,
+};
+
+/** Plays 40 s of a fleet whose cores are nearly all reserved by serving tasks. */
+export function playSharedLoad(seed: number, options: Partial<LoadOptions> = {}): LoadResult {
+  const load = {...defaultLoad, ...options};
   const random = new SeededRandom(seed);
   const targetMs = 50;
   const pressures = new Map<string, number>();
@@ -91,11 +135,11 @@
   const fleet = new VirtualFleet({
     seed,
     queues: Object.values(sharedQueues),
-    workers: Array.from({length: 11}, (_, index) => ({
+    workers: Array.from({length: load.workers}, (_, index) => ({
       agent: `w${index}`,
       life: `life-${index}`,
       cores: index % 4 === 3 ? 24 : 16,
-      rack: `r${index % 4}`,
+      rack: `r${index % Math.ceil(load.workers / 3)}`,
     })),
     getNature: (task, submission) => {
       const index = Number(task.split('.')[2]);
@@ -159,10 +203,10 @@
   const submitWatch = () =>
     submit('watch', [
       createStep({
-        count: pick(8, 5, 0.3),
+        count: pick(load.watchTasks * 1.6, load.watchTasks, 0.3),
         cores: Math.round(random.between(2.4, 4.8) * 20) / 20,
         lasting: true,
-        image: `s${Math.floor(random.next() * 5)}`,
+        image: `s${Math.floor(random.next() * load.servingImages)}`,
         tailTargetMs: targetMs,
         need: {
           processors: Math.round(random.between(2.4, 4.8) * 20) / 20,
@@ -178,12 +222,12 @@
       createStep({...fields(), after: index > 0 ? [index - 1] : []}),
     );
   const submitBatch = () => {
-    const image = `f${Math.floor(random.next() * 9)}`;
+    const image = `f${Math.floor(random.next() * load.fillingImages)}`;
     submit(
       'batch',
       createSteps(
         () => ({
-          count: pick(32, 8, 0.6),
+          count: pick(load.batchTasks * 4, load.batchTasks, 0.6),
           cores: Math.round(random.between(1.2, 2.4) * 20) / 20,
           estimatedMs: Math.round(random.between(600, 4_200)),
           fills: true,
@@ -199,7 +243,7 @@
       'quick',
       createSteps(
         () => ({
-          count: pick(30, 6, 0.8),
+          count: pick(load.quickTasks * 5, load.quickTasks, 0.8),
           cores: Math.round(random.between(0.1, 0.4) * 20) / 20,
           estimatedMs: Math.round(random.between(300, 2_500)),
         }),
@@ -227,16 +271,16 @@
       }
     }
   };
-  for (let watch = 0; watch < 9; watch += 1) {
+  for (let watch = 0; watch < load.watches; watch += 1) {
     submitWatch();
-    fleet.run(fleet.now + 500);
+    fleet.run(fleet.now + 4_500 / load.watches);
   }
   let batchCredit = 0;
   let quickCredit = 0;
   for (let second = 8; second < 48; second += 0.25) {
-    const factor = second > 20 && second < 26 ? burst : 1;
-    batchCredit += 0.25 * batchesPerSecond * factor * random.between(0.5, 1.5);
-    quickCredit += 0.25 * 3 * random.between(0.5, 1.5);
+    const factor = second > 20 && second < 26 ? load.burst : 1;
+    batchCredit += 0.25 * load.batchesPerSecond * factor * random.between(0.5, 1.5);
+    quickCredit += 0.25 * load.quickPerSecond * random.between(0.5, 1.5);
     for (; batchCredit >= 1; batchCredit -= 1) submitBatch();
     for (; quickCredit >= 1; quickCredit -= 1) submitQuick();
     sendReturned();
--- a/packages/coordination/test/dispatch/shared-load.test.ts
+++ b/packages/coordination/test/dispatch/shared-load.test.ts
@@ -6,7 +6,7 @@
 
 for (const seed of [1, 2, 3]) {
   void t.test(`filling work does not harm serving tasks for long, seed ${seed}`, async t => {
-    const result = playSharedLoad(seed, 0.8, 2.2);
+    const result = playSharedLoad(seed, {batchesPerSecond: 0.8, burst: 2.2});
     t.ok(result.longestOverMs < longestHarmMs, `${result.longestOverMs} ms above the target`);
     t.ok(result.atWork > 0.99, 'serving tasks are left at work');
     t.ok(result.overTarget < 0.02, `${result.overTarget} of the time above the target`);
@@ -14,13 +14,13 @@
 }
 
 const loads = [
-  {name: 'a load that the fleet carries', rate: 0.5, burst: 1, batchesInTime: 0.8},
-  {name: 'a flood of batches', rate: 0.8, burst: 2.2, batchesInTime: 0.4},
+  {name: 'a load that the fleet carries', batchesPerSecond: 0.5, burst: 1, batchesInTime: 0.8},
+  {name: 'a flood of batches', batchesPerSecond: 0.8, burst: 2.2, batchesInTime: 0.4},
 ] as const;
 
-for (const {name, rate, burst, batchesInTime} of loads) {
+for (const {name, batchesInTime, ...load} of loads) {
   void t.test(`batches beside serving tasks end in time under ${name}`, async t => {
-    const results = [4, 5, 6].map(seed => playSharedLoad(seed, rate, burst));
+    const results = [4, 5, 6].map(seed => playSharedLoad(seed, load));
     const inTime = results.reduce((sum, result) => sum + result.batchesInTime, 0) / 3;
     const quick = Math.min(...results.map(result => result.quickInTime));
     t.ok(inTime >= batchesInTime, `${inTime} of the batches in time`);
