Play the real programs under faults from outside, and keep runs of reborn workers apart

Runs that a former life has not listed are looked for on the next one; agents tell nothing of lists of another life. WorkerOrders is split from AgentNode. Processes may listen where a forwarder stands in between.

--- a/packages/coordination/src/dispatch/order-results.ts
+++ b/packages/coordination/src/dispatch/order-results.ts
@@ -27,7 +27,6 @@
       case 'accepted':
         if (run.state !== 'starting') return;
         run.state = 'running';
-        run.isConfirmed = true;
         run.task.submission.hasStarted = true;
         this.state.observe('run_start', at - run.startedAt);
         return;
--- a/packages/coordination/src/dispatch/task.ts
+++ b/packages/coordination/src/dispatch/task.ts
@@ -23,8 +23,8 @@
   order = 0;
   /** Time at which the newest order was sent. */
   orderedAt: number;
-  /** Whether a worker has listed or acknowledged the run. */
-  isConfirmed = false;
+  /** Whether this life of the worker has listed the run. */
+  isListed = false;
 
   constructor(
     readonly task: Task,
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -88,14 +88,14 @@
       this.update(known, description, at);
       return;
     }
-    const unanswered = known ? [...known.runs.values()].filter(run => !run.isConfirmed) : [];
+    const unlisted = known ? [...known.runs.values()].filter(run => !run.isListed) : [];
     if (known) this.drop(known, 'replaced');
     barrier.replace(agent, description.life);
     const worker = new WorkerView(agent, description, at);
     worker.isListed = journal.isListed(description.life);
     state.workers.set(agent, worker);
     this.setLeaving(worker, description, at);
-    for (const run of unanswered) this.carryOver(run, worker, at);
+    for (const run of unlisted) this.carryOver(run, worker, at);
     journal.changeRoster();
     state.log({
       event: 'worker-up',
@@ -107,7 +107,10 @@
     });
   }
 
-  /** An order without an answer may reach the next life of its worker, so the run is barred there as well. */
+  /**
+   * A worker that starts again may keep its id, and then carries out orders for its former life, also after it has
+   * answered one. A run that the former life has not listed is looked for on the next one, and barred there.
+   */
   private carryOver(run: Run, worker: WorkerView, at: number): void {
     const next = new Run(run.task, run.number, worker, at);
     run.task.runs.push(next);
@@ -176,7 +179,7 @@
     if (run.state === 'starting') run.state = 'running';
     // The order took effect after all; the run is as good as any other.
     else if (run.state === 'unresolved') run.state = 'stopping';
-    run.isConfirmed = true;
+    run.isListed = true;
     run.task.submission.hasStarted = true;
     if (percent !== run.percent || run.task.step.lasting) {
       if (percent !== run.percent) run.progressAt = at;
--- a/packages/coordination/test/dispatch/dispatcher.test.ts
+++ b/packages/coordination/test/dispatch/dispatcher.test.ts
@@ -274,3 +274,25 @@
   t.equal(getStarts(fleet, `${id}.0.0.0`), 0, 'nothing is started');
   t.equal(fleet.dispatcher.getStatus(id), 'cancelled');
 });
+
+void t.test(
+  'a run that the next life of a worker has accepted is not started elsewhere',
+  async t => {
+    const fleet = createFleet();
+    watchRuns(t, fleet);
+    for (const worker of fleet.workers.values()) worker.isMute = true;
+    fleet.submit(createSubmission(id, queue.key, [createStep({count: 1, estimatedMs: 3_000})]));
+    fleet.run(100);
+    const [sent] = fleet.undelivered;
+    if (sent === undefined) throw new Error('no order was sent');
+    const {agent, order} = sent;
+    const outcome = {kind: 'accepted'} as const;
+    // The worker keeps its id, so its next life takes orders that were meant for the former one.
+    fleet.post({kind: 'message', agent, message: {kind: 'result', order: order.order, outcome}});
+    for (const worker of fleet.workers.values()) worker.isMute = false;
+    fleet.replace(agent, 'next-life', next => next.start(order, fleet.now));
+    fleet.run(5_000);
+    t.equal(getStarts(fleet, `${id}.0.0.0`), 1, 'the run goes on');
+    t.equal(fleet.progress.get(id)?.final, 'completed');
+  },
+);
--- a/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
@@ -163,15 +163,22 @@
         },
       },
     });
+    // The first list comes in a message of its own, and decisions are taken before it.
+    this.post({kind: 'settle'});
     this.report(worker);
   }
 
-  /** Replaces a worker by a new life of it. */
-  replace(agent: string, life: string): VirtualWorker {
+  /** Replaces a worker by a new life of it; `prepare` acts on the new life before anybody hears of it. */
+  replace(
+    agent: string,
+    life: string,
+    prepare: (worker: VirtualWorker) => void = () => {},
+  ): VirtualWorker {
     const known = this.workers.get(agent);
     if (known === undefined) throw new RangeError(`no worker of ${agent}`);
     const worker = new VirtualWorker({...known.options, life}, this.world);
     this.workers.set(agent, worker);
+    prepare(worker);
     this.connect(worker);
     return worker;
   }
--- a/packages/runtime/src/dispatch/agent-node.ts
+++ b/packages/runtime/src/dispatch/agent-node.ts
@@ -1,17 +1,18 @@
-import type {
-  AgentMessage,
-  Clock,
-  EndRow,
-  OrderOutcome,
-  OwnerMessage,
-  RunRow,
-  WorkerDescription,
+import {
+  type AgentMessage,
+  type Clock,
+  type EndRow,
+  getWorkerLife,
+  type OwnerMessage,
+  type RunRow,
+  type WorkerDescription,
 } from '@chervilbeam/coordination';
 import type {Metrics} from '../metrics/index.js';
 import type {DecisionLogger} from './decision-logger.js';
 import {dialLink, type Link, type LinkDialer} from './link.js';
 import {OwnerSearch} from './owner-search.js';
 import type {RecordStore} from './record-store.js';
+import {WorkerOrders} from './worker-orders.js';
 import type {HoldReply, WorkerPort} from './worker-port.js';
 
 /** Longest time in milliseconds that one renewal waits for an end; reports come at least this often. */
@@ -26,8 +27,6 @@
 const askMs = 700;
 /** Redirections that are followed at once; entries that disagree on the owner may send an agent in circles. */
 const maxRedirections = 2;
-/** Time in milliseconds for which a stop is repeated before its result counts as unknown. */
-const stopLimitMs = 2_500;
 
 /** Options of `AgentNode`. */
 export interface AgentNodeOptions {
@@ -50,6 +49,7 @@
 /** An agent: carries the owner's orders to the worker beside it and tells the owner what the worker runs. */
 export class AgentNode {
   private readonly search: OwnerSearch;
+  private readonly orders: WorkerOrders;
   private link: OwnerLink | undefined;
   private linkAddress = '';
   private dialledAt = 0;
@@ -57,6 +57,8 @@
   private isWelcome = false;
   private term = 0;
   private worker: WorkerDescription | undefined;
+  /** Whether another life of the worker answers under its id, of which no heartbeat has come yet. */
+  private isReplaced = false;
   private deadlineMs: number | undefined;
   private acknowledged = 0;
   /** Highest end that was sent on the present link. */
@@ -73,6 +75,16 @@
       onOwner: (address, term) => this.approachOwner(address, term),
       onEntry: address => this.askEntry(address),
     });
+    this.orders = new WorkerOrders({
+      ...options,
+      getState: () => ({
+        worker: this.worker,
+        isReplaced: this.isReplaced,
+        term: this.term,
+        acknowledged: this.acknowledged,
+      }),
+      finish: (order, outcome) => this.send({kind: 'result', order, outcome}),
+    });
   }
 
   /** Starts to look for the owner. */
@@ -93,6 +105,7 @@
     const former = this.worker;
     this.worker = worker;
     if (former?.life !== worker.life) {
+      this.isReplaced = false;
       this.deadlineMs = undefined;
       this.acknowledged = 0;
       this.sentEnd = 0;
@@ -180,15 +193,16 @@
         return this.redirect(link, message.address, message.entries);
       case 'lease':
         if (message.life !== this.worker?.life || message.term !== this.term) return;
+        if (this.isReplaced) return;
         this.deadlineMs = Math.max(this.deadlineMs ?? 0, message.deadlineMs);
         this.acknowledged = Math.max(this.acknowledged, message.acknowledged);
         return;
       case 'start':
-        return void this.startRun(message);
+        return void this.orders.start(message);
       case 'stop':
-        return void this.stopRun(message);
+        return void this.orders.stop(message);
       case 'pace':
-        return void this.pace(message);
+        return void this.orders.pace(message);
     }
   }
 
@@ -239,13 +253,24 @@
         ...(!isFirst && {waitMs: holdWaitMs}),
       });
       if (this.holdGeneration !== generation || this.worker?.life !== worker.life) return;
-      if (reply.kind === 'listed') {
+      if (reply.kind === 'listed' && isOfLife(reply, worker)) {
         isFirst = false;
         this.takeList(worker, term, reply);
-      } else if (!(await this.takeFailure(reply))) return;
+      } else {
+        const failure = reply.kind === 'listed' ? this.noteReplaced() : reply;
+        if (!(await this.takeFailure(failure))) return;
+      }
     }
   }
 
+  /** A worker has started again under its id: what was agreed with its former life does not hold for it. */
+  private noteReplaced(): {readonly kind: 'other-life'} {
+    this.isReplaced = true;
+    this.deadlineMs = undefined;
+    this.acknowledged = 0;
+    return {kind: 'other-life'};
+  }
+
   /** Returns whether renewals go on. */
   private async takeFailure(reply: Exclude<HoldReply, {kind: 'listed'}>): Promise<boolean> {
     const {log, metrics} = this.options;
@@ -294,95 +319,12 @@
       ...running,
     });
   }
+}
 
-  private async startRun(order: Extract<OwnerMessage, {kind: 'start'}>): Promise<void> {
-    const refusal = this.getRefusal(order.life, order.term);
-    if (refusal !== undefined) {
-      this.finish(order.order, refusal);
-      return;
-    }
-    const {worker} = this;
-    if (worker?.state === 'draining') {
-      this.finish(order.order, {kind: 'refused', reason: 'draining'});
-      return;
-    }
-    const id = worker?.id ?? '';
-    const reply = await this.options.worker.start(id, {
-      task: order.task,
-      run: order.run,
-      spec: order.spec,
-      deadlineMs: order.deadlineMs,
-      token: order.term,
-      ...(order.checkpoint !== undefined && {checkpoint: order.checkpoint}),
-      ...(order.ticket !== undefined && {ticket: order.ticket}),
-    });
-    this.logOrder('start', order.task, order.run, reply.outcome);
-    this.finish(order.order, reply.outcome);
-  }
-
-  /** Stops a run and finds out whether the worker still lists it. */
-  private async stopRun(order: Extract<OwnerMessage, {kind: 'stop'}>): Promise<void> {
-    const refusal = this.getRefusal(order.life, order.term);
-    if (refusal !== undefined) {
-      this.finish(order.order, refusal);
-      return;
-    }
-    const {task, run, term} = order;
-    const id = this.worker?.id ?? '';
-    const startedAt = this.options.clock.now();
-    let outcome: OrderOutcome = {kind: 'unknown'};
-    while (outcome.kind === 'unknown' && this.options.clock.now() - startedAt < stopLimitMs) {
-      outcome = (await this.options.worker.stop(id, task, run, term)).outcome;
-      if (outcome.kind === 'unknown') await delay(workerRetryMs);
-    }
-    if (outcome.kind === 'accepted') outcome = await this.checkListed(id, task, run, term);
-    this.logOrder('stop', task, run, outcome);
-    this.finish(order.order, outcome);
-  }
-
-  private async checkListed(
-    id: string,
-    task: string,
-    run: number,
-    token: number,
-  ): Promise<OrderOutcome> {
-    const {acknowledged} = this;
-    const reply = await this.options.worker.hold(id, {token, acknowledged});
-    if (reply.kind !== 'listed') return {kind: 'unknown'};
-    const isRunning = reply.running.some(row => row[0] === task && row[1] === run);
-    const isEnded = reply.ends.some(end => end[1] === task && end[2] === run);
-    return {kind: 'stopped', listed: isRunning || isEnded};
-  }
-
-  private async pace(order: Extract<OwnerMessage, {kind: 'pace'}>): Promise<void> {
-    if (this.getRefusal(order.life, order.term) !== undefined) return;
-    const {task, run, percent, term} = order;
-    const reply = await this.options.worker.pace(this.worker?.id ?? '', task, run, percent, term);
-    this.logOrder('pace', task, run, reply.outcome);
-  }
-
-  private getRefusal(life: string, term: number): OrderOutcome | undefined {
-    if (term < this.term) return {kind: 'refused', reason: 'fenced'};
-    if (this.worker?.life !== life) return {kind: 'refused', reason: 'other-life'};
-    return undefined;
-  }
-
-  private finish(order: number, outcome: OrderOutcome): void {
-    this.send({kind: 'result', order, outcome});
-  }
-
-  private logOrder(order: string, task: string, run: number, outcome: OrderOutcome): void {
-    const {log, metrics} = this.options;
-    metrics.count(`orders_${order}_${outcome.kind}`);
-    log.log(`order-${order}`, {
-      task,
-      run,
-      worker: this.worker?.life,
-      outcome: outcome.kind,
-      ...(outcome.kind === 'refused' && {reason: outcome.reason}),
-      term: this.term,
-    });
-  }
+/** Whether lists are those of a life of the worker; an older worker does not tell when it started. */
+function isOfLife(reply: Extract<HoldReply, {kind: 'listed'}>, worker: WorkerDescription): boolean {
+  const {startedAtMs} = reply;
+  return startedAtMs === undefined || getWorkerLife(worker.id, startedAtMs) === worker.life;
 }
 
 function delay(ms: number): Promise<void> {
--- a/packages/runtime/src/dispatch/entry-node.ts
+++ b/packages/runtime/src/dispatch/entry-node.ts
@@ -16,7 +16,10 @@
 const levelsMs = 300;
 
 /** Options of `EntryNode`: those of its `OwnerProcess` without what the entry itself provides. */
-export type EntryNodeOptions = Omit<OwnerProcessOptions, 'onOwner' | 'onOwnership'>;
+export interface EntryNodeOptions extends Omit<OwnerProcessOptions, 'onOwner' | 'onOwnership'> {
+  /** Address on which it listens, where others reach it at another one. */
+  readonly listenAddress?: string;
+}
 
 type PeerLink = Link<EntryRequest | AgentMessage, EntryResponse | OwnerMessage>;
 
@@ -66,7 +69,8 @@
 
   /** Listens for other processes and competes for the ownership. */
   async start(): Promise<void> {
-    this.server = await listenForLinks(this.options.address, socket => this.accept(socket));
+    const {address, listenAddress = address} = this.options;
+    this.server = await listenForLinks(listenAddress, socket => this.accept(socket));
     this.owner.start();
     this.peers.start();
     this.levelsTimer = setInterval(() => this.tellLevels(), levelsMs);
--- a/packages/runtime/test/dispatch/agent-node.test.ts
+++ b/packages/runtime/test/dispatch/agent-node.test.ts
@@ -1,4 +1,4 @@
-import type {AgentMessage, OwnerMessage} from '@chervilbeam/coordination';
+import type {AgentMessage, OwnerMessage, WorkerDescription} from '@chervilbeam/coordination';
 import t from 'tap';
 import {
   AgentNode,
@@ -22,7 +22,7 @@
     readonly handlers: LinkHandlers<OwnerMessage>,
   ) {}
 
-  send(): void {}
+  send: (message: AgentMessage) => void = () => {};
 
   end(): void {
     this.isEnded = true;
@@ -35,14 +35,31 @@
 
 const silentWorker = {} as WorkerPort;
 
-function createAgent(store: MemoryStore, seeds: readonly string[] = []) {
+function createDescription(life: string): WorkerDescription {
+  return {
+    life,
+    id: life.slice(0, life.indexOf('@')),
+    service: 'service',
+    dataCentre: 'dc',
+    rack: 'r',
+    labels: [],
+    capacity: {processors: 1, memoryMb: 1, accelerators: 0, slots: 0},
+    state: 'ready',
+  };
+}
+
+function createAgent(
+  store: MemoryStore,
+  seeds: readonly string[] = [],
+  worker: WorkerPort = silentWorker,
+) {
   const links: SilentLink[] = [];
   const agent = new AgentNode({
     name: 'agent',
     dataCentre: 'dc',
     incarnation: 1,
     store,
-    worker: silentWorker,
+    worker,
     clock: new SystemClock(),
     log: createTestLog().log,
     metrics: new Metrics(),
@@ -111,3 +128,32 @@
   t.equal(links.length, 3, 'two redirections are followed at once');
   agent.stop();
 });
+
+void t.test(
+  'lists of another life of the worker are not told as those of the known one',
+  async t => {
+    const store = new MemoryStore();
+    claim(store, '10.0.0.1:1');
+    let holds = 0;
+    const worker = {
+      hold: async () => {
+        holds += 1;
+        await new Promise(resolve => setTimeout(resolve, 5));
+        const startedAtMs = holds <= 2 ? 1_000 : 2_000;
+        return {kind: 'listed', startedAtMs, clockMs: holds, running: [], ends: []} as const;
+      },
+    } as unknown as WorkerPort;
+    const {agent, links} = createAgent(store, [], worker);
+    const sent: AgentMessage[] = [];
+    agent.start();
+    agent.describe(createDescription('w@1000'));
+    await waitUntil(() => links.length === 1);
+    const [link] = links;
+    if (link) link.send = message => void sent.push(message);
+    link?.handlers.message({kind: 'owner', term: store.revision, entries: []});
+    await waitUntil(() => holds >= 4);
+    const reports = sent.filter(message => message.kind === 'report');
+    t.equal(reports.length, 2, 'only the lists of the known life are told');
+    agent.stop();
+  },
+);
--- a/packages/standins/src/process/managed-process.ts
+++ b/packages/standins/src/process/managed-process.ts
@@ -13,6 +13,10 @@
   /** Module to run with Node.js. */
   readonly module: string;
   readonly arguments: readonly string[];
+  /** Arguments of Node.js itself. */
+  readonly nodeArguments?: readonly string[];
+  /** Variables beside those of this process. */
+  readonly environment?: Readonly<Record<string, string>>;
   /** Takes each line of standard output. */
   readonly onLine?: (line: string) => void;
   /** Takes each line of standard error. */
@@ -29,7 +33,9 @@
   constructor(options: ManagedProcessOptions) {
     addExitHandler();
     const {onLine, onErrorLine} = options;
-    this.child = spawn(process.execPath, [...profile, options.module, ...options.arguments], {
+    const nodeArguments = [...profile, ...(options.nodeArguments ?? [])];
+    this.child = spawn(process.execPath, [...nodeArguments, options.module, ...options.arguments], {
+      env: {...process.env, ...options.environment},
       stdio: ['ignore', onLine ? 'pipe' : 'ignore', onErrorLine ? 'pipe' : 'ignore'],
     });
     const {child} = this;
