Let entries with more processors claim the ownership first

Cause: on the grown site the owner takes 0.56 to 0.65 cores, and 10 of 14 entries have 0.32; the claim was delayed by the way to the store only, so that a weak entry near the store could own all submissions.

Change: entries register their processors, and getClaimDelayMs lets those with half as many again go first. ElectionCalls holds the calls of the election.

--- a/packages/coordination/src/findings/object-reader.ts
+++ b/packages/coordination/src/findings/object-reader.ts
@@ -95,6 +95,14 @@
     return this.reject(field, `whole number from ${range.min} to ${range.max} (${unit})`);
   }
 
+  /** Returns a number within a range. */
+  getNumber(field: string, range: IntegerRange, unit: string): number | undefined {
+    this.#used.add(field);
+    const value = this.fields[field];
+    if (typeof value === 'number' && value >= range.min && value <= range.max) return value;
+    return this.reject(field, `number from ${range.min} to ${range.max} (${unit})`);
+  }
+
   /** Returns a boolean. */
   getBoolean(field: string): boolean | undefined {
     this.#used.add(field);
--- a/packages/coordination/src/ownership/index.ts
+++ b/packages/coordination/src/ownership/index.ts
@@ -1,3 +1,4 @@
 export * from './cell-ownership.js';
 export * from './events.js';
 export * from './owner-election.js';
+export * from './claim-delay.js';
--- a/packages/runtime/src/dispatch/entry-node.ts
+++ b/packages/runtime/src/dispatch/entry-node.ts
@@ -16,7 +16,10 @@
 const levelsMs = 300;
 
 /** Options of `EntryNode`: those of its `OwnerProcess` without what the entry itself provides. */
-export interface EntryNodeOptions extends Omit<OwnerProcessOptions, 'onOwner' | 'onOwnership'> {
+export interface EntryNodeOptions extends Omit<
+  OwnerProcessOptions,
+  'getOthers' | 'onOwner' | 'onOwnership'
+> {
   /** Address on which it listens, where others reach it at another one. */
   readonly listenAddress?: string;
 }
@@ -38,6 +41,7 @@
     const {store, clock, log, metrics} = options;
     this.owner = new OwnerProcess({
       ...options,
+      getOthers: () => this.peers.processors,
       onOwner: owner => this.setOwner(owner),
       onOwnership: isOwner => this.setOwnership(isOwner),
     });
--- a/packages/runtime/src/dispatch/entry-peers.ts
+++ b/packages/runtime/src/dispatch/entry-peers.ts
@@ -4,6 +4,7 @@
 import {dialLink, type Link} from './link.js';
 import type {RecordStore} from './record-store.js';
 import {entryPrefix} from './store-keys.js';
+import {type EntryRecord, parseEntry} from './stored-state.js';
 import type {SubmissionCall, SubmissionReply} from './submission-calls.js';
 
 /** Time in milliseconds within which the owner answers; the far region takes 60 of it. */
@@ -34,7 +35,8 @@
   private ownerAddress: string | undefined;
   private readonly links = new Map<string, EntryLink>();
   private readonly pending = new Map<number, PendingRequest>();
-  private known: readonly string[] = [];
+  private known: readonly EntryRecord[] = [];
+  private isListed = false;
   private nextRequest = 1;
   private nextRelay = 0;
   private redialTimer: NodeJS.Timeout | undefined;
@@ -45,7 +47,12 @@
 
   /** Addresses of the other entries. */
   get addresses(): readonly string[] {
-    return this.known;
+    return this.known.map(entry => entry.address);
+  }
+
+  /** Processors of the other entries; undefined while they are not known. */
+  get processors(): readonly number[] | undefined {
+    return this.isListed ? this.known.map(entry => entry.processors) : undefined;
   }
 
   /** Starts to follow the list of entries. */
@@ -85,7 +92,7 @@
   /** Has the next other entry carry out a call; undefined when it does not answer in time. */
   async relay(call: SubmissionCall, timeoutMs: number): Promise<SubmissionReply | undefined> {
     this.nextRelay += 1;
-    const address = this.known[this.nextRelay % this.known.length];
+    const address = this.known[this.nextRelay % this.known.length]?.address;
     if (address === undefined) return undefined;
     const link = this.getLink(address);
     const response = await this.request(link, timeoutMs, request => ({
@@ -112,9 +119,10 @@
     const result = await store.list(entryPrefix, {stale: true});
     if (this.isStopped) return;
     if (result.kind === 'ok') {
-      const addresses = result.records.map(record => record.value);
-      // While the store forgets leases, the former addresses are the best that is known.
-      if (addresses.length > 0) this.known = addresses.filter(candidate => candidate !== address);
+      const entries = result.records.flatMap(record => parseEntry(record.value) ?? []);
+      // While the store forgets leases, the former entries are the best that is known.
+      if (entries.length > 0) this.known = entries.filter(entry => entry.address !== address);
+      this.isListed = true;
     }
     this.listTimer = setTimeout(() => void this.list(), listMs);
   }
--- a/packages/runtime/src/dispatch/owner-process.ts
+++ b/packages/runtime/src/dispatch/owner-process.ts
@@ -18,6 +18,7 @@
 import {Loop} from '../loop/index.js';
 import type {Metrics} from '../metrics/index.js';
 import type {DecisionLogger} from './decision-logger.js';
+import {ElectionCalls} from './election-calls.js';
 import type {KnownSubmission} from './entry-messages.js';
 import {LeaseClock} from './lease-clock.js';
 import type {Link} from './link.js';
@@ -26,8 +27,6 @@
 import {parseOwner, parseSubmission, readStoredState, toWriteResult} from './stored-state.js';
 import {
   cancelPrefix,
-  entryPrefix,
-  generationKey,
   ownerKey,
   progressPrefix,
   rosterKey,
@@ -38,16 +37,14 @@
 /** Time in milliseconds between two ticks of an owner and of a process without ownership. */
 const ownerTickMs = 100;
 const idleTickMs = 250;
-/** Round trip to the store, as a multiple, by which a claim is delayed: the nearest entry goes first. */
-const claimDelayRatio = 8;
-/** Longest delay of a claim in milliseconds; the first call of a process may take long for other reasons. */
-const longestClaimDelayMs = 500;
 
 /** Options of `OwnerProcess`. */
 export interface OwnerProcessOptions {
   readonly name: string;
   /** Address on which other processes reach this one. */
   readonly address: string;
+  /** Processors that this process has. */
+  readonly processors: number;
   /** Distinguishes this life of the process from others. */
   readonly incarnation: string;
   readonly store: RecordStore;
@@ -56,6 +53,8 @@
   readonly metrics: Metrics;
   readonly timing?: Partial<DispatchTiming>;
   readonly electionTiming?: Partial<ElectionTiming>;
+  /** Returns the processors of the other entries; undefined while they are not known. */
+  readonly getOthers: () => readonly number[] | undefined;
   /** Called when another owner is known or none. */
   readonly onOwner: (owner: OwnerRecord | undefined) => void;
   /** Called when this process becomes or stops being the owner. */
@@ -69,6 +68,7 @@
   private readonly election: OwnerElection;
   private readonly electionLoop: Loop<ElectionEvent, ElectionEffect>;
   private readonly leaseClock: LeaseClock;
+  private readonly calls: ElectionCalls;
   private readonly ownerWatch: RecordWatch;
   private readonly agents = new Map<string, Link<AgentMessage, OwnerMessage>>();
   private workWatch: RecordWatch | undefined;
@@ -92,6 +92,11 @@
     this.electionLoop = new Loop(this.election, this.leaseClock, effect =>
       this.carryOutElection(effect),
     );
+    this.calls = new ElectionCalls({
+      ...options,
+      clock: this.leaseClock,
+      post: event => this.electionLoop.post(event),
+    });
     this.ownerWatch = new RecordWatch({
       store,
       clock,
@@ -236,11 +241,11 @@
   private carryOutElection(effect: ElectionEffect): void {
     switch (effect.kind) {
       case 'open-lease':
-        return void this.openLease(effect.ttlMs);
+        return void this.calls.openLease(effect.ttlMs);
       case 'keep-lease':
-        return void this.keepLease(effect.lease);
+        return void this.calls.keepLease(effect.lease);
       case 'claim':
-        return void this.claim(effect);
+        return void this.calls.claim(effect);
       case 'end-lease':
         return void this.options.store.endLease(effect.lease);
       case 'begin':
@@ -250,79 +255,9 @@
     }
   }
 
-  private async openLease(ttlMs: number): Promise<void> {
-    const {store, name, address} = this.options;
-    const sentAt = this.leaseClock.now();
-    const result = await store.openLease(ttlMs);
-    if (result.kind !== 'ok') {
-      this.electionLoop.post({kind: 'call-failed', call: 'open-lease'});
-      return;
-    }
-    const delayMs = Math.min(
-      longestClaimDelayMs,
-      (this.leaseClock.now() - sentAt) * claimDelayRatio,
-    );
-    this.electionLoop.post({kind: 'claim-delay', delayMs});
-    this.electionLoop.post({kind: 'lease-opened', lease: result.lease, sentAt});
-    const registration = await store.commit({
-      conditions: [],
-      writes: [{key: entryPrefix + name, value: address, lease: result.lease}],
-      removals: [],
-    });
-    if (registration.kind !== 'ok') {
-      this.options.log.warn('registration-failed', {result: registration.kind});
-    }
-  }
-
-  private async keepLease(lease: string): Promise<void> {
-    const {store} = this.options;
-    const sentAt = this.leaseClock.now();
-    const result = await store.keepLease(lease);
-    if (result.kind === 'ok') this.electionLoop.post({kind: 'lease-kept', sentAt});
-    else if (result.kind === 'no-lease') this.electionLoop.post({kind: 'lease-ended'});
-    else this.electionLoop.post({kind: 'call-failed', call: 'keep-lease'});
-  }
-
-  private async claim(effect: Extract<ElectionEffect, {kind: 'claim'}>): Promise<void> {
-    const {lease, nonce, replaces} = effect;
-    const {store, name, address} = this.options;
-    const last = await store.read(generationKey);
-    if (last.kind !== 'ok') return this.failClaim();
-    const generation = Number(last.record?.value ?? 0) + 1;
-    const owner: OwnerRecord = {name, address, nonce};
-    const result = await store.commit({
-      conditions: [
-        {key: ownerKey, revision: replaces},
-        {key: generationKey, revision: last.record?.revision ?? 0},
-      ],
-      writes: [
-        {key: ownerKey, value: JSON.stringify(owner), lease},
-        {key: generationKey, value: String(generation)},
-      ],
-      removals: [],
-    });
-    if (result.kind === 'ok') {
-      this.electionLoop.post({kind: 'claimed', revision: result.revision, generation});
-    } else if (result.kind === 'unknown') await this.checkClaim(nonce, generation);
-    else if (result.kind === 'no-lease') this.electionLoop.post({kind: 'lease-ended'});
-    else this.failClaim();
-  }
-
-  /** After a lost answer the key itself tells whether the claim took effect. */
-  private async checkClaim(nonce: string, generation: number): Promise<void> {
-    const result = await this.options.store.read(ownerKey);
-    const {record} = result.kind === 'ok' ? result : {record: undefined};
-    if (record && parseOwner(record.value)?.nonce === nonce) {
-      this.electionLoop.post({kind: 'claimed', revision: record.revision, generation});
-    } else this.failClaim();
-  }
-
-  private failClaim(): void {
-    this.electionLoop.post({kind: 'call-failed', call: 'claim'});
-  }
-
   private seeOwner(record: StoredRecord | undefined, revision: number): void {
     const owner = record && parseOwner(record.value);
+    if (owner === undefined) this.calls.delayClaim();
     this.options.onOwner(owner);
     this.electionLoop.post({kind: 'owner-seen', owner, revision: record?.revision ?? revision});
   }
--- a/packages/runtime/src/dispatch/owner-search.ts
+++ b/packages/runtime/src/dispatch/owner-search.ts
@@ -3,7 +3,7 @@
 import {RecordWatch} from './record-watch.js';
 import type {RecordChange, RecordStore, StoredRecord} from './record-store.js';
 import {entryPrefix, ownerKey} from './store-keys.js';
-import {parseOwner} from './stored-state.js';
+import {parseEntry, parseOwner} from './stored-state.js';
 
 /** Longest time in milliseconds that one watch of the owner's key waits, without an owner and with one. */
 const searchWaitMs = 1_000;
@@ -111,6 +111,8 @@
 
   private async listEntries(): Promise<void> {
     const list = await this.options.store.list(entryPrefix, {stale: true});
-    if (list.kind === 'ok') this.setEntries(list.records.map(record => record.value));
+    if (list.kind !== 'ok') return;
+    const entries = list.records.map(record => parseEntry(record.value));
+    this.setEntries(entries.flatMap(entry => entry?.address ?? []));
   }
 }
--- a/packages/runtime/src/dispatch/stored-state.ts
+++ b/packages/runtime/src/dispatch/stored-state.ts
@@ -96,6 +96,24 @@
   }
 }
 
+/** An entry that is up, as the store holds it. */
+export interface EntryRecord {
+  /** Address for other processes of the system. */
+  readonly address: string;
+  /** Processors that the entry has. */
+  readonly processors: number;
+}
+
+/** Reads the stored record of an entry; undefined when it cannot be read. */
+export function parseEntry(value: string): EntryRecord | undefined {
+  try {
+    const {address, processors} = JSON.parse(value) as Partial<EntryRecord>;
+    return typeof address === 'string' ? {address, processors: processors ?? 0} : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
 /** Returns what the dispatcher is told of a write. */
 export function toWriteResult(result: CommitResult): WriteResult {
   switch (result.kind) {
