Pause the renewals of a worker's lease while its ends wait to be stored

Cause: a worker answers a waiting renewal at once as long as it lists an end that was not acknowledged.

Change: after a list with an unstored end the agent waits for its acknowledgement, at most 80 ms. Filling tasks are placed where 0.4 of their cores are unused, since they share what there is; run times in the virtual fleet are as far off their estimates as the workers have shown.

The new test does not end on the code before.

--- a/packages/coordination/src/dispatch/policy/worker-choice.ts
+++ b/packages/coordination/src/dispatch/policy/worker-choice.ts
@@ -13,7 +13,7 @@
 export const urgentReserve = 0.05;
 
 /** Part of its processors that a filling task must find unused. */
-const fillShare = 0.8;
+const fillShare = 0.4;
 
 /** Costs of a place; the place with the lowest sum is taken. */
 const costs = {
--- a/packages/coordination/test/dispatch/fleet/shared-load.ts
+++ b/packages/coordination/test/dispatch/fleet/shared-load.ts
@@ -132,6 +132,14 @@
   const pressures = new Map<string, number>();
   /** Longest run time of each step that has started, by submission. */
   const longestMs = new Map<string, number[]>();
+  /** Ratio of the run times of a step to their estimate. */
+  const errors = new Map<string, number>();
+  const getError = (id: string, step: number) => {
+    const key = `${id}.${step}`;
+    const error = errors.get(key) ?? Math.exp(random.between(-0.6, 0.6));
+    errors.set(key, error);
+    return error;
+  };
   const fleet = new VirtualFleet({
     seed,
     queues: Object.values(sharedQueues),
@@ -143,7 +151,8 @@
     })),
     getNature: (task, submission) => {
       const index = Number(task.split('.')[2]);
-      const durationMs = (submission.steps[index]?.estimatedMs ?? 0) * random.between(0.7, 1.5);
+      const estimatedMs = submission.steps[index]?.estimatedMs ?? 0;
+      const durationMs = estimatedMs * getError(submission.id, index) * random.between(0.75, 1.3);
       const known = longestMs.get(submission.id) ?? [];
       known[index] = Math.max(known[index] ?? 0, durationMs);
       longestMs.set(submission.id, known);
@@ -157,7 +166,7 @@
       const key = `${serving} ${filling}`;
       let pressure = pressures.get(key);
       if (pressure === undefined) {
-        pressure = random.next() < 0.3 ? random.between(1.3, 2.8) : random.between(0.05, 0.35);
+        pressure = random.next() < 0.38 ? random.between(1.3, 2.8) : random.between(0.05, 0.35);
         pressures.set(key, pressure);
       }
       return pressure;
--- a/packages/runtime/src/dispatch/agent-node.ts
+++ b/packages/runtime/src/dispatch/agent-node.ts
@@ -28,6 +28,12 @@
 /** Redirections that are followed at once; entries that disagree on the owner may send an agent in circles. */
 const maxRedirections = 2;
 
+/**
+ * Time in milliseconds between two renewals while ends wait to be stored; a worker answers at once as long as it
+ * lists an end.
+ */
+export const unstoredPauseMs = 80;
+
 /** Options of `AgentNode`. */
 export interface AgentNodeOptions {
   readonly name: string;
@@ -67,6 +73,8 @@
   private isListDue = true;
   private absences = 0;
   private holdGeneration = 0;
+  /** Ends a pause that waits for an acknowledgement. */
+  private onAcknowledged: (() => void) | undefined;
   private isStopped = false;
 
   constructor(private readonly options: AgentNodeOptions) {
@@ -195,7 +203,9 @@
         if (message.life !== this.worker?.life || message.term !== this.term) return;
         if (this.isReplaced) return;
         this.deadlineMs = Math.max(this.deadlineMs ?? 0, message.deadlineMs);
-        this.acknowledged = Math.max(this.acknowledged, message.acknowledged);
+        if (message.acknowledged <= this.acknowledged) return;
+        this.acknowledged = message.acknowledged;
+        this.onAcknowledged?.();
         return;
       case 'start':
         return void this.orders.start(message);
@@ -256,6 +266,7 @@
       if (reply.kind === 'listed' && isOfLife(reply, worker)) {
         isFirst = false;
         this.takeList(worker, term, reply);
+        if (reply.ends.some(end => end[0] > this.acknowledged)) await this.waitForStore();
       } else {
         const failure = reply.kind === 'listed' ? this.noteReplaced() : reply;
         if (!(await this.takeFailure(failure))) return;
@@ -263,6 +274,18 @@
     }
   }
 
+  /** Waits until the owner acknowledges ends, at most for a pause. */
+  private async waitForStore(): Promise<void> {
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(resolve, unstoredPauseMs);
+      this.onAcknowledged = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+    this.onAcknowledged = undefined;
+  }
+
   /** A worker has started again under its id: what was agreed with its former life does not hold for it. */
   private noteReplaced(): {readonly kind: 'other-life'} {
     this.isReplaced = true;
--- a/packages/runtime/test/dispatch/agent-node.test.ts
+++ b/packages/runtime/test/dispatch/agent-node.test.ts
@@ -1,10 +1,16 @@
-import type {AgentMessage, OwnerMessage, WorkerDescription} from '@chervilbeam/coordination';
+import type {
+  AgentMessage,
+  EndRow,
+  OwnerMessage,
+  WorkerDescription,
+} from '@chervilbeam/coordination';
 import t from 'tap';
 import {
   AgentNode,
   type Link,
   type LinkHandlers,
   ownerKey,
+  unstoredPauseMs,
   type WorkerPort,
 } from '../../src/dispatch/index.js';
 import {SystemClock} from '../../src/loop/index.js';
@@ -157,3 +163,33 @@
     agent.stop();
   },
 );
+
+void t.test('a worker is not asked again and again while its ends wait to be stored', async t => {
+  const store = new MemoryStore();
+  claim(store, '10.0.0.1:1');
+  const cursors: number[] = [];
+  const worker = {
+    // A hold does not wait as long as there are ends that were not acknowledged.
+    hold: async (_id: string, {acknowledged}: {acknowledged: number}) => {
+      cursors.push(acknowledged);
+      const ends: EndRow[] = acknowledged < 1 ? [[1, 'a.0.0.0', 1, 'done', '']] : [];
+      if (ends.length === 0) await new Promise(resolve => setTimeout(resolve, 50));
+      return {kind: 'listed', clockMs: cursors.length, running: [], ends} as const;
+    },
+  } as unknown as WorkerPort;
+  const {agent, links} = createAgent(store, [], worker);
+  agent.start();
+  agent.describe(createDescription('w@1000'));
+  await waitUntil(() => links.length === 1);
+  const [link] = links;
+  const startedAt = performance.now();
+  link?.handlers.message({kind: 'owner', term: store.revision, entries: []});
+  await waitUntil(() => performance.now() - startedAt > 500);
+  const allowed = 2 + (performance.now() - startedAt) / unstoredPauseMs;
+  t.ok(cursors.length <= allowed, `${cursors.length} calls, ${allowed} allowed`);
+  const lease = {kind: 'lease', life: 'w@1000', term: store.revision} as const;
+  link?.handlers.message({...lease, deadlineMs: 5_000, acknowledged: 1});
+  await waitUntil(() => cursors.includes(1));
+  t.pass('the acknowledgement is passed on');
+  agent.stop();
+});
