--- a/packages/lab/src/demo/demo-deployment.ts
+++ b/packages/lab/src/demo/demo-deployment.ts
@@ -4,7 +4,7 @@
 import {
   applyIntent,
   DaemonProcess,
-  getFreePorts,
+  allocatePorts,
   getMonotonicTimeMs,
   ManagedProcess,
   waitUntil,
@@ -56,7 +56,7 @@
     this.storeUrl = await this.startStore();
     const entryCount = sum(this.plan.dataCentres, dataCentre => dataCentre.entries);
     const hostCount = sum(this.plan.dataCentres, dataCentre => dataCentre.hosts);
-    const ports = [...(await getFreePorts(entryCount * 3 + hostCount * 3))];
+    const ports = [...(await allocatePorts(entryCount * 3 + hostCount * 3))];
     const allocateAddress = () => `127.0.0.1:${ports.pop()}`;
     const peers = Array.from({length: entryCount}, allocateAddress);
     let peerIndex = 0;
--- a/packages/lab/src/histories/processes/process-fleet.ts
+++ b/packages/lab/src/histories/processes/process-fleet.ts
@@ -2,7 +2,7 @@
 import type {Settings} from '@chervilbeam/runtime';
 import {
   DaemonProcess,
-  getFreePorts,
+  allocatePorts,
   getMonotonicTimeMs,
   ManagedProcess,
   waitUntil,
@@ -73,7 +73,7 @@
 
   /** Starts the store, the entries, the agents and the workers, and waits until the daemons answer. */
   async start(entryCount: number, hostCount: number): Promise<void> {
-    const ports = await getFreePorts(1 + entryCount * 3 + hostCount * 3);
+    const ports = await allocatePorts(1 + entryCount * 3 + hostCount * 3);
     let nextPort = 0;
     const allocateAddress = () => `127.0.0.1:${ports[nextPort++]}`;
     const storeAddress = allocateAddress();
--- a/packages/lab/src/measure/data-path.ts
+++ b/packages/lab/src/measure/data-path.ts
@@ -5,7 +5,7 @@
 import {
   applyIntent,
   DaemonProcess,
-  getFreePorts,
+  allocatePorts,
   LoadGenerator,
   type LoadResult,
   ManagedProcess,
@@ -138,7 +138,7 @@
 }
 
 async function startBench(): Promise<Bench> {
-  const ports = (await getFreePorts(6)).map(port => `127.0.0.1:${port}`);
+  const ports = (await allocatePorts(6)).map(port => `127.0.0.1:${port}`);
   const [callers, peers, entryControl, agentControl, workerListen, backendListen] = ports as [
     string,
     string,
--- a/packages/standins/src/process/index.ts
+++ b/packages/standins/src/process/index.ts
@@ -1,5 +1,5 @@
 export * from './daemon-process.js';
-export * from './free-ports.js';
+export * from './port-range.js';
 export * from './managed-process.js';
 export * from './wait-until.js';
 export * from './operator-client.js';
--- a/platform/soak/world/port-range.ts
+++ b/packages/standins/src/process/port-range.ts
@@ -4,12 +4,21 @@
 const firstPort = 11_000;
 const lastPort = 30_000;
 
-let lastCheckedPort = firstPort + Math.floor(Math.random() * (lastPort - firstPort));
+/** Distance between the first ports of two processes with consecutive ids, so that their ports do not overlap. */
+const portsPerProcess = 211;
 
-/** Returns free loopback ports, none of them twice. No outgoing connection can occupy one before it is bound. */
+let lastCheckedPort = firstPort + ((process.pid * portsPerProcess) % (lastPort - firstPort));
+
+/**
+ * Returns free loopback ports, none of them twice in one process. No outgoing connection can occupy one before it is
+ * bound. Throws a RangeError when fewer than `count` ports of the range are free.
+ */
 export async function allocatePorts(count: number): Promise<readonly number[]> {
   const ports: number[] = [];
-  while (ports.length < count) {
+  for (let checked = 0; ports.length < count; checked += 1) {
+    if (checked > lastPort - firstPort) {
+      throw new RangeError(`fewer than ${count} free ports from ${firstPort} to ${lastPort}`);
+    }
     lastCheckedPort = lastCheckedPort >= lastPort ? firstPort : lastCheckedPort + 1;
     const port = lastCheckedPort;
     if (await isFree(port)) ports.push(port);
--- a/packages/standins/test/process/request-path.test.ts
+++ b/packages/standins/test/process/request-path.test.ts
@@ -9,7 +9,7 @@
   StoreServer,
   workerDefaults,
 } from '../../src/index.js';
-import {applyIntent, DaemonProcess, getFreePorts, waitUntil} from '../../src/process/index.js';
+import {applyIntent, DaemonProcess, allocatePorts, waitUntil} from '../../src/process/index.js';
 
 const location = {deployment: 'test', region: 'north', dataCentre: 'north-a'};
 
@@ -29,10 +29,10 @@
 };
 
 void t.test('requests pass through real entry and agent processes to a backend server', async t => {
-  const ports = await getFreePorts(4);
+  const ports = await allocatePorts(4);
   const [callers, peers, entryControl, agentControl] = ports.map(port => `127.0.0.1:${port}`);
   if (!callers || !peers || !entryControl || !agentControl)
-    throw new Error('getFreePorts returned fewer than 4 ports');
+    throw new Error('allocatePorts returned fewer than 4 ports');
   const storeServer = new StoreServer();
   const store = await storeServer.listen();
   const entry = new DaemonProcess({
