Send the owner's backlogs as differences, each spec once a link, and starts within the link's speed

By message kind in 10 s: 843 KB of backlogs (five entries, the rows of all queues three times a second) and 553 KB of starts with the submission's whole spec in each; the store's answers waited behind them and ownership ended twice. Change: bytes by message kind as metrics and as log line link-traffic; backlogs as differences to the previous message on the link; a spec once a submission and link, asked for again when unknown; start commands within 40% of the link, the rest in the next round; the election and the interval of the backlogs take the link's speed from the settings. The number of pending submissions is asked of the owner, then counted in the store, and is never given as 0 when unknown; its age counts suspensions of the host. Backlogs are computed in one pass over submissions and workers.

--- a/packages/coordination/src/dispatch/agent-messages.ts
+++ b/packages/coordination/src/dispatch/agent-messages.ts
@@ -61,6 +61,8 @@
   | 'ticket'
   /** The worker is draining. */
   | 'draining'
+  /** The start has no spec and the agent does not know the submission's; nothing was sent to the worker. */
+  | 'spec-unknown'
   /** The worker is overloaded or unhealthy and has not executed the command. */
   | 'busy'
   /** The worker cannot parse the command. */
@@ -132,7 +134,8 @@
       readonly term: number;
       readonly task: string;
       readonly run: number;
-      readonly spec: string;
+      /** Absent when an earlier start on the same connection contained the spec of the submission. */
+      readonly spec?: string;
       /** As in `lease`; the worker refuses the command when this time has passed. */
       readonly deadlineMs: number;
       readonly checkpoint?: string;
--- a/packages/coordination/src/dispatch/command-results.ts
+++ b/packages/coordination/src/dispatch/command-results.ts
@@ -71,6 +71,9 @@
       case 'other-life':
         worker.blockedUntil = at + busyBlockMs;
         break;
+      case 'spec-unknown':
+        worker.sentSpecs.clear();
+        break;
       case 'invalid':
         commands.remove(run, at + invalidDelayMs);
         return;
--- a/packages/coordination/src/dispatch/dispatch-state.ts
+++ b/packages/coordination/src/dispatch/dispatch-state.ts
@@ -5,6 +5,7 @@
 import type {LoggedDecision} from './decision-log.js';
 import type {DispatchEffect} from './dispatch-events.js';
 import type {DispatchTiming} from './dispatch-timing.js';
+import {StartBudget} from './policy/start-budget.js';
 import type {WorkerView} from './worker-view.js';
 
 /** Workload name for `RunTimeEstimates`; run times are learned for each queue as a whole. */
@@ -24,11 +25,15 @@
   readonly runTimes = new RunTimeEstimates();
   /** Whether tasks may have become placeable since the last placement round. */
   isPlacementDue = false;
+  /** Limits the bytes of start commands. */
+  readonly startBudget: StartBudget;
   private wallOffsetMs = 0;
   private nextCommandNumber = 1;
   private effects: DispatchEffect[] = [];
 
-  constructor(readonly timing: DispatchTiming) {}
+  constructor(readonly timing: DispatchTiming) {
+    this.startBudget = new StartBudget(timing.startBytesPerSecond);
+  }
 
   /** Sets the wall clock: Unix time `wallMs` at dispatcher time `at`, both in milliseconds. */
   setWallClock(wallMs: number, at: number): void {
--- a/packages/coordination/src/dispatch/dispatch-timing.ts
+++ b/packages/coordination/src/dispatch/dispatch-timing.ts
@@ -1,4 +1,4 @@
-/** Times of the dispatcher in milliseconds, and the ratio `clockDrift`. */
+/** Times of the dispatcher in milliseconds, the ratio `clockDrift` and the rate `startBytesPerSecond`. */
 export interface DispatchTiming {
   /** Length of a worker's lease, which covers all its runs; the worker ends them when the lease expires. */
   readonly leaseMs: number;
@@ -24,6 +24,8 @@
   readonly restoreMs: number;
   /** Maximum fraction by which a worker's clock runs slow. */
   readonly clockDrift: number;
+  /** Bytes of start commands that may be sent in a second, so that other messages do not wait behind them. */
+  readonly startBytesPerSecond: number;
 }
 
 /** Defaults of `DispatchTiming`; a deployment's settings override the values that its platform bounds. */
@@ -43,4 +45,5 @@
   stopMs: 1_000,
   restoreMs: 250,
   clockDrift: 0.02,
+  startBytesPerSecond: Number.POSITIVE_INFINITY,
 };
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -11,8 +11,12 @@
 import {defaultDispatchTiming, type DispatchTiming} from './dispatch-timing.js';
 import {FillerPacer} from './policy/filler-pacer.js';
 import {InterferenceModel} from './policy/interference-model.js';
-import {getQueueBacklogs, type QueueBacklog} from './policy/admission.js';
 import {runPlacementRound} from './policy/placement-round.js';
+import {
+  countPendingSubmissions,
+  getQueueBacklogs,
+  type QueueBacklog,
+} from './policy/queue-backlogs.js';
 import {RunSupervisor} from './policy/run-supervisor.js';
 import {WorkerSelector} from './policy/worker-selector.js';
 import {WorkerHeadroomCache} from './policy/worker-headroom.js';
@@ -92,6 +96,11 @@
     return this.isOwner ? getQueueBacklogs(this.state, at) : [];
   }
 
+  /** Returns the number of pending submissions of a queue, or undefined when this process is not the owner. */
+  countPending(queue: string): number | undefined {
+    return this.isOwner ? countPendingSubmissions(this.state, queue) : undefined;
+  }
+
   private apply(event: DispatchEvent, at: number): void {
     switch (event.kind) {
       case 'begin':
--- a/packages/coordination/src/dispatch/index.ts
+++ b/packages/coordination/src/dispatch/index.ts
@@ -3,4 +3,5 @@
 export * from './dispatch-events.js';
 export * from './dispatch-timing.js';
 export * from './dispatcher.js';
-export {decideAdmission, type AdmissionDecision, type QueueBacklog} from './policy/admission.js';
+export {decideAdmission, type AdmissionDecision} from './policy/admission.js';
+export type {QueueBacklog} from './policy/queue-backlogs.js';
--- a/packages/coordination/src/dispatch/policy/placement-round.ts
+++ b/packages/coordination/src/dispatch/policy/placement-round.ts
@@ -5,7 +5,10 @@
 import {sortCandidates, type Candidate} from './submission-order.js';
 import type {WorkerSelector} from './worker-selector.js';
 
-/** Starts every task that is ready and fits on a worker, in the order of `sortCandidates`. */
+/**
+ * Starts every task that is ready and fits on a worker, in the order of `sortCandidates`. Ends early when the budget for
+ * start commands is used up; the next round continues.
+ */
 export function runPlacementRound(
   state: DispatchState,
   commands: RunCommands,
@@ -15,13 +18,15 @@
   if (selector.openWorkerCount === 0) return;
   for (const candidate of sortCandidates(state, at)) {
     for (const group of candidate.occurrence.getReadySteps()) {
+      if (!state.startBudget.isOpen(at)) return;
       if (group.step.gang) startGang(candidate, group, selector, commands, at);
-      else startTasks(candidate, group, selector, commands, at);
+      else startTasks(state, candidate, group, selector, commands, at);
     }
   }
 }
 
 function startTasks(
+  state: DispatchState,
   candidate: Candidate,
   group: StepTasks,
   selector: WorkerSelector,
@@ -30,6 +35,7 @@
 ): void {
   for (const task of group.tasks) {
     if (!task.isWaiting(at)) continue;
+    if (!state.startBudget.isOpen(at)) return;
     const worker = selector.selectWorker(task, group, candidate.priority);
     // The tasks of a step need the same resources, so the others do not fit either; only `avoidedWorkers` differs.
     if (worker === undefined) return;
--- /dev/null
+++ b/packages/coordination/src/dispatch/policy/queue-backlogs.ts
@@ -0,0 +1,155 @@
+import {getWorkCoreMs} from '../../submissions/index.js';
+import type {ActiveSubmission} from '../active-submission.js';
+import type {DispatchState} from '../dispatch-state.js';
+import {urgentReserveShare} from './worker-selector.js';
+
+/** Fraction of free processor time that a backlog can use; fragmentation leaves the rest idle. */
+const backlogUtilization = 0.85;
+
+/** Average utilization of the processors that serving tasks reserve. */
+const servingUtilization = 0.5;
+/** Fraction of the unused processors that filling tasks get on workers that also run serving tasks. */
+const fillingUtilization = 0.6;
+
+/** Backlog ahead of new submissions to one queue. */
+export interface QueueBacklog {
+  readonly queue: string;
+  /** Names the queues with the same service and priority; their waits and cores are equal. */
+  readonly group: string;
+  /** Number of accepted, unscheduled submissions none of whose tasks has started. */
+  readonly pending: number;
+  /**
+   * Expected time in milliseconds until all accepted tasks of the same or higher urgency have started; filling and
+   * serving tasks are not counted.
+   */
+  readonly waitMs: number;
+  /** The same for filling tasks only. */
+  readonly fillWaitMs: number;
+  /** Learned ratio of actual to estimated run times. */
+  readonly runTimeFactor: number;
+  /** Processors of the usable workers of the queue's service. */
+  readonly cores: number;
+}
+
+/** Returns the backlog of each configured queue, in one pass over the submissions and one over the workers. */
+export function getQueueBacklogs(state: DispatchState, at: number): QueueBacklog[] {
+  const {configuration} = state;
+  if (configuration === undefined) return [];
+  const waiting = collectWaitingWork(state);
+  const capacities = collectCapacities(state, at);
+  const backlogs: QueueBacklog[] = [];
+  for (const queue of configuration.queues.values()) {
+    const {cores, servingCores} = capacities.get(queue.service) ?? noCapacity;
+    let workCoreMs = 0;
+    let fillWorkCoreMs = 0;
+    for (const level of waiting.levels.get(queue.service)?.values() ?? []) {
+      if (level.priority > queue.priority) continue;
+      workCoreMs += level.workCoreMs;
+      fillWorkCoreMs += level.fillWorkCoreMs;
+    }
+    const serving = Math.min(cores, servingCores);
+    // Serving tasks cannot use the cores that are reserved for urgent work.
+    const usableCores = Math.max(cores * urgentReserveShare, cores - serving) * backlogUtilization;
+    const fillingCores = (cores - serving * servingUtilization) * fillingUtilization;
+    backlogs.push({
+      queue: queue.key,
+      group: `${queue.service}/${queue.priority}`,
+      pending: waiting.pending.get(queue.key) ?? 0,
+      waitMs: cores > 0 ? workCoreMs / usableCores : 0,
+      fillWaitMs: cores > 0 ? fillWorkCoreMs / fillingCores : 0,
+      runTimeFactor: state.getRunTimeFactor(queue),
+      cores,
+    });
+  }
+  return backlogs;
+}
+
+/** Returns the number of accepted, unscheduled submissions of a queue none of whose tasks has started. */
+export function countPendingSubmissions(state: DispatchState, queue: string): number {
+  let pending = 0;
+  for (const submission of state.submissions.values()) {
+    if (submission.submission.queue === queue && isPending(submission)) pending += 1;
+  }
+  return pending;
+}
+
+function isPending(submission: ActiveSubmission): boolean {
+  return (
+    submission.isActive && !submission.hasStarted && submission.submission.repetitions === 0
+  );
+}
+
+/** Processor time, in core-milliseconds, of the tasks of one priority that have no run yet. */
+interface WaitingLevel {
+  readonly priority: number;
+  workCoreMs: number;
+  fillWorkCoreMs: number;
+}
+
+interface WaitingWork {
+  /** Waiting work by service, then by priority. */
+  readonly levels: ReadonlyMap<string, ReadonlyMap<number, WaitingLevel>>;
+  /** Number of pending submissions, by queue key. */
+  readonly pending: ReadonlyMap<string, number>;
+}
+
+function collectWaitingWork(state: DispatchState): WaitingWork {
+  const levels = new Map<string, Map<number, WaitingLevel>>();
+  const pending = new Map<string, number>();
+  for (const submission of state.submissions.values()) {
+    if (!submission.isActive) continue;
+    const queueKey = submission.submission.queue;
+    if (isPending(submission)) pending.set(queueKey, (pending.get(queueKey) ?? 0) + 1);
+    const priority = submission.queue?.priority ?? 0;
+    const serviceLevels = levels.get(submission.service) ?? new Map<number, WaitingLevel>();
+    levels.set(submission.service, serviceLevels);
+    const level = serviceLevels.get(priority) ?? {priority, workCoreMs: 0, fillWorkCoreMs: 0};
+    serviceLevels.set(priority, level);
+    addWaitingWork(level, submission, state.getRunTimeFactor(submission.queue));
+  }
+  return {levels, pending};
+}
+
+function addWaitingWork(level: WaitingLevel, submission: ActiveSubmission, factor: number): void {
+  for (const occurrence of submission.occurrences) {
+    for (const {step, tasks, isFinished} of occurrence.steps) {
+      if (step.lasting || isFinished) continue;
+      let count = 0;
+      for (const task of tasks) if (!task.isFinished && task.runs.length === 0) count += 1;
+      if (count === 0) continue;
+      const coreMs = getWorkCoreMs([{...step, count}], factor);
+      if (step.fills) level.fillWorkCoreMs += coreMs;
+      else level.workCoreMs += coreMs;
+    }
+  }
+}
+
+/** Processors of the usable workers of one service. */
+interface ServiceCapacity {
+  cores: number;
+  /** Processors that running serving tasks reserve. */
+  servingCores: number;
+}
+
+const noCapacity: ServiceCapacity = {cores: 0, servingCores: 0};
+
+function collectCapacities(
+  state: DispatchState,
+  at: number,
+): ReadonlyMap<string, ServiceCapacity> {
+  const capacities = new Map<string, ServiceCapacity>();
+  for (const worker of state.workers.values()) {
+    const isReachable = at - worker.lastContactAt < state.timing.unreachableMs;
+    if (worker.isDraining || !isReachable || worker.health.isSuspended(at)) continue;
+    const {service} = worker.description;
+    const capacity = capacities.get(service) ?? {cores: 0, servingCores: 0};
+    capacities.set(service, capacity);
+    capacity.cores += worker.capacity.processors;
+    for (const {task} of worker.runs.values()) {
+      if (task.step.lasting && !task.step.fills) {
+        capacity.servingCores += task.step.need.processors;
+      }
+    }
+  }
+  return capacities;
+}
--- a/packages/coordination/src/dispatch/run-commands.ts
+++ b/packages/coordination/src/dispatch/run-commands.ts
@@ -2,6 +2,9 @@
 import {Run, type Task} from './task.js';
 import type {WorkerView} from './worker-view.js';
 
+/** Size of a start command in bytes without the spec, but with the headers of a TCP segment. */
+const startBytes = 300;
+
 /** Sends the commands that start, stop and pace runs. */
 export class RunCommands {
   constructor(private readonly state: DispatchState) {}
@@ -26,6 +29,9 @@
       freeCores: worker.capacity.processors - worker.used.processors,
       copy: task.runs.length > 1,
     });
+    const {id, spec} = task.submission.submission;
+    const isSpecKnown = worker.sentSpecs.use(id);
+    state.startBudget.take(startBytes + (isSpecKnown ? 0 : spec.length));
     state.send(worker.agent, {
       kind: 'start',
       order: run.order,
@@ -33,7 +39,7 @@
       term: state.term,
       task: task.name,
       run: number,
-      spec: task.submission.submission.spec,
+      ...(!isSpecKnown && {spec}),
       deadlineMs: worker.grantDeadline(state.timing.leaseMs, at),
       ...(task.checkpoint !== '' && {checkpoint: task.checkpoint}),
     });
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -41,6 +41,7 @@
     worker.isConnected = isConnected;
     // Commands sent on the previous connection may be lost, so the runs must be reconciled first.
     worker.isReconciled = false;
+    worker.sentSpecs.clear();
     if (!isConnected) return;
     worker.lastContactAt = at;
     worker.leaseSentAt = Number.NEGATIVE_INFINITY;
--- a/packages/coordination/src/dispatch/worker-view.ts
+++ b/packages/coordination/src/dispatch/worker-view.ts
@@ -4,11 +4,18 @@
 import type {WorkerDescription} from './agent-messages.js';
 import {EndCursor} from './end-cursor.js';
 import {WorkerEvidence} from './policy/worker-evidence.js';
+import {RecentSet} from './recent-set.js';
 import type {Run} from './task.js';
 
 /** Sums of cores are rounded to thousandths, the unit in which workers report processor use. */
 const millicoresPerCore = 1_000;
 
+/**
+ * Number of submissions whose spec an agent is taken to know. Agents keep more of them, so that they know these even
+ * when the two sides have not used them in the same order.
+ */
+const maxSentSpecs = 64;
+
 /** Returns the key of a run on a worker. */
 export function getRunKey(task: string, run: number): string {
   return `${task}#${run}`;
@@ -23,6 +30,8 @@
   /** Run ends that the worker has listed; the stored ones are acknowledged to it. */
   readonly ends = new EndCursor();
   readonly health = new WorkerEvidence();
+  /** Ids of the submissions whose spec was sent on the current connection to the agent. */
+  readonly sentSpecs = new RecentSet<string>(maxSentSpecs);
   isConnected = true;
   lastContactAt: number;
   /** Whether the worker has listed its runs under this owner's fencing token since it connected. */
--- a/packages/coordination/src/ownership/claim-delay.ts
+++ b/packages/coordination/src/ownership/claim-delay.ts
@@ -12,13 +12,24 @@
 /** Additional delay in milliseconds while the other entries are not known yet. */
 const unknownEntriesDelayMs = 250;
 
+/** Traffic in megabits per second that an owner causes for each processor that it uses. */
+const megabitsPerProcessor = 20;
+
+/**
+ * Returns the number of processors that an entry can use as the owner. On a slow network link the link is the limit:
+ * lease renewals and starts would wait behind each other.
+ */
+export function getUsableProcessors(processors: number, linkMegabits: number): number {
+  return Math.min(processors, linkMegabits / megabitsPerProcessor);
+}
+
 /** Inputs of `getClaimDelayMs`. */
 export interface ClaimDelayInputs {
   /** Measured round trip of a store call in milliseconds. */
   readonly roundTripMs: number;
-  /** Processors available to this entry, possibly a fraction. */
+  /** Processors that this entry can use as the owner, possibly a fraction. */
   readonly processors: number;
-  /** Processors available to each of the other running entries; undefined while they are not known. */
+  /** Processors that each of the other running entries can use; undefined while they are not known. */
   readonly otherProcessors: readonly number[] | undefined;
 }
 
--- a/packages/coordination/test/dispatch/policy/admission.test.ts
+++ b/packages/coordination/test/dispatch/policy/admission.test.ts
@@ -5,6 +5,7 @@
 
 const queue = createQueue({name: 'proofs', stretchFactor: 2, targetLatencyMs: 1_000});
 const emptyBacklog: QueueBacklog = {
+  group: 'press/1',
   queue: queue.key,
   pending: 0,
   waitMs: 0,
--- a/packages/runtime/src/dispatch/agent-node.ts
+++ b/packages/runtime/src/dispatch/agent-node.ts
@@ -9,9 +9,10 @@
 } from '@chervilbeam/coordination';
 import type {Metrics} from '../metrics/index.js';
 import type {DecisionLogger} from './decision-logger.js';
-import {dialLink, type Link, type LinkDialer} from './link.js';
+import {dialLink, type Link, type LinkDialer, type LinkHandlers} from './link.js';
 import {OwnerSearch} from './owner-search.js';
 import type {RecordStore} from './record-store.js';
+import {TrafficMeter} from './traffic-meter.js';
 import {WorkerCommands} from './worker-commands.js';
 import type {LeaseRenewalReply, WorkerPort} from './worker-port.js';
 
@@ -59,6 +60,7 @@
 export class AgentNode {
   private readonly search: OwnerSearch;
   private readonly commands: WorkerCommands;
+  private readonly traffic: TrafficMeter;
   private link: OwnerLink | undefined;
   private linkAddress = '';
   private dialledAt = 0;
@@ -90,6 +92,7 @@
       onOwner: (address, term) => this.connectToOwner(address, term),
       onEntry: address => this.connectToEntry(address),
     });
+    this.traffic = new TrafficMeter(options.metrics, options.log);
     this.commands = new WorkerCommands({
       ...options,
       getContext: () => ({
@@ -104,6 +107,7 @@
 
   /** Starts the search for the owner. */
   start(): void {
+    this.traffic.start();
     this.search.start();
   }
 
@@ -111,6 +115,7 @@
   stop(): void {
     this.isStopped = true;
     this.search.stop();
+    this.traffic.stop();
     this.renewalGeneration += 1;
     this.link?.end();
   }
@@ -190,7 +195,7 @@
 
   private dial(address: string): void {
     const {name, dataCentre, incarnation, log, clock, dial = dialLink} = this.options;
-    const link: OwnerLink = dial(address, {
+    const handlers: LinkHandlers<OwnerMessage> = {
       message: message => this.receive(link, message),
       closed: reason => {
         if (this.link !== link) return;
@@ -199,7 +204,8 @@
         this.isAcceptedByOwner = false;
         if (!this.isStopped) this.search.start();
       },
-    });
+    };
+    const link: OwnerLink = dial(address, handlers, this.traffic);
     this.link = link;
     this.linkAddress = address;
     this.dialledAt = clock.now();
--- a/packages/runtime/src/dispatch/entry-messages.ts
+++ b/packages/runtime/src/dispatch/entry-messages.ts
@@ -1,4 +1,5 @@
-import type {OwnerMessage, QueueBacklog, SubmissionStatus} from '@chervilbeam/coordination';
+import type {OwnerMessage, SubmissionStatus} from '@chervilbeam/coordination';
+import type {BacklogMessage} from './backlog-messages.js';
 import type {SubmissionCall, SubmissionReply} from './submission-calls.js';
 
 /** Messages that an entry sends to another entry. */
@@ -6,6 +7,8 @@
   | {readonly kind: 'entry'; readonly name: string}
   /** Looks up the state of a submission at the owner. */
   | {readonly kind: 'query'; readonly request: number; readonly id: string}
+  /** Asks the owner for the number of pending submissions of a queue. */
+  | {readonly kind: 'count'; readonly request: number; readonly queue: string}
   /** Notifies the owner that the store holds a cancel request for a submission. */
   | {readonly kind: 'cancelled'; readonly id: string}
   /** Relays a caller's call, because the store refuses the sender or does not answer it. */
@@ -23,5 +26,7 @@
 export type EntryResponse =
   | ({readonly kind: 'status'; readonly request: number} & SubmissionLookup)
   | {readonly kind: 'reply'; readonly request: number; readonly reply: SubmissionReply}
-  | {readonly kind: 'levels'; readonly levels: readonly QueueBacklog[]}
+  /** Number of pending submissions of a queue; absent when the process that replied is not the owner. */
+  | {readonly kind: 'pending'; readonly request: number; readonly pending?: number}
+  | BacklogMessage
   | OwnerMessage;
--- a/packages/runtime/src/dispatch/entry-node.ts
+++ b/packages/runtime/src/dispatch/entry-node.ts
@@ -5,15 +5,23 @@
   OwnerRecord,
   QueueConfiguration,
 } from '@chervilbeam/coordination';
+import {BacklogEncoder} from './backlog-messages.js';
 import type {EntryRequest, EntryResponse, SubmissionLookup} from './entry-messages.js';
 import {EntryPeers} from './entry-peers.js';
-import {Link, listenForLinks} from './link.js';
+import {Link, type LinkHandlers, listenForLinks} from './link.js';
 import {OwnerProcess, type OwnerProcessOptions} from './owner-process.js';
 import type {SubmissionCall, SubmissionReply} from './submission-calls.js';
 import {type CallContext, SubmissionService} from './submission-service.js';
+import {TrafficMeter} from './traffic-meter.js';
 
-/** Interval in milliseconds at which the owner publishes the queue backlogs to the other entries. */
-const backlogIntervalMs = 300;
+/** Shortest and longest interval in milliseconds at which the owner publishes the queue backlogs to the other entries. */
+const minBacklogIntervalMs = 300;
+const maxBacklogIntervalMs = 900;
+/** Size in bytes of one message with backlogs, with the headers of its TCP segment. */
+const backlogMessageBytes = 250;
+/** Share of the owner's link that the backlogs may use. */
+const backlogLinkShare = 0.05;
+const bytesPerMegabit = 125_000;
 
 /** Options of `EntryNode`: those of its `OwnerProcess`, except the callbacks that the entry provides. */
 export interface EntryNodeOptions extends Omit<
@@ -31,7 +39,9 @@
   private readonly owner: OwnerProcess;
   private readonly service: SubmissionService;
   private readonly peers: EntryPeers;
-  private readonly entryLinks = new Set<PeerLink>();
+  private readonly traffic: TrafficMeter;
+  /** Links of the other entries, with the state of the backlogs that were sent on each. */
+  private readonly entryLinks = new Map<PeerLink, BacklogEncoder>();
   private readonly links = new Set<PeerLink>();
   private ownerAddress: string | undefined;
   private server: Server | undefined;
@@ -39,6 +49,7 @@
 
   constructor(private readonly options: EntryNodeOptions) {
     const {store, clock, log, metrics} = options;
+    this.traffic = new TrafficMeter(metrics, log);
     this.owner = new OwnerProcess({
       ...options,
       getOtherProcessors: () => this.peers.processors,
@@ -47,6 +58,7 @@
     });
     this.peers = new EntryPeers({
       ...options,
+      traffic: this.traffic,
       onQueueBacklogs: levels => this.service.setQueueBacklogs(levels),
     });
     this.service = new SubmissionService({
@@ -56,6 +68,7 @@
       metrics,
       peers: {
         askOwner: id => this.askOwner(id),
+        countPending: queue => this.countPending(queue),
         notifyCancelled: id => {
           if (this.owner.isOwner) this.owner.cancel(id);
           else this.peers.notifyCancelled(id);
@@ -75,9 +88,10 @@
   async start(): Promise<void> {
     const {address, listenAddress = address} = this.options;
     this.server = await listenForLinks(listenAddress, socket => this.accept(socket));
+    this.traffic.start();
     this.owner.start();
     this.peers.start();
-    this.backlogTimer = setInterval(() => this.publishQueueBacklogs(), backlogIntervalMs);
+    this.publishQueueBacklogs();
   }
 
   /** Applies a queue configuration. */
@@ -98,7 +112,8 @@
 
   /** Stops listening and closes all links. */
   stop(): void {
-    clearInterval(this.backlogTimer);
+    clearTimeout(this.backlogTimer);
+    this.traffic.stop();
     this.peers.stop();
     this.server?.close();
     for (const link of this.links) link.end();
@@ -106,7 +121,7 @@
 
   private accept(socket: Socket): void {
     let agent: string | undefined;
-    const link: PeerLink = new Link(socket, {
+    const handlers: LinkHandlers<EntryRequest | AgentMessage> = {
       message: message => {
         if (message.kind === 'agent') agent = this.acceptAgent(message.agent, link);
         else if (agent !== undefined)
@@ -120,7 +135,8 @@
         this.owner.removeAgent(agent, asAgentLink(link));
         this.options.log.log('agent-link-closed', {agent, reason});
       },
-    });
+    };
+    const link: PeerLink = new Link(socket, handlers, this.traffic);
     this.links.add(link);
   }
 
@@ -142,11 +158,17 @@
   private handleEntryRequest(link: PeerLink, message: EntryRequest): void {
     switch (message.kind) {
       case 'entry':
-        this.entryLinks.add(link);
+        this.entryLinks.set(link, new BacklogEncoder());
         return;
       case 'query':
         link.send({kind: 'status', request: message.request, ...this.owner.lookUp(message.id)});
         return;
+      case 'count': {
+        const {request, queue} = message;
+        const pending = this.owner.countPending(queue);
+        link.send({kind: 'pending', request, ...(pending !== undefined && {pending})});
+        return;
+      }
       case 'cancelled':
         this.owner.cancel(message.id);
         return;
@@ -163,11 +185,25 @@
     return this.peers.askOwner(id);
   }
 
+  private countPending(queue: string): Promise<number | undefined> {
+    if (this.owner.isOwner) return Promise.resolve(this.owner.countPending(queue));
+    return this.peers.countPending(queue);
+  }
+
   private publishQueueBacklogs(): void {
+    this.backlogTimer = setTimeout(() => this.publishQueueBacklogs(), this.getBacklogIntervalMs());
     if (!this.owner.isOwner) return;
-    const levels = this.owner.getQueueBacklogs();
-    this.service.setQueueBacklogs(levels);
-    for (const link of this.entryLinks) link.send({kind: 'levels', levels});
+    const backlogs = this.owner.getQueueBacklogs();
+    this.service.setQueueBacklogs(backlogs);
+    for (const [link, encoder] of this.entryLinks) link.send(encoder.encode(backlogs));
+  }
+
+  /** Returns the time until the backlogs are published again: longer with many entries on a slow link. */
+  private getBacklogIntervalMs(): number {
+    const {linkMegabits = Number.POSITIVE_INFINITY} = this.options;
+    const bytesPerMs = (linkMegabits * bytesPerMegabit * backlogLinkShare) / 1_000;
+    const intervalMs = (this.entryLinks.size * backlogMessageBytes) / bytesPerMs;
+    return Math.min(maxBacklogIntervalMs, Math.max(minBacklogIntervalMs, intervalMs));
   }
 
   private setOwner(owner: OwnerRecord | undefined): void {
--- a/packages/runtime/src/dispatch/entry-peers.ts
+++ b/packages/runtime/src/dispatch/entry-peers.ts
@@ -1,11 +1,13 @@
 import type {QueueBacklog} from '@chervilbeam/coordination';
+import {BacklogDecoder} from './backlog-messages.js';
 import type {DecisionLogger} from './decision-logger.js';
 import type {EntryRequest, EntryResponse, SubmissionLookup} from './entry-messages.js';
-import {dialLink, type Link} from './link.js';
+import {dialLink, type Link, type LinkHandlers} from './link.js';
 import type {RecordStore} from './record-store.js';
 import {entryPrefix} from './store-keys.js';
 import {type EntryRecord, parseEntry} from './stored-state.js';
 import type {SubmissionCall, SubmissionReply} from './submission-calls.js';
+import type {TrafficMeter} from './traffic-meter.js';
 
 /** Timeout in milliseconds of a query to the owner. A round trip to the farthest region takes 60 ms (30 ms each way). */
 const queryTimeoutMs = 600;
@@ -20,7 +22,8 @@
   readonly address: string;
   readonly store: RecordStore;
   readonly log: DecisionLogger;
-  readonly onQueueBacklogs: (levels: readonly QueueBacklog[]) => void;
+  readonly traffic: TrafficMeter;
+  readonly onQueueBacklogs: (backlogs: readonly QueueBacklog[]) => void;
 }
 
 type EntryLink = Link<EntryResponse, EntryRequest>;
@@ -82,6 +85,19 @@
     return response?.kind === 'status' ? response : undefined;
   }
 
+  /** Asks the owner for the number of pending submissions of a queue; undefined when no owner replies. */
+  async countPending(queue: string): Promise<number | undefined> {
+    const {ownerAddress} = this;
+    if (ownerAddress === undefined) return undefined;
+    const link = this.getLink(ownerAddress);
+    const response = await this.request(link, queryTimeoutMs, request => ({
+      kind: 'count',
+      request,
+      queue,
+    }));
+    return response?.kind === 'pending' ? response.pending : undefined;
+  }
+
   /** Notifies the owner of a cancelled submission; does nothing when no owner is known. */
   notifyCancelled(id: string): void {
     if (this.ownerAddress !== undefined) {
@@ -139,10 +155,12 @@
   private getLink(address: string): EntryLink {
     const existingLink = this.links.get(address);
     if (existingLink) return existingLink;
-    const link: EntryLink = dialLink(address, {
-      message: response => this.receive(response),
+    const backlogs = new BacklogDecoder();
+    const handlers: LinkHandlers<EntryResponse> = {
+      message: response => this.receive(response, backlogs),
       closed: reason => this.handleClosed(address, link, reason),
-    });
+    };
+    const link: EntryLink = dialLink(address, handlers, this.options.traffic);
     this.links.set(address, link);
     link.send({kind: 'entry', name: this.options.name});
     return link;
@@ -177,8 +195,8 @@
     });
   }
 
-  private receive(response: EntryResponse): void {
-    if (response.kind === 'levels') this.options.onQueueBacklogs(response.levels);
+  private receive(response: EntryResponse, backlogs: BacklogDecoder): void {
+    if (response.kind === 'backlogs') this.options.onQueueBacklogs(backlogs.decode(response));
     else if ('request' in response) this.pending.get(response.request)?.finish(response);
   }
 }
--- a/packages/runtime/src/dispatch/index.ts
+++ b/packages/runtime/src/dispatch/index.ts
@@ -1,4 +1,5 @@
 export * from './agent-node.js';
+export * from './backlog-messages.js';
 export * from './decision-logger.js';
 export * from './entry-messages.js';
 export * from './entry-node.js';
--- a/packages/runtime/src/dispatch/link.ts
+++ b/packages/runtime/src/dispatch/link.ts
@@ -1,6 +1,7 @@
 import {connect, createServer, type Server, type Socket} from 'node:net';
 import {Encoder} from 'cbor-x';
 import {FrameDecoder, FrameError, prefixBytes} from '../framing/index.js';
+import type {TrafficMeter} from './traffic-meter.js';
 
 /** Interval in milliseconds between keepalive probes on an idle connection. */
 const probeIntervalMs = 1_000;
@@ -47,6 +48,7 @@
   constructor(
     private readonly socket: Socket,
     private readonly handlers: LinkHandlers<Incoming>,
+    private readonly traffic?: TrafficMeter,
   ) {
     socket.setNoDelay(true);
     this.hasOpened = !socket.connecting;
@@ -69,6 +71,7 @@
     const prefix = Buffer.allocUnsafe(prefixBytes);
     prefix.writeUInt32BE(payload.length, 0);
     this.frames.push(prefix, payload);
+    this.traffic?.record('sent', getKind(message), prefixBytes + payload.length);
     if (this.isFlushing) return;
     this.isFlushing = true;
     setImmediate(() => this.flush());
@@ -129,6 +132,7 @@
     if (typeof message !== 'object' || message === null || !('kind' in message)) {
       throw new FrameError('not-a-message');
     }
+    this.traffic?.record('received', getKind(message), prefixBytes + payload.length);
     if (this.isClosed || message.kind === probeKind) return;
     this.handlers.message(message as Incoming);
   }
@@ -141,23 +145,29 @@
   }
 }
 
+function getKind(message: unknown): string {
+  return String((message as {readonly kind?: unknown}).kind);
+}
+
 /** Function that opens a link to `ip:port`. */
 export type LinkDialer<Incoming, Outgoing> = (
   address: string,
   handlers: LinkHandlers<Incoming>,
+  traffic?: TrafficMeter,
 ) => Link<Incoming, Outgoing>;
 
 /** Opens a link to `ip:port`; a failure to connect is reported through `closed`. */
 export function dialLink<Incoming, Outgoing>(
   address: string,
   handlers: LinkHandlers<Incoming>,
+  traffic?: TrafficMeter,
 ): Link<Incoming, Outgoing> {
   const separator = address.lastIndexOf(':');
   const socket = connect(Number(address.slice(separator + 1)), address.slice(0, separator));
   const timer = setTimeout(() => socket.destroy(new Error('connect-timeout')), connectTimeoutMs);
   socket.once('connect', () => clearTimeout(timer));
   socket.once('close', () => clearTimeout(timer));
-  return new Link(socket, handlers);
+  return new Link(socket, handlers, traffic);
 }
 
 /** Listens on `ip:port` and calls `accept` for each socket; rejects when it cannot listen. */
--- a/packages/runtime/src/dispatch/owner-process.ts
+++ b/packages/runtime/src/dispatch/owner-process.ts
@@ -39,13 +39,22 @@
 /** Tick interval in milliseconds of a process that is not the owner. */
 const idleTickMs = 250;
 
+const bytesPerMegabit = 125_000;
+/**
+ * Share of the host's link that start commands may use. The rest carries leases, stops, store calls and the calls of
+ * callers, which must not wait behind starts.
+ */
+const startLinkShare = 0.4;
+
 /** Options of `OwnerProcess`. */
 export interface OwnerProcessOptions {
   readonly name: string;
   /** Address at which other processes reach this one. */
   readonly address: string;
-  /** Number of processors available to this process. */
+  /** Number of processors that this process can use as the owner. */
   readonly processors: number;
+  /** Speed of the host's network link in megabits per second; by default without limit. */
+  readonly linkMegabits?: number;
   /** Identifies this incarnation of the process; a restart gets a new one. */
   readonly incarnation: string;
   readonly store: RecordStore;
@@ -84,7 +93,9 @@
 
   constructor(private readonly options: OwnerProcessOptions) {
     const {clock, store, log, timing, electionTiming, incarnation, address} = options;
-    this.dispatcher = new Dispatcher(timing);
+    const {linkMegabits = Number.POSITIVE_INFINITY} = options;
+    const startBytesPerSecond = linkMegabits * bytesPerMegabit * startLinkShare;
+    this.dispatcher = new Dispatcher({...timing, startBytesPerSecond});
     this.loop = new Loop(this.dispatcher, clock, effect => this.executeEffect(effect));
     this.election = new OwnerElection({
       incarnation,
@@ -179,6 +190,11 @@
     return {isOwner: true, ...(status && {status}), ...(queue !== undefined && {queue})};
   }
 
+  /** Returns the number of pending submissions of a queue, or undefined when this process is not the owner. */
+  countPending(queue: string): number | undefined {
+    return this.dispatcher.countPending(queue);
+  }
+
   /** Returns the backlog of each queue; empty without ownership. */
   getQueueBacklogs(): readonly QueueBacklog[] {
     return this.dispatcher.getQueueBacklogs(this.options.clock.now());
--- a/packages/runtime/src/dispatch/submission-calls.ts
+++ b/packages/runtime/src/dispatch/submission-calls.ts
@@ -33,5 +33,7 @@
   | 'backlog'
   /** The entry cannot reach the store. */
   | 'store-unreachable'
+  /** Neither the owner nor the store could say how many submissions are pending. */
+  | 'backlog-unknown'
   /** No configuration has been read yet. */
   | 'not-configured';
--- a/packages/runtime/src/dispatch/submission-service.ts
+++ b/packages/runtime/src/dispatch/submission-service.ts
@@ -13,8 +13,10 @@
 import {CallRelays} from './call-relays.js';
 import type {DecisionLogger} from './decision-logger.js';
 import type {SubmissionLookup} from './entry-messages.js';
+import {LeaseClock} from './lease-clock.js';
 import type {ReadResult, RecordStore} from './record-store.js';
 import {cancelPrefix, progressPrefix, submissionPrefix} from './store-keys.js';
+import {StoredBacklog} from './stored-backlog.js';
 import type {SubmissionCall, SubmissionReply} from './submission-calls.js';
 import {SubmissionWriter} from './submission-writer.js';
 
@@ -27,10 +29,17 @@
 /** Age in milliseconds above which the queue backlogs are too old to base admission on. */
 const maxBacklogAgeMs = 3_000;
 
+/** Age in milliseconds up to which the number of pending submissions is taken from the backlogs; callers allow 2 s. */
+const maxPendingAgeMs = 1_200;
+/** Retry-After in seconds while the number of pending submissions cannot be told; an owner is elected within seconds. */
+const unknownPendingRetrySeconds = 1;
+
 /** Requests that a `SubmissionService` makes to other processes. */
 export interface SubmissionPeers {
   /** Looks up a submission at the owner; undefined when no owner replies. */
   askOwner(id: string): Promise<SubmissionLookup | undefined>;
+  /** Asks the owner for the number of pending submissions of a queue; undefined when no owner replies. */
+  countPending(queue: string): Promise<number | undefined>;
   /** Notifies the owner of a cancelled submission directly, because the owner may be unable to reach the store. */
   notifyCancelled(id: string): void;
   /** Returns the number of other entries to which a call can be relayed. */
@@ -60,14 +69,20 @@
 export class SubmissionService {
   private configuration: QueueConfiguration | undefined;
   /** Backlog of each queue, by queue key. */
-  private levels = new Map<string, QueueBacklog>();
+  private backlogs = new Map<string, QueueBacklog>();
   private backlogsReceivedAt = Number.NEGATIVE_INFINITY;
   /** Work in core-milliseconds that this entry has accepted since it received the latest backlogs, by queue key. */
   private readonly acceptedCoreMs = new Map<string, number>();
   private readonly writer: SubmissionWriter;
   private readonly relays: CallRelays;
 
+  /** Counts suspensions of the host, so that backlogs from before a suspension are not taken for recent ones. */
+  private readonly clock: LeaseClock;
+  private readonly storedBacklog: StoredBacklog;
+
   constructor(private readonly options: SubmissionServiceOptions) {
+    this.clock = new LeaseClock(options.clock);
+    this.storedBacklog = new StoredBacklog(options.store, this.clock);
     this.writer = new SubmissionWriter(options);
     this.relays = new CallRelays(options);
   }
@@ -78,9 +93,9 @@
   }
 
   /** Replaces the queue backlogs with those that the owner published. */
-  setQueueBacklogs(levels: readonly QueueBacklog[]): void {
-    this.levels = new Map(levels.map(level => [level.queue, level]));
-    this.backlogsReceivedAt = this.options.clock.now();
+  setQueueBacklogs(backlogs: readonly QueueBacklog[]): void {
+    this.backlogs = new Map(backlogs.map(backlog => [backlog.queue, backlog]));
+    this.backlogsReceivedAt = this.clock.now();
     this.acceptedCoreMs.clear();
   }
 
@@ -99,12 +114,24 @@
       case 'cancel':
         return this.cancel(call, context);
       case 'count':
-        return queue ? {kind: 'pending', count: this.getPending(queue)} : {kind: 'no-queue'};
+        return queue ? this.count(queue) : {kind: 'no-queue'};
     }
   }
 
-  private getPending(queue: Queue): number {
-    return this.levels.get(queue.key)?.pending ?? 0;
+  /**
+   * Returns the number of pending submissions from the owner's latest backlogs or, when these are old or lack the
+   * queue, from the owner itself or the store. A number that cannot be told is not given as 0.
+   */
+  private async count(queue: Queue): Promise<SubmissionReply> {
+    const isFresh = this.clock.now() - this.backlogsReceivedAt < maxPendingAgeMs;
+    const published = isFresh ? this.backlogs.get(queue.key)?.pending : undefined;
+    const count =
+      published ??
+      (await this.options.peers.countPending(queue.key)) ??
+      (await this.storedBacklog.countPending(queue.key));
+    if (count !== undefined) return {kind: 'pending', count};
+    const retryAfterSeconds = unknownPendingRetrySeconds;
+    return {kind: 'refused', retryAfterSeconds, reason: 'backlog-unknown'};
   }
 
   private async submit(
@@ -152,8 +179,8 @@
     queue: Queue,
     draft: ValidDraft,
   ): Extract<SubmissionReply, {kind: 'refused'}> | undefined {
-    const isFresh = this.options.clock.now() - this.backlogsReceivedAt < maxBacklogAgeMs;
-    const level = isFresh ? this.levels.get(queue.key) : undefined;
+    const isFresh = this.clock.now() - this.backlogsReceivedAt < maxBacklogAgeMs;
+    const level = isFresh ? this.backlogs.get(queue.key) : undefined;
     const addedCoreMs = this.acceptedCoreMs.get(queue.key) ?? 0;
     const addedWaitMs = level ? addedCoreMs / Math.max(1, level.cores) : 0;
     const currentBacklog = level && {
@@ -254,14 +281,14 @@
 
   private recordRefusal(event: string, id: string, reply: SubmissionReply): void {
     if (reply.kind !== 'refused') return;
-    const {metrics, log, clock} = this.options;
+    const {metrics, log} = this.options;
     const {reason, retryAfterSeconds} = reply;
     metrics.count(`submissions_refused_${reason}`);
     log.log(event, {
       submission: id,
       reason,
       retryAfterSeconds,
-      ageMs: Math.round(clock.now() - this.backlogsReceivedAt),
+      ageMs: Math.round(this.clock.now() - this.backlogsReceivedAt),
     });
   }
 }
--- a/packages/runtime/src/dispatch/worker-commands.ts
+++ b/packages/runtime/src/dispatch/worker-commands.ts
@@ -1,11 +1,13 @@
-import type {
-  Clock,
-  CommandOutcome,
-  OwnerMessage,
-  WorkerDescription,
+import {
+  type Clock,
+  type CommandOutcome,
+  getSubmissionId,
+  type OwnerMessage,
+  type WorkerDescription,
 } from '@chervilbeam/coordination';
 import type {Metrics} from '../metrics/index.js';
 import type {DecisionLogger} from './decision-logger.js';
+import {SpecCache} from './spec-cache.js';
 import type {WorkerPort} from './worker-port.js';
 
 /** Delay in milliseconds before a stop whose outcome is unknown is retried. */
@@ -37,17 +39,23 @@
 
 /** Executes the owner's commands on the worker. On the wire and in logs, a command is called an order. */
 export class WorkerCommands {
+  private readonly specs = new SpecCache();
+
   constructor(private readonly options: WorkerCommandsOptions) {}
 
   /** Starts a run; refused without a call when the term or the worker's incarnation is outdated. */
   async start(order: Extract<OwnerMessage, {kind: 'start'}>): Promise<void> {
+    const spec = this.specs.resolve(getSubmissionId(order.task), order.spec);
     const state = this.options.getContext();
     const refusal = getStartRefusal(state, order.life, order.term);
     if (refusal !== undefined) return this.options.sendResult(order.order, refusal);
+    if (spec === undefined) {
+      return this.options.sendResult(order.order, {kind: 'refused', reason: 'spec-unknown'});
+    }
     const {outcome} = await this.options.worker.start(getWorkerId(state), {
       task: order.task,
       run: order.run,
-      spec: order.spec,
+      spec,
       deadlineMs: order.deadlineMs,
       token: order.term,
       ...(order.checkpoint !== undefined && {checkpoint: order.checkpoint}),
--- a/packages/runtime/test/dispatch/submission-service.test.ts
+++ b/packages/runtime/test/dispatch/submission-service.test.ts
@@ -40,6 +40,7 @@
   idleTimeoutMs: 1,
 };
 const id = '00000000000000a1';
+const other = '00000000000000a2';
 const draft: ValidDraft = {
   spec: 'x',
   steps: [
@@ -62,6 +63,7 @@
 };
 const submit: SubmissionCall = {kind: 'submit', queue: queue.key, id, draft};
 const full: QueueBacklog = {
+  group: 'press/1',
   queue: queue.key,
   pending: 7,
   waitMs: 60_000,
@@ -78,6 +80,8 @@
   /** Status that the owner returns; absent when no owner replies. */
   readonly ownerStatus?: SubmissionStatus;
   readonly relayedReply?: SubmissionReply;
+  /** Number of pending submissions that the owner returns; absent when no owner replies. */
+  readonly ownerPending?: number;
   /** Number of other entries. */
   readonly entries?: number;
   readonly timeoutMs?: number;
@@ -101,6 +105,7 @@
     peers: {
       askOwner: async () =>
         fixture.ownerStatus && {isOwner: true, status: fixture.ownerStatus, queue: queue.key},
+      countPending: async () => fixture.ownerPending,
       getEntryCount: () => fixture.entries ?? 1,
       relay: async () => fixture.relayedReply,
       notifyCancelled: cancelled => notified.push(cancelled),
@@ -270,6 +275,30 @@
     fixture: {level: full},
     reply: {kind: 'pending', count: 7},
   },
+  {
+    name: 'the owner is asked for the number of a queue that the published backlogs lack',
+    call: {kind: 'count', queue: queue.key},
+    fixture: {level: {...full, queue: 'other'}, ownerPending: 3},
+    reply: {kind: 'pending', count: 3},
+  },
+  {
+    name: 'without an owner, stored submissions that have no progress are pending, not 0',
+    call: {kind: 'count', queue: queue.key},
+    fixture: {storedKeys: [`work/job/${id}`, `work/job/${other}`, `progress/${other}`]},
+    reply: {kind: 'pending', count: 1},
+  },
+  {
+    name: 'a cancelled submission is not pending',
+    call: {kind: 'count', queue: queue.key},
+    fixture: {storedKeys: [`work/job/${id}`, `work/cancel/${id}`]},
+    reply: {kind: 'pending', count: 0},
+  },
+  {
+    name: 'without an owner and without the store, the number is not given as 0',
+    call: {kind: 'count', queue: queue.key},
+    fixture: {faults: ['refused']},
+    reply: {kind: 'refused', reason: 'backlog-unknown'},
+  },
 ];
 
 for (const {name, call = submit, fixture, reply, stored} of cases) {
