Reserve room for serving tasks that restart on a full service

Finite tasks of 0.6 to 1.6 cores took every piece of room within 0.1 to 0.4 s, and nothing could hold room; the reserve for urgent work kept the task even from room that it had itself left. Change: RoomReservations keeps the room of a failed serving task for its next run or, when its worker is lost, reserves another worker, on which finite runs with the least lost work are stopped after 1 s. At most a quarter of the workers have a reservation; it ends with its reason. A restarting serving task may use the urgent reserve.

--- a/packages/coordination/src/dispatch/decision-log.ts
+++ b/packages/coordination/src/dispatch/decision-log.ts
@@ -17,6 +17,7 @@
   | 'run-lost'
   | 'run-unexpected'
   | 'run-paced'
+  | 'room-reserved'
   | 'worker-up'
   | 'worker-draining'
   | 'worker-gone'
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -17,6 +17,7 @@
   getQueueBacklogs,
   type QueueBacklog,
 } from './policy/queue-backlogs.js';
+import {RoomReservations} from './policy/room-reservations.js';
 import {RunSupervisor} from './policy/run-supervisor.js';
 import {WorkerSelector} from './policy/worker-selector.js';
 import {WorkerHeadroomCache} from './policy/worker-headroom.js';
@@ -41,6 +42,7 @@
   private readonly commands: RunCommands;
   private readonly interference = new InterferenceModel();
   private readonly headrooms = new WorkerHeadroomCache(this.interference);
+  private readonly reservations: RoomReservations;
   private readonly supervisor: RunSupervisor;
   private readonly ends: SubmissionEnds;
   private readonly workerReports: WorkerReports;
@@ -50,6 +52,7 @@
     this.state = new DispatchState({...defaultDispatchTiming, ...timing});
     this.journal = new ProgressJournal(this.state, () => this.barrier.entries);
     this.commands = new RunCommands(this.state);
+    this.reservations = new RoomReservations(this.state, this.commands);
     this.supervisor = new RunSupervisor(this.state, this.commands, at => this.createSelector(at));
     this.ends = new SubmissionEnds(this.state, this.commands, this.journal);
     this.workerReports = new WorkerReports({
@@ -57,6 +60,7 @@
       journal: this.journal,
       barrier: this.barrier,
       commands: this.commands,
+      reservations: this.reservations,
       supervisor: this.supervisor,
       ends: this.ends,
       pacer: new FillerPacer(this.state, this.commands, this.interference, this.headrooms),
@@ -159,6 +163,7 @@
   private clear(): void {
     this.state.submissions.clear();
     this.state.workers.clear();
+    this.reservations.clear();
     this.journal.reset([]);
   }
 
@@ -232,13 +237,15 @@
     if (this.isRecovering && this.barrier.isOpen(at)) this.finishRecovery(at);
     if (state.isPlacementDue) {
       state.isPlacementDue = false;
-      runPlacementRound(state, this.commands, this.createSelector(at), at);
+      this.reservations.update(at);
+      runPlacementRound(state, this.commands, this.createSelector(at), this.reservations, at);
     }
     this.journal.flush(at);
   }
 
   private createSelector(at: number): WorkerSelector {
-    return new WorkerSelector(this.state, this.interference, this.headrooms, at);
+    const {state, interference, headrooms, reservations} = this;
+    return new WorkerSelector(state, interference, headrooms, reservations, at);
   }
 
   private finishRecovery(at: number): void {
--- a/packages/coordination/src/dispatch/policy/placement-round.ts
+++ b/packages/coordination/src/dispatch/policy/placement-round.ts
@@ -1,6 +1,7 @@
 import type {StepTasks} from '../active-submission.js';
 import type {DispatchState} from '../dispatch-state.js';
 import type {RunCommands} from '../run-commands.js';
+import type {RoomReservations} from './room-reservations.js';
 import type {WorkerView} from '../worker-view.js';
 import {sortCandidates, type Candidate} from './submission-order.js';
 import type {WorkerSelector} from './worker-selector.js';
@@ -13,6 +14,7 @@
   state: DispatchState,
   commands: RunCommands,
   selector: WorkerSelector,
+  reservations: RoomReservations,
   at: number,
 ): void {
   if (selector.openWorkerCount === 0) return;
@@ -20,7 +22,7 @@
     for (const group of candidate.occurrence.getReadySteps()) {
       if (!state.startBudget.isOpen(at)) return;
       if (group.step.gang) startGang(candidate, group, selector, commands, at);
-      else startTasks(state, candidate, group, selector, commands, at);
+      else startTasks(state, candidate, group, selector, commands, reservations, at);
     }
   }
 }
@@ -31,6 +33,7 @@
   group: StepTasks,
   selector: WorkerSelector,
   commands: RunCommands,
+  reservations: RoomReservations,
   at: number,
 ): void {
   for (const task of group.tasks) {
@@ -38,7 +41,12 @@
     if (!state.startBudget.isOpen(at)) return;
     const worker = selector.selectWorker(task, group, candidate.priority);
     // The tasks of a step need the same resources, so the others do not fit either; only `avoidedWorkers` differs.
-    if (worker === undefined) return;
+    if (worker === undefined) {
+      if (!reservations.canReserve(task)) return;
+      // Each task that restarts needs room of its own, and another one may have it already.
+      reservations.request(task, selector.getCandidates(task, group), at);
+      continue;
+    }
     commands.start(task, worker, at);
     selector.recordPlacement(worker);
   }
--- a/packages/coordination/src/dispatch/policy/worker-selector.ts
+++ b/packages/coordination/src/dispatch/policy/worker-selector.ts
@@ -4,6 +4,7 @@
 import type {Task} from '../task.js';
 import type {WorkerView} from '../worker-view.js';
 import type {InterferenceModel} from './interference-model.js';
+import type {RoomReservations} from './room-reservations.js';
 import {getImagePairKey, type WorkerHeadroom, type WorkerHeadroomCache} from './worker-headroom.js';
 
 /** Tolerance for rounding errors in sums of cores. */
@@ -47,6 +48,7 @@
     private readonly state: DispatchState,
     private readonly interference: InterferenceModel,
     private readonly headrooms: WorkerHeadroomCache,
+    private readonly reservations: RoomReservations,
     private readonly at: number,
   ) {
     const {unreachableMs} = state.timing;
@@ -82,6 +84,17 @@
     return best;
   }
 
+  /** Returns the workers on which a task would fit if they were empty. */
+  getCandidates(task: Task, group: StepTasks): WorkerView[] {
+    const {step} = task;
+    return this.openWorkers.filter(
+      worker =>
+        worker.description.service === task.submission.service &&
+        (step.label === undefined || worker.description.labels.includes(step.label)) &&
+        (step.spreadLimit === undefined || countRuns(worker, group) < step.spreadLimit),
+    );
+  }
+
   private isEligible(worker: WorkerView, task: Task, group: StepTasks, priority: number): boolean {
     const {description, capacity, used} = worker;
     const {step} = task;
@@ -97,10 +110,13 @@
       if (headroom.getHeadroomUse(step) > 1) return false;
       if (this.isPairProbed(headroom, step.image)) return false;
     } else {
-      const shouldLeaveReserve = priority > 0 || step.lasting;
+      // A serving task that restarts has had its share before; leaving the reserve would keep it from its own room.
+      const isRestart = this.reservations.canReserve(task);
+      const shouldLeaveReserve = !isRestart && (priority > 0 || step.lasting);
       const reserveCores = shouldLeaveReserve ? capacity.processors * urgentReserveShare : 0;
       if (freeCores - reserveCores < step.need.processors) return false;
     }
+    if (!this.reservations.fits(worker, task)) return false;
     if (step.spreadLimit !== undefined) {
       if (countRuns(worker, group) >= step.spreadLimit) return false;
     }
--- a/packages/coordination/src/dispatch/task.ts
+++ b/packages/coordination/src/dispatch/task.ts
@@ -63,11 +63,16 @@
     readonly stepIndex: number,
     readonly index: number,
     readonly step: Step,
-    baseRunNumber: number,
+    private readonly baseRunNumber: number,
   ) {
     this.lastRunNumber = baseRunNumber;
   }
 
+  /** Whether the task has had a run, under this owner or adopted from the previous one. */
+  get hasStarted(): boolean {
+    return this.lastRunNumber > this.baseRunNumber;
+  }
+
   /** Whether the task's next run may be started. */
   isWaiting(at: number): boolean {
     return !this.isFinished && !this.isInDoubt && this.runs.length === 0 && at >= this.notBefore;
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -3,6 +3,7 @@
 import type {AgentMessage, RunEndRow, RunRow, WorkerDescription} from './agent-messages.js';
 import type {DispatchState} from './dispatch-state.js';
 import type {FillerPacer} from './policy/filler-pacer.js';
+import type {RoomReservations} from './policy/room-reservations.js';
 import type {RunSupervisor} from './policy/run-supervisor.js';
 import {CommandResults} from './command-results.js';
 import type {ProgressJournal} from './progress-journal.js';
@@ -21,6 +22,7 @@
   readonly journal: ProgressJournal;
   readonly barrier: RecoveryBarrier;
   readonly commands: RunCommands;
+  readonly reservations: RoomReservations;
   readonly supervisor: RunSupervisor;
   readonly ends: SubmissionEnds;
   readonly pacer: FillerPacer;
@@ -268,6 +270,7 @@
     else if (run && run.checkpoint !== '') task.checkpoint = run.checkpoint;
     if (run)
       this.components.commands.remove(run, how === 'failed' ? at + failureDelayMs : undefined);
+    this.keepRoom(task, worker, at);
     const hasChanged = this.applyEndToTask(task, run, worker, end, at);
     if (hasChanged) {
       journal.addUnstoredEnd(worker, endNumber, task.submission);
@@ -276,6 +279,12 @@
     this.components.ends.completeIfFinished(task.submission, at);
   }
 
+  /** Keeps the room of a serving task that has ended, unless its worker is leaving or was stopped on purpose. */
+  private keepRoom(task: Task, worker: WorkerView, at: number): void {
+    if (task.runs.length > 0 || worker.isDraining) return;
+    this.components.reservations.keepRoom(task, worker, at);
+  }
+
   /** Applies the end of a run to its task; returns whether the submission's progress must be stored. */
   private applyEndToTask(
     task: Task,
--- a/packages/coordination/test/dispatch/fleet/virtual-worker.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-worker.ts
@@ -136,6 +136,12 @@
     return true;
   }
 
+  /** Ends the run of a task as failed. */
+  fail(task: string): void {
+    const run = this.runs.get(task);
+    if (run !== undefined) this.finish(run, 'failed');
+  }
+
   /** Sets the pace of a run. */
   pace(task: string, run: number, percent: number): void {
     const present = this.runs.get(task);
