--- a/packages/coordination/src/dispatch/active-submission.ts
+++ b/packages/coordination/src/dispatch/active-submission.ts
@@ -242,6 +242,11 @@
     };
   }
 
+  /** Returns the submission without what only its tasks need. */
+  toFinishedSubmission(): Submission {
+    return {...this.submission, spec: '', steps: []};
+  }
+
   private createOccurrence(index: number, dueAt: number): Occurrence {
     const steps = this.submission.steps.map((step, stepIndex) => {
       const tasks = Array.from({length: step.count}, (_, taskIndex) =>
--- a/packages/coordination/src/dispatch/dispatch-events.ts
+++ b/packages/coordination/src/dispatch/dispatch-events.ts
@@ -51,9 +51,20 @@
  */
 export type WriteResult = 'ok' | 'conflict' | 'unavailable' | 'unknown';
 
+/** Progress of one submission to be stored. */
+export interface StoredProgress {
+  readonly id: string;
+  readonly record: ProgressRecord;
+  /**
+   * Replaces the stored submission once its state is final: the same without spec and steps, so that the next owner has
+   * little to read. The record stays as long as callers may send the submission again.
+   */
+  readonly finished?: Submission;
+}
+
 /** Contents of one write to the store. */
 export interface ProgressWrite {
-  readonly progress: ReadonlyArray<{readonly id: string; readonly record: ProgressRecord}>;
+  readonly progress: readonly StoredProgress[];
   readonly roster?: readonly RosterEntry[];
   /** Ids of submissions whose records can be deleted. */
   readonly forgotten: readonly string[];
--- a/packages/coordination/src/dispatch/policy/queue-backlogs.ts
+++ b/packages/coordination/src/dispatch/policy/queue-backlogs.ts
@@ -74,9 +74,7 @@
 }
 
 function isPending(submission: ActiveSubmission): boolean {
-  return (
-    submission.isActive && !submission.hasStarted && submission.submission.repetitions === 0
-  );
+  return submission.isActive && !submission.hasStarted && submission.submission.repetitions === 0;
 }
 
 /** Processor time, in core-milliseconds, of the tasks of one priority that have no run yet. */
@@ -133,10 +131,7 @@
 
 const noCapacity: ServiceCapacity = {cores: 0, servingCores: 0};
 
-function collectCapacities(
-  state: DispatchState,
-  at: number,
-): ReadonlyMap<string, ServiceCapacity> {
+function collectCapacities(state: DispatchState, at: number): ReadonlyMap<string, ServiceCapacity> {
   const capacities = new Map<string, ServiceCapacity>();
   for (const worker of state.workers.values()) {
     const isReachable = at - worker.lastContactAt < state.timing.unreachableMs;
--- a/packages/coordination/src/dispatch/progress-journal.ts
+++ b/packages/coordination/src/dispatch/progress-journal.ts
@@ -1,5 +1,5 @@
 import type {ActiveSubmission} from './active-submission.js';
-import type {ProgressWrite, RosterEntry, WriteResult} from './dispatch-events.js';
+import type {ProgressWrite, RosterEntry, StoredProgress, WriteResult} from './dispatch-events.js';
 import type {DispatchState} from './dispatch-state.js';
 import type {WorkerView} from './worker-view.js';
 
@@ -92,13 +92,13 @@
     // Each forgotten submission has three records: the submission, its cancel request and its progress.
     const forgotten = [...this.forgotten].slice(
       0,
-      Math.floor((maxRecords - submissions.length) / 3),
+      Math.floor((maxRecords - countRecords(submissions)) / 3),
     );
     const roster = this.isRosterChanged ? this.getRoster() : undefined;
     this.isRosterChanged = false;
     const included = new Set(submissions);
     const write: ProgressWrite = {
-      progress: submissions.map(submission => ({id: submission.id, record: submission.toRecord()})),
+      progress: submissions.map(createStoredProgress),
       ...(roster && {roster}),
       forgotten,
     };
@@ -176,14 +176,20 @@
     }
   }
 
-  /** Takes up to `maxRecords` changed submissions; those with a final state first, because callers wait for it. */
+  /** Takes changed submissions with up to `maxRecords` records; those with a final state first, because callers wait for it. */
   private takeChanged(): ActiveSubmission[] {
     const finals: ActiveSubmission[] = [];
     const others: ActiveSubmission[] = [];
     for (const submission of this.changed) {
       (submission.final === undefined ? others : finals).push(submission);
     }
-    const taken = [...finals, ...others].slice(0, maxRecords);
+    const taken: ActiveSubmission[] = [];
+    let records = 0;
+    for (const submission of [...finals, ...others]) {
+      records += countRecords([submission]);
+      if (records > maxRecords) break;
+      taken.push(submission);
+    }
     for (const submission of taken) this.changed.delete(submission);
     if (this.changed.size === 0) {
       this.isUrgent = false;
@@ -201,3 +207,17 @@
     ];
   }
 }
+
+function createStoredProgress(submission: ActiveSubmission): StoredProgress {
+  const record = submission.toRecord();
+  const {id} = submission;
+  if (record.final === undefined) return {id, record};
+  return {id, record, finished: submission.toFinishedSubmission()};
+}
+
+/** Returns the number of records to be written: a final submission replaces its stored submission as well. */
+function countRecords(submissions: readonly ActiveSubmission[]): number {
+  let records = 0;
+  for (const submission of submissions) records += submission.final === undefined ? 1 : 2;
+  return records;
+}
--- a/packages/coordination/test/dispatch/dispatcher.test.ts
+++ b/packages/coordination/test/dispatch/dispatcher.test.ts
@@ -66,6 +66,23 @@
   t.equal(fleet.dispatcher.getStatus(id), 'completed');
 });
 
+void t.test(
+  'a finished submission is stored without spec and steps, and a new owner knows it',
+  async t => {
+    const fleet = createFleet();
+    fleet.submit(createSubmission(id, queue.key, [createStep({count: 2})]));
+    fleet.run(3_000);
+    t.match(fleet.submissions.get(id), {id, queue: queue.key, spec: '', steps: []});
+    fleet.startOwner();
+    fleet.run(6_000);
+    t.equal(fleet.dispatcher.getStatus(id), 'completed');
+    t.equal(fleet.dispatcher.getQueueOf(id), queue.key);
+    fleet.submit(createSubmission(id, queue.key, [createStep({count: 2})]));
+    fleet.run(9_000);
+    t.equal(countStarts(fleet, `${id}.0.0.0`), 1, 'sent again, it does not run again');
+  },
+);
+
 const takeoverTimesMs = [150, 400, 900, 1_400, 2_300];
 for (const at of takeoverTimesMs) {
   void t.test(`a new owner at ${at} ms does not run finished tasks again`, async t => {
--- a/packages/runtime/src/dispatch/owner-process.ts
+++ b/packages/runtime/src/dispatch/owner-process.ts
@@ -248,6 +248,9 @@
           key: progressPrefix + id,
           value: JSON.stringify(record),
         })),
+        ...write.progress.flatMap(({id, finished}) =>
+          finished ? [{key: submissionPrefix + id, value: JSON.stringify(finished)}] : [],
+        ),
         ...(write.roster ? [{key: rosterKey, value: JSON.stringify(write.roster)}] : []),
       ],
       removals: write.forgotten.flatMap(id => [
--- a/packages/runtime/src/dispatch/submission-calls.ts
+++ b/packages/runtime/src/dispatch/submission-calls.ts
@@ -33,7 +33,7 @@
   | 'backlog'
   /** The entry cannot reach the store. */
   | 'store-unreachable'
-  /** Neither the owner nor the store could say how many submissions are pending. */
+  /** The owner, which knows how many submissions are pending, did not reply. */
   | 'backlog-unknown'
   /** No configuration has been read yet. */
   | 'not-configured';
--- a/packages/runtime/src/dispatch/submission-service.ts
+++ b/packages/runtime/src/dispatch/submission-service.ts
@@ -16,7 +16,6 @@
 import {LeaseClock} from './lease-clock.js';
 import type {ReadResult, RecordStore} from './record-store.js';
 import {cancelPrefix, progressPrefix, submissionPrefix} from './store-keys.js';
-import {StoredBacklog} from './stored-backlog.js';
 import type {SubmissionCall, SubmissionReply} from './submission-calls.js';
 import {SubmissionWriter} from './submission-writer.js';
 
@@ -78,11 +77,9 @@
 
   /** Counts suspensions of the host, so that backlogs from before a suspension are not taken for recent ones. */
   private readonly clock: LeaseClock;
-  private readonly storedBacklog: StoredBacklog;
 
   constructor(private readonly options: SubmissionServiceOptions) {
     this.clock = new LeaseClock(options.clock);
-    this.storedBacklog = new StoredBacklog(options.store, this.clock);
     this.writer = new SubmissionWriter(options);
     this.relays = new CallRelays(options);
   }
@@ -120,15 +117,13 @@
 
   /**
    * Returns the number of pending submissions from the owner's latest backlogs or, when these are old or lack the
-   * queue, from the owner itself or the store. A number that cannot be told is not given as 0.
+   * queue, from the owner itself. A number that cannot be told is not given as 0. It is not counted in the store: a list
+   * of all submissions would fill the link of a small host for seconds.
    */
   private async count(queue: Queue): Promise<SubmissionReply> {
     const isFresh = this.clock.now() - this.backlogsReceivedAt < maxPendingAgeMs;
     const published = isFresh ? this.backlogs.get(queue.key)?.pending : undefined;
-    const count =
-      published ??
-      (await this.options.peers.countPending(queue.key)) ??
-      (await this.storedBacklog.countPending(queue.key));
+    const count = published ?? (await this.options.peers.countPending(queue.key));
     if (count !== undefined) return {kind: 'pending', count};
     const retryAfterSeconds = unknownPendingRetrySeconds;
     return {kind: 'refused', retryAfterSeconds, reason: 'backlog-unknown'};
