--- a/packages/runtime/src/dispatch/election-calls.ts
+++ b/packages/runtime/src/dispatch/election-calls.ts
@@ -7,7 +7,7 @@
 } from '@chervilbeam/coordination';
 import type {DecisionLogger} from './decision-logger.js';
 import type {RecordStore} from './record-store.js';
-import {type EntryRecord, parseOwner} from './stored-state.js';
+import {type EntryRecord, parseOwner} from './record-parsers.js';
 import {entryPrefix, generationKey, ownerKey} from './store-keys.js';
 
 /** Options of `ElectionCalls`. */
--- a/packages/runtime/src/dispatch/entry-peers.ts
+++ b/packages/runtime/src/dispatch/entry-peers.ts
@@ -5,7 +5,7 @@
 import {dialLink, type Link, type LinkHandlers} from './link.js';
 import type {RecordStore} from './record-store.js';
 import {entryPrefix} from './store-keys.js';
-import {type EntryRecord, parseEntry} from './stored-state.js';
+import {type EntryRecord, parseEntry} from './record-parsers.js';
 import type {SubmissionCall, SubmissionReply} from './submission-calls.js';
 import type {TrafficMeter} from './traffic-meter.js';
 
--- /dev/null
+++ b/packages/runtime/src/dispatch/link-message-checks.ts
@@ -0,0 +1,124 @@
+import {isRecord} from '@chervilbeam/coordination';
+import {type FieldChecks, findBadField, FrameError} from '../framing/index.js';
+
+const runOutcomes = new Set<unknown>(['done', 'failed', 'stopped', 'lapsed', 'broken', 'alone']);
+
+/** Required fields of each kind of message on a `Link`. Other fields are optional or ignored. */
+const fieldChecksByKind: Readonly<Record<string, FieldChecks>> = {
+  agent: {agent: 'string', dataCentre: 'string', incarnation: 'number'},
+  worker: {worker: isWorker},
+  'worker-gone': {life: 'string', reason: 'string'},
+  report: {
+    life: 'string',
+    term: 'number',
+    clockMs: 'number',
+    ends: rows => isRows(rows, isEndRow),
+    running: rows => rows === undefined || isRows(rows, isRunRow),
+  },
+  result: {order: 'number', outcome: isOutcome},
+  owner: {term: 'number', entries: isTexts},
+  elsewhere: {entries: isTexts},
+  lease: {life: 'string', term: 'number', deadlineMs: 'number', acknowledged: 'number'},
+  start: {
+    order: 'number',
+    life: 'string',
+    term: 'number',
+    task: 'string',
+    run: 'number',
+    deadlineMs: 'number',
+    spec: isOptionalText,
+    checkpoint: isOptionalText,
+    ticket: isOptionalText,
+  },
+  stop: {order: 'number', life: 'string', term: 'number', task: 'string', run: 'number'},
+  pace: {life: 'string', term: 'number', task: 'string', run: 'number', percent: 'number'},
+  entry: {name: 'string'},
+  query: {request: 'number', id: 'string'},
+  count: {request: 'number', queue: 'string'},
+  cancelled: {id: 'string'},
+  call: {request: 'number', call: isCall},
+  status: {request: 'number', isOwner: 'boolean'},
+  pending: {request: 'number'},
+  reply: {request: 'number', reply: isReply},
+  backlogs: {
+    keys: rows => isRows(rows, row => row.length === 2 && typeof row[1] === 'string'),
+    groups: rows => isRows(rows, isNumberRow),
+    queues: rows => isRows(rows, isNumberRow),
+    removed: 'array',
+  },
+};
+
+/**
+ * Checks a message of another process. Returns false when its kind is unknown, as during an upgrade, so that it is
+ * ignored; throws a FrameError when a field is missing or has the wrong type.
+ */
+export function checkLinkMessage(message: Readonly<Record<string, unknown>>): boolean {
+  const {kind} = message;
+  if (typeof kind !== 'string' || !Object.hasOwn(fieldChecksByKind, kind)) return false;
+  const badField = findBadField(message, fieldChecksByKind[kind] as FieldChecks);
+  if (badField !== undefined) throw new FrameError('bad-field', `${kind}.${badField}`);
+  return true;
+}
+
+function isWorker(value: unknown): boolean {
+  if (!isRecord(value) || !isRecord(value.capacity)) return false;
+  const {life, id, service, dataCentre, rack, labels, capacity, state, remainingMs} = value;
+  const {processors, memoryMb, accelerators} = capacity;
+  return (
+    isTexts([life, id, service, dataCentre, rack]) &&
+    isTexts(labels) &&
+    (state === 'ready' || state === 'draining') &&
+    (remainingMs === undefined || Number.isFinite(remainingMs)) &&
+    [processors, memoryMb, accelerators].every(isAmount)
+  );
+}
+
+function isAmount(value: unknown): boolean {
+  return typeof value === 'number' && Number.isFinite(value) && value >= 0;
+}
+
+function isOutcome(value: unknown): boolean {
+  if (!isRecord(value)) return false;
+  if (value.kind === 'refused') return typeof value.reason === 'string';
+  if (value.kind === 'stopped') return typeof value.listed === 'boolean';
+  return value.kind === 'accepted' || value.kind === 'unknown';
+}
+
+/** The content of a submission is checked where it is stored; here only what every call has. */
+function isCall(value: unknown): boolean {
+  if (!isRecord(value) || typeof value.queue !== 'string') return false;
+  if (value.kind === 'count') return true;
+  if (typeof value.id !== 'string') return false;
+  if (value.kind === 'submit') return isRecord(value.draft) && Array.isArray(value.draft.steps);
+  return value.kind === 'query' || value.kind === 'cancel';
+}
+
+function isReply(value: unknown): boolean {
+  return isRecord(value) && typeof value.kind === 'string';
+}
+
+function isRunRow(row: readonly unknown[]): boolean {
+  const [task, run, checkpoint, percent, measurement] = row;
+  return isTexts([task, checkpoint]) && [run, percent, measurement].every(Number.isFinite);
+}
+
+function isEndRow(row: readonly unknown[]): boolean {
+  const [end, task, run, how, checkpoint] = row;
+  return isTexts([task, checkpoint]) && [end, run].every(Number.isFinite) && runOutcomes.has(how);
+}
+
+function isNumberRow(row: readonly unknown[]): boolean {
+  return row.length === 4 && row.every(Number.isFinite);
+}
+
+function isRows(rows: unknown, check: (row: readonly unknown[]) => boolean): boolean {
+  return Array.isArray(rows) && rows.every(row => Array.isArray(row) && check(row));
+}
+
+function isTexts(value: unknown): boolean {
+  return Array.isArray(value) && value.every(text => typeof text === 'string');
+}
+
+function isOptionalText(value: unknown): boolean {
+  return value === undefined || typeof value === 'string';
+}
--- a/packages/runtime/src/dispatch/link.ts
+++ b/packages/runtime/src/dispatch/link.ts
@@ -1,6 +1,7 @@
 import {connect, createServer, type Server, type Socket} from 'node:net';
 import {Encoder} from 'cbor-x';
 import {FrameDecoder, FrameError, prefixBytes} from '../framing/index.js';
+import {checkLinkMessage} from './link-message-checks.js';
 import type {TrafficMeter} from './traffic-meter.js';
 
 /** Interval in milliseconds between keepalive probes on an idle connection. */
@@ -117,8 +118,10 @@
     try {
       this.decoder.push(bytes, payload => this.deliver(payload));
     } catch (error) {
-      if (!(error instanceof FrameError)) throw error;
-      this.destroy(error.reason);
+      // An unexpected error of a handler ends this connection, not the process and its other connections.
+      const isFrameError = error instanceof FrameError;
+      this.traffic?.recordFailure(isFrameError ? error.message : String((error as Error).stack));
+      this.destroy(isFrameError ? error.reason : 'handler-failed');
     }
   }
 
@@ -132,8 +135,10 @@
     if (typeof message !== 'object' || message === null || !('kind' in message)) {
       throw new FrameError('not-a-message');
     }
+    const isKnown =
+      message.kind === probeKind || checkLinkMessage(message as Record<string, unknown>);
     this.traffic?.record('received', getKind(message), prefixBytes + payload.length);
-    if (this.isClosed || message.kind === probeKind) return;
+    if (this.isClosed || !isKnown || message.kind === probeKind) return;
     this.handlers.message(message as Incoming);
   }
 
--- a/packages/runtime/src/dispatch/owner-process.ts
+++ b/packages/runtime/src/dispatch/owner-process.ts
@@ -24,7 +24,8 @@
 import type {Link} from './link.js';
 import {RecordWatch} from './record-watch.js';
 import type {RecordChange, RecordStore, StoredRecord} from './record-store.js';
-import {parseOwner, parseSubmission, readStoredState, toWriteResult} from './stored-state.js';
+import {parseOwner, parseSubmission} from './record-parsers.js';
+import {readStoredState, toWriteResult} from './stored-state.js';
 import {
   cancelPrefix,
   ownerKey,
@@ -296,7 +297,7 @@
     this.electionTerm = term;
     log.log('ownership-claimed', {term, generation});
     const startedAt = clock.now();
-    const stored = await readStoredState(store, () => this.electionTerm === term);
+    const stored = await readStoredState(store, log, () => this.electionTerm === term);
     if (stored === undefined || this.electionTerm !== term) return;
     log.log('submissions-read', {
       term,
@@ -336,7 +337,8 @@
     const {key, value, revision} = record;
     if (key.startsWith(submissionPrefix)) {
       const submission = parseSubmission(value);
-      if (submission) this.post({kind: 'submitted', submission});
+      if (submission?.id === key.slice(submissionPrefix.length))
+        this.post({kind: 'submitted', submission});
       else this.options.log.warn('record-unreadable', {key, revision});
     } else if (key.startsWith(cancelPrefix)) {
       this.post({kind: 'cancelled', id: key.slice(cancelPrefix.length)});
--- a/packages/runtime/src/dispatch/owner-search.ts
+++ b/packages/runtime/src/dispatch/owner-search.ts
@@ -3,7 +3,7 @@
 import {RecordWatch} from './record-watch.js';
 import type {RecordChange, RecordStore, StoredRecord} from './record-store.js';
 import {entryPrefix, ownerKey} from './store-keys.js';
-import {parseEntry, parseOwner} from './stored-state.js';
+import {parseEntry, parseOwner} from './record-parsers.js';
 
 /** Long-poll time in milliseconds of a watch on the owner key while no owner is reached. */
 const searchWaitMs = 1_000;
--- a/packages/runtime/src/dispatch/record-watch.ts
+++ b/packages/runtime/src/dispatch/record-watch.ts
@@ -56,7 +56,7 @@
     if (this.isStopped || result.kind !== 'ok') return this.checkResult(result);
     this.confirmedAt = sentAt;
     this.revision = result.revision;
-    this.options.onList(result.records, result.revision);
+    this.handle(() => this.options.onList(result.records, result.revision));
     return true;
   }
 
@@ -74,10 +74,21 @@
     if (result.kind !== 'ok') return this.checkResult(result);
     this.confirmedAt = sentAt;
     this.revision = Math.max(this.revision ?? 0, result.revision);
-    if (result.changes.length > 0) this.options.onChanges(result.changes, result.revision);
+    if (result.changes.length > 0)
+      this.handle(() => this.options.onChanges(result.changes, result.revision));
     return true;
   }
 
+  /** Calls a handler; an unexpected error in it must not end the watch. */
+  private handle(handler: () => void): void {
+    try {
+      handler();
+    } catch (error) {
+      const {prefix, log} = this.options;
+      log.warn('records-not-handled', {prefix, detail: String((error as Error).stack)});
+    }
+  }
+
   /** Returns whether the watch can continue without a pause; logs the first failure of a series. */
   private checkResult(result: {readonly kind: string; readonly detail?: string}): boolean {
     if (this.isStopped || result.kind === 'ok') return true;
--- a/packages/runtime/src/dispatch/stored-state.ts
+++ b/packages/runtime/src/dispatch/stored-state.ts
@@ -1,11 +1,11 @@
 import type {
-  OwnerRecord,
   ProgressRecord,
   RosterEntry,
   StoredSubmission,
-  Submission,
   WriteResult,
 } from '@chervilbeam/coordination';
+import type {DecisionLogger} from './decision-logger.js';
+import {parseProgress, parseRoster, parseSubmission} from './record-parsers.js';
 import type {CommitResult, RecordStore, StoredRecord} from './record-store.js';
 import {
   cancelPrefix,
@@ -26,13 +26,19 @@
 /** Delay in milliseconds before a load with a failed read is retried. */
 const readRetryDelayMs = 200;
 
+/**
+ * Stands for the workers of an unreadable roster. No worker ever reports as it, so the new owner waits until all leases
+ * that its predecessor may have granted have expired.
+ */
+const unknownWorker: RosterEntry = {agent: '', life: 'unreadable-roster'};
+
 /**
  * Loads all submissions with their progress, retrying on failure; undefined once `shouldContinue` returns false. A
- * submission that is not valid JSON is left out; rejects with a SyntaxError when a progress record or the roster is not
- * valid JSON.
+ * submission with an unreadable record is left out and logged: without its progress, finished tasks would run again.
  */
 export async function readStoredState(
   store: RecordStore,
+  log: DecisionLogger,
   shouldContinue: () => boolean,
 ): Promise<StoredState | undefined> {
   while (shouldContinue()) {
@@ -43,8 +49,8 @@
     ]);
     if (work.kind === 'ok' && progress.kind === 'ok' && roster.kind === 'ok') {
       return {
-        submissions: joinRecords(work.records, progress.records),
-        roster: roster.record ? (JSON.parse(roster.record.value) as RosterEntry[]) : [],
+        submissions: joinRecords(work.records, progress.records, log),
+        roster: readRoster(roster.record, log),
         revision: work.revision,
       };
     }
@@ -53,16 +59,28 @@
   return undefined;
 }
 
+function readRoster(record: StoredRecord | undefined, log: DecisionLogger): readonly RosterEntry[] {
+  if (record === undefined) return [];
+  const roster = parseRoster(record.value);
+  if (roster === undefined) logUnreadable(record, log);
+  return roster ?? [unknownWorker];
+}
+
+function logUnreadable({key, revision}: StoredRecord, log: DecisionLogger): void {
+  log.warn('record-unreadable', {key, revision});
+}
+
 function joinRecords(
   work: readonly StoredRecord[],
   progress: readonly StoredRecord[],
+  log: DecisionLogger,
 ): StoredSubmission[] {
-  const progressById = new Map(
-    progress.map(record => [
-      record.key.slice(progressPrefix.length),
-      JSON.parse(record.value) as ProgressRecord,
-    ]),
-  );
+  const progressById = new Map<string, ProgressRecord | undefined>();
+  for (const record of progress) {
+    const parsed = parseProgress(record.value);
+    if (parsed === undefined) logUnreadable(record, log);
+    progressById.set(record.key.slice(progressPrefix.length), parsed);
+  }
   const cancelled = new Set(
     work
       .filter(record => record.key.startsWith(cancelPrefix))
@@ -71,9 +89,14 @@
   const stored: StoredSubmission[] = [];
   for (const record of work) {
     if (!record.key.startsWith(submissionPrefix)) continue;
+    const id = record.key.slice(submissionPrefix.length);
     const submission = parseSubmission(record.value);
-    if (submission === undefined) continue;
-    const progressRecord = progressById.get(submission.id);
+    if (submission?.id !== id) {
+      logUnreadable(record, log);
+      continue;
+    }
+    const progressRecord = progressById.get(id);
+    if (progressRecord === undefined && progressById.has(id)) continue;
     stored.push({
       submission,
       cancelled: cancelled.has(submission.id),
@@ -83,42 +106,6 @@
   return stored;
 }
 
-/** Parses a stored submission; undefined when it is not valid JSON. */
-export function parseSubmission(value: string): Submission | undefined {
-  try {
-    return JSON.parse(value) as Submission;
-  } catch {
-    return undefined;
-  }
-}
-
-/** Parses a stored owner record; undefined when it is not valid JSON. */
-export function parseOwner(value: string): OwnerRecord | undefined {
-  try {
-    return JSON.parse(value) as OwnerRecord;
-  } catch {
-    return undefined;
-  }
-}
-
-/** Stored record of a running entry. */
-export interface EntryRecord {
-  /** Address at which other processes reach the entry. */
-  readonly address: string;
-  /** Number of processors available to the entry. */
-  readonly processors: number;
-}
-
-/** Parses the stored record of an entry; undefined when it is not valid JSON or has no address. */
-export function parseEntry(value: string): EntryRecord | undefined {
-  try {
-    const {address, processors} = JSON.parse(value) as Partial<EntryRecord>;
-    return typeof address === 'string' ? {address, processors: processors ?? 0} : undefined;
-  } catch {
-    return undefined;
-  }
-}
-
 /** Converts the result of a commit for the dispatcher; `unavailable` means that the write had no effect. */
 export function toWriteResult(result: CommitResult): WriteResult {
   switch (result.kind) {
--- a/packages/runtime/src/dispatch/submission-service.ts
+++ b/packages/runtime/src/dispatch/submission-service.ts
@@ -3,11 +3,9 @@
   type Clock,
   decideAdmission,
   isLasting,
-  type ProgressRecord,
   type Queue,
   type QueueConfiguration,
   type QueueBacklog,
-  type Submission,
 } from '@chervilbeam/coordination';
 import type {Metrics} from '../metrics/index.js';
 import {CallRelays} from './call-relays.js';
@@ -15,6 +13,7 @@
 import type {SubmissionLookup} from './entry-messages.js';
 import {LeaseClock} from './lease-clock.js';
 import type {ReadResult, RecordStore} from './record-store.js';
+import {parseProgress, parseQueueOf} from './record-parsers.js';
 import {cancelPrefix, progressPrefix, submissionPrefix} from './store-keys.js';
 import type {SubmissionCall, SubmissionReply} from './submission-calls.js';
 import {SubmissionWriter} from './submission-writer.js';
@@ -290,11 +289,10 @@
 
 function parseState(queue: string, submission: ReadResult, progress: ReadResult): SubmissionReply {
   if (submission.kind !== 'ok' || submission.record === undefined) return {kind: 'absent'};
-  const {queue: storedQueue} = JSON.parse(submission.record.value) as Submission;
-  if (storedQueue !== queue) return {kind: 'absent'};
+  // A submission whose record is unreadable exists, so it is not reported as absent.
+  if ((parseQueueOf(submission.record.value) ?? queue) !== queue) return {kind: 'absent'};
   if (progress.kind !== 'ok' || progress.record === undefined) {
     return {kind: 'state', status: 'queued'};
   }
-  const record = JSON.parse(progress.record.value) as ProgressRecord;
-  return {kind: 'state', status: record.final ?? 'running'};
+  return {kind: 'state', status: parseProgress(progress.record.value)?.final ?? 'running'};
 }
--- a/packages/runtime/src/dispatch/traffic-meter.ts
+++ b/packages/runtime/src/dispatch/traffic-meter.ts
@@ -36,6 +36,12 @@
     this.metrics.count(`link_bytes_${name}`, bytes);
   }
 
+  /** Counts and logs a message that could not be handled. */
+  recordFailure(detail: string): void {
+    this.metrics.count('link_messages_failed');
+    this.log.warn('message-failed', {detail});
+  }
+
   private logTraffic(): void {
     if (this.bytes.size === 0) return;
     const kilobytes = [...this.bytes].map(([name, bytes]) => [
--- a/packages/runtime/src/framing/message-checks.ts
+++ b/packages/runtime/src/framing/message-checks.ts
@@ -4,6 +4,12 @@
 /** Every message between the processes of a deployment, except the hello. */
 export type PeerMessage = ControlMessage | DataMessage;
 
+/** Type of a field, or a function that checks it. */
+export type FieldCheck = FieldType | ((value: unknown) => boolean);
+
+/** Checks of the required fields of one message kind. */
+export type FieldChecks = Readonly<Record<string, FieldCheck>>;
+
 type FieldType = 'number' | 'string' | 'boolean' | 'array' | 'object' | 'id';
 
 /** Required fields and their types for each message kind. Other fields are optional or ignored. */
@@ -85,14 +91,25 @@
   const fieldTypes =
     typeof record.kind === 'string' ? requiredFieldsByKind[record.kind] : undefined;
   if (fieldTypes === undefined) throw new FrameError('unknown-kind', String(record.kind));
-  for (const field in fieldTypes) {
-    if (!hasFieldType(record[field], fieldTypes[field] as FieldType)) {
-      throw new FrameError('bad-field', `${String(record.kind)}.${field}`);
-    }
+  const badField = findBadField(record, fieldTypes);
+  if (badField !== undefined) {
+    throw new FrameError('bad-field', `${String(record.kind)}.${badField}`);
   }
   return value as PeerMessage | Hello;
 }
 
+/** Returns the name of the first field that is missing or has the wrong type; undefined when all are right. */
+export function findBadField(
+  record: Readonly<Record<string, unknown>>,
+  checks: FieldChecks,
+): string | undefined {
+  return Object.keys(checks).find(field => {
+    const check = checks[field] as FieldCheck;
+    const value = record[field];
+    return !(typeof check === 'function' ? check(value) : hasFieldType(value, check));
+  });
+}
+
 function hasFieldType(value: unknown, fieldType: FieldType): boolean {
   switch (fieldType) {
     case 'array':
--- /dev/null
+++ b/packages/runtime/test/dispatch/malformed-records.test.ts
@@ -0,0 +1,128 @@
+import {Dispatcher, type DispatchEvent} from '@chervilbeam/coordination';
+import fc from 'fast-check';
+import t from 'tap';
+import {
+  parseEntry,
+  parseOwner,
+  parseProgress,
+  parseRoster,
+  parseSubmission,
+} from '../../src/dispatch/record-parsers.js';
+import {readStoredState} from '../../src/dispatch/stored-state.js';
+import {MemoryStore} from './memory-store.js';
+import {mutate} from './mutations.js';
+import {createTestLog} from './test-log.js';
+
+const id = '00000000000000a1';
+const other = '00000000000000a2';
+const submission = {
+  id,
+  queue: 'a.example/proofs/',
+  service: 'press',
+  spec: 'x',
+  steps: [{count: 2, need: {processors: 1, memoryMb: 1}, estimatedMs: 10, after: [], gang: true}],
+  repetitions: 2,
+  startAtMs: 1,
+  intervalMs: 5,
+  acceptedAtMs: 7,
+};
+const progress = {
+  finished: {'0.0': '3'},
+  failures: [[0, 0, 1, [1, 2]]],
+  checkpoints: [[0, 0, 1, 'abc']],
+};
+const roster = [{agent: 'a', life: 'a@1'}];
+const owner = {name: 'entry', address: '10.0.0.1:1', nonce: 'n-1'};
+
+const parsers: ReadonlyArray<{
+  readonly name: string;
+  readonly valid: unknown;
+  readonly parse: (value: string) => unknown;
+}> = [
+  {name: 'a submission', valid: submission, parse: parseSubmission},
+  {name: 'progress', valid: progress, parse: parseProgress},
+  {name: 'a roster', valid: roster, parse: parseRoster},
+  {name: 'an owner', valid: owner, parse: parseOwner},
+  {name: 'an entry', valid: {address: '10.0.0.1:1', processors: 1}, parse: parseEntry},
+];
+
+for (const {name, valid, parse} of parsers) {
+  void t.test(`the record of ${name} is parsed, and a malformed one never throws`, async t => {
+    t.ok(parse(JSON.stringify(valid)));
+    fc.assert(
+      fc.property(fc.oneof(mutate(valid).map(stringify), fc.string()), text => {
+        parse(text);
+      }),
+      {seed: 11, numRuns: 400},
+    );
+  });
+}
+
+function stringify(value: unknown): string {
+  return JSON.stringify(value) ?? '';
+}
+
+void t.test('an owner loads and dispatches whatever records the store holds', async () => {
+  await fc.assert(
+    fc.asyncProperty(
+      mutate(submission).map(stringify),
+      mutate(progress).map(stringify),
+      mutate(roster).map(stringify),
+      async (submissionText, progressText, rosterText) => {
+        const store = new MemoryStore();
+        store.put(`work/job/${id}`, submissionText);
+        store.put(`progress/${id}`, progressText);
+        store.put('roster', rosterText);
+        const stored = await readStoredState(store, createTestLog().log, () => true);
+        const dispatcher = new Dispatcher();
+        const events: DispatchEvent[] = [
+          {
+            kind: 'begin',
+            term: 2,
+            generation: 1,
+            submissions: stored?.submissions ?? [],
+            roster: stored?.roster ?? [],
+            wallMs: 10,
+          },
+          {kind: 'tick', wallMs: 200},
+        ];
+        for (const event of events) dispatcher.reduce(event, 100);
+      },
+    ),
+    {seed: 12, numRuns: 300},
+  );
+});
+
+const unreadable: ReadonlyArray<{
+  readonly name: string;
+  readonly key: string;
+  readonly expected: readonly string[];
+}> = [
+  {name: 'a submission', key: `work/job/${id}`, expected: [other]},
+  // Without its progress, finished tasks of the submission would run again.
+  {name: 'progress', key: `progress/${id}`, expected: [other]},
+  {name: 'the roster', key: 'roster', expected: [id, other]},
+];
+
+for (const {name, key, expected} of unreadable) {
+  for (const text of ['{', 'null', '7', '[]', '{"finished":7}']) {
+    if (name === 'the roster' && text === '[]') continue;
+    void t.test(`an unreadable record of ${name} (${text}) does not end the owner`, async t => {
+      const store = new MemoryStore();
+      for (const each of [id, other]) {
+        store.put(`work/job/${each}`, JSON.stringify({...submission, id: each}));
+        store.put(`progress/${each}`, JSON.stringify(progress));
+      }
+      store.put('roster', JSON.stringify(roster));
+      store.put(key, text);
+      const {log, lines} = createTestLog();
+      const stored = await readStoredState(store, log, () => true);
+      t.same(
+        stored?.submissions.map(each => each.submission.id),
+        expected,
+      );
+      t.equal(stored?.roster.length, 1, 'the new owner waits for the workers of its predecessor');
+      t.match(lines, [{event: 'record-unreadable', key}]);
+    });
+  }
+}
