Place a wide step with one look at each worker

A placement round tried each waiting task on each worker, also needs for which it had just found no room, and made a sort key for every unfinished occurrence, waiting or not. Change: the tasks of a step share a ranking of the workers, in which only the workers that got a task are ranked again; needs that did not fit are kept for the round, and needs that are at least as large are not tried; workers are indexed by service; only occurrences with waiting tasks are sorted; forecasts of the highest load leave out the deviation. The counter workers_examined shows the cost of the rounds.

--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -238,7 +238,9 @@
     if (state.isPlacementDue) {
       state.isPlacementDue = false;
       this.reservations.update(at);
-      runPlacementRound(state, this.commands, this.createSelector(at), this.reservations, at);
+      const selector = this.createSelector(at);
+      runPlacementRound(state, this.commands, selector, this.reservations, at);
+      if (selector.examinedCount > 0) state.count('workers_examined', selector.examinedCount);
     }
     this.journal.flush(at);
   }
--- a/packages/coordination/src/dispatch/policy/load-forecasts.ts
+++ b/packages/coordination/src/dispatch/policy/load-forecasts.ts
@@ -105,16 +105,19 @@
     const elapsed = Math.max(0, at - series.updatedAt);
     const grownDeviation = Math.hypot(cycle.deviation, (deviationGrowthPerSecond * elapsed) / 1000);
     return {
-      load: cycle.load + series.difference * Math.exp(-elapsed / differenceDecayMs),
+      load: cycle.load + getDifference(series, at),
       deviation: Math.min(maxDeviation, grownDeviation),
     };
   }
 
   /** Returns the highest load expected within the next `durationMs` milliseconds. */
   getHighest(key: string, at: number, durationMs: number): number {
+    const series = this.series.get(key);
+    if (series === undefined) return 0;
+    this.updateWeights(at);
     let highest = Number.NEGATIVE_INFINITY;
     for (let ahead = 0; ahead <= durationMs; ahead += forecastStepMs) {
-      highest = Math.max(highest, this.estimate(key, at + ahead).load);
+      highest = Math.max(highest, this.getLoad(series, at + ahead));
     }
     return highest;
   }
@@ -140,6 +143,15 @@
     return {load, deviation: Math.sqrt(variance + Math.max(0, meanSquare - load ** 2))};
   }
 
+  /** Returns the load of `estimate` without its deviation, which costs several times as much. */
+  private getLoad(series: Series, at: number): number {
+    let load = getDifference(series, at);
+    for (const {index, weight} of this.getWeights()) {
+      load += weight * (series.fits[index]?.getValue(at) ?? 0);
+    }
+    return load;
+  }
+
   private getWeights(): readonly WeightedPeriod[] {
     if (this.weights.length === 0) {
       this.weights = periods.map((_, index) => ({index, weight: 1 / periods.length}));
@@ -166,6 +178,11 @@
   }
 }
 
+/** Returns how much of the recent difference from the cycle is expected to be left at a time. */
+function getDifference({difference, updatedAt}: Series, at: number): number {
+  return difference * Math.exp(-Math.max(0, at - updatedAt) / differenceDecayMs);
+}
+
 /** Returns the weight of a new difference: low while the cycle fits (noise), high when it does not (a changed load). */
 function getDifferenceWeight({misfitVariance, noiseVariance}: Series): number {
   const weight =
--- a/packages/coordination/src/dispatch/policy/placement-round.ts
+++ b/packages/coordination/src/dispatch/policy/placement-round.ts
@@ -17,9 +17,9 @@
   reservations: RoomReservations,
   at: number,
 ): void {
-  if (selector.openWorkerCount === 0) return;
+  if (!selector.hasOpenWorkers) return;
   for (const candidate of sortCandidates(state, at)) {
-    for (const group of candidate.occurrence.getReadySteps()) {
+    for (const group of candidate.steps) {
       if (!state.startBudget.isOpen(at)) return;
       if (group.step.gang) startGang(candidate, group, selector, commands, at);
       else startTasks(state, candidate, group, selector, commands, reservations, at);
--- a/packages/coordination/src/dispatch/policy/submission-order.ts
+++ b/packages/coordination/src/dispatch/policy/submission-order.ts
@@ -1,5 +1,5 @@
-import {getCriticalPathMs, getObjectiveMs} from '../../submissions/index.js';
-import type {ActiveSubmission, Occurrence} from '../active-submission.js';
+import {getCriticalPathMs, getObjectiveMs, type Queue} from '../../submissions/index.js';
+import type {ActiveSubmission, Occurrence, StepTasks} from '../active-submission.js';
 import type {DispatchState} from '../dispatch-state.js';
 
 /** Priority of submissions whose queue is not configured; they go last. */
@@ -8,10 +8,12 @@
 /** Multiple of the objective after which a result is of no use to the caller. */
 const expiredObjectiveMultiple = 3;
 
-/** An unfinished occurrence with its sort keys. */
+/** An occurrence with waiting tasks, and its sort keys. */
 export interface Candidate {
   readonly submission: ActiveSubmission;
   readonly occurrence: Occurrence;
+  /** Steps whose predecessors are finished and that have waiting tasks. */
+  readonly steps: readonly StepTasks[];
   readonly priority: number;
   /** `0`: can still meet its objective; `1`: late; `2`: too late to be of use to the caller. */
   readonly lateness: 0 | 1 | 2;
@@ -22,17 +24,28 @@
 }
 
 /**
- * Returns the unfinished occurrences in scheduling order. Urgent work goes first, so that a flood of other work does
+ * Returns the occurrences with waiting tasks in scheduling order. Urgent work goes first, so that a flood of other work does
  * not delay it. Within a priority, work that can still meet its objective goes before late work, so that a backlog does
  * not make everything late; then started work goes before other work, and earlier deadlines before later ones.
  */
 export function sortCandidates(state: DispatchState, at: number): Candidate[] {
   const candidates: Candidate[] = [];
+  const factors = new Map<Queue | undefined, number>();
+  const getFactor = (queue: Queue | undefined) => {
+    const factor = factors.get(queue) ?? state.getRunTimeFactor(queue);
+    factors.set(queue, factor);
+    return factor;
+  };
   for (const submission of state.submissions.values()) {
     if (!submission.isActive) continue;
     for (const occurrence of submission.occurrences) {
-      if (!occurrence.isFinished)
-        candidates.push(createCandidate(state, submission, occurrence, at));
+      const steps = occurrence
+        .getReadySteps()
+        .filter(step => step.tasks.some(task => task.isWaiting(at)));
+      if (steps.length === 0) continue;
+      candidates.push(
+        createCandidate({submission, occurrence, steps, factor: getFactor(submission.queue), at}),
+      );
     }
   }
   return candidates.sort(
@@ -44,15 +57,17 @@
   );
 }
 
-function createCandidate(
-  state: DispatchState,
-  submission: ActiveSubmission,
-  occurrence: Occurrence,
-  at: number,
-): Candidate {
+function createCandidate(options: {
+  readonly submission: ActiveSubmission;
+  readonly occurrence: Occurrence;
+  readonly steps: readonly StepTasks[];
+  /** Learned ratio of actual to estimated run times. */
+  readonly factor: number;
+  readonly at: number;
+}): Candidate {
+  const {submission, occurrence, factor, at} = options;
   const {queue} = submission;
   const {steps} = submission.submission;
-  const factor = state.getRunTimeFactor(queue);
   const objectiveMs = queue
     ? getObjectiveMs(queue, steps, factor)
     : getCriticalPathMs(steps, factor);
@@ -70,6 +85,7 @@
   return {
     submission,
     occurrence,
+    steps: options.steps,
     priority: queue?.priority ?? unknownQueuePriority,
     lateness,
     hasStarted: occurrence.steps.some(
--- a/packages/coordination/src/dispatch/policy/worker-selector.ts
+++ b/packages/coordination/src/dispatch/policy/worker-selector.ts
@@ -5,7 +5,9 @@
 import type {WorkerView} from '../worker-view.js';
 import type {InterferenceModel} from './interference-model.js';
 import type {RoomReservations} from './room-reservations.js';
+import {UnplaceableNeeds} from './unplaceable-needs.js';
 import {getImagePairKey, type WorkerHeadroom, type WorkerHeadroomCache} from './worker-headroom.js';
+import {WorkerRanking} from './worker-ranking.js';
 
 /** Tolerance for rounding errors in sums of cores. */
 const coreTolerance = 1e-6;
@@ -38,9 +40,25 @@
   free: 1,
 };
 
-/** Selects workers for tasks: limits fragmentation and interference, and avoids slow and failing workers. */
+/** The ranking of a step's workers, shared by the tasks of the step. */
+interface StepRanking {
+  readonly group: StepTasks;
+  readonly priority: number;
+  readonly ranking: WorkerRanking;
+}
+
+/**
+ * Selects workers for tasks: limits fragmentation and interference, and avoids slow and failing workers. Serves one
+ * placement round, within which runs are added but none ends. A round with thousands of waiting tasks examines the
+ * workers about once for each step that fits, and not at all for needs that have been found too large.
+ */
 export class WorkerSelector {
-  private readonly openWorkers: WorkerView[];
+  /** Number of workers examined so far. */
+  examinedCount = 0;
+  /** Workers that may get new tasks, by service. */
+  private readonly openWorkers = new Map<string, WorkerView[]>();
+  private readonly unplaceableNeeds = new UnplaceableNeeds();
+  private stepRanking: StepRanking | undefined;
   /** Unmeasured pairs of images that run together on some worker. */
   private readonly probedPairs = new Set<string>();
 
@@ -51,54 +69,90 @@
     private readonly reservations: RoomReservations,
     private readonly at: number,
   ) {
-    const {unreachableMs} = state.timing;
-    for (const worker of state.workers.values()) this.recordProbes(worker);
-    this.openWorkers = [...state.workers.values()].filter(worker => {
-      if (!worker.canAcceptTasks(at, unreachableMs) || worker.health.isSuspended(at)) return false;
-      return !worker.health.isOnProbation(at) || !hasFiniteRuns(worker);
-    });
+    for (const worker of state.workers.values()) {
+      this.recordProbes(worker);
+      if (!this.isOpen(worker)) continue;
+      const {service} = worker.description;
+      const workers = this.openWorkers.get(service);
+      if (workers) workers.push(worker);
+      else this.openWorkers.set(service, [worker]);
+    }
   }
 
-  /** Number of workers that may get new tasks. */
-  get openWorkerCount(): number {
-    return this.openWorkers.length;
+  /** Whether any worker may get new tasks. */
+  get hasOpenWorkers(): boolean {
+    return this.openWorkers.size > 0;
   }
 
   /** Records that a task was placed on a worker. */
   recordPlacement(worker: WorkerView): void {
     this.recordProbes(worker);
+    this.stepRanking?.ranking.markChanged(worker);
   }
 
   /** Returns the worker with the lowest cost, or undefined when none is eligible. */
   selectWorker(task: Task, group: StepTasks, priority: number): WorkerView | undefined {
-    let best: WorkerView | undefined;
-    let bestCost = Number.POSITIVE_INFINITY;
-    for (const worker of this.openWorkers) {
-      if (!this.isEligible(worker, task, group, priority)) continue;
-      const cost = this.getCost(worker, task, group);
-      if (cost < bestCost) {
-        best = worker;
-        bestCost = cost;
-      }
+    const {service} = task.submission;
+    if (this.unplaceableNeeds.has(service, task.step, priority)) return undefined;
+    if (!isRankingShared(task)) return this.findBest(task, group, priority);
+    const getCost = (worker: WorkerView) => this.examine(worker, task, group, priority);
+    if (this.stepRanking?.group !== group || this.stepRanking.priority !== priority) {
+      const ranking = new WorkerRanking(this.getOpenWorkers(task), getCost);
+      this.stepRanking = {group, priority, ranking};
     }
+    const best = this.stepRanking.ranking.getBest(getCost);
+    if (best === undefined) this.unplaceableNeeds.add(service, task.step, priority);
     return best;
   }
 
   /** Returns the workers on which a task would fit if they were empty. */
   getCandidates(task: Task, group: StepTasks): WorkerView[] {
     const {step} = task;
-    return this.openWorkers.filter(
+    return this.getOpenWorkers(task).filter(
       worker =>
-        worker.description.service === task.submission.service &&
         (step.label === undefined || worker.description.labels.includes(step.label)) &&
         (step.spreadLimit === undefined || countRuns(worker, group) < step.spreadLimit),
     );
   }
 
+  private isOpen(worker: WorkerView): boolean {
+    const {at, state} = this;
+    if (!worker.canAcceptTasks(at, state.timing.unreachableMs)) return false;
+    if (worker.health.isSuspended(at)) return false;
+    return !worker.health.isOnProbation(at) || !hasFiniteRuns(worker);
+  }
+
+  private getOpenWorkers(task: Task): readonly WorkerView[] {
+    return this.openWorkers.get(task.submission.service) ?? [];
+  }
+
+  private findBest(task: Task, group: StepTasks, priority: number): WorkerView | undefined {
+    let best: WorkerView | undefined;
+    let bestCost = Number.POSITIVE_INFINITY;
+    for (const worker of this.getOpenWorkers(task)) {
+      const cost = this.examine(worker, task, group, priority);
+      if (cost === undefined || cost >= bestCost) continue;
+      best = worker;
+      bestCost = cost;
+    }
+    return best;
+  }
+
+  /** Returns the cost of a worker for a task, or undefined when it is not eligible. */
+  private examine(
+    worker: WorkerView,
+    task: Task,
+    group: StepTasks,
+    priority: number,
+  ): number | undefined {
+    this.examinedCount += 1;
+    if (!this.isEligible(worker, task, group, priority)) return undefined;
+    return this.getCost(worker, task, group);
+  }
+
   private isEligible(worker: WorkerView, task: Task, group: StepTasks, priority: number): boolean {
     const {description, capacity, used} = worker;
     const {step} = task;
-    if (description.service !== task.submission.service) return false;
     if (step.label !== undefined && !description.labels.includes(step.label)) return false;
     if (task.runs.some(run => run.worker === worker)) return false;
     if (used.memoryMb + step.need.memoryMb > capacity.memoryMb) return false;
@@ -159,6 +213,13 @@
   }
 }
 
+/** Whether the worker of a task depends on nothing that the other tasks of its step do not share. */
+function isRankingShared(task: Task): boolean {
+  const {step, runs, avoidedWorkers, hasStarted} = task;
+  if (step.gang || step.sameRack) return false;
+  return runs.length === 0 && avoidedWorkers.size === 0 && !(step.lasting && hasStarted);
+}
+
 /** Returns the cost for a filling task; lower with more unused cores and more headroom of the serving tasks. */
 function getFillingCost(worker: WorkerView, headroom: WorkerHeadroom, step: Step): number {
   const cost = -headroom.unusedCores / Math.max(1, worker.capacity.processors);
