Space placement rounds by their cost

Cause: every event-loop turn of the owner that freed room started a placement round, and every tick one more. On a frontend machine with 0.12 cores a round takes many times its processor time, so the rounds held up reports, leases and the store's answers. Change: a round is an event of its own, `place`. The owner measures each round and starts the next one so that rounds take at most a quarter of the time while events keep arriving; a pause is at most 250 ms. Progress is still stored in the turn in which it changes.

--- a/packages/coordination/src/dispatch/dispatch-events.ts
+++ b/packages/coordination/src/dispatch/dispatch-events.ts
@@ -43,7 +43,9 @@
   /** Time has passed; `wallMs` is the Unix time in milliseconds. */
   | {readonly kind: 'tick'; readonly wallMs: number}
   /** All events of one iteration of the event loop have been applied. */
-  | {readonly kind: 'settle'};
+  | {readonly kind: 'settle'}
+  /** Tasks may be placed; callers space these events by the cost of the rounds. */
+  | {readonly kind: 'place'};
 
 /**
  * Result of a write to the store. `conflict`: another process has become the owner. `unavailable`: the write had no
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -77,6 +77,11 @@
     return this.state.term;
   }
 
+  /** Whether tasks may have become placeable since the last placement round. */
+  get isPlacementDue(): boolean {
+    return this.isOwner && this.state.isPlacementDue;
+  }
+
   /** @inheritdoc */
   reduce(event: DispatchEvent, at: number): readonly DispatchEffect[] {
     if (this.isOwner || event.kind === 'begin' || event.kind === 'configuration') {
@@ -129,6 +134,8 @@
         return this.tick(event.wallMs, at);
       case 'settle':
         return this.settle(at);
+      case 'place':
+        return this.place(at);
     }
   }
 
@@ -229,22 +236,23 @@
     this.interference.retain(key => state.submissions.get(getSubmissionId(key))?.isActive ?? false);
     state.isPlacementDue = true;
     this.journal.retryIfDue(at);
-    this.settle(at);
   }
 
   private settle(at: number): void {
-    const {state} = this;
     if (this.isRecovering && this.barrier.isOpen(at)) this.finishRecovery(at);
-    if (state.isPlacementDue) {
-      state.isPlacementDue = false;
-      this.reservations.update(at);
-      const selector = this.createSelector(at);
-      runPlacementRound(state, this.commands, selector, this.reservations, at);
-      if (selector.examinedCount > 0) state.count('workers_examined', selector.examinedCount);
-    }
     this.journal.flush(at);
   }
 
+  private place(at: number): void {
+    const {state} = this;
+    if (!state.isPlacementDue) return;
+    state.isPlacementDue = false;
+    this.reservations.update(at);
+    const selector = this.createSelector(at);
+    runPlacementRound(state, this.commands, selector, this.reservations, at);
+    if (selector.examinedCount > 0) state.count('workers_examined', selector.examinedCount);
+  }
+
   private createSelector(at: number): WorkerSelector {
     const {state, interference, headrooms, reservations} = this;
     return new WorkerSelector(state, interference, headrooms, reservations, at);
--- a/packages/coordination/src/dispatch/index.ts
+++ b/packages/coordination/src/dispatch/index.ts
@@ -5,3 +5,4 @@
 export * from './dispatcher.js';
 export {decideAdmission, type AdmissionDecision} from './policy/admission.js';
 export type {QueueBacklog} from './policy/queue-backlogs.js';
+export {RoundThrottle} from './policy/round-throttle.js';
--- a/packages/coordination/src/dispatch/policy/index.ts
+++ b/packages/coordination/src/dispatch/policy/index.ts
@@ -4,6 +4,7 @@
 export * from './placement-round.js';
 export * from './queue-backlogs.js';
 export * from './room-reservations.js';
+export * from './round-throttle.js';
 export * from './run-supervisor.js';
 export * from './submission-order.js';
 export * from './worker-selector.js';
--- a/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
@@ -164,7 +164,7 @@
       },
     });
     // The first list is a separate message, so the dispatcher can make decisions before it arrives.
-    this.post({kind: 'settle'});
+    this.settle();
     this.report(worker);
   }
 
@@ -201,7 +201,7 @@
         if (hasEndedRuns || (this.now + phase) % reportIntervalMs < stepMs) this.report(worker);
       }
       if (this.now % tickIntervalMs === 0) this.post({kind: 'tick', wallMs: this.now});
-      this.post({kind: 'settle'});
+      this.settle();
       this.onStep();
     }
   }
@@ -211,6 +211,12 @@
     return [...this.workers.values()].filter(worker => worker.runs.has(task)).length;
   }
 
+  /** Lets the dispatcher place tasks and store progress, as its process does after events. */
+  private settle(): void {
+    this.post({kind: 'place'});
+    this.post({kind: 'settle'});
+  }
+
   /** Passes an event to the dispatcher and applies its effects. */
   post(event: DispatchEvent): void {
     for (const effect of this.dispatcher.reduce(event, this.now)) this.applyEffect(effect);
--- a/packages/runtime/src/dispatch/owner-process.ts
+++ b/packages/runtime/src/dispatch/owner-process.ts
@@ -12,8 +12,9 @@
   type OwnerMessage,
   type OwnerRecord,
   type ProgressWrite,
-  type QueueConfiguration,
   type QueueBacklog,
+  type QueueConfiguration,
+  RoundThrottle,
 } from '@chervilbeam/coordination';
 import {Loop} from '../loop/index.js';
 import type {Metrics} from '../metrics/index.js';
@@ -88,6 +89,8 @@
   private workWatch: RecordWatch | undefined;
   /** Term of the current ownership, set before the stored state is loaded; 0 without ownership. */
   private electionTerm = 0;
+  private readonly roundThrottle = new RoundThrottle();
+  private isSettleScheduled = false;
   private isRoundScheduled = false;
   private tickTimer: NodeJS.Timeout | undefined;
   private isStopped = false;
@@ -205,19 +208,46 @@
     // The host may have been suspended, so the lease is checked again before the dispatcher makes a decision.
     if (this.isOwner) this.electionLoop.post({kind: 'look'});
     this.loop.post(event);
-    if (this.isRoundScheduled || !this.isOwner) return;
-    // Batches all events of one event-loop turn into a single scheduling round.
-    this.isRoundScheduled = true;
+    this.scheduleSettle();
+  }
+
+  /** Settles once after all events of one event-loop turn. */
+  private scheduleSettle(): void {
+    if (this.isSettleScheduled || !this.isOwner) return;
+    this.isSettleScheduled = true;
     setImmediate(() => {
-      this.isRoundScheduled = false;
+      this.isSettleScheduled = false;
       this.loop.post({kind: 'settle'});
+      this.scheduleRound();
     });
   }
 
+  private scheduleRound(): void {
+    if (this.isRoundScheduled || !this.dispatcher.isPlacementDue) return;
+    const delayMs = this.roundThrottle.getDelayMs(this.options.clock.now());
+    if (delayMs === 0) return this.runRound();
+    this.isRoundScheduled = true;
+    setTimeout(() => {
+      this.isRoundScheduled = false;
+      this.runRound();
+    }, delayMs);
+  }
+
+  private runRound(): void {
+    const {clock} = this.options;
+    if (this.isOwner) this.electionLoop.post({kind: 'look'});
+    const startedAt = clock.now();
+    this.loop.post({kind: 'place'});
+    this.roundThrottle.recordRound(startedAt, clock.now());
+  }
+
   private tick(): void {
     if (this.isStopped) return;
     this.electionLoop.post({kind: 'tick'});
-    if (this.isOwner) this.loop.post({kind: 'tick', wallMs: this.options.clock.wallTime()});
+    if (this.isOwner) {
+      this.loop.post({kind: 'tick', wallMs: this.options.clock.wallTime()});
+      this.scheduleSettle();
+    }
     this.tickTimer = setTimeout(() => this.tick(), this.isOwner ? ownerTickMs : idleTickMs);
   }
 
