Publish backlogs by group and only for queues in use

Cause: after a large configuration a new owner sent each other entry 60 KB of backlogs, a row for every configured queue: 300 KB on a link of 2 Mbit/s, with the renewal of its lease behind them. The owner also joined every row of every queue into text for each entry, three times a second. Change: the waits and cores are published once for each service and priority, and the state of a queue only when it has pending submissions or a learned run time. All entries that are up to date get the same message. A queue that is not published has no pending submissions; one whose group is not published is asked for at the owner, as before.

--- a/packages/coordination/src/dispatch/dispatch-state.ts
+++ b/packages/coordination/src/dispatch/dispatch-state.ts
@@ -23,6 +23,8 @@
   readonly workers = new Map<string, WorkerView>();
   /** Learned ratio of actual to estimated run times, for each queue. */
   readonly runTimes = new RunTimeEstimates();
+  /** Keys of the queues with a learned ratio. */
+  readonly learnedQueues = new Set<string>();
   /** Whether tasks may have become placeable since the last placement round. */
   isPlacementDue = false;
   /** Limits the bytes of start commands. */
@@ -53,6 +55,7 @@
   /** Records the estimated and actual run time of a finished task in milliseconds. */
   observeRunTime(queue: Queue | undefined, estimatedMs: number, actualMs: number): void {
     if (queue !== undefined) {
+      this.learnedQueues.add(queue.key);
       this.runTimes.observe(queue.key, allWorkloads, estimatedMs / 1000, actualMs / 1000);
     }
   }
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -15,7 +15,7 @@
 import {
   countPendingSubmissions,
   getQueueBacklogs,
-  type QueueBacklog,
+  type QueueBacklogs,
 } from './policy/queue-backlogs.js';
 import {RoomReservations} from './policy/room-reservations.js';
 import {RunSupervisor} from './policy/run-supervisor.js';
@@ -100,9 +100,9 @@
     return this.state.submissions.get(id)?.submission.queue;
   }
 
-  /** Returns the backlog of each queue; empty when this process is not the owner. */
-  getQueueBacklogs(at: number): readonly QueueBacklog[] {
-    return this.isOwner ? getQueueBacklogs(this.state, at) : [];
+  /** Returns the backlogs of all queues, or undefined when this process is not the owner. */
+  getQueueBacklogs(at: number): QueueBacklogs | undefined {
+    return this.isOwner ? getQueueBacklogs(this.state, at) : undefined;
   }
 
   /** Returns the number of pending submissions of a queue, or undefined when this process is not the owner. */
--- a/packages/coordination/src/dispatch/index.ts
+++ b/packages/coordination/src/dispatch/index.ts
@@ -4,5 +4,12 @@
 export * from './dispatch-timing.js';
 export * from './dispatcher.js';
 export {decideAdmission, type AdmissionDecision} from './policy/admission.js';
-export type {QueueBacklog} from './policy/queue-backlogs.js';
+export {
+  getQueueGroup,
+  isUnusedQueue,
+  QueueBacklogs,
+  type GroupBacklog,
+  type QueueBacklog,
+  type QueueState,
+} from './policy/queue-backlogs.js';
 export {RoundThrottle} from './policy/round-throttle.js';
--- a/packages/coordination/src/dispatch/policy/queue-backlogs.ts
+++ b/packages/coordination/src/dispatch/policy/queue-backlogs.ts
@@ -1,4 +1,4 @@
-import {getWorkCoreMs} from '../../submissions/index.js';
+import {getWorkCoreMs, type Queue} from '../../submissions/index.js';
 import type {ActiveSubmission} from '../active-submission.js';
 import type {DispatchState} from '../dispatch-state.js';
 import {urgentReserveShare} from './worker-selector.js';
@@ -11,13 +11,9 @@
 /** Fraction of the unused processors that filling tasks get on workers that also run serving tasks. */
 const fillingUtilization = 0.6;
 
-/** Backlog ahead of new submissions to one queue. */
-export interface QueueBacklog {
-  readonly queue: string;
-  /** Names the queues with the same service and priority; their waits and cores are equal. */
+/** Backlog ahead of new submissions to the queues of one group, which have the same service and priority. */
+export interface GroupBacklog {
   readonly group: string;
-  /** Number of accepted, unscheduled submissions none of whose tasks has started. */
-  readonly pending: number;
   /**
    * Expected time in milliseconds until all accepted tasks of the same or higher urgency have started; filling and
    * serving tasks are not counted.
@@ -25,43 +21,110 @@
   readonly waitMs: number;
   /** The same for filling tasks only. */
   readonly fillWaitMs: number;
+  /** Processors of the usable workers of the service. */
+  readonly cores: number;
+}
+
+/** What the owner knows of one queue. */
+export interface QueueState {
+  readonly queue: string;
+  /** Number of accepted, unscheduled submissions none of whose tasks has started. */
+  readonly pending: number;
   /** Learned ratio of actual to estimated run times. */
   readonly runTimeFactor: number;
-  /** Processors of the usable workers of the queue's service. */
-  readonly cores: number;
 }
 
-/** Returns the backlog of each configured queue, in one pass over the submissions and one over the workers. */
-export function getQueueBacklogs(state: DispatchState, at: number): QueueBacklog[] {
+/** Backlog ahead of new submissions to one queue. */
+export type QueueBacklog = Omit<GroupBacklog, 'group'> & Omit<QueueState, 'queue'>;
+
+/** Learned ratio of a queue none of whose tasks has ended. */
+const unlearnedFactor = 1;
+
+/** Returns the group of a queue. */
+export function getQueueGroup({service, priority}: Pick<Queue, 'service' | 'priority'>): string {
+  return `${service}/${priority}`;
+}
+
+/** Whether nothing is known of a queue; its state is then left out. */
+export function isUnusedQueue({pending, runTimeFactor}: QueueState): boolean {
+  return pending === 0 && runTimeFactor === unlearnedFactor;
+}
+
+/**
+ * The backlogs of all queues. A configuration has thousands of queues, of which few are in use at a time, so only the
+ * states of these are kept, and the waits once for each group.
+ */
+export class QueueBacklogs {
+  private readonly groupsByName: ReadonlyMap<string, GroupBacklog>;
+  private readonly queuesByName: ReadonlyMap<string, QueueState>;
+
+  constructor(
+    readonly groups: readonly GroupBacklog[],
+    readonly queues: readonly QueueState[],
+  ) {
+    this.groupsByName = new Map(groups.map(group => [group.group, group]));
+    this.queuesByName = new Map(queues.map(queue => [queue.queue, queue]));
+  }
+
+  /** Returns the backlog of a queue, or undefined when the owner has no configuration with its group. */
+  get(queue: Queue): QueueBacklog | undefined {
+    const group = this.groupsByName.get(getQueueGroup(queue));
+    if (group === undefined) return undefined;
+    const {pending = 0, runTimeFactor = unlearnedFactor} = this.queuesByName.get(queue.key) ?? {};
+    const {waitMs, fillWaitMs, cores} = group;
+    return {pending, waitMs, fillWaitMs, runTimeFactor, cores};
+  }
+}
+
+/** Returns the backlogs, in one pass over the submissions and one over the workers. */
+export function getQueueBacklogs(state: DispatchState, at: number): QueueBacklogs {
   const {configuration} = state;
-  if (configuration === undefined) return [];
+  if (configuration === undefined) return new QueueBacklogs([], []);
   const waiting = collectWaitingWork(state);
   const capacities = collectCapacities(state, at);
-  const backlogs: QueueBacklog[] = [];
+  const groups = new Map<string, GroupBacklog>();
   for (const queue of configuration.queues.values()) {
-    const {cores, servingCores} = capacities.get(queue.service) ?? noCapacity;
-    let workCoreMs = 0;
-    let fillWorkCoreMs = 0;
-    for (const level of waiting.levels.get(queue.service)?.values() ?? []) {
-      if (level.priority > queue.priority) continue;
-      workCoreMs += level.workCoreMs;
-      fillWorkCoreMs += level.fillWorkCoreMs;
-    }
-    const serving = Math.min(cores, servingCores);
-    // Serving tasks cannot use the cores that are reserved for urgent work.
-    const usableCores = Math.max(cores * urgentReserveShare, cores - serving) * backlogUtilization;
-    const fillingCores = (cores - serving * servingUtilization) * fillingUtilization;
-    backlogs.push({
-      queue: queue.key,
-      group: `${queue.service}/${queue.priority}`,
-      pending: waiting.pending.get(queue.key) ?? 0,
-      waitMs: cores > 0 ? workCoreMs / usableCores : 0,
-      fillWaitMs: cores > 0 ? fillWorkCoreMs / fillingCores : 0,
-      runTimeFactor: state.getRunTimeFactor(queue),
-      cores,
-    });
+    const group = getQueueGroup(queue);
+    if (groups.has(group)) continue;
+    const waits = getWaits(
+      queue,
+      waiting.levels.get(queue.service),
+      capacities.get(queue.service) ?? noCapacity,
+    );
+    groups.set(group, {group, ...waits});
+  }
+  const queues = new Set([...waiting.pending.keys(), ...state.learnedQueues]);
+  return new QueueBacklogs(
+    [...groups.values()],
+    [...queues].map(queue => ({
+      queue,
+      pending: waiting.pending.get(queue) ?? 0,
+      runTimeFactor: state.getRunTimeFactor(configuration.queues.get(queue)),
+    })),
+  );
+}
+
+function getWaits(
+  {priority}: Queue,
+  levels: ReadonlyMap<number, WaitingLevel> | undefined,
+  {cores, servingCores}: ServiceCapacity,
+): Omit<GroupBacklog, 'group'> {
+  let workCoreMs = 0;
+  let fillWorkCoreMs = 0;
+  for (const level of levels?.values() ?? []) {
+    if (level.priority > priority) continue;
+    workCoreMs += level.workCoreMs;
+    fillWorkCoreMs += level.fillWorkCoreMs;
   }
-  return backlogs;
+  const serving = Math.min(cores, servingCores);
+  // Serving tasks cannot use the cores that are reserved for urgent work.
+  const usableCores = Math.max(cores * urgentReserveShare, cores - serving) * backlogUtilization;
+  const fillingCores = (cores - serving * servingUtilization) * fillingUtilization;
+  return {
+    waitMs: cores > 0 ? workCoreMs / usableCores : 0,
+    fillWaitMs: cores > 0 ? fillWorkCoreMs / fillingCores : 0,
+    cores,
+  };
 }
 
 /** Returns the number of accepted, unscheduled submissions of a queue none of whose tasks has started. */
--- a/packages/runtime/src/dispatch/backlog-messages.ts
+++ b/packages/runtime/src/dispatch/backlog-messages.ts
@@ -1,116 +1,100 @@
-import type {QueueBacklog} from '@chervilbeam/coordination';
+import {
+  type GroupBacklog,
+  isUnusedQueue,
+  QueueBacklogs,
+  type QueueState,
+} from '@chervilbeam/coordination';
 
 /** Run time factors are sent in thousandths, as small integers. */
 const factorUnitsPerOne = 1_000;
 
-/** Waits and processors of the queues of one group: number of the group, `waitMs`, `fillWaitMs`, `cores`. */
-export type BacklogGroupRow = readonly [number, number, number, number];
+/** Name, `waitMs`, `fillWaitMs` and `cores` of a group; the name alone when the group is no longer configured. */
+export type BacklogGroupRow = readonly [string, number, number, number] | readonly [string];
 
-/** A queue: its number, number of its group, `pending`, and the run time factor in thousandths. */
-export type BacklogQueueRow = readonly [number, number, number, number];
+/** Key of a queue, `pending`, and the run time factor in thousandths. */
+export type BacklogQueueRow = readonly [string, number, number];
 
-/** Difference between the backlogs of all queues and those of the previous message on the same link. */
+/** Difference between the backlogs and those of the previous message on the same link. */
 export interface BacklogMessage {
-  readonly kind: 'backlogs';
-  /** Keys of the queues that are new on this link, by number. */
-  readonly keys: ReadonlyArray<readonly [number, string]>;
+  readonly kind: 'queue-backlogs';
   readonly groups: readonly BacklogGroupRow[];
   readonly queues: readonly BacklogQueueRow[];
-  /** Numbers of the queues that are no longer configured. */
-  readonly removed: readonly number[];
 }
 
-/** Encodes backlogs for one link. A message contains only what has changed since the previous one. */
+/**
+ * Encodes the owner's backlogs for the other entries. All links that are up to date get the same message, so that its
+ * cost does not grow with their number.
+ */
 export class BacklogEncoder {
-  private readonly queueNumbers = new Map<string, number>();
-  private readonly groupNumbers = new Map<string, number>();
-  private readonly sentRows = new Map<string, string>();
-  private nextQueueNumber = 0;
+  private groups = new Map<string, BacklogGroupRow>();
+  private queues = new Map<string, BacklogQueueRow>();
 
-  /** Returns the message for the current backlogs. */
-  encode(backlogs: readonly QueueBacklog[]): BacklogMessage {
-    const keys: Array<readonly [number, string]> = [];
-    const groups: BacklogGroupRow[] = [];
-    const queues: BacklogQueueRow[] = [];
-    const current = new Set<string>();
-    for (const backlog of backlogs) {
-      current.add(backlog.queue);
-      const group = this.getGroupNumber(backlog.group);
-      const {pending, waitMs, fillWaitMs, runTimeFactor, cores} = backlog;
-      const groupRow = [group, Math.round(waitMs), Math.round(fillWaitMs), cores] as const;
-      if (this.hasChanged(`group ${group}`, groupRow)) groups.push(groupRow);
-      let queue = this.queueNumbers.get(backlog.queue);
-      if (queue === undefined) {
-        queue = this.nextQueueNumber++;
-        this.queueNumbers.set(backlog.queue, queue);
-        keys.push([queue, backlog.queue]);
-      }
-      const factor = Math.round(runTimeFactor * factorUnitsPerOne);
-      const queueRow = [queue, group, pending, factor] as const;
-      if (this.hasChanged(`queue ${queue}`, queueRow)) queues.push(queueRow);
-    }
-    return {kind: 'backlogs', keys, groups, queues, removed: this.removeOthers(current)};
+  /** Returns the message for the links that have got all previous ones. */
+  update(backlogs: QueueBacklogs): BacklogMessage {
+    const groups = new Map(backlogs.groups.map(group => [group.group, toGroupRow(group)]));
+    const queues = new Map(backlogs.queues.map(queue => [queue.queue, toQueueRow(queue)]));
+    const message: BacklogMessage = {
+      kind: 'queue-backlogs',
+      groups: getChanges(this.groups, groups, group => [group]),
+      queues: getChanges(this.queues, queues, queue => [queue, 0, factorUnitsPerOne]),
+    };
+    this.groups = groups;
+    this.queues = queues;
+    return message;
   }
 
-  private getGroupNumber(group: string): number {
-    const known = this.groupNumbers.get(group);
-    if (known !== undefined) return known;
-    const number = this.groupNumbers.size;
-    this.groupNumbers.set(group, number);
-    return number;
+  /** Returns the first message for a new link. */
+  getSnapshot(): BacklogMessage {
+    return {
+      kind: 'queue-backlogs',
+      groups: [...this.groups.values()],
+      queues: [...this.queues.values()],
+    };
   }
+}
 
-  private hasChanged(name: string, row: readonly number[]): boolean {
-    const text = row.join();
-    if (this.sentRows.get(name) === text) return false;
-    this.sentRows.set(name, text);
-    return true;
-  }
+/** Decodes the messages on one link; they must arrive complete and in order. */
+export class BacklogDecoder {
+  private readonly groups = new Map<string, GroupBacklog>();
+  private readonly queues = new Map<string, QueueState>();
 
-  private removeOthers(current: ReadonlySet<string>): number[] {
-    const removed: number[] = [];
-    for (const [key, number] of this.queueNumbers) {
-      if (current.has(key)) continue;
-      removed.push(number);
-      this.queueNumbers.delete(key);
-      this.sentRows.delete(`queue ${number}`);
+  /** Applies a message and returns the backlogs of all queues. */
+  decode(message: BacklogMessage): QueueBacklogs {
+    for (const [group, waitMs, fillWaitMs, cores] of message.groups) {
+      if (waitMs === undefined || fillWaitMs === undefined || cores === undefined) {
+        this.groups.delete(group);
+      } else this.groups.set(group, {group, waitMs, fillWaitMs, cores});
+    }
+    for (const [queue, pending, factor] of message.queues) {
+      const state = {queue, pending, runTimeFactor: factor / factorUnitsPerOne};
+      if (isUnusedQueue(state)) this.queues.delete(queue);
+      else this.queues.set(queue, state);
     }
-    return removed;
+    return new QueueBacklogs([...this.groups.values()], [...this.queues.values()]);
   }
 }
 
-/** Decodes the messages of one `BacklogEncoder`; they must arrive complete and in order. */
-export class BacklogDecoder {
-  private readonly keys = new Map<number, string>();
-  private readonly groups = new Map<number, BacklogGroupRow>();
-  private readonly queues = new Map<number, BacklogQueueRow>();
+function toGroupRow({group, waitMs, fillWaitMs, cores}: GroupBacklog): BacklogGroupRow {
+  return [group, Math.round(waitMs), Math.round(fillWaitMs), cores];
+}
 
-  /** Applies a message and returns the backlogs of all queues. */
-  decode(message: BacklogMessage): readonly QueueBacklog[] {
-    for (const [number, key] of message.keys) this.keys.set(number, key);
-    for (const row of message.groups) this.groups.set(row[0], row);
-    for (const row of message.queues) this.queues.set(row[0], row);
-    for (const number of message.removed) {
-      this.keys.delete(number);
-      this.queues.delete(number);
-    }
-    const backlogs: QueueBacklog[] = [];
-    for (const [number, group, pending, factor] of this.queues.values()) {
-      const queue = this.keys.get(number);
-      const groupRow = this.groups.get(group);
-      if (queue === undefined || groupRow === undefined) continue;
-      const [, waitMs, fillWaitMs, cores] = groupRow;
-      const runTimeFactor = factor / factorUnitsPerOne;
-      backlogs.push({
-        queue,
-        group: String(group),
-        pending,
-        waitMs,
-        fillWaitMs,
-        runTimeFactor,
-        cores,
-      });
+function toQueueRow({queue, pending, runTimeFactor}: QueueState): BacklogQueueRow {
+  return [queue, pending, Math.round(runTimeFactor * factorUnitsPerOne)];
+}
+
+/** Returns the rows that are new or have changed, and a row from `remove` for each that is gone. */
+function getChanges<Row extends readonly unknown[]>(
+  previous: ReadonlyMap<string, Row>,
+  current: ReadonlyMap<string, Row>,
+  remove: (name: string) => Row,
+): Row[] {
+  const changes: Row[] = [];
+  for (const [name, row] of current) {
+    const previousRow = previous.get(name);
+    if (previousRow === undefined || row.some((value, index) => value !== previousRow[index])) {
+      changes.push(row);
     }
-    return backlogs;
   }
+  for (const name of previous.keys()) if (!current.has(name)) changes.push(remove(name));
+  return changes;
 }
--- a/packages/runtime/src/dispatch/entry-node.ts
+++ b/packages/runtime/src/dispatch/entry-node.ts
@@ -40,8 +40,9 @@
   private readonly service: SubmissionService;
   private readonly peers: EntryPeers;
   private readonly traffic: TrafficMeter;
-  /** Links of the other entries, with the state of the backlogs that were sent on each. */
-  private readonly entryLinks = new Map<PeerLink, BacklogEncoder>();
+  /** Links of the other entries, and whether the backlogs have been sent on each. */
+  private readonly entryLinks = new Map<PeerLink, boolean>();
+  private readonly backlogEncoder = new BacklogEncoder();
   private readonly links = new Set<PeerLink>();
   private ownerAddress: string | undefined;
   private server: Server | undefined;
@@ -59,7 +60,7 @@
     this.peers = new EntryPeers({
       ...options,
       traffic: this.traffic,
-      onQueueBacklogs: levels => this.service.setQueueBacklogs(levels),
+      onQueueBacklogs: backlogs => this.service.setQueueBacklogs(backlogs),
     });
     this.service = new SubmissionService({
       store,
@@ -158,7 +159,7 @@
   private handleEntryRequest(link: PeerLink, message: EntryRequest): void {
     switch (message.kind) {
       case 'entry':
-        this.entryLinks.set(link, new BacklogEncoder());
+        this.entryLinks.set(link, false);
         return;
       case 'query':
         link.send({kind: 'status', request: message.request, ...this.owner.lookUp(message.id)});
@@ -192,10 +193,14 @@
 
   private publishQueueBacklogs(): void {
     this.backlogTimer = setTimeout(() => this.publishQueueBacklogs(), this.getBacklogIntervalMs());
-    if (!this.owner.isOwner) return;
     const backlogs = this.owner.getQueueBacklogs();
+    if (backlogs === undefined) return;
     this.service.setQueueBacklogs(backlogs);
-    for (const [link, encoder] of this.entryLinks) link.send(encoder.encode(backlogs));
+    const changes = this.backlogEncoder.update(backlogs);
+    for (const [link, hasBacklogs] of this.entryLinks) {
+      link.send(hasBacklogs ? changes : this.backlogEncoder.getSnapshot());
+      this.entryLinks.set(link, true);
+    }
   }
 
   /** Returns the time until the backlogs are published again: longer with many entries on a slow link. */
--- a/packages/runtime/src/dispatch/entry-peers.ts
+++ b/packages/runtime/src/dispatch/entry-peers.ts
@@ -1,4 +1,4 @@
-import type {QueueBacklog} from '@chervilbeam/coordination';
+import type {QueueBacklogs} from '@chervilbeam/coordination';
 import {BacklogDecoder} from './backlog-messages.js';
 import type {DecisionLogger} from './decision-logger.js';
 import type {EntryRequest, EntryResponse, SubmissionLookup} from './entry-messages.js';
@@ -23,7 +23,7 @@
   readonly store: RecordStore;
   readonly log: DecisionLogger;
   readonly traffic: TrafficMeter;
-  readonly onQueueBacklogs: (backlogs: readonly QueueBacklog[]) => void;
+  readonly onQueueBacklogs: (backlogs: QueueBacklogs) => void;
 }
 
 type EntryLink = Link<EntryResponse, EntryRequest>;
@@ -196,7 +196,7 @@
   }
 
   private receive(response: EntryResponse, backlogs: BacklogDecoder): void {
-    if (response.kind === 'backlogs') this.options.onQueueBacklogs(backlogs.decode(response));
+    if (response.kind === 'queue-backlogs') this.options.onQueueBacklogs(backlogs.decode(response));
     else if ('request' in response) this.pending.get(response.request)?.finish(response);
   }
 }
--- a/packages/runtime/src/dispatch/link-message-checks.ts
+++ b/packages/runtime/src/dispatch/link-message-checks.ts
@@ -40,11 +40,9 @@
   status: {request: 'number', isOwner: 'boolean'},
   pending: {request: 'number'},
   reply: {request: 'number', reply: isReply},
-  backlogs: {
-    keys: rows => isRows(rows, row => row.length === 2 && typeof row[1] === 'string'),
-    groups: rows => isRows(rows, isNumberRow),
-    queues: rows => isRows(rows, isNumberRow),
-    removed: 'array',
+  'queue-backlogs': {
+    groups: rows => isRows(rows, row => isNamedRow(row, 4) || isNamedRow(row, 1)),
+    queues: rows => isRows(rows, row => isNamedRow(row, 3)),
   },
 };
 
@@ -107,8 +105,11 @@
   return isTexts([task, checkpoint]) && [end, run].every(Number.isFinite) && runOutcomes.has(how);
 }
 
-function isNumberRow(row: readonly unknown[]): boolean {
-  return row.length === 4 && row.every(Number.isFinite);
+/** Whether a row has a name, followed by numbers only. */
+function isNamedRow([name, ...numbers]: readonly unknown[], length: number): boolean {
+  return (
+    typeof name === 'string' && numbers.length === length - 1 && numbers.every(Number.isFinite)
+  );
 }
 
 function isRows(rows: unknown, check: (row: readonly unknown[]) => boolean): boolean {
--- a/packages/runtime/src/dispatch/owner-process.ts
+++ b/packages/runtime/src/dispatch/owner-process.ts
@@ -12,7 +12,7 @@
   type OwnerMessage,
   type OwnerRecord,
   type ProgressWrite,
-  type QueueBacklog,
+  type QueueBacklogs,
   type QueueConfiguration,
   RoundThrottle,
 } from '@chervilbeam/coordination';
@@ -199,8 +199,8 @@
     return this.dispatcher.countPending(queue);
   }
 
-  /** Returns the backlog of each queue; empty without ownership. */
-  getQueueBacklogs(): readonly QueueBacklog[] {
+  /** Returns the backlogs of all queues, or undefined without ownership. */
+  getQueueBacklogs(): QueueBacklogs | undefined {
     return this.dispatcher.getQueueBacklogs(this.options.clock.now());
   }
 
--- a/packages/runtime/src/dispatch/submission-service.ts
+++ b/packages/runtime/src/dispatch/submission-service.ts
@@ -5,7 +5,7 @@
   isLasting,
   type Queue,
   type QueueConfiguration,
-  type QueueBacklog,
+  type QueueBacklogs,
 } from '@chervilbeam/coordination';
 import type {Metrics} from '../metrics/index.js';
 import {CallRelays} from './call-relays.js';
@@ -66,8 +66,8 @@
 /** Handles callers' requests on any entry: stores submissions, returns their state and cancels them. */
 export class SubmissionService {
   private configuration: QueueConfiguration | undefined;
-  /** Backlog of each queue, by queue key. */
-  private backlogs = new Map<string, QueueBacklog>();
+  /** Latest backlogs of the owner. */
+  private backlogs: QueueBacklogs | undefined;
   private backlogsReceivedAt = Number.NEGATIVE_INFINITY;
   /** Work in core-milliseconds that this entry has accepted since it received the latest backlogs, by queue key. */
   private readonly acceptedCoreMs = new Map<string, number>();
@@ -89,8 +89,8 @@
   }
 
   /** Replaces the queue backlogs with those that the owner published. */
-  setQueueBacklogs(backlogs: readonly QueueBacklog[]): void {
-    this.backlogs = new Map(backlogs.map(backlog => [backlog.queue, backlog]));
+  setQueueBacklogs(backlogs: QueueBacklogs): void {
+    this.backlogs = backlogs;
     this.backlogsReceivedAt = this.clock.now();
     this.acceptedCoreMs.clear();
   }
@@ -121,7 +121,7 @@
    */
   private async count(queue: Queue): Promise<SubmissionReply> {
     const isFresh = this.clock.now() - this.backlogsReceivedAt < maxPendingAgeMs;
-    const published = isFresh ? this.backlogs.get(queue.key)?.pending : undefined;
+    const published = isFresh ? this.backlogs?.get(queue)?.pending : undefined;
     const count = published ?? (await this.options.peers.countPending(queue.key));
     if (count !== undefined) return {kind: 'pending', count};
     const retryAfterSeconds = unknownPendingRetrySeconds;
@@ -174,7 +174,7 @@
     draft: ValidDraft,
   ): Extract<SubmissionReply, {kind: 'refused'}> | undefined {
     const isFresh = this.clock.now() - this.backlogsReceivedAt < maxBacklogAgeMs;
-    const level = isFresh ? this.backlogs.get(queue.key) : undefined;
+    const level = isFresh ? this.backlogs?.get(queue) : undefined;
     const addedCoreMs = this.acceptedCoreMs.get(queue.key) ?? 0;
     const addedWaitMs = level ? addedCoreMs / Math.max(1, level.cores) : 0;
     const currentBacklog = level && {
