Look for a submission at the other entries before leaving its caller unsure

A submission that the backlog would refuse is first looked up, because a retry of accepted work must not be refused. When the store did not answer this entry, the caller got 504 at once ("not known"), while other submissions went through the other entries and got 503 with a time to return. Change: such a submission is passed to the other entries; it is refused only when all of them refuse it.

--- a/packages/runtime/src/dispatch/submission-service.ts
+++ b/packages/runtime/src/dispatch/submission-service.ts
@@ -143,7 +143,7 @@
         return refusal;
       }
       if (existence === 'present') return this.acknowledgeSubmission(queue, id, 'known');
-      return {kind: 'unknown'};
+      return this.submitElsewhere(call, context);
     }
     const reply = await this.relays.run(call, context, () => this.store(queue, call, context));
     if (reply.kind === 'accepted') this.writer.markStored(id);
@@ -151,6 +151,20 @@
     return reply;
   }
 
+  /**
+   * Passes on a submission that this entry would refuse but cannot look up, because the store does not answer it. It is
+   * refused when the other entries refuse it too, and otherwise may have been accepted before.
+   */
+  private async submitElsewhere(
+    call: Extract<SubmissionCall, {kind: 'submit'}>,
+    context: CallContext,
+  ): Promise<SubmissionReply> {
+    const untried = Promise.resolve(this.createUnreachableReply());
+    const reply = await this.relays.run(call, context, () => untried);
+    this.recordRefusal('submission-refused', call.id, reply);
+    return reply;
+  }
+
   private async store(
     queue: Queue,
     call: Extract<SubmissionCall, {kind: 'submit'}>,
--- a/packages/runtime/test/dispatch/submission-service.test.ts
+++ b/packages/runtime/test/dispatch/submission-service.test.ts
@@ -223,6 +223,27 @@
     fixture: {backlogs: full, faults: ['unknown']},
     reply: {kind: 'unknown'},
   },
+  {
+    name: 'work behind a backlog is refused while the store refuses this entry and the others',
+    fixture: {
+      backlogs: full,
+      faults: ['refused'],
+      relayedReply: {kind: 'refused', retryAfterSeconds: 2, reason: 'store-unreachable'},
+    },
+    reply: {kind: 'refused', reason: 'store-unreachable'},
+    stored: false,
+  },
+  {
+    name: 'a retry behind a backlog is accepted when another entry finds it in the store',
+    fixture: {backlogs: full, faults: ['refused'], relayedReply: {kind: 'accepted'}},
+    reply: {kind: 'accepted'},
+  },
+  {
+    name: 'work behind a backlog is refused by a single entry whose store refuses it',
+    fixture: {backlogs: full, faults: ['refused'], entries: 0},
+    reply: {kind: 'refused', reason: 'store-unreachable'},
+    stored: false,
+  },
   {
     name: 'the state comes from the owner when it replies',
     call: {kind: 'query', queue: queue.key, id},
