Leave a caller with little time an answer instead of doubt

Eight answers 504 within 0 to 120 ms between 21 s and 23 s remained. A call had to leave 150 ms of the caller's time for the reply, so a retry that arrived with less was given to the store, which may have stored it, and answered with "not known" at once. Nothing was logged. Change: the reserve is at most 0.3 of the caller's time; entries that were not asked because the time was over do not turn a refusal into doubt; every call whose outcome stays unknown has a line call-unresolved and is counted.

--- a/packages/runtime/src/dispatch/call-relays.ts
+++ b/packages/runtime/src/dispatch/call-relays.ts
@@ -9,8 +9,17 @@
 const relayTimeoutMs = 700;
 /** Time in milliseconds for which the store counts as unresponsive after a call that it did not answer in time. */
 const unresponsiveMs = 2_000;
-/** Part of a call's timeout, in milliseconds, that is reserved for returning the reply to the caller. */
-const replyReserveMs = 150;
+/**
+ * Part of a call's timeout that is reserved for returning the reply to the caller: at most `maxReplyReserveMs`, and no
+ * more than this share of it, because a caller with little time left is better off with an answer just in time.
+ */
+const maxReplyReserveMs = 150;
+const replyReserveShare = 0.3;
+
+/** Returns the part of a call's timeout, in milliseconds, in which it can be executed. */
+export function getExecutionMs(timeoutMs: number): number {
+  return timeoutMs - Math.min(maxReplyReserveMs, timeoutMs * replyReserveShare);
+}
 
 /** Options of `CallRelays`. */
 export interface CallRelaysOptions {
@@ -42,10 +51,10 @@
   ): Promise<SubmissionReply> {
     const {clock, peers} = this.options;
     if (context.isRelayed || peers.getEntryCount() === 0) return execute();
-    const deadline = clock.now() + context.timeoutMs - replyReserveMs;
+    const deadline = clock.now() + getExecutionMs(context.timeoutMs);
     const isUnresponsive = clock.now() < this.unresponsiveUntil;
     const localReply =
-      isUnresponsive && this.isProbing ? untriedStoreReply : this.executeLocally(execute);
+      isUnresponsive && this.isProbing ? untriedReply : this.executeLocally(execute);
     const firstReply = await withTimeout(
       localReply,
       isUnresponsive ? 0 : Math.min(hedgeDelayMs, deadline - clock.now()),
@@ -79,25 +88,24 @@
   /** Relays the call to other entries in turn until one gives a conclusive reply. */
   private async relay(call: SubmissionCall, deadline: number): Promise<SubmissionReply> {
     const {peers, clock, metrics} = this.options;
-    let lastReply: SubmissionReply = {kind: 'unknown'};
+    let lastReply = await untriedReply;
     for (let attempt = 0; attempt < peers.getEntryCount(); attempt += 1) {
       const remainingMs = deadline - clock.now();
-      if (remainingMs <= 0) return {kind: 'unknown'};
+      // The entries that were not asked cannot have executed the call.
+      if (remainingMs <= 0) return lastReply;
       metrics.count('calls_relayed');
       const reply = await peers.relay(call, Math.min(relayTimeoutMs, remainingMs));
       if (reply !== undefined && isConclusive(reply)) return reply;
       // An entry that did not reply may have executed the call, so a refusal stands only if all entries so far refused.
-      const isFirst: boolean = attempt === 0;
-      const isRefused: boolean =
-        reply?.kind === 'refused' && (isFirst || lastReply.kind === 'refused');
+      const isRefused: boolean = reply?.kind === 'refused' && lastReply.kind === 'refused';
       lastReply = isRefused && reply !== undefined ? reply : {kind: 'unknown'};
     }
     return lastReply;
   }
 }
 
-/** Local reply when the store is unresponsive and another call is already probing it. */
-const untriedStoreReply: Promise<SubmissionReply> = Promise.resolve({
+/** Reply to a call that was not tried, for example while another call probes an unresponsive store. */
+const untriedReply: Promise<SubmissionReply> = Promise.resolve({
   kind: 'refused',
   retryAfterSeconds: 1,
   reason: 'store-unreachable',
--- a/packages/runtime/src/dispatch/submission-service.ts
+++ b/packages/runtime/src/dispatch/submission-service.ts
@@ -8,7 +8,7 @@
   type QueueBacklogs,
 } from '@chervilbeam/coordination';
 import type {Metrics} from '../metrics/index.js';
-import {CallRelays} from './call-relays.js';
+import {CallRelays, getExecutionMs} from './call-relays.js';
 import type {DecisionLogger} from './decision-logger.js';
 import type {SubmissionLookup} from './entry-messages.js';
 import {LeaseClock} from './lease-clock.js';
@@ -20,8 +20,6 @@
 
 /** Retry-After in seconds while the store is unreachable; its outages last seconds. */
 const outageRetrySeconds = 2;
-/** Part of a call's timeout, in milliseconds, that is reserved for returning the reply to the caller. */
-const replyReserveMs = 150;
 /** Delay in milliseconds before a write that got no reply is retried. */
 const writeRetryDelayMs = 150;
 /** Age in milliseconds above which the queue backlogs are too old to base admission on. */
@@ -97,6 +95,21 @@
 
   /** Executes a call and returns its reply; store failures are returned as replies, not thrown. */
   async execute(call: SubmissionCall, context: CallContext): Promise<SubmissionReply> {
+    const startedAt = this.clock.now();
+    const reply = await this.executeCall(call, context);
+    if (reply.kind === 'unknown') {
+      this.options.metrics.count('calls_unresolved');
+      this.options.log.log('call-unresolved', {
+        ...('id' in call && {submission: call.id}),
+        call: call.kind,
+        relayed: context.isRelayed === true,
+        ageMs: Math.round(this.clock.now() - startedAt),
+      });
+    }
+    return reply;
+  }
+
+  private async executeCall(call: SubmissionCall, context: CallContext): Promise<SubmissionReply> {
     const {configuration} = this;
     if (configuration === undefined) {
       return {kind: 'refused', retryAfterSeconds: 1, reason: 'not-configured'};
@@ -139,7 +152,7 @@
       // A retry of a submission that any entry has already accepted must not be refused.
       const existence = await this.checkExistence(id);
       if (existence === 'absent') {
-        this.recordRefusal('submission-refused', id, refusal);
+        this.recordRefusal(id, refusal);
         return refusal;
       }
       if (existence === 'present') return this.acknowledgeSubmission(queue, id, 'known');
@@ -147,7 +160,7 @@
     }
     const reply = await this.relays.run(call, context, () => this.store(queue, call, context));
     if (reply.kind === 'accepted') this.writer.markStored(id);
-    else this.recordRefusal('submission-refused', id, reply);
+    else this.recordRefusal(id, reply);
     return reply;
   }
 
@@ -161,7 +174,7 @@
   ): Promise<SubmissionReply> {
     const untried = Promise.resolve(this.createUnreachableReply());
     const reply = await this.relays.run(call, context, () => untried);
-    this.recordRefusal('submission-refused', call.id, reply);
+    this.recordRefusal(call.id, reply);
     return reply;
   }
 
@@ -171,7 +184,7 @@
     context: CallContext,
   ): Promise<SubmissionReply> {
     const {id, draft} = call;
-    const timeoutMs = context.timeoutMs - replyReserveMs;
+    const timeoutMs = getExecutionMs(context.timeoutMs);
     const result = await this.writer.store(queue, id, draft, timeoutMs);
     if (result === 'timeout' || result.kind === 'unknown') return {kind: 'unknown'};
     if (result.kind === 'ok') return this.acknowledgeSubmission(queue, id, 'stored', draft);
@@ -256,7 +269,7 @@
 
   private async storeCancel(id: string, context: CallContext): Promise<SubmissionReply> {
     const {store, log, clock} = this.options;
-    const deadline = clock.now() + context.timeoutMs - replyReserveMs;
+    const deadline = clock.now() + getExecutionMs(context.timeoutMs);
     const key = submissionPrefix + id;
     const read = await store.read(key);
     if (read.kind !== 'ok') return this.createUnreachableReply();
@@ -287,12 +300,12 @@
     };
   }
 
-  private recordRefusal(event: string, id: string, reply: SubmissionReply): void {
+  private recordRefusal(id: string, reply: SubmissionReply): void {
     if (reply.kind !== 'refused') return;
     const {metrics, log} = this.options;
     const {reason, retryAfterSeconds} = reply;
     metrics.count(`submissions_refused_${reason}`);
-    log.log(event, {
+    log.log('submission-refused', {
       submission: id,
       reason,
       retryAfterSeconds,
--- a/packages/runtime/test/dispatch/memory-store.ts
+++ b/packages/runtime/test/dispatch/memory-store.ts
@@ -22,6 +22,8 @@
   historyFrom = 0;
   /** Faults of the next calls except those on leases, one for each call; undefined lets a call succeed. */
   faults: Array<StoreFault | undefined> = [];
+  /** Time in milliseconds that a commit takes. */
+  commitDelayMs = 0;
   private readonly history: RecordChange[] = [];
   private readonly waiting = new Set<() => void>();
   private readonly leases = new Set<string>();
@@ -73,6 +75,7 @@
   }
 
   async commit(commit: RecordCommit): Promise<CommitResult> {
+    if (this.commitDelayMs > 0) await new Promise(done => setTimeout(done, this.commitDelayMs));
     const fault = this.faults.shift();
     if (fault === 'refused' || fault === 'unknown') return fail(fault);
     const result = this.apply(commit);
--- a/packages/runtime/test/dispatch/submission-service.test.ts
+++ b/packages/runtime/test/dispatch/submission-service.test.ts
@@ -76,6 +76,8 @@
   /** Status that the owner returns; absent when no owner replies. */
   readonly ownerStatus?: SubmissionStatus;
   readonly relayedReply?: SubmissionReply;
+  readonly relayDelayMs?: number;
+  readonly commitDelayMs?: number;
   /** Number of pending submissions that the owner returns; absent when no owner replies. */
   readonly ownerPending?: number;
   /** Number of other entries. */
@@ -93,6 +95,7 @@
     store.put(key, JSON.stringify(value));
   }
   store.faults = [...(fixture.faults ?? [])];
+  store.commitDelayMs = fixture.commitDelayMs ?? 0;
   const service = new SubmissionService({
     store,
     clock: new SystemClock(),
@@ -103,7 +106,10 @@
         fixture.ownerStatus && {isOwner: true, status: fixture.ownerStatus, queue: queue.key},
       countPending: async () => fixture.ownerPending,
       getEntryCount: () => fixture.entries ?? 1,
-      relay: async () => fixture.relayedReply,
+      relay: async () => {
+        await new Promise(resolve => setTimeout(resolve, fixture.relayDelayMs ?? 0));
+        return fixture.relayedReply;
+      },
       notifyCancelled: cancelled => notified.push(cancelled),
     },
   });
@@ -223,6 +229,23 @@
     fixture: {backlogs: full, faults: ['unknown']},
     reply: {kind: 'unknown'},
   },
+  {
+    name: 'a caller with little time left is told that its submission is stored',
+    fixture: {timeoutMs: 120, commitDelayMs: 30},
+    reply: {kind: 'accepted'},
+    stored: true,
+  },
+  {
+    name: 'a caller with little time left is not refused while another entry may store its submission',
+    fixture: {faults: ['refused'], timeoutMs: 120, relayDelayMs: 200},
+    reply: {kind: 'unknown'},
+  },
+  {
+    name: 'a submission that came too late to be tried is refused',
+    fixture: {faults: ['refused'], timeoutMs: 0, relayDelayMs: 200},
+    reply: {kind: 'refused', reason: 'store-unreachable'},
+    stored: false,
+  },
   {
     name: 'work behind a backlog is refused while the store refuses this entry and the others',
     fixture: {
