Test that silence below a lease moves no work

Cause: operators of similar systems saw work started again, or given up, because a machine was only silent. No test covered several workers at once, one direction of a link, or an owner that was paused itself. Change: the virtual fleet holds back messages in one direction, pauses the owner (whose timers then run before its connections are read), and its workers end runs whose lease has expired.

--- a/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
@@ -30,6 +30,9 @@
 /** Delay in milliseconds of a message between dispatcher and worker, and of a write to the store. */
 const deliveryDelayMs = 5;
 
+/** Messages that a silent link holds back; those of an agent are replaced by its next list. */
+export type Silence = 'from-agent' | 'to-agent' | 'both';
+
 interface ScheduledAction {
   readonly at: number;
   readonly action: () => void;
@@ -92,7 +95,12 @@
     readonly agent: string;
     readonly order: Extract<OwnerMessage, {kind: 'start'}>;
   }> = [];
+  /** Agents whose links are silent; messages to them arrive when the entry is removed. */
+  readonly silences = new Map<string, Silence>();
+  /** Time until which the owner's process is paused; events wait until then. */
+  ownerPausedUntil = 0;
   roster: readonly RosterEntry[] = [];
+  private readonly heldEvents: DispatchEvent[] = [];
   /** Time at which each final state was stored. */
   readonly endedAt = new Map<string, number>();
   /** Called after each simulation step. */
@@ -193,6 +201,7 @@
   run(until: number): void {
     while (this.now < until) {
       this.now += stepMs;
+      if (this.now >= this.ownerPausedUntil && this.heldEvents.length > 0) this.resumeOwner();
       for (const {action} of this.takeDueActions()) action();
       for (const worker of this.workers.values()) {
         const hasEndedRuns = worker.advance(this.now, stepMs);
@@ -217,13 +226,26 @@
     this.post({kind: 'settle'});
   }
 
+  /** Passes the held events on; timers of a process that was paused run before it reads its connections. */
+  private resumeOwner(): void {
+    this.post({kind: 'tick', wallMs: this.now});
+    this.settle();
+    for (const event of this.heldEvents.splice(0)) this.post(event);
+  }
+
   /** Passes an event to the dispatcher and applies its effects. */
   post(event: DispatchEvent): void {
+    if (this.now < this.ownerPausedUntil) {
+      if (event.kind !== 'tick') this.heldEvents.push(event);
+      return;
+    }
     for (const effect of this.dispatcher.reduce(event, this.now)) this.applyEffect(effect);
   }
 
   private report(worker: VirtualWorker): void {
     const {agent, life} = worker.options;
+    const silence = this.silences.get(agent);
+    if (silence !== undefined && silence !== 'to-agent') return;
     worker.fencingToken = Math.max(worker.fencingToken, 10 * this.generation);
     this.post({
       kind: 'message',
@@ -250,7 +272,13 @@
   private deliver(agent: string, message: OwnerMessage): void {
     const worker = this.workers.get(agent);
     if (worker === undefined) return;
+    const silence = this.silences.get(agent);
+    if (silence !== undefined && silence !== 'from-agent') {
+      this.schedule(() => this.deliver(agent, message));
+      return;
+    }
     if (message.kind === 'lease') {
+      worker.extendLease(message.deadlineMs);
       if (worker.hasLostAcknowledgements) return;
       const index = worker.ends.findIndex(end => end[0] > message.acknowledged);
       worker.ends.splice(0, index < 0 ? worker.ends.length : index);
@@ -282,6 +310,11 @@
         : never
       : never,
   ): void {
+    const silence = this.silences.get(agent);
+    if (silence !== undefined && silence !== 'to-agent') {
+      this.schedule(() => this.result(agent, order, outcome));
+      return;
+    }
     this.post({kind: 'message', agent, message: {kind: 'result', order, outcome}});
   }
 
--- a/packages/coordination/test/dispatch/fleet/virtual-worker.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-worker.ts
@@ -67,6 +67,8 @@
   private readonly highestRuns = new Map<string, number>();
   private nextEnd = 1;
   fencingToken = 0;
+  /** Time at which the lease of all runs expires. */
+  leaseEndsAt = 0;
   /** Whether start commands are neither answered nor executed. */
   isUnresponsive = false;
   /** Whether acknowledgements of ends are lost, so that ends stay listed. */
@@ -97,9 +99,11 @@
   start(
     order: Extract<OwnerMessage, {kind: 'start'}>,
     at: number,
-  ): 'room' | 'old-run' | 'fenced' | undefined {
+  ): 'room' | 'old-run' | 'fenced' | 'late' | undefined {
     if (order.term < this.fencingToken) return 'fenced';
     this.fencingToken = order.term;
+    if (order.deadlineMs < at) return 'late';
+    this.extendLease(order.deadlineMs);
     if (order.run <= (this.highestRuns.get(order.task) ?? 0)) return 'old-run';
     const behaviour = this.world.getBehaviour(order.task);
     const {step} = behaviour;
@@ -127,6 +131,11 @@
     return undefined;
   }
 
+  /** Extends the lease of all runs. */
+  extendLease(deadlineMs: number): void {
+    this.leaseEndsAt = Math.max(this.leaseEndsAt, deadlineMs);
+  }
+
   /** Stops a run; returns whether it was running. */
   stop(task: string, run: number): boolean {
     this.highestRuns.set(task, Math.max(run, this.highestRuns.get(task) ?? 0));
@@ -151,6 +160,7 @@
   /** Advances all runs by a time in milliseconds; returns whether any has ended. */
   advance(at: number, ms: number): boolean {
     const before = this.ends.length;
+    if (at > this.leaseEndsAt) for (const run of this.runs.values()) this.finish(run, 'lapsed');
     const fillers = [...this.runs.values()].filter(run => run.behaviour.step.fills);
     let usedCores = 0;
     for (const run of this.runs.values()) {
