Check the ownership before everything that only the owner may do

Cause: one of the failures that operators of similar systems reported: a process that had been paused acts on a permission that has run out. Four places did not check the lease: the reply to a claim, handled seconds later, began an ownership; an owner after a pause accepted an agent, told the state of a submission and the pending submissions, and published backlogs. The memory store of the tests gave the records of one commit different revisions, unlike the real one.

--- a/packages/coordination/src/ownership/owner-election.ts
+++ b/packages/coordination/src/ownership/owner-election.ts
@@ -117,9 +117,7 @@
   /** @inheritdoc */
   reduce(event: ElectionEvent, at: number): readonly ElectionEffect[] {
     this.effects = [];
-    if (this.term > 0 && at - this.leaseConfirmedAt >= this.timing.ownershipTimeoutMs) {
-      this.end('not-confirmed');
-    }
+    if (this.term > 0 && this.hasLeaseExpired(at)) this.end('not-confirmed');
     this.apply(event, at);
     return this.effects;
   }
@@ -152,6 +150,8 @@
         return this.observeOwner(event.owner, event.revision, at);
       case 'claimed':
         this.pending = undefined;
+        // The reply may be handled long after it was sent, and another process may own the submissions by now.
+        if (this.hasLeaseExpired(at)) return this.releaseLease();
         return this.begin(event.revision, event.generation);
       case 'deposed':
         return this.end(event.reason);
@@ -166,6 +166,10 @@
     }
   }
 
+  private hasLeaseExpired(at: number): boolean {
+    return at - this.leaseConfirmedAt >= this.timing.ownershipTimeoutMs;
+  }
+
   private tick(at: number): void {
     if (this.isDraining || this.pending !== undefined || at < this.retryAt) return;
     const {leaseTtlMs, renewIntervalMs} = this.timing;
--- a/packages/coordination/test/ownership/owner-election.test.ts
+++ b/packages/coordination/test/ownership/owner-election.test.ts
@@ -35,6 +35,11 @@
   },
   {name: 'a vacant key is claimed', events: claimed.slice(0, 3), last: ['claim']},
   {name: 'a successful claim begins the ownership', events: claimed, last: ['begin']},
+  {
+    name: 'a claim whose reply is handled after the lease has expired does not begin the ownership',
+    events: [...claimed.slice(0, 3), [6_100, {kind: 'claimed', revision: 9, generation: 1}]],
+    last: ['end-lease'],
+  },
   {
     name: 'a key owned by another process is not claimed',
     events: [...claimed.slice(0, 2), [10, {kind: 'owner-seen', owner, revision: 4}]],
--- a/packages/runtime/src/dispatch/owner-process.ts
+++ b/packages/runtime/src/dispatch/owner-process.ts
@@ -160,7 +160,7 @@
     link: Link<AgentMessage, OwnerMessage>,
     entries: readonly string[],
   ): boolean {
-    if (!this.isOwner) return false;
+    if (!this.checkOwnership()) return false;
     const previousLink = this.agents.get(agent);
     this.agents.set(agent, link);
     previousLink?.destroy('replaced');
@@ -188,7 +188,7 @@
 
   /** Looks up the state of a submission. */
   lookUp(id: string): SubmissionLookup {
-    if (!this.isOwner) return {isOwner: false};
+    if (!this.checkOwnership()) return {isOwner: false};
     const status = this.dispatcher.getStatus(id);
     const queue = this.dispatcher.getQueueOf(id);
     return {isOwner: true, ...(status && {status}), ...(queue !== undefined && {queue})};
@@ -196,17 +196,26 @@
 
   /** Returns the number of pending submissions of a queue, or undefined when this process is not the owner. */
   countPending(queue: string): number | undefined {
-    return this.dispatcher.countPending(queue);
+    return this.checkOwnership() ? this.dispatcher.countPending(queue) : undefined;
   }
 
   /** Returns the backlogs of all queues, or undefined without ownership. */
   getQueueBacklogs(): QueueBacklogs | undefined {
+    if (!this.checkOwnership()) return undefined;
     return this.dispatcher.getQueueBacklogs(this.options.clock.now());
   }
 
-  private post(event: DispatchEvent): void {
-    // The host may have been suspended, so the lease is checked again before the dispatcher makes a decision.
+  /**
+   * Whether this process is still the owner. The host may have been suspended, so the lease is checked again before each
+   * decision of the dispatcher and each answer that only the owner can give.
+   */
+  private checkOwnership(): boolean {
     if (this.isOwner) this.electionLoop.post({kind: 'look'});
+    return this.isOwner;
+  }
+
+  private post(event: DispatchEvent): void {
+    this.checkOwnership();
     this.loop.post(event);
     this.scheduleSettle();
   }
@@ -235,7 +244,7 @@
 
   private runRound(): void {
     const {clock} = this.options;
-    if (this.isOwner) this.electionLoop.post({kind: 'look'});
+    if (!this.checkOwnership()) return;
     const startedAt = clock.now();
     this.loop.post({kind: 'place'});
     this.roundThrottle.recordRound(startedAt, clock.now());
@@ -328,6 +337,7 @@
     log.log('ownership-claimed', {term, generation});
     const startedAt = clock.now();
     const stored = await readStoredState(store, log, () => this.electionTerm === term);
+    this.electionLoop.post({kind: 'look'});
     if (stored === undefined || this.electionTerm !== term) return;
     log.log('submissions-read', {
       term,
--- a/packages/runtime/test/dispatch/memory-store.ts
+++ b/packages/runtime/test/dispatch/memory-store.ts
@@ -32,6 +32,10 @@
   /** Writes a key as another process would. */
   put(key: string, value: string, lease?: string): void {
     this.revision += 1;
+    this.write(key, value, lease);
+  }
+
+  private write(key: string, value: string, lease?: string): void {
     const record = {key, value, revision: this.revision};
     this.records.set(key, {...record, ...(lease !== undefined && {lease})});
     this.recordChange({kind: 'written', record});
@@ -94,6 +98,7 @@
 
   async endLease(lease: string): Promise<LeaseResult> {
     this.leases.delete(lease);
+    this.revision += 1;
     for (const [key, record] of this.records) if (record.lease === lease) this.remove(key);
     return {kind: 'ok', lease, ttlMs: 0};
   }
@@ -107,14 +112,15 @@
       const current = keys.map(key => this.records.get(key)).filter(record => record !== undefined);
       return {kind: 'conflict', current};
     }
-    for (const {key, value, lease} of commit.writes) this.put(key, value, lease);
+    // All changes of a commit have the same revision.
+    this.revision += 1;
+    for (const {key, value, lease} of commit.writes) this.write(key, value, lease);
     for (const key of commit.removals) this.remove(key);
     return {kind: 'ok', revision: this.revision};
   }
 
   private remove(key: string): void {
     if (!this.records.delete(key)) return;
-    this.revision += 1;
     this.recordChange({kind: 'removed', key, revision: this.revision});
   }
 
