--- a/packages/coordination/src/configuration/intent/intent-rules.ts
+++ b/packages/coordination/src/configuration/intent/intent-rules.ts
@@ -45,7 +45,10 @@
     else amounts[name] = amount;
   }
   reader.rejectUnknownFields();
-  if (givenCount === 0) return parent.reject(field, 'at least one of processors, memoryMb, slots');
+  if (givenCount === 0) {
+    const names = Object.keys(resourceRanges).join(', ');
+    return parent.reject(field, `at least one of ${names}`);
+  }
   return isValid ? amounts : undefined;
 }
 
--- a/packages/coordination/src/configuration/intent/intent.ts
+++ b/packages/coordination/src/configuration/intent/intent.ts
@@ -2,7 +2,7 @@
 import {isRecord, ObjectReader, renderValue} from '../../findings/object-reader.js';
 import type {Urgency, WorkloadKind} from '../../messages/identity.js';
 import {urgencies} from '../../messages/identity.js';
-import type {CapacityGrant, CellShare, Team, Workload} from '../document.js';
+import type {CapacityGrant, Team, Workload} from '../document.js';
 import {
   idempotentMethodRule,
   nameRule,
@@ -11,6 +11,7 @@
   readResources,
   taskLimit,
 } from './intent-rules.js';
+import {readCells} from './read-cells.js';
 
 /** Request to drain a host or to return it to service. */
 export interface DrainIntent {
@@ -137,31 +138,6 @@
   return {slots, processors};
 }
 
-function readCells(
-  reader: ObjectReader,
-  tasks: number | undefined,
-  kind: WorkloadKind,
-): Pick<Workload, 'cells'> {
-  if (!reader.has('cells')) return {};
-  const cells: CellShare[] = [];
-  for (const entry of reader.getObjects('cells')) {
-    const cell = entry.getText('cell', nameRule);
-    const count = entry.getInteger('tasks', {min: 1, max: taskLimit}, 'count');
-    entry.rejectUnknownFields();
-    if (cells.some(share => share.cell === cell))
-      entry.reject('cell', 'a cell that is listed once');
-    if (cell !== undefined && count !== undefined) cells.push({cell, tasks: count});
-  }
-  if (kind === 'batch' && cells.length > 1) {
-    reader.reject('cells', 'one cell, because the items of a batch job are counted in one ledger');
-  }
-  const sum = cells.reduce((total, share) => total + share.tasks, 0);
-  if (tasks !== undefined && sum !== tasks) {
-    reader.reject('cells', `shares that add up to ${tasks} tasks`);
-  }
-  return {cells};
-}
-
 function readBatchFields(reader: ObjectReader): Pick<Workload, 'runTimeSeconds' | 'dateMs'> {
   const fields = readOptionalSeconds(reader, 'runTimeSeconds');
   if (!reader.has('runTimeSeconds')) {
--- a/packages/coordination/src/configuration/plan/check-plan.ts
+++ b/packages/coordination/src/configuration/plan/check-plan.ts
@@ -8,6 +8,7 @@
   readResources,
   taskLimit,
 } from '../intent/intent-rules.js';
+import {readCells} from '../intent/read-cells.js';
 import {sealPlan, type Plan} from './plan.js';
 
 const planIdRule = {
@@ -79,7 +80,7 @@
 
 function checkWorkload(reader: ObjectReader | undefined): void {
   if (!reader) return;
-  reader.getWord('kind', ['service', 'batch', 'watch'] as const);
+  const kind = reader.getWord('kind', ['service', 'batch', 'watch'] as const);
   reader.getText('name', nameRule);
   reader.getText('team', nameRule);
   reader.getWord('urgency', urgencies);
@@ -88,7 +89,8 @@
   grant?.getInteger('processors', countRange, 'millicores');
   grant?.rejectUnknownFields();
   readResources(reader, 'resources');
-  reader.getInteger('tasks', {min: 0, max: taskLimit}, 'count');
+  const tasks = reader.getInteger('tasks', {min: 0, max: taskLimit}, 'count');
+  if (kind !== undefined) readCells(reader, tasks, kind);
   for (const field of ['runTimeSeconds', 'dateMs', 'checkpointSeconds']) {
     if (reader.has(field)) reader.getInteger(field, countRange, 'count');
   }
--- a/packages/coordination/src/tasks/ledger/ledger-record.ts
+++ b/packages/coordination/src/tasks/ledger/ledger-record.ts
@@ -1,5 +1,6 @@
 import {err, ok, type Result} from 'neverthrow';
 import type {Finding} from '../../findings/finding.js';
+import {isRecord, renderValue} from '../../findings/object-reader.js';
 
 /** Ledger entry of an opened workload. No task of a workload starts before this entry is in the store. */
 export interface LedgerWorkload {
@@ -28,16 +29,12 @@
   readonly tasks: Readonly<Record<string, LedgerTask>>;
 }
 
-function isObject(value: unknown): value is Record<string, unknown> {
-  return typeof value === 'object' && value !== null && !Array.isArray(value);
-}
-
 /** Validates a value read from the store; returns one finding for each invalid field. */
 export function parseLedgerRecord(value: unknown): Result<LedgerRecord, Finding[]> {
   const findings: Finding[] = [];
   const reject = (place: string, found: unknown, allowed: string) =>
-    findings.push({source: 'ledger', place, value: String(found), allowed});
-  if (!isObject(value)) {
+    findings.push({source: 'ledger', place, value: renderValue(found), allowed});
+  if (!isRecord(value)) {
     reject('', value, 'an object');
     return err(findings);
   }
@@ -46,24 +43,24 @@
     if (!Number.isSafeInteger(value[field])) reject(field, value[field], 'an integer');
   }
   const {workloads, tasks} = value;
-  if (!isObject(workloads)) {
+  if (!isRecord(workloads)) {
     reject('workloads', workloads, 'an object');
   } else {
     for (const [name, workload] of Object.entries(workloads)) {
       const valid =
-        isObject(workload) &&
+        isRecord(workload) &&
         typeof workload['done'] === 'boolean' &&
         typeof workload['finished'] === 'string' &&
         /^[0-9a-f]*$/.test(workload['finished']);
       if (!valid) reject(`workloads.${name}`, workload, '{finished: hexadecimal, done: boolean}');
     }
   }
-  if (!isObject(tasks)) {
+  if (!isRecord(tasks)) {
     reject('tasks', tasks, 'an object');
   } else {
     for (const [name, task] of Object.entries(tasks)) {
       const valid =
-        isObject(task) &&
+        isRecord(task) &&
         Number.isSafeInteger(task['evictions']) &&
         Number.isSafeInteger(task['attempt']) &&
         (task['checkpoint'] === undefined || typeof task['checkpoint'] === 'string');
--- a/packages/coordination/test/configuration/plan.test.ts
+++ b/packages/coordination/test/configuration/plan.test.ts
@@ -6,6 +6,7 @@
   createPlan,
   emptyConfiguration,
   parseIntent,
+  sealPlan,
   type Configuration,
   type Intent,
   type Plan,
@@ -131,6 +132,38 @@
   }
 });
 
+void t.test('a plan whose workload is divided between cells is valid', async t => {
+  const divided = {
+    ...service,
+    cells: [
+      {cell: 'main', tasks: 1},
+      {cell: 'north', tasks: 2},
+    ],
+  };
+  const {operations} = first;
+  const plan = sealPlan({
+    ...first,
+    operations: operations.map(operation =>
+      operation.kind === 'put-workload' && operation.workload.name === service.name
+        ? {...operation, workload: {...operation.workload, cells: divided.cells}}
+        : operation,
+    ),
+  });
+  t.match(checkPlan(JSON.parse(JSON.stringify(plan)), 'plan.json'), {ok: true});
+  const overlapping = sealPlan({
+    ...plan,
+    operations: plan.operations.map(operation =>
+      operation.kind === 'put-workload' && operation.workload.cells
+        ? {...operation, workload: {...operation.workload, cells: [{cell: 'main', tasks: 7}]}}
+        : operation,
+    ),
+  });
+  t.match(checkPlan(JSON.parse(JSON.stringify(overlapping)), 'plan.json'), {
+    ok: false,
+    findings: [{allowed: 'shares that add up to 3 tasks'}],
+  });
+});
+
 void t.test('arbitrary input gives findings and never an exception', async t => {
   const lists = ['services', 'batches', 'watches', 'teams', 'drains', 'cancel', 'operations'];
   const values = fc.oneof(
--- a/packages/coordination/test/tasks/ledger-keeper.test.ts
+++ b/packages/coordination/test/tasks/ledger-keeper.test.ts
@@ -97,4 +97,5 @@
     ._unsafeUnwrapErr()
     .map(finding => finding.place);
   t.same(places, ['term', 'tasks.proofs/2']);
+  t.match(parseLedgerRecord(damaged)._unsafeUnwrapErr()[1], {value: '{"evictions":1}'});
 });
