Remove members that nothing uses

Change: getTimeWeightedAverage, PendingRequest.lastReason, the outcome 'gave-up' and ModelBackend.shouldCountRuns are gone.

--- a/packages/coordination/src/colocation/colocated-load-history.ts
+++ b/packages/coordination/src/colocation/colocated-load-history.ts
@@ -25,16 +25,4 @@
     for (const [name, sum] of sums) sums.set(name, sum / count);
     return sums;
   }
-
-  /** Time-weighted mean over a window, in which each sample holds until the next one. */
-  getTimeWeightedAverage(from: number, to: number): ColocatedLoad {
-    const sums = new Map<string, number>();
-    this.samples.forEach(({at, load}, index) => {
-      const end = Math.min(to, this.samples[index + 1]?.at ?? to);
-      const share = (end - Math.max(from, at)) / Math.max(1, to - from);
-      if (share <= 0) return;
-      for (const [name, amount] of load) sums.set(name, (sums.get(name) ?? 0) + amount * share);
-    });
-    return sums;
-  }
 }
--- a/packages/coordination/src/requests/attempt-results.ts
+++ b/packages/coordination/src/requests/attempt-results.ts
@@ -203,7 +203,6 @@
       detail: reason,
     });
     request.avoidedPeers.add(attempt.peer);
-    request.lastReason = reason;
     if (request.attempts.size > 0 || attempt.replaced) return;
     if (reason === 'deadline' || request.deadline <= at)
       return outcomes.notRun(request, 'deadline', at);
--- a/packages/coordination/src/requests/pending-request.ts
+++ b/packages/coordination/src/requests/pending-request.ts
@@ -1,6 +1,5 @@
 import type {Headers, RequestClass} from '../messages/data.js';
 import type {RequestId} from '../messages/identity.js';
-import type {NotRunReason} from '../messages/data.js';
 
 /** Sender of a request, which receives its outcome. */
 export type Client =
@@ -35,7 +34,6 @@
   wasHedged: boolean;
   /** Taken from the queue and counted there as in flight; otherwise the request is queued. */
   isInFlight: boolean;
-  lastReason?: NotRunReason;
 }
 
 /** Creates the progress of a newly received request. */
--- a/packages/lab/src/harness/caller-load.ts
+++ b/packages/lab/src/harness/caller-load.ts
@@ -24,7 +24,7 @@
   /** Virtual time in milliseconds of the first attempt. */
   readonly startedAt: number;
   readonly latencyMs: number;
-  readonly outcome: Outcome | 'gave-up';
+  readonly outcome: Outcome;
   /** Number of times that the caller sent the request. */
   readonly tries: number;
 }
--- a/packages/lab/src/harness/model-backend.ts
+++ b/packages/lab/src/harness/model-backend.ts
@@ -31,10 +31,6 @@
   isAnnouncing = true;
   /** Sum of the time that ended exchanges occupied a slot, in milliseconds. */
   busyMs = 0;
-  /** Number of started exchanges by path, if `shouldCountRuns` is set. */
-  readonly runs = new Map<string, number>();
-  /** Whether `runs` is updated. */
-  shouldCountRuns = false;
   private running = 0;
   private readonly random: SeededRandom;
   private readonly body: Uint8Array;
@@ -64,7 +60,6 @@
       );
       return;
     }
-    if (this.shouldCountRuns) this.runs.set(effect.path, (this.runs.get(effect.path) ?? 0) + 1);
     this.running += 1;
     const contention = Math.max(1, this.running / this.options.processors);
     const mean = this.options.serviceMs[effect.service] ?? 10;
