Add chervilbeam explain: what happened to a submission, from the logs

Change: `explain <id> [logs...]` reads the logs of any number of processes, or standard input, orders the lines of a submission or task with those of its workers and of the owners in that time, and says first what decided the end: refusals with the age of the backlogs, waits, runs that were lost or stopped, changes of the owner, lines that were left out.

--- /dev/null
+++ b/packages/command/src/explain/index.ts
@@ -0,0 +1,2 @@
+export * from './log-line.js';
+export * from './submission-story.js';
--- a/packages/command/src/output/render.ts
+++ b/packages/command/src/output/render.ts
@@ -7,6 +7,7 @@
   type TimelineEvent,
 } from '@chervilbeam/coordination';
 import type {OperatorStatus} from '@chervilbeam/runtime';
+import type {LogLine, SubmissionStory} from '../explain/index.js';
 import {replaceControlCharacters, renderTable} from './table.js';
 
 /** Renders findings, one per line: source, place, value and allowed values. */
@@ -134,3 +135,31 @@
     }),
   );
 }
+
+/** Renders what led to the end of a submission, then its log lines with the time since the first. */
+export function renderStory(story: SubmissionStory): string {
+  const startedAt = story.lines[0]?.stamp ?? 0;
+  const rows = story.lines.map(line => [
+    new Date(line.stamp).toISOString(),
+    `+${Math.round(line.stamp - startedAt)} ms`,
+    line.process,
+    line.event,
+    renderFields(line, story.id),
+  ]);
+  const findings = story.getFindings().map(replaceControlCharacters);
+  const table = renderTable(['time', 'since', 'process', 'event', 'details'], rows);
+  return [...findings, '', table].join('\n');
+}
+
+function renderFields({fields}: LogLine, id: string): string {
+  return Object.entries(fields)
+    .filter(([field, value]) => field !== 'submission' || value !== id)
+    .map(([field, value]) => `${field}=${renderField(value)}`)
+    .join(' ');
+}
+
+/** Numbers have at most three decimals, so that sums of cores stay readable. */
+function renderField(value: unknown): string {
+  if (typeof value === 'number') return String(Number(value.toFixed(3)));
+  return typeof value === 'string' ? value : JSON.stringify(value);
+}
--- a/packages/command/src/program.ts
+++ b/packages/command/src/program.ts
@@ -7,6 +7,7 @@
   confirmFile,
   declareLoss,
   drainHosts,
+  explainSubmission,
   planFile,
   Session,
   showPlan,
@@ -155,6 +156,13 @@
     .action(async (options: SharedOptions & TimelineOptions) =>
       setExitCode(await showTimeline(createSession(options), options)),
     );
+  addCommand(
+    'explain <id> [logs...]',
+    'Explain what happened to a submission or a task, from the logs of all processes (default: standard input).',
+    'explain 5c0e7a21d94b36f8 logs/*.log',
+  ).action((id: string, files: string[], options: SharedOptions) =>
+    setExitCode(explainSubmission(createSession(options), id, files)),
+  );
   return program;
 }
 
--- a/packages/command/test/program.test.ts
+++ b/packages/command/test/program.test.ts
@@ -107,3 +107,63 @@
       t.match(`${out}\n${errors}`, text, `${testCase.guards}: ${text}`);
   }
 });
+
+const explainedId = '00000000000000a1';
+const logFile = join(mkdtempSync(join(tmpdir(), 'log-')), 'entry.log');
+const logLine = {
+  process: 'entry-1',
+  event: 'submission-refused',
+  submission: explainedId,
+  reason: 'backlog',
+  ageMs: 40,
+  time: '2026-01-01T00:00:00.000Z',
+};
+writeFileSync(logFile, `starting\n${JSON.stringify(logLine)}\n`);
+
+const explanations: ReadonlyArray<{
+  readonly name: string;
+  readonly args: readonly string[];
+  readonly code: number;
+  readonly out?: RegExp;
+  readonly errors?: RegExp;
+}> = [
+  {
+    name: 'tells why a submission was refused, and which lines it left out',
+    args: [explainedId, logFile],
+    code: 0,
+    out: /^Refused 1 times: 1 backlog[^]*entry-1 +submission-refused +reason=backlog ageMs=40$/,
+    errors: /entry.log: 1 lines are not log lines and were left out, the first at line 1/,
+  },
+  {
+    name: 'prints JSON',
+    args: [explainedId, logFile, '--json'],
+    code: 0,
+    out: /"findings": \[\n +"Refused 1 times/,
+  },
+  {
+    name: 'reports an id that the logs do not name',
+    args: ['00000000000000a2', logFile],
+    code: 1,
+    errors: /no line of the logs names 00000000000000a2/,
+  },
+  {
+    name: 'rejects what is not an id',
+    args: ['proofs', logFile],
+    code: 2,
+    errors: /id "proofs"; allowed: 16 hexadecimal digits/,
+  },
+  {
+    name: 'reports a file that cannot be read',
+    args: [explainedId, `${logFile}.old`],
+    code: 1,
+    errors: /cannot read .*entry.log.old: ENOENT/,
+  },
+];
+for (const {name, args, code, out, errors} of explanations) {
+  void t.test(`explain ${name}`, async t => {
+    const result = await run(['explain', ...args]);
+    t.equal(result.code, code);
+    if (out) t.match(result.out, out);
+    if (errors) t.match(result.errors, errors);
+  });
+}
