Notice a configuration in time after the store was silent

The store was silent from 2.6 s to 7.1 s and a configuration was acknowledged at 7.1 s. The watch of an entry timed out at 6.2 s and was repeated at 6.3 s; the silent store swallowed the call, which was given up only 4 s + 1.2 s later. The scheduling of rounds is a class of its own.

--- a/packages/runtime/src/dispatch/owner-process.ts
+++ b/packages/runtime/src/dispatch/owner-process.ts
@@ -14,7 +14,6 @@
   type ProgressWrite,
   type QueueBacklogs,
   type QueueConfiguration,
-  RoundThrottle,
 } from '@chervilbeam/coordination';
 import {Loop} from '../loop/index.js';
 import type {Metrics} from '../metrics/index.js';
@@ -25,6 +24,7 @@
 import type {Link} from './link.js';
 import {RecordWatch} from './record-watch.js';
 import type {RecordChange, RecordStore, StoredRecord} from './record-store.js';
+import {RoundScheduler} from './round-scheduler.js';
 import {parseOwner, parseSubmission} from './record-parsers.js';
 import {readStoredState, toWriteResult} from './stored-state.js';
 import {
@@ -89,9 +89,7 @@
   private workWatch: RecordWatch | undefined;
   /** Term of the current ownership, set before the stored state is loaded; 0 without ownership. */
   private electionTerm = 0;
-  private readonly roundThrottle = new RoundThrottle();
-  private isSettleScheduled = false;
-  private isRoundScheduled = false;
+  private readonly rounds: RoundScheduler;
   private tickTimer: NodeJS.Timeout | undefined;
   private isStopped = false;
 
@@ -117,6 +115,14 @@
       clock: this.leaseClock,
       post: event => this.electionLoop.post(event),
     });
+    this.rounds = new RoundScheduler({
+      clock,
+      settle: () => this.loop.post({kind: 'settle'}),
+      isRoundDue: () => this.dispatcher.isPlacementDue,
+      runRound: () => {
+        if (this.checkOwnership()) this.loop.post({kind: 'place'});
+      },
+    });
     this.ownerWatch = new RecordWatch({
       store,
       clock,
@@ -217,37 +223,7 @@
   private post(event: DispatchEvent): void {
     this.checkOwnership();
     this.loop.post(event);
-    this.scheduleSettle();
-  }
-
-  /** Settles once after all events of one event-loop turn. */
-  private scheduleSettle(): void {
-    if (this.isSettleScheduled || !this.isOwner) return;
-    this.isSettleScheduled = true;
-    setImmediate(() => {
-      this.isSettleScheduled = false;
-      this.loop.post({kind: 'settle'});
-      this.scheduleRound();
-    });
-  }
-
-  private scheduleRound(): void {
-    if (this.isRoundScheduled || !this.dispatcher.isPlacementDue) return;
-    const delayMs = this.roundThrottle.getDelayMs(this.options.clock.now());
-    if (delayMs === 0) return this.runRound();
-    this.isRoundScheduled = true;
-    setTimeout(() => {
-      this.isRoundScheduled = false;
-      this.runRound();
-    }, delayMs);
-  }
-
-  private runRound(): void {
-    const {clock} = this.options;
-    if (!this.checkOwnership()) return;
-    const startedAt = clock.now();
-    this.loop.post({kind: 'place'});
-    this.roundThrottle.recordRound(startedAt, clock.now());
+    if (this.isOwner) this.rounds.schedule();
   }
 
   private tick(): void {
@@ -255,7 +231,7 @@
     this.electionLoop.post({kind: 'tick'});
     if (this.isOwner) {
       this.loop.post({kind: 'tick', wallMs: this.options.clock.wallTime()});
-      this.scheduleSettle();
+      this.rounds.schedule();
     }
     this.tickTimer = setTimeout(() => this.tick(), this.isOwner ? ownerTickMs : idleTickMs);
   }
--- a/packages/runtime/src/dispatch/record-watch.ts
+++ b/packages/runtime/src/dispatch/record-watch.ts
@@ -19,6 +19,11 @@
 
 /** Default long-poll time in milliseconds; bounds how long a broken connection goes unnoticed. */
 const defaultWaitMs = 4_000;
+/**
+ * Long-poll time in milliseconds after a failed call. A call that a silent store has swallowed is not answered when the
+ * store is back, and the changes since then are seen only after its timeout.
+ */
+const retryWaitMs = 300;
 /** First delay in milliseconds of the exponential backoff while the store does not answer. */
 const minRetryDelayMs = 100;
 /** Longest delay in milliseconds of the backoff. */
@@ -62,7 +67,8 @@
 
   private async watch(): Promise<boolean> {
     const {store, prefix, clock, getWaitMs, log} = this.options;
-    const waitMs = getWaitMs?.() ?? defaultWaitMs;
+    const longWaitMs = getWaitMs?.() ?? defaultWaitMs;
+    const waitMs = this.failures > 0 ? Math.min(retryWaitMs, longWaitMs) : longWaitMs;
     const sentAt = clock.now();
     const result = await store.watch(prefix, this.revision ?? 0, waitMs);
     if (this.isStopped) return true;
--- a/packages/runtime/test/dispatch/record-watch.test.ts
+++ b/packages/runtime/test/dispatch/record-watch.test.ts
@@ -56,3 +56,35 @@
     await stop();
   });
 }
+
+/** Longest long-poll time in milliseconds after a failure: a store that is silent again is noticed soon. */
+const maxRetryWaitMs = 500;
+
+void t.test('calls are short after one without an answer, until one is answered again', async t => {
+  const store = new MemoryStore();
+  const waits: number[] = [];
+  const watchStore = store.watch.bind(store);
+  store.watch = (prefix, after, waitMs) => {
+    waits.push(waitMs);
+    // The second call gets no answer, nor does the third.
+    store.faults = waits.length === 2 || waits.length === 3 ? ['unknown'] : [];
+    return watchStore(prefix, after, Math.min(waitMs, 20));
+  };
+  const watch = new RecordWatch({
+    store,
+    clock: new SystemClock(),
+    log: createTestLog().log,
+    prefix: 'a/',
+    getWaitMs: () => 4_000,
+    onList: () => {},
+    onChanges: () => {},
+  });
+  const ended = watch.run();
+  await waitUntil(() => waits.length >= 5);
+  watch.stop();
+  await ended;
+  t.same(
+    waits.slice(0, 5).map(waitMs => waitMs > maxRetryWaitMs),
+    [true, true, false, false, true],
+  );
+});
