Store a cancel although the submission is rewritten meanwhile

Since finished submissions shrink in the store, the owner's write at the end changes the revision that the cancel had read, and every conflict was answered with "absent". Change: after a conflict the cancel is committed again with the current revision, and absent is answered only when the submission is gone.

--- a/packages/runtime/src/dispatch/submission-service.ts
+++ b/packages/runtime/src/dispatch/submission-service.ts
@@ -274,20 +274,24 @@
     const read = await store.read(key);
     if (read.kind !== 'ok') return this.createUnreachableReply();
     if (read.record === undefined) return {kind: 'absent'};
-    const commit = {
-      conditions: [{key, revision: read.record.revision}],
-      writes: [{key: cancelPrefix + id, value: '{}'}],
-      removals: [],
-    };
+    let {revision} = read.record;
     while (clock.now() < deadline) {
-      const result = await store.commit(commit);
+      const result = await store.commit({
+        conditions: [{key, revision}],
+        writes: [{key: cancelPrefix + id, value: '{}'}],
+        removals: [],
+      });
       if (result.kind === 'ok') {
         this.options.peers.notifyCancelled(id);
         log.log('cancel-acknowledged', {submission: id, revision: result.revision});
         return {kind: 'cancelled'};
       }
-      if (result.kind === 'conflict') return {kind: 'absent'};
-      await new Promise(resolve => setTimeout(resolve, writeRetryDelayMs));
+      if (result.kind === 'conflict') {
+        // The owner rewrites a submission when it ends, and removes it when it is forgotten.
+        const record = result.current.find(candidate => candidate.key === key);
+        if (record === undefined) return {kind: 'absent'};
+        ({revision} = record);
+      } else await new Promise(resolve => setTimeout(resolve, writeRetryDelayMs));
     }
     return {kind: 'unknown'};
   }
--- a/packages/runtime/test/dispatch/submission-service.test.ts
+++ b/packages/runtime/test/dispatch/submission-service.test.ts
@@ -78,6 +78,8 @@
   readonly relayedReply?: SubmissionReply;
   readonly relayDelayMs?: number;
   readonly commitDelayMs?: number;
+  /** Called after the first read, with its key. */
+  readonly onRead?: (store: MemoryStore, key: string) => void;
   /** Number of pending submissions that the owner returns; absent when no owner replies. */
   readonly ownerPending?: number;
   /** Number of other entries. */
@@ -96,6 +98,14 @@
   }
   store.faults = [...(fixture.faults ?? [])];
   store.commitDelayMs = fixture.commitDelayMs ?? 0;
+  let {onRead} = fixture;
+  const read = store.read.bind(store);
+  store.read = async key => {
+    const result = await read(key);
+    onRead?.(store, key);
+    onRead = undefined;
+    return result;
+  };
   const service = new SubmissionService({
     store,
     clock: new SystemClock(),
@@ -353,3 +363,25 @@
     t.same(refused.notified, [], 'a cancel that did not take effect is not passed on');
   },
 );
+
+void t.test('a cancel is stored although the submission is rewritten meanwhile', async t => {
+  const cancel: SubmissionCall = {kind: 'cancel', queue: queue.key, id};
+  const {reply, store} = await execute(cancel, {
+    storedKeys: [`work/job/${id}`],
+    onRead: (store, key) => store.put(key, JSON.stringify({id, queue: queue.key, steps: []})),
+  });
+  t.match(reply, {kind: 'cancelled'});
+  t.ok(store.records.has(`work/cancel/${id}`));
+});
+
+void t.test(
+  'a cancel of a submission that is removed meanwhile is answered with absent',
+  async t => {
+    const cancel: SubmissionCall = {kind: 'cancel', queue: queue.key, id};
+    const {reply} = await execute(cancel, {
+      storedKeys: [`work/job/${id}`],
+      onRead: (store, key) => store.records.delete(key),
+    });
+    t.match(reply, {kind: 'absent'});
+  },
+);
