--- a/packages/runtime/src/dispatch/submission-service.ts
+++ b/packages/runtime/src/dispatch/submission-service.ts
@@ -30,6 +30,12 @@
 /** Retry-After in seconds while the number of pending submissions cannot be told; an owner is elected within seconds. */
 const unknownPendingRetrySeconds = 1;
 
+/** Refusal because of the backlog, and the expected wait in milliseconds behind it. */
+interface BacklogRefusal {
+  readonly reply: Extract<SubmissionReply, {kind: 'refused'}>;
+  readonly waitMs: number;
+}
+
 /** Requests that a `SubmissionService` makes to other processes. */
 export interface SubmissionPeers {
   /** Looks up a submission at the owner; undefined when no owner replies. */
@@ -152,8 +158,8 @@
       // A retry of a submission that any entry has already accepted must not be refused.
       const existence = await this.checkExistence(id);
       if (existence === 'absent') {
-        this.recordRefusal(id, refusal);
-        return refusal;
+        this.recordRefusal(id, refusal.reply, refusal.waitMs);
+        return refusal.reply;
       }
       if (existence === 'present') return this.acknowledgeSubmission(queue, id, 'known');
       return this.submitElsewhere(call, context);
@@ -196,10 +202,7 @@
    * Returns a refusal when the submission would not finish in time behind the backlog, otherwise undefined; undefined
    * also when no recent backlog is known.
    */
-  private checkBacklog(
-    queue: Queue,
-    draft: ValidDraft,
-  ): Extract<SubmissionReply, {kind: 'refused'}> | undefined {
+  private checkBacklog(queue: Queue, draft: ValidDraft): BacklogRefusal | undefined {
     const isFresh = this.clock.now() - this.backlogsReceivedAt < maxBacklogAgeMs;
     const level = isFresh ? this.backlogs?.get(queue) : undefined;
     const addedCoreMs = this.acceptedCoreMs.get(queue.key) ?? 0;
@@ -211,8 +214,8 @@
     };
     const admission = decideAdmission(queue, draft.steps, draft.repetitions > 0, currentBacklog);
     if (admission.kind === 'accept') return undefined;
-    const {retryAfterSeconds} = admission;
-    return {kind: 'refused', retryAfterSeconds, reason: 'backlog'};
+    const {retryAfterSeconds, waitMs} = admission;
+    return {reply: {kind: 'refused', retryAfterSeconds, reason: 'backlog'}, waitMs};
   }
 
   private acknowledgeSubmission(
@@ -304,7 +307,7 @@
     };
   }
 
-  private recordRefusal(id: string, reply: SubmissionReply): void {
+  private recordRefusal(id: string, reply: SubmissionReply, waitMs?: number): void {
     if (reply.kind !== 'refused') return;
     const {metrics, log} = this.options;
     const {reason, retryAfterSeconds} = reply;
@@ -313,6 +316,7 @@
       submission: id,
       reason,
       retryAfterSeconds,
+      ...(waitMs !== undefined && {waitMs}),
       ageMs: Math.round(this.clock.now() - this.backlogsReceivedAt),
     });
   }
