Skip the workers in rounds without waiting work, and measure the owner's cost

Each round collected the unmeasured pairs of images on all workers and made a list of the open ones, also when nothing waited, and the supervisor did so twice a second. Change: a round ends when nothing waits; the pairs are collected when the first filling task is placed; the supervisor looks for workers only for a straggler.

--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -19,6 +19,7 @@
 } from './policy/queue-backlogs.js';
 import {RoomReservations} from './policy/room-reservations.js';
 import {RunSupervisor} from './policy/run-supervisor.js';
+import {sortCandidates} from './policy/submission-order.js';
 import {WorkerSelector} from './policy/worker-selector.js';
 import {WorkerHeadroomCache} from './policy/worker-headroom.js';
 import {ProgressJournal} from './progress-journal.js';
@@ -248,8 +249,10 @@
     if (!state.isPlacementDue) return;
     state.isPlacementDue = false;
     this.reservations.update(at);
+    const candidates = sortCandidates(state, at);
+    if (candidates.length === 0) return;
     const selector = this.createSelector(at);
-    runPlacementRound(state, this.commands, selector, this.reservations, at);
+    runPlacementRound(state, candidates, this.commands, selector, this.reservations, at);
     if (selector.examinedCount > 0) state.count('workers_examined', selector.examinedCount);
   }
 
--- a/packages/coordination/src/dispatch/policy/placement-round.ts
+++ b/packages/coordination/src/dispatch/policy/placement-round.ts
@@ -3,22 +3,23 @@
 import type {RunCommands} from '../run-commands.js';
 import type {RoomReservations} from './room-reservations.js';
 import type {WorkerView} from '../worker-view.js';
-import {sortCandidates, type Candidate} from './submission-order.js';
+import type {Candidate} from './submission-order.js';
 import type {WorkerSelector} from './worker-selector.js';
 
 /**
- * Starts every task that is ready and fits on a worker, in the order of `sortCandidates`. Ends early when the budget for
+ * Starts every waiting task that fits on a worker, in the order of the candidates. Ends early when the budget for
  * start commands is used up; the next round continues.
  */
 export function runPlacementRound(
   state: DispatchState,
+  candidates: readonly Candidate[],
   commands: RunCommands,
   selector: WorkerSelector,
   reservations: RoomReservations,
   at: number,
 ): void {
   if (!selector.hasOpenWorkers) return;
-  for (const candidate of sortCandidates(state, at)) {
+  for (const candidate of candidates) {
     for (const group of candidate.steps) {
       if (!state.startBudget.isOpen(at)) return;
       if (group.step.gang) startGang(candidate, group, selector, commands, at);
--- a/packages/coordination/src/dispatch/policy/run-supervisor.ts
+++ b/packages/coordination/src/dispatch/policy/run-supervisor.ts
@@ -59,18 +59,24 @@
   check(at: number): void {
     if (at - this.checkedAt < checkIntervalMs) return;
     this.checkedAt = at;
-    const selector = this.createSelector(at);
+    let selector: WorkerSelector | undefined;
+    const getSelector = () => (selector ??= this.createSelector(at));
     for (const worker of this.state.workers.values()) {
       worker.slowness += ((1 - worker.slowness) * slownessDecayPerSecond * checkIntervalMs) / 1000;
       if (!worker.isConnected || at - worker.lastContactAt >= this.state.timing.unreachableMs)
         continue;
       for (const run of [...worker.runs.values()]) {
-        if (run.state === 'running') this.checkRun(run, worker, selector, at);
+        if (run.state === 'running') this.checkRun(run, worker, getSelector, at);
       }
     }
   }
 
-  private checkRun(run: Run, worker: WorkerView, selector: WorkerSelector, at: number): void {
+  private checkRun(
+    run: Run,
+    worker: WorkerView,
+    getSelector: () => WorkerSelector,
+    at: number,
+  ): void {
     if (worker.isDraining && this.shouldEvict(run, worker, at)) {
       this.commands.stop(run, 'worker-draining', at);
       return;
@@ -83,7 +89,7 @@
       return;
     }
     if (run.task.step.lasting || run.task.step.fills || run.task.step.gang) return;
-    if (this.isStraggler(run, at)) this.replaceStraggler(run, worker, selector, at);
+    if (this.isStraggler(run, at)) this.replaceStraggler(run, worker, getSelector(), at);
   }
 
   /** Estimates the remaining run time in milliseconds, by extrapolation from `minExtrapolationPercent` on. */
--- a/packages/coordination/src/dispatch/policy/worker-selector.ts
+++ b/packages/coordination/src/dispatch/policy/worker-selector.ts
@@ -59,8 +59,8 @@
   private readonly openWorkers = new Map<string, WorkerView[]>();
   private readonly unplaceableNeeds = new UnplaceableNeeds();
   private stepRanking: StepRanking | undefined;
-  /** Unmeasured pairs of images that run together on some worker. */
-  private readonly probedPairs = new Set<string>();
+  /** Unmeasured pairs of images that run together on some worker; collected when the first filling task is placed. */
+  private probedPairs: Set<string> | undefined;
 
   constructor(
     private readonly state: DispatchState,
@@ -70,7 +70,6 @@
     private readonly at: number,
   ) {
     for (const worker of state.workers.values()) {
-      this.recordProbes(worker);
       if (!this.isOpen(worker)) continue;
       const {service} = worker.description;
       const workers = this.openWorkers.get(service);
@@ -86,7 +85,7 @@
 
   /** Records that a task was placed on a worker. */
   recordPlacement(worker: WorkerView): void {
-    this.recordProbes(worker);
+    if (this.probedPairs) this.collectProbes(worker, this.probedPairs);
     this.stepRanking?.ranking.markChanged(worker);
   }
 
@@ -181,14 +180,23 @@
   private isPairProbed(headroom: WorkerHeadroom, filling: string | undefined): boolean {
     return headroom.groups.some(
       ({image}) =>
-        this.probedPairs.has(getImagePairKey(image, filling)) &&
+        this.getProbedPairs().has(getImagePairKey(image, filling)) &&
         !this.interference.isPairMeasured(image, filling, this.at),
     );
   }
 
-  private recordProbes(worker: WorkerView): void {
-    for (const pair of this.headrooms.get(worker, this.at).unmeasuredPairs)
-      this.probedPairs.add(pair);
+  private getProbedPairs(): ReadonlySet<string> {
+    if (this.probedPairs === undefined) {
+      this.probedPairs = new Set();
+      for (const worker of this.state.workers.values()) {
+        this.collectProbes(worker, this.probedPairs);
+      }
+    }
+    return this.probedPairs;
+  }
+
+  private collectProbes(worker: WorkerView, pairs: Set<string>): void {
+    for (const pair of this.headrooms.get(worker, this.at).unmeasuredPairs) pairs.add(pair);
   }
 
   private getCost(worker: WorkerView, task: Task, group: StepTasks): number {
--- a/packages/lab/src/capacity/main.ts
+++ b/packages/lab/src/capacity/main.ts
@@ -5,6 +5,7 @@
 import {cellHosts, cellWaiting} from './experiments/cell.js';
 import {configurationFleet, configurationSize} from './experiments/configuration.js';
 import {entryHosts, entryMesh, entryWorkloads, summaryServices} from './experiments/entry.js';
+import {dispatchWorkers} from './experiments/dispatch.js';
 import {ownershipEntries} from './experiments/ownership.js';
 import {runExperiment, type CapacityExperiment, type MetricResult} from './experiment.js';
 import {formatNumber, formatResults} from './report.js';
@@ -20,6 +21,7 @@
   cellWaiting,
   configurationSize,
   configurationFleet,
+  dispatchWorkers,
   ownershipEntries,
 ];
 // SEEDS lists the seeds, separated by commas. ONLY selects the experiments whose names contain it.
