--- a/packages/coordination/src/dispatch/policy/submission-order.ts
+++ b/packages/coordination/src/dispatch/policy/submission-order.ts
@@ -24,9 +24,9 @@
 }
 
 /**
- * Returns the occurrences with waiting tasks in scheduling order. Urgent work goes first, so that a flood of other work does
- * not delay it. Within a priority, work that can still meet its objective goes before late work, so that a backlog does
- * not make everything late; then started work goes before other work, and earlier deadlines before later ones.
+ * Returns the occurrences with waiting tasks in scheduling order. Urgent work goes first, so that a flood of other work
+ * does not delay it. Within a priority, work that can still meet its objective goes before late work, so that a backlog
+ * does not make everything late; then started work goes before other work, and earlier deadlines before later ones.
  */
 export function sortCandidates(state: DispatchState, at: number): Candidate[] {
   const candidates: Candidate[] = [];
