Reserve room for adopted serving tasks as well

A task that the owner had adopted from its predecessor did not count as one that restarts, because the number of its run lies in the predecessor's range: no reservation, and the reserve for urgent work kept it from room that was free. Change: a task records that it has had a run, under this owner or an earlier.

--- a/packages/coordination/src/dispatch/run-commands.ts
+++ b/packages/coordination/src/dispatch/run-commands.ts
@@ -14,6 +14,7 @@
     const {state} = this;
     const run = new Run(task, number, worker, at);
     task.lastRunNumber = number;
+    task.hasStarted = true;
     task.runs.push(run);
     worker.add(run);
     run.order = state.takeCommandNumber();
--- a/packages/coordination/src/dispatch/task.ts
+++ b/packages/coordination/src/dispatch/task.ts
@@ -51,6 +51,8 @@
   checkpoint = '';
   /** Highest run number that may be in use; the next run gets a higher one. */
   lastRunNumber: number;
+  /** Whether the task has had a run, under this owner or adopted from the previous one. */
+  hasStarted = false;
   /** Time before which the task is not started again. */
   notBefore = Number.NEGATIVE_INFINITY;
   /** Worker incarnations on which a run of the task has failed, stalled or been too slow. */
@@ -63,16 +65,11 @@
     readonly stepIndex: number,
     readonly index: number,
     readonly step: Step,
-    private readonly baseRunNumber: number,
+    baseRunNumber: number,
   ) {
     this.lastRunNumber = baseRunNumber;
   }
 
-  /** Whether the task has had a run, under this owner or adopted from the previous one. */
-  get hasStarted(): boolean {
-    return this.lastRunNumber > this.baseRunNumber;
-  }
-
   /** Whether the task's next run may be started. */
   isWaiting(at: number): boolean {
     return !this.isFinished && !this.isInDoubt && this.runs.length === 0 && at >= this.notBefore;
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -218,6 +218,7 @@
     run.state = 'running';
     const isDuplicate = task.runs.length > 0 && !task.step.speculative;
     task.lastRunNumber = Math.max(task.lastRunNumber, number);
+    task.hasStarted = true;
     task.isInDoubt = false;
     task.runs.push(run);
     worker.add(run);
@@ -266,6 +267,7 @@
     }
     task.submission.hasStarted = true;
     task.lastRunNumber = Math.max(task.lastRunNumber, runNumber);
+    task.hasStarted = true;
     if (checkpoint !== '') task.checkpoint = checkpoint;
     else if (run && run.checkpoint !== '') task.checkpoint = run.checkpoint;
     if (run)
--- a/packages/coordination/test/dispatch/policy/room-reservations.test.ts
+++ b/packages/coordination/test/dispatch/policy/room-reservations.test.ts
@@ -85,6 +85,49 @@
   );
 }
 
+const adoptedAt = failAt + 500;
+for (const workers of sizes) {
+  void t.test(
+    `on ${workers} full workers, a serving task that a new owner has adopted runs again in time`,
+    t => {
+      const fleet = createFullFleet(workers);
+      fleet.startOwner();
+      fleet.run(adoptedAt);
+      const [worker] = getServingWorkers(fleet);
+      const [task = ''] = getServingTasks(worker);
+      worker?.fail(task);
+      fleet.run(adoptedAt + restartLimitMs);
+      t.ok(isRunning(fleet, task));
+      t.end();
+    },
+  );
+
+  void t.test(
+    `on ${workers} full workers, adopted serving tasks of a lost worker run again in time`,
+    t => {
+      const fleet = createFullFleet(workers);
+      fleet.startOwner();
+      fleet.run(adoptedAt);
+      const [worker] = getServingWorkers(fleet);
+      const tasks = getServingTasks(worker);
+      const {agent = '', life = ''} = worker?.options ?? {};
+      fleet.workers.delete(agent);
+      fleet.post({
+        kind: 'message',
+        agent,
+        message: {kind: 'worker-gone', life, reason: 'refused-connection'},
+      });
+      fleet.run(adoptedAt + restartLimitMs);
+      t.ok(tasks.length > 0);
+      t.same(
+        tasks.filter(task => !isRunning(fleet, task)),
+        [],
+      );
+      t.end();
+    },
+  );
+}
+
 void t.test('the room is free again at once when the serving task is cancelled', t => {
   const fleet = createFullFleet(11);
   const [worker] = getServingWorkers(fleet);
