Refuse a repeated submission only when no lost entry may have stored it

Cause: an entry that stores a submission and dies before it answers leaves a caller who tries again elsewhere. While the store refuses all entries, the others answered 503, which says that the submission never runs, although the store holds it. The same happened at the entry that had stored it itself, when only its answer was lost. docs/PROOFS.md listed this as not excluded. Ruled out: asking the store (it refuses), asking the entries only (the one that knows is gone). Change: an entry keeps the ids that it has found in the store; before a refusal for an unreachable store the owner is asked; and while an entry has started or been lost within the 15 s in which callers repeat attempts, the outcome is unknown (504), not a refusal. A refusal by an entry that has read the store stands, and ends the search at the other entries.

--- a/packages/coordination/src/dispatch/index.ts
+++ b/packages/coordination/src/dispatch/index.ts
@@ -3,6 +3,7 @@
 export * from './dispatch-events.js';
 export * from './dispatch-timing.js';
 export * from './dispatcher.js';
+export {RecentSet} from './recent-set.js';
 export {decideAdmission, type AdmissionDecision} from './policy/admission.js';
 export {
   getQueueGroup,
--- a/packages/coordination/src/dispatch/recent-set.ts
+++ b/packages/coordination/src/dispatch/recent-set.ts
@@ -16,6 +16,11 @@
     return isKnown;
   }
 
+  /** Whether the set contains a value; does not count as a use. */
+  has(value: Value): boolean {
+    return this.values.has(value);
+  }
+
   /** Removes all values. */
   clear(): void {
     this.values.clear();
--- a/packages/runtime/src/dispatch/call-relays.ts
+++ b/packages/runtime/src/dispatch/call-relays.ts
@@ -68,7 +68,8 @@
     );
     if (conclusiveReply !== undefined) return conclusiveReply;
     const replies = await Promise.all([withTimeout(localReply, 0), withTimeout(relayedReply, 0)]);
-    const refusal = replies.find(reply => reply?.kind === 'refused');
+    // Another entry may have read the store, which this one could not.
+    const refusal = replies.findLast(reply => reply?.kind === 'refused');
     // A query has no effect, so it can be refused even if another attempt may have been executed.
     const isRefused = call.kind === 'query' || replies.every(reply => reply?.kind === 'refused');
     return isRefused && refusal !== undefined ? refusal : {kind: 'unknown'};
@@ -91,14 +92,17 @@
     let lastReply = await untriedReply;
     for (let attempt = 0; attempt < peers.getEntryCount(); attempt += 1) {
       const remainingMs = deadline - clock.now();
-      // The entries that were not asked cannot have executed the call.
-      if (remainingMs <= 0) return lastReply;
+      // The entries that were not asked cannot have executed this call, but may have stored an earlier attempt of it.
+      if (remainingMs <= 0)
+        return attempt === 0 || call.kind !== 'submit' ? lastReply : {kind: 'unknown'};
       metrics.count('calls_relayed');
       const reply = await peers.relay(call, Math.min(relayTimeoutMs, remainingMs));
       if (reply !== undefined && isConclusive(reply)) return reply;
       // An entry that did not reply may have executed the call, so a refusal stands only if all entries so far refused.
       const isRefused: boolean = reply?.kind === 'refused' && lastReply.kind === 'refused';
       lastReply = isRefused && reply !== undefined ? reply : {kind: 'unknown'};
+      // This entry has found in the store that no earlier attempt was stored, and all entries have the same backlog.
+      if (lastReply.kind === 'refused' && lastReply.reason === 'backlog') return lastReply;
     }
     return lastReply;
   }
--- a/packages/runtime/src/dispatch/entry-node.ts
+++ b/packages/runtime/src/dispatch/entry-node.ts
@@ -75,6 +75,7 @@
           else this.peers.notifyCancelled(id);
         },
         getEntryCount: () => this.peers.addresses.length,
+        hasRecentLoss: () => this.peers.hasRecentLoss,
         relay: (call, timeoutMs) => this.peers.relay(call, timeoutMs),
       },
     });
--- a/packages/runtime/src/dispatch/entry-peers.ts
+++ b/packages/runtime/src/dispatch/entry-peers.ts
@@ -1,6 +1,7 @@
-import type {QueueBacklogs} from '@chervilbeam/coordination';
+import type {Clock, QueueBacklogs} from '@chervilbeam/coordination';
 import {BacklogDecoder} from './backlog-messages.js';
 import type {DecisionLogger} from './decision-logger.js';
+import {EntryLosses} from './entry-losses.js';
 import type {EntryRequest, EntryResponse, SubmissionLookup} from './entry-messages.js';
 import {dialLink, type Link, type LinkHandlers} from './link.js';
 import type {RecordStore} from './record-store.js';
@@ -21,6 +22,7 @@
   readonly name: string;
   readonly address: string;
   readonly store: RecordStore;
+  readonly clock: Clock;
   readonly log: DecisionLogger;
   readonly traffic: TrafficMeter;
   readonly onQueueBacklogs: (backlogs: QueueBacklogs) => void;
@@ -45,8 +47,16 @@
   private redialTimer: NodeJS.Timeout | undefined;
   private listTimer: NodeJS.Timeout | undefined;
   private isStopped = false;
+  private readonly losses: EntryLosses;
 
-  constructor(private readonly options: EntryPeersOptions) {}
+  constructor(private readonly options: EntryPeersOptions) {
+    this.losses = new EntryLosses(options.clock);
+  }
+
+  /** Whether an entry, this one included, has recently started or been lost. */
+  get hasRecentLoss(): boolean {
+    return this.losses.isRecent;
+  }
 
   /** Addresses of the other entries. */
   get addresses(): readonly string[] {
@@ -68,7 +78,7 @@
     if (address === this.ownerAddress) return;
     const former = this.ownerAddress;
     this.ownerAddress = address;
-    if (former !== undefined) this.links.get(former)?.end();
+    if (former !== undefined) this.endLink(former);
     this.dialOwner();
   }
 
@@ -141,12 +151,25 @@
       const entries = result.records.flatMap(record => parseEntry(record.value) ?? []);
       // The list is empty after the store has lost its leases; the previous list is then more likely to be right.
       if (entries.length > 0)
-        this.otherEntries = entries.filter(entry => entry.address !== address);
+        this.setOtherEntries(entries.filter(entry => entry.address !== address));
       this.hasEntryList = true;
     }
     this.listTimer = setTimeout(() => void this.refreshEntries(), entryListIntervalMs);
   }
 
+  private setOtherEntries(entries: readonly EntryRecord[]): void {
+    const addresses = new Set(entries.map(entry => entry.address));
+    if (this.addresses.some(address => !addresses.has(address))) this.losses.record();
+    this.otherEntries = entries;
+  }
+
+  /** Ends the link to an entry that is not needed any more; this does not count as a loss. */
+  private endLink(address: string): void {
+    const link = this.links.get(address);
+    this.links.delete(address);
+    link?.end();
+  }
+
   private dialOwner(): void {
     clearTimeout(this.redialTimer);
     if (this.ownerAddress !== undefined && !this.isStopped) this.getLink(this.ownerAddress);
@@ -167,7 +190,10 @@
   }
 
   private handleClosed(address: string, link: EntryLink, reason: string): void {
-    if (this.links.get(address) === link) this.links.delete(address);
+    if (this.links.get(address) === link) {
+      this.links.delete(address);
+      if (!this.isStopped) this.losses.record();
+    }
     for (const pending of [...this.pending.values()]) {
       if (pending.link === link) pending.finish(undefined);
     }
--- a/packages/runtime/src/dispatch/submission-service.ts
+++ b/packages/runtime/src/dispatch/submission-service.ts
@@ -46,6 +46,11 @@
   notifyCancelled(id: string): void;
   /** Returns the number of other entries to which a call can be relayed. */
   getEntryCount(): number;
+  /**
+   * Whether an entry, this one included, has started or been lost so recently that the caller of an unanswered attempt
+   * may still repeat it.
+   */
+  hasRecentLoss(): boolean;
   /** Relays a call to another entry, in round-robin order; undefined when it does not reply within `timeoutMs`. */
   relay(call: SubmissionCall, timeoutMs: number): Promise<SubmissionReply | undefined>;
 }
@@ -162,11 +167,34 @@
         return refusal.reply;
       }
       if (existence === 'present') return this.acknowledgeSubmission(queue, id, 'known');
-      return this.submitElsewhere(call, context);
+      return this.submitElsewhere(queue, call, context);
     }
     const reply = await this.relays.run(call, context, () => this.store(queue, call, context));
     if (reply.kind === 'accepted') this.writer.markStored(id);
-    else this.recordRefusal(id, reply);
+    return this.confirmRefusal(queue, id, reply);
+  }
+
+  /**
+   * Returns a refusal only when it is proven that no earlier attempt has stored the submission; otherwise what the owner
+   * knows, or that the outcome is unknown. Other replies are returned as they are.
+   */
+  private async confirmRefusal(
+    queue: Queue,
+    id: string,
+    reply: SubmissionReply,
+  ): Promise<SubmissionReply> {
+    if (reply.kind !== 'refused') return reply;
+    if (reply.reason !== 'store-unreachable') {
+      this.recordRefusal(id, reply);
+      return reply;
+    }
+    const lookup = await this.options.peers.askOwner(id);
+    if (lookup?.isOwner && lookup.status !== undefined) {
+      return this.acknowledgeSubmission(queue, id, 'known');
+    }
+    // A lost entry may have stored the submission without answering, and the store cannot be asked.
+    if (this.options.peers.hasRecentLoss()) return {kind: 'unknown'};
+    this.recordRefusal(id, reply);
     return reply;
   }
 
@@ -175,13 +203,13 @@
    * refused when the other entries refuse it too, and otherwise may have been accepted before.
    */
   private async submitElsewhere(
+    queue: Queue,
     call: Extract<SubmissionCall, {kind: 'submit'}>,
     context: CallContext,
   ): Promise<SubmissionReply> {
     const untried = Promise.resolve(this.createUnreachableReply());
     const reply = await this.relays.run(call, context, () => untried);
-    this.recordRefusal(call.id, reply);
-    return reply;
+    return this.confirmRefusal(queue, call.id, reply);
   }
 
   private async store(
@@ -190,6 +218,7 @@
     context: CallContext,
   ): Promise<SubmissionReply> {
     const {id, draft} = call;
+    if (this.writer.hasStored(id)) return this.acknowledgeSubmission(queue, id, 'known');
     const timeoutMs = getExecutionMs(context.timeoutMs);
     const result = await this.writer.store(queue, id, draft, timeoutMs);
     if (result === 'timeout' || result.kind === 'unknown') return {kind: 'unknown'};
--- a/packages/runtime/src/dispatch/submission-writer.ts
+++ b/packages/runtime/src/dispatch/submission-writer.ts
@@ -1,4 +1,10 @@
-import type {ValidDraft, Clock, Queue, Submission} from '@chervilbeam/coordination';
+import {
+  RecentSet,
+  type ValidDraft,
+  type Clock,
+  type Queue,
+  type Submission,
+} from '@chervilbeam/coordination';
 import type {DecisionLogger} from './decision-logger.js';
 import type {CommitResult, RecordStore} from './record-store.js';
 import {submissionPrefix} from './store-keys.js';
@@ -8,6 +14,9 @@
 /** Time in milliseconds for which an unresolved write is retried, also after its caller has timed out. */
 const unresolvedRetryLimitMs = 20_000;
 
+/** Number of stored submissions whose ids are kept, for callers who repeat a submission whose answer was lost. */
+const maxStoredIds = 2_000;
+
 /** Options of `SubmissionWriter`. */
 export interface SubmissionWriterOptions {
   readonly store: RecordStore;
@@ -20,6 +29,8 @@
   private readonly unresolvedWrites = new Map<string, Promise<CommitResult>>();
   /** Ids of unresolved submissions that another entry has stored. */
   private readonly storedElsewhere = new Set<string>();
+  /** Ids of submissions that the store holds. */
+  private readonly storedIds = new RecentSet<string>(maxStoredIds);
 
   constructor(private readonly options: SubmissionWriterOptions) {}
 
@@ -28,8 +39,14 @@
     return this.unresolvedWrites.has(id);
   }
 
+  /** Whether the store is known to hold the submission; also while the store cannot be reached. */
+  hasStored(id: string): boolean {
+    return this.storedIds.has(id);
+  }
+
   /** Records that the store holds the submission, so that an unresolved write is not retried. */
   markStored(id: string): void {
+    this.storedIds.use(id);
     if (this.unresolvedWrites.has(id)) this.storedElsewhere.add(id);
   }
 
@@ -80,7 +97,10 @@
     let mayBeStored = false;
     for (;;) {
       const result = await store.commit(commit);
-      if (result.kind === 'ok' || result.kind === 'conflict') return result;
+      if (result.kind === 'ok' || result.kind === 'conflict') {
+        this.storedIds.use(submission.id);
+        return result;
+      }
       if (result.kind === 'unknown') mayBeStored = true;
       if (this.storedElsewhere.has(submission.id)) return {kind: 'conflict', current: []};
       // A refusal does not rule out that an earlier attempt without a reply took effect.
