--- a/packages/coordination/src/dispatch/policy/submission-order.ts
+++ b/packages/coordination/src/dispatch/policy/submission-order.ts
@@ -1,4 +1,9 @@
-import {getCriticalPathMs, getObjectiveMs, type Queue} from '../../submissions/index.js';
+import {
+  getCriticalPathMs,
+  getObjectiveMs,
+  getWorkCoreMs,
+  type Queue,
+} from '../../submissions/index.js';
 import type {ActiveSubmission, Occurrence, StepTasks} from '../active-submission.js';
 import type {DispatchState} from '../dispatch-state.js';
 
@@ -17,8 +22,8 @@
   readonly priority: number;
   /** `0`: can still meet its objective; `1`: late; `2`: too late to be of use to the caller. */
   readonly lateness: 0 | 1 | 2;
-  /** Whether any of its tasks has started; started work is finished first. */
-  readonly hasStarted: boolean;
+  /** Processor time in core-milliseconds of its unfinished tasks; serving tasks are not counted. */
+  readonly remainingCoreMs: number;
   /** Soft deadline: time by which it should be finished to meet its objective. */
   readonly deadlineAt: number;
 }
@@ -26,7 +31,8 @@
 /**
  * Returns the occurrences with waiting tasks in scheduling order. Urgent work goes first, so that a flood of other work
  * does not delay it. Within a priority, work that can still meet its objective goes before late work, so that a backlog
- * does not make everything late; then started work goes before other work, and earlier deadlines before later ones.
+ * does not make everything late; then the work that is closest to its end goes first, so that a few submissions that
+ * take minutes do not delay the many that take seconds, and started work is finished.
  */
 export function sortCandidates(state: DispatchState, at: number): Candidate[] {
   const candidates: Candidate[] = [];
@@ -52,7 +58,7 @@
     (a, b) =>
       a.priority - b.priority ||
       a.lateness - b.lateness ||
-      Number(b.hasStarted) - Number(a.hasStarted) ||
+      a.remainingCoreMs - b.remainingCoreMs ||
       a.deadlineAt - b.deadlineAt,
   );
 }
@@ -88,9 +94,15 @@
     steps: options.steps,
     priority: queue?.priority ?? unknownQueuePriority,
     lateness,
-    hasStarted: occurrence.steps.some(
-      step => step.finished > 0 || step.tasks.some(task => task.runs.length > 0),
-    ),
+    remainingCoreMs: getRemainingCoreMs(occurrence, factor),
     deadlineAt,
   };
 }
+
+function getRemainingCoreMs(occurrence: Occurrence, factor: number): number {
+  const remaining = occurrence.steps.map(({step, tasks, finished}) => ({
+    ...step,
+    count: tasks.length - finished,
+  }));
+  return getWorkCoreMs(remaining, factor);
+}
--- a/packages/coordination/test/dispatch/fleet/shared-load.ts
+++ b/packages/coordination/test/dispatch/fleet/shared-load.ts
@@ -97,8 +97,13 @@
   readonly watchTasks: number;
   readonly servingImages: number;
   readonly fillingImages: number;
+  /** Share of the batches that take `longBatchFactor` times as long as the others. */
+  readonly longBatchShare: number;
 }
 
+/** Factor on the run times of a long batch. */
+const longBatchFactor = 7;
+
 const defaultLoad: LoadOptions = {
   workers: 11,
   batchesPerSecond: 1,
@@ -110,6 +115,7 @@
   watchTasks: 5,
   servingImages: 5,
   fillingImages: 9,
+  longBatchShare: 0,
 };
 
 /** A load on seven times as many workers as by default. */
@@ -235,13 +241,14 @@
     );
   const submitBatch = () => {
     const image = `f${Math.floor(random.next() * load.fillingImages)}`;
+    const isLong = load.longBatchShare > 0 && random.next() < load.longBatchShare;
     submit(
       'batch',
       createSteps(
         () => ({
           count: drawCount(load.batchTasks * 4, load.batchTasks, 0.6),
           cores: Math.round(random.between(1.2, 2.4) * 20) / 20,
-          estimatedMs: Math.round(random.between(600, 4_200)),
+          estimatedMs: Math.round(random.between(600, 4_200)) * (isLong ? longBatchFactor : 1),
           fills: true,
           checkpoints: true,
           image,
