Start tasks of advised queues with tickets of the advisor

Cause: a queue can have an advisor that decides which workers may run a step (contract 'advice', in force on every site). The configuration was decoded and nothing asked, so a worker refuses each start of such a queue, and its submissions never run. Change: AdviceTickets in the dispatcher requests tickets for the first step in scheduling order whose tasks fit on no worker with a ticket, one request at a time; expired, rejected, lost and refused ones are requested again; tickets end with the worker's incarnation and with the ownership. The decoded queue has the advisor's times instead of a flag.

--- a/packages/command/src/explain/submission-story.ts
+++ b/packages/command/src/explain/submission-story.ts
@@ -59,6 +59,7 @@
       ...this.explainAnswers(),
       ...this.explainEnd(),
       ...this.explainWait(),
+      ...this.explainAdvice(),
       ...this.explainRuns(),
       ...this.explainOwners(),
     ];
@@ -127,6 +128,25 @@
     return [`The first run was placed ${Math.round(placed.stamp - accepted.stamp)} ms later.`];
   }
 
+  private explainAdvice(): string[] {
+    const received = this.get('advice-received');
+    const unavailable = this.get('advice-unavailable');
+    const findings: string[] = [];
+    const last = received.at(-1);
+    if (last !== undefined) {
+      const waitMs = received.reduce((sum, line) => sum + (getNumber(line, 'ageMs') ?? 0), 0);
+      const allowed = `${getNumber(last, 'allowed')} of ${getNumber(last, 'workers')} workers`;
+      findings.push(
+        `Its advisor was asked ${received.length} times, ${waitMs} ms in all, and last allowed ${allowed}.`,
+      );
+    }
+    if (unavailable.length > 0) {
+      const reasons = countBy(unavailable, line => getText(line, 'reason') ?? '?');
+      findings.push(`Its advisor gave no answer: ${reasons}.`);
+    }
+    return findings;
+  }
+
   private explainRuns(): string[] {
     const findings: string[] = [];
     const lost = this.get('run-ended', 'run-lost').filter(
--- a/packages/command/test/explain/submission-story.test.ts
+++ b/packages/command/test/explain/submission-story.test.ts
@@ -77,6 +77,26 @@
       'The owner changed meanwhile, to entry-3.',
     ],
   },
+  {
+    name: 'a submission that waited for advice',
+    lines: [
+      ...accepted,
+      createLine(9, 'entry-2', 'advice-unavailable', {submission: id, reason: 'status 429'}),
+      createLine(30, 'entry-2', 'advice-received', {
+        submission: id,
+        workers: 30,
+        allowed: 2,
+        ageMs: 20,
+      }),
+      placed,
+    ],
+    findings: [
+      'It was accepted, and no log tells its end.',
+      'The first run was placed 40 ms later.',
+      'Its advisor was asked 1 times, 20 ms in all, and last allowed 2 of 30 workers.',
+      'Its advisor gave no answer: 1 status 429.',
+    ],
+  },
   {
     name: 'a submission that waits',
     lines: accepted,
--- a/packages/coordination/src/dispatch/command-results.ts
+++ b/packages/coordination/src/dispatch/command-results.ts
@@ -1,5 +1,6 @@
 import type {CommandOutcome, StartRefusal} from './agent-messages.js';
 import type {DispatchState} from './dispatch-state.js';
+import type {AdviceTickets} from './policy/advice-tickets.js';
 import type {RunCommands} from './run-commands.js';
 import type {Run} from './task.js';
 import type {WorkerView} from './worker-view.js';
@@ -16,6 +17,7 @@
   constructor(
     private readonly state: DispatchState,
     private readonly commands: RunCommands,
+    private readonly tickets: AdviceTickets,
   ) {}
 
   /** Handles the result of a command; ignores results of superseded commands and of pace commands. */
@@ -71,6 +73,9 @@
       case 'other-life':
         worker.blockedUntil = at + busyBlockMs;
         break;
+      case 'ticket':
+        this.tickets.reject(run.task, worker, at);
+        break;
       case 'spec-unknown':
         worker.sentSpecs.clear();
         break;
--- a/packages/coordination/src/dispatch/decision-log.ts
+++ b/packages/coordination/src/dispatch/decision-log.ts
@@ -18,6 +18,8 @@
   | 'run-unexpected'
   | 'run-paced'
   | 'room-reserved'
+  | 'advice-received'
+  | 'advice-unavailable'
   | 'worker-up'
   | 'worker-draining'
   | 'worker-gone'
--- a/packages/coordination/src/dispatch/dispatch-events.ts
+++ b/packages/coordination/src/dispatch/dispatch-events.ts
@@ -2,6 +2,7 @@
 import type {ProgressRecord, QueueConfiguration, Submission} from '../submissions/index.js';
 import type {AgentMessage, OwnerMessage, WorkerIncarnation} from './agent-messages.js';
 import type {LoggedDecision} from './decision-log.js';
+import type {AdviceReply} from './policy/advice-tickets.js';
 
 /** A submission with its stored progress. */
 export interface StoredSubmission {
@@ -40,6 +41,8 @@
   | {readonly kind: 'agent-down'; readonly agent: string}
   | {readonly kind: 'message'; readonly agent: string; readonly message: AgentMessage}
   | {readonly kind: 'written'; readonly sequence: number; readonly result: WriteResult}
+  /** Reply to an `advise` effect. */
+  | {readonly kind: 'advised'; readonly step: string; readonly reply: AdviceReply}
   /** Time has passed; `wallMs` is the Unix time in milliseconds. */
   | {readonly kind: 'tick'; readonly wallMs: number}
   /** All events of one iteration of the event loop have been applied. */
@@ -76,6 +79,14 @@
 export type DispatchEffect =
   | {readonly kind: 'send'; readonly agent: string; readonly message: OwnerMessage}
   | {readonly kind: 'write'; readonly sequence: number; readonly write: ProgressWrite}
+  /** Asks the advisor which of the workers, given by id, may run a step. */
+  | {
+      readonly kind: 'advise';
+      readonly step: string;
+      readonly workers: readonly string[];
+      /** Time in milliseconds after which the request counts as lost. */
+      readonly timeoutMs: number;
+    }
   /** Another process has become the owner; this one must stop dispatching. */
   | {readonly kind: 'deposed'; readonly reason: string}
   | {readonly kind: 'log'; readonly decision: LoggedDecision}
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -9,6 +9,7 @@
 import type {DispatchEffect, DispatchEvent, StoredSubmission} from './dispatch-events.js';
 import {DispatchState} from './dispatch-state.js';
 import {defaultDispatchTiming, type DispatchTiming} from './dispatch-timing.js';
+import {AdviceTickets} from './policy/advice-tickets.js';
 import {FillerPreemption} from './policy/filler-preemption.js';
 import {FillerPacer} from './policy/filler-pacer.js';
 import {InterferenceModel} from './policy/interference-model.js';
@@ -42,6 +43,7 @@
   private readonly journal: ProgressJournal;
   private readonly barrier = new RecoveryBarrier();
   private readonly commands: RunCommands;
+  private readonly tickets: AdviceTickets;
   private readonly interference = new InterferenceModel();
   private readonly headrooms = new WorkerHeadroomCache(this.interference);
   private readonly reservations: RoomReservations;
@@ -53,7 +55,8 @@
   constructor(timing: Partial<DispatchTiming> = {}) {
     this.state = new DispatchState({...defaultDispatchTiming, ...timing});
     this.journal = new ProgressJournal(this.state, () => this.barrier.entries);
-    this.commands = new RunCommands(this.state);
+    this.tickets = new AdviceTickets(this.state);
+    this.commands = new RunCommands(this.state, this.tickets);
     this.reservations = new RoomReservations(this.state, this.commands);
     this.supervisor = new RunSupervisor(this.state, this.commands, at => this.createSelector(at));
     this.ends = new SubmissionEnds(this.state, this.commands, this.journal);
@@ -62,6 +65,7 @@
       journal: this.journal,
       barrier: this.barrier,
       commands: this.commands,
+      tickets: this.tickets,
       reservations: this.reservations,
       supervisor: this.supervisor,
       ends: this.ends,
@@ -132,6 +136,8 @@
         return this.workerReports.receive(event.agent, event.message, at);
       case 'written':
         return this.journal.handleResult(event.sequence, event.result, at);
+      case 'advised':
+        return this.tickets.receive(event.step, event.reply, at);
       case 'tick':
         return this.tick(event.wallMs, at);
       case 'settle':
@@ -173,6 +179,7 @@
     this.state.submissions.clear();
     this.state.workers.clear();
     this.reservations.clear();
+    this.tickets.clear();
     this.journal.reset([]);
   }
 
@@ -235,7 +242,10 @@
       } else this.ends.removeExpired(submission, at);
     }
     this.ends.expireEarlyCancels(at);
-    this.interference.retain(key => state.submissions.get(getSubmissionId(key))?.isActive ?? false);
+    const isActive = (task: string) =>
+      state.submissions.get(getSubmissionId(task))?.isActive ?? false;
+    this.interference.retain(isActive);
+    this.tickets.retain(isActive);
     state.isPlacementDue = true;
     this.journal.retryIfDue(at);
   }
@@ -253,15 +263,19 @@
     const candidates = sortCandidates(state, at);
     if (candidates.length === 0) return;
     const selector = this.createSelector(at);
-    const {commands, reservations, headrooms} = this;
+    const {commands, reservations, headrooms, tickets} = this;
     const preemption = new FillerPreemption(state, commands, headrooms, at);
-    runPlacementRound(candidates, {state, commands, selector, reservations, preemption}, at);
+    runPlacementRound(
+      candidates,
+      {state, commands, selector, reservations, preemption, tickets},
+      at,
+    );
     if (selector.examinedCount > 0) state.count('workers_examined', selector.examinedCount);
   }
 
   private createSelector(at: number): WorkerSelector {
-    const {state, interference, headrooms, reservations} = this;
-    return new WorkerSelector(state, interference, headrooms, reservations, at);
+    const {state, interference, headrooms, reservations, tickets} = this;
+    return new WorkerSelector({state, interference, headrooms, reservations, tickets, at});
   }
 
   private finishRecovery(at: number): void {
--- a/packages/coordination/src/dispatch/index.ts
+++ b/packages/coordination/src/dispatch/index.ts
@@ -4,6 +4,7 @@
 export * from './dispatch-timing.js';
 export * from './dispatcher.js';
 export {RecentSet} from './recent-set.js';
+export type {AdviceReply} from './policy/advice-tickets.js';
 export {decideAdmission, type AdmissionDecision} from './policy/admission.js';
 export {
   getQueueGroup,
--- a/packages/coordination/src/dispatch/policy/placement-round.ts
+++ b/packages/coordination/src/dispatch/policy/placement-round.ts
@@ -1,6 +1,7 @@
 import type {StepTasks} from '../active-submission.js';
 import type {DispatchState} from '../dispatch-state.js';
 import type {RunCommands} from '../run-commands.js';
+import type {AdviceTickets} from './advice-tickets.js';
 import type {FillerPreemption} from './filler-preemption.js';
 import type {RoomReservations} from './room-reservations.js';
 import type {WorkerView} from '../worker-view.js';
@@ -13,6 +14,7 @@
   readonly commands: RunCommands;
   readonly selector: WorkerSelector;
   readonly reservations: RoomReservations;
+  readonly tickets: AdviceTickets;
   readonly preemption: FillerPreemption;
 }
 
@@ -25,12 +27,12 @@
   options: PlacementRoundOptions,
   at: number,
 ): void {
-  const {state, selector, commands} = options;
+  const {state, selector} = options;
   if (!selector.hasOpenWorkers) return;
   for (const candidate of candidates) {
     for (const group of candidate.steps) {
       if (!state.startBudget.isOpen(at)) return;
-      if (group.step.gang) startGang(candidate, group, selector, commands, at);
+      if (group.step.gang) startGang(candidate, group, options, at);
       else startTasks(candidate, group, options, at);
     }
   }
@@ -49,6 +51,7 @@
     const worker = selector.selectWorker(task, group, candidate.priority);
     // The tasks of a step need the same resources, so the others do not fit either; only `avoidedWorkers` differs.
     if (worker === undefined) {
+      requestTickets(group, options, at);
       preemption.makeRoom(task, candidate);
       if (!reservations.canReserve(task)) return;
       // Each task that restarts needs room of its own, and another one may have it already.
@@ -64,10 +67,10 @@
 function startGang(
   candidate: Candidate,
   group: StepTasks,
-  selector: WorkerSelector,
-  commands: RunCommands,
+  options: PlacementRoundOptions,
   at: number,
 ): void {
+  const {selector, commands} = options;
   const {tasks} = group;
   if (!tasks.every(task => task.isWaiting(at))) return;
   const placements: WorkerView[] = [];
@@ -78,10 +81,24 @@
     worker.reserve(task.step, 1);
   }
   for (const worker of placements) worker.reserve(group.step, -1);
-  if (placements.length < tasks.length) return;
+  if (placements.length < tasks.length) {
+    requestTickets(group, options, at);
+    return;
+  }
   const runNumber = Math.max(...tasks.map(task => task.lastRunNumber)) + 1;
   tasks.forEach((task, index) => {
     const worker = placements[index];
     if (worker) commands.start(task, worker, at, runNumber);
   });
 }
+
+/** Requests tickets for a step that has a task without a worker, if its queue needs them. */
+function requestTickets(
+  group: StepTasks,
+  {selector, tickets}: PlacementRoundOptions,
+  at: number,
+): void {
+  const [task] = group.tasks;
+  if (task === undefined || !tickets.isNeeded(task)) return;
+  tickets.request(group, selector.getCandidates(task, group), at);
+}
--- a/packages/coordination/src/dispatch/policy/worker-selector.ts
+++ b/packages/coordination/src/dispatch/policy/worker-selector.ts
@@ -3,6 +3,7 @@
 import type {DispatchState} from '../dispatch-state.js';
 import type {Task} from '../task.js';
 import type {WorkerView} from '../worker-view.js';
+import type {AdviceTickets} from './advice-tickets.js';
 import type {InterferenceModel} from './interference-model.js';
 import type {RoomReservations} from './room-reservations.js';
 import {UnplaceableNeeds} from './unplaceable-needs.js';
@@ -47,6 +48,17 @@
   readonly ranking: WorkerRanking;
 }
 
+/** Options of `WorkerSelector`. */
+export interface WorkerSelectorOptions {
+  readonly state: DispatchState;
+  readonly interference: InterferenceModel;
+  readonly headrooms: WorkerHeadroomCache;
+  readonly reservations: RoomReservations;
+  readonly tickets: AdviceTickets;
+  /** Time of the placement round. */
+  readonly at: number;
+}
+
 /**
  * Selects workers for tasks: limits fragmentation and interference, and avoids slow and failing workers. Serves one
  * placement round, within which runs are added but none ends. A round with thousands of waiting tasks examines the
@@ -62,14 +74,21 @@
   /** Unmeasured pairs of images that run together on some worker; collected when the first filling task is placed. */
   private probedPairs: Set<string> | undefined;
 
-  constructor(
-    private readonly state: DispatchState,
-    private readonly interference: InterferenceModel,
-    private readonly headrooms: WorkerHeadroomCache,
-    private readonly reservations: RoomReservations,
-    private readonly at: number,
-  ) {
-    for (const worker of state.workers.values()) {
+  private readonly state: DispatchState;
+  private readonly interference: InterferenceModel;
+  private readonly headrooms: WorkerHeadroomCache;
+  private readonly reservations: RoomReservations;
+  private readonly tickets: AdviceTickets;
+  private readonly at: number;
+
+  constructor(options: WorkerSelectorOptions) {
+    this.state = options.state;
+    this.interference = options.interference;
+    this.headrooms = options.headrooms;
+    this.reservations = options.reservations;
+    this.tickets = options.tickets;
+    this.at = options.at;
+    for (const worker of this.state.workers.values()) {
       if (!this.isOpen(worker)) continue;
       const {service} = worker.description;
       const workers = this.openWorkers.get(service);
@@ -92,6 +111,8 @@
   /** Returns the worker with the lowest cost, or undefined when none is eligible. */
   selectWorker(task: Task, group: StepTasks, priority: number): WorkerView | undefined {
     const {service} = task.submission;
+    // Which workers have tickets differs from step to step.
+    if (this.tickets.isNeeded(task)) return this.findBest(task, group, priority);
     if (this.unplaceableNeeds.has(service, task.step, priority)) return undefined;
     if (!isRankingShared(task)) return this.findBest(task, group, priority);
     const getCost = (worker: WorkerView) => this.examine(worker, task, group, priority);
@@ -110,6 +131,7 @@
     return this.getOpenWorkers(task).filter(
       worker =>
         (step.label === undefined || worker.description.labels.includes(step.label)) &&
+        this.tickets.mayAllow(task, worker) &&
         (step.spreadLimit === undefined || countRuns(worker, group) < step.spreadLimit),
     );
   }
@@ -154,6 +176,7 @@
     const {step} = task;
     if (step.label !== undefined && !description.labels.includes(step.label)) return false;
     if (task.runs.some(run => run.worker === worker)) return false;
+    if (!this.hasTicket(task, worker)) return false;
     if (used.memoryMb + step.need.memoryMb > capacity.memoryMb) return false;
     if (used.accelerators + step.need.accelerators > capacity.accelerators) return false;
     const freeCores = capacity.processors - used.processors + coreTolerance;
@@ -176,6 +199,11 @@
     return !worker.health.isOnProbation(this.at) || !hasFiniteRuns(worker);
   }
 
+  private hasTicket(task: Task, worker: WorkerView): boolean {
+    if (!this.tickets.isNeeded(task)) return true;
+    return this.tickets.getTicket(task, worker, this.at) !== undefined;
+  }
+
   /** Whether an unmeasured pair is already being probed; one probe at a time limits the harm to serving tasks. */
   private isPairProbed(headroom: WorkerHeadroom, filling: string | undefined): boolean {
     return headroom.groups.some(
--- a/packages/coordination/src/dispatch/run-commands.ts
+++ b/packages/coordination/src/dispatch/run-commands.ts
@@ -1,4 +1,5 @@
 import type {DispatchState} from './dispatch-state.js';
+import type {AdviceTickets} from './policy/advice-tickets.js';
 import {Run, type Task} from './task.js';
 import type {WorkerView} from './worker-view.js';
 
@@ -7,7 +8,10 @@
 
 /** Sends the commands that start, stop and pace runs. */
 export class RunCommands {
-  constructor(private readonly state: DispatchState) {}
+  constructor(
+    private readonly state: DispatchState,
+    private readonly tickets: AdviceTickets,
+  ) {}
 
   /** Starts the next run of a task; `number` is the shared run number of a gang. */
   start(task: Task, worker: WorkerView, at: number, number = task.lastRunNumber + 1): Run {
@@ -31,6 +35,7 @@
       copy: task.runs.length > 1,
     });
     const {id, spec} = task.submission.submission;
+    const ticket = this.tickets.getTicket(task, worker, at);
     const isSpecKnown = worker.sentSpecs.use(id);
     state.startBudget.take(startBytes + (isSpecKnown ? 0 : spec.length));
     state.send(worker.agent, {
@@ -43,6 +48,7 @@
       ...(!isSpecKnown && {spec}),
       deadlineMs: worker.grantDeadline(state.timing.leaseMs, at),
       ...(task.checkpoint !== '' && {checkpoint: task.checkpoint}),
+      ...(ticket !== undefined && {ticket}),
     });
     return run;
   }
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -2,6 +2,7 @@
 import {getSubmissionId} from '../submissions/index.js';
 import type {AgentMessage, RunEndRow, RunRow, WorkerDescription} from './agent-messages.js';
 import type {DispatchState} from './dispatch-state.js';
+import type {AdviceTickets} from './policy/advice-tickets.js';
 import type {FillerPacer} from './policy/filler-pacer.js';
 import type {RoomReservations} from './policy/room-reservations.js';
 import type {RunSupervisor} from './policy/run-supervisor.js';
@@ -21,6 +22,7 @@
   readonly state: DispatchState;
   readonly journal: ProgressJournal;
   readonly barrier: RecoveryBarrier;
+  readonly tickets: AdviceTickets;
   readonly commands: RunCommands;
   readonly reservations: RoomReservations;
   readonly supervisor: RunSupervisor;
@@ -33,7 +35,11 @@
   private readonly commandResults: CommandResults;
 
   constructor(private readonly components: WorkerReportsOptions) {
-    this.commandResults = new CommandResults(components.state, components.commands);
+    this.commandResults = new CommandResults(
+      components.state,
+      components.commands,
+      components.tickets,
+    );
   }
 
   /** Records whether an agent is connected. */
--- a/packages/coordination/src/submissions/submission.ts
+++ b/packages/coordination/src/submissions/submission.ts
@@ -79,8 +79,16 @@
   readonly targetLatencyMs: number;
   /** Timeout in milliseconds of a caller's request. */
   readonly timeoutMs: number;
-  /** Whether an external service decides which workers may run a step. */
-  readonly advised: boolean;
+  /** Present when an external advisor decides which workers may run a step. */
+  readonly advice?: QueueAdvice;
+}
+
+/** How long the advisor of a queue takes to answer. */
+export interface QueueAdvice {
+  /** Time in milliseconds for one request. */
+  readonly decisionMs: number;
+  /** Additional time in milliseconds for each worker that the request names. */
+  readonly perWorkerMs: number;
 }
 
 /** Settings of a service, which is a pool of workers of one kind. */
--- a/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
@@ -16,6 +16,7 @@
   type QueueConfiguration,
   type Submission,
 } from '../../../src/submissions/index.js';
+import {VirtualAdvisor} from './virtual-advisor.js';
 import {
   type TaskBehaviour,
   VirtualWorker,
@@ -52,7 +53,6 @@
     stretchFactor: 2,
     targetLatencyMs: 1_000,
     timeoutMs: 3_000,
-    advised: false,
     ...fields,
   };
 }
@@ -106,6 +106,8 @@
   /** Called after each simulation step. */
   onStep: () => void = () => {};
   readonly random: SeededRandom;
+  /** Decides which workers may run the steps of queues with advice. */
+  readonly advisor = new VirtualAdvisor();
   private readonly world: SimulatedWorld;
   private generation = 0;
   private readonly behaviours = new Map<string, TaskBehaviour>();
@@ -267,6 +269,14 @@
       this.schedule(() => this.write(effect.sequence, effect.write));
     else if (effect.kind === 'send')
       this.schedule(() => this.deliver(effect.agent, effect.message));
+    else if (effect.kind === 'advise') this.advise(effect);
+  }
+
+  private advise({step, workers}: Extract<DispatchEffect, {kind: 'advise'}>): void {
+    const answer = this.advisor.answer(step, workers, this.now);
+    if (answer === undefined) return;
+    const {reply, durationMs} = answer;
+    this.schedule(() => this.post({kind: 'advised', step, reply}), durationMs);
   }
 
   private deliver(agent: string, message: OwnerMessage): void {
@@ -287,7 +297,9 @@
         this.undelivered.push({agent, order: message});
         return;
       }
-      const reason = worker.start(message, this.now);
+      const hasTicket = this.advisor.isValid(message, worker.options.life, this.now);
+      const reason =
+        this.needsTicket(message.task) && !hasTicket ? 'ticket' : worker.start(message, this.now);
       const outcome = reason ? ({kind: 'refused', reason} as const) : ({kind: 'accepted'} as const);
       this.schedule(() => this.result(agent, message.order, outcome));
     } else if (message.kind === 'stop') {
@@ -328,8 +340,13 @@
     this.post({kind: 'written', sequence, result: 'ok'});
   }
 
-  private schedule(action: () => void): void {
-    this.scheduledActions.push({at: this.now + deliveryDelayMs, action});
+  private needsTicket(task: string): boolean {
+    const {queue} = this.getSubmission(task);
+    return this.options.queues.some(({key, advice}) => key === queue && advice !== undefined);
+  }
+
+  private schedule(action: () => void, delayMs = deliveryDelayMs): void {
+    this.scheduledActions.push({at: this.now + delayMs, action});
   }
 
   private takeDueActions(): ScheduledAction[] {
--- a/packages/coordination/test/dispatch/policy/worker-selector.test.ts
+++ b/packages/coordination/test/dispatch/policy/worker-selector.test.ts
@@ -2,6 +2,7 @@
 import {ActiveSubmission} from '../../../src/dispatch/active-submission.js';
 import {DispatchState} from '../../../src/dispatch/dispatch-state.js';
 import {defaultDispatchTiming} from '../../../src/dispatch/dispatch-timing.js';
+import {AdviceTickets} from '../../../src/dispatch/policy/advice-tickets.js';
 import {InterferenceModel} from '../../../src/dispatch/policy/interference-model.js';
 import {RoomReservations} from '../../../src/dispatch/policy/room-reservations.js';
 import {sortCandidates} from '../../../src/dispatch/policy/submission-order.js';
@@ -20,7 +21,8 @@
 /** The dispatcher's view of a service, whose placement rounds a test plays step by step. */
 class Fixture {
   readonly state = new DispatchState(defaultDispatchTiming);
-  readonly commands = new RunCommands(this.state);
+  readonly tickets = new AdviceTickets(this.state);
+  readonly commands = new RunCommands(this.state, this.tickets);
   private readonly interference = new InterferenceModel();
   private readonly headrooms = new WorkerHeadroomCache(this.interference);
   private readonly reservations = new RoomReservations(this.state, this.commands);
@@ -59,7 +61,8 @@
   }
 
   createSelector(): WorkerSelector {
-    return new WorkerSelector(this.state, this.interference, this.headrooms, this.reservations, 2);
+    const {state, interference, headrooms, reservations, tickets} = this;
+    return new WorkerSelector({state, interference, headrooms, reservations, tickets, at: 2});
   }
 
   /** Plays one round with `selector`; `check` gets each decision before it is executed. */
--- a/packages/lab/src/capacity/experiments/dispatch.ts
+++ b/packages/lab/src/capacity/experiments/dispatch.ts
@@ -26,7 +26,6 @@
   stretchFactor: 2,
   targetLatencyMs: 1_000,
   timeoutMs: 3_000,
-  advised: false,
 };
 const configuration: QueueConfiguration = {
   version: 1,
--- a/packages/runtime/src/dispatch/index.ts
+++ b/packages/runtime/src/dispatch/index.ts
@@ -1,3 +1,4 @@
+export * from './advisor-port.js';
 export * from './agent-node.js';
 export * from './backlog-messages.js';
 export * from './decision-logger.js';
--- a/packages/runtime/src/dispatch/owner-process.ts
+++ b/packages/runtime/src/dispatch/owner-process.ts
@@ -17,6 +17,7 @@
 } from '@chervilbeam/coordination';
 import {Loop} from '../loop/index.js';
 import type {Metrics} from '../metrics/index.js';
+import type {AdvisorPort} from './advisor-port.js';
 import type {DecisionLogger} from './decision-logger.js';
 import {ElectionCalls} from './election-calls.js';
 import type {SubmissionLookup} from './entry-messages.js';
@@ -60,6 +61,8 @@
   /** Identifies this incarnation of the process; a restart gets a new one. */
   readonly incarnation: string;
   readonly store: RecordStore;
+  /** Absent on a platform without an advisor. */
+  readonly advisor?: AdvisorPort;
   readonly clock: Clock;
   readonly log: DecisionLogger;
   readonly metrics: Metrics;
@@ -243,6 +246,8 @@
         return this.agents.get(effect.agent)?.send(effect.message);
       case 'write':
         return void this.writeProgress(effect.sequence, effect.write);
+      case 'advise':
+        return void this.advise(effect);
       case 'deposed':
         return this.electionLoop.post({kind: 'deposed', reason: effect.reason});
       case 'log':
@@ -254,6 +259,18 @@
     }
   }
 
+  private async advise({
+    step,
+    workers,
+    timeoutMs,
+  }: Extract<DispatchEffect, {kind: 'advise'}>): Promise<void> {
+    const {advisor} = this.options;
+    const reply = advisor
+      ? await advisor.advise(step, workers, timeoutMs)
+      : ({kind: 'unavailable', reason: 'no-advisor'} as const);
+    this.post({kind: 'advised', step, reply});
+  }
+
   private async writeProgress(sequence: number, write: ProgressWrite): Promise<void> {
     const {store} = this.options;
     const result = await store.commit({
--- a/packages/runtime/test/dispatch/submission-fixture.ts
+++ b/packages/runtime/test/dispatch/submission-fixture.ts
@@ -29,7 +29,6 @@
   stretchFactor: 2,
   targetLatencyMs: 1_000,
   timeoutMs: 3_000,
-  advised: false,
 };
 const configuration: QueueConfiguration = {
   version: 1,
