Count a lost entry once, and for as long as callers repeat attempts

Cause: callers have one timeout of 3 s for all attempts, so 15 s after the loss of an entry was three times too long; and an entry that stayed away was recorded as lost again by each call that was relayed to it, so that callers were left unsure for a whole outage instead of being told when to come back. Change: 5 s, from the first time that an entry is found to be lost until it is heard of again.

--- a/packages/runtime/src/dispatch/entry-losses.ts
+++ b/packages/runtime/src/dispatch/entry-losses.ts
@@ -1,10 +1,10 @@
 import type {Clock} from '@chervilbeam/coordination';
 
 /**
- * Time in milliseconds within which a caller may repeat an attempt that was not answered: four retries with a timeout
- * of 3 s, and the waits between them.
+ * Time in milliseconds within which a caller may repeat an attempt that was not answered: the timeout of 3 s that callers
+ * have for all attempts together, and a margin for the time until a loss is noticed.
  */
-const repeatWindowMs = 15_000;
+const repeatWindowMs = 5_000;
 
 /**
  * Remembers when an entry was last lost. A lost entry may have stored a submission without answering its caller, so for
@@ -13,6 +13,8 @@
  */
 export class EntryLosses {
   private latestAt: number;
+  /** Addresses of the entries that have been lost and have not been heard of since. */
+  private readonly lost = new Set<string>();
 
   constructor(private readonly clock: Clock) {
     this.latestAt = clock.now();
@@ -23,8 +25,20 @@
     return this.clock.now() - this.latestAt < repeatWindowMs;
   }
 
-  /** Records that an entry was lost now. */
-  record(): void {
+  /** Records that an entry was found to be lost. */
+  record(address: string): void {
+    if (this.lost.has(address)) return;
+    this.lost.add(address);
     this.latestAt = this.clock.now();
   }
+
+  /** Records that an entry has been heard of. */
+  recordContact(address: string): void {
+    this.lost.delete(address);
+  }
+
+  /** Forgets the entries that are not in the list of entries any more. */
+  retain(addresses: ReadonlySet<string>): void {
+    for (const address of this.lost) if (!addresses.has(address)) this.lost.delete(address);
+  }
 }
--- a/packages/runtime/src/dispatch/entry-peers.ts
+++ b/packages/runtime/src/dispatch/entry-peers.ts
@@ -159,7 +159,8 @@
 
   private setOtherEntries(entries: readonly EntryRecord[]): void {
     const addresses = new Set(entries.map(entry => entry.address));
-    if (this.addresses.some(address => !addresses.has(address))) this.losses.record();
+    for (const address of this.addresses) if (!addresses.has(address)) this.losses.record(address);
+    this.losses.retain(addresses);
     this.otherEntries = entries;
   }
 
@@ -180,7 +181,10 @@
     if (existingLink) return existingLink;
     const backlogs = new BacklogDecoder();
     const handlers: LinkHandlers<EntryResponse> = {
-      message: response => this.receive(response, backlogs),
+      message: response => {
+        this.losses.recordContact(address);
+        this.receive(response, backlogs);
+      },
       closed: reason => this.handleClosed(address, link, reason),
     };
     const link: EntryLink = dialLink(address, handlers, this.options.traffic);
@@ -192,7 +196,7 @@
   private handleClosed(address: string, link: EntryLink, reason: string): void {
     if (this.links.get(address) === link) {
       this.links.delete(address);
-      if (!this.isStopped) this.losses.record();
+      if (!this.isStopped) this.losses.record(address);
     }
     for (const pending of [...this.pending.values()]) {
       if (pending.link === link) pending.finish(undefined);
