Refuse submissions at once while the store is failing, and ask all entries before

Cause: while the store is silent or resets connections, each call of a caller was written to it by its entry or by one that it was relayed to, and a write without an answer leaves the caller unsure (504 after 3 s), although nobody needed to try. And a refusal relied on the entries that the call happened to be relayed to for what they knew of earlier attempts. At most four refusing entries are tried. Before such a refusal the owner and, in parallel, all entries are asked for attempts by id ('attempt', 'attempt-state').

--- a/packages/runtime/src/dispatch/call-relays.ts
+++ b/packages/runtime/src/dispatch/call-relays.ts
@@ -1,5 +1,8 @@
 import type {Clock} from '@chervilbeam/coordination';
 import type {Metrics} from '../metrics/index.js';
+import type {RecordStore} from './record-store.js';
+import type {StoreHealth} from './store-health.js';
+import {ownerKey} from './store-keys.js';
 import type {SubmissionCall, SubmissionReply} from './submission-calls.js';
 import type {CallContext, SubmissionPeers} from './submission-service.js';
 
@@ -7,8 +10,15 @@
 const hedgeDelayMs = 350;
 /** Timeout in milliseconds of a relayed call before the next entry is tried. */
 const relayTimeoutMs = 700;
-/** Time in milliseconds for which the store counts as unresponsive after a call that it did not answer in time. */
-const unresponsiveMs = 2_000;
+/**
+ * Number of other entries that are asked while all of them are refused by the store as well. When the store turns away a
+ * third of the entries, one of four is served with a probability of 99%.
+ */
+const maxRefusingEntries = 4;
+/** Shortest time in milliseconds between two reads that find out whether a failing store answers again. */
+const probeIntervalMs = 250;
+/** Key of these reads. */
+const probeKey = ownerKey;
 /**
  * Part of a call's timeout that is reserved for returning the reply to the caller: at most `maxReplyReserveMs`, and no
  * more than this share of it, because a caller with little time left is better off with an answer just in time.
@@ -24,6 +34,8 @@
 /** Options of `CallRelays`. */
 export interface CallRelaysOptions {
   readonly peers: SubmissionPeers;
+  readonly store: RecordStore;
+  readonly health: StoreHealth;
   readonly clock: Clock;
   readonly metrics: Metrics;
 }
@@ -33,16 +45,14 @@
  * so it may be executed twice: a submission is stored only if it is new, and storing a cancel again has no effect.
  */
 export class CallRelays {
-  /** Clock time in milliseconds until which the store counts as unresponsive. */
-  private unresponsiveUntil = Number.NEGATIVE_INFINITY;
-  /** Whether a local call is in flight, whose duration will show whether the store answers again. */
-  private isProbing = false;
+  private probedAt = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: CallRelaysOptions) {}
 
   /**
    * Executes a call locally and, when the store does not answer, on other entries; returns the first conclusive
-   * reply. A refusal is returned only when no attempt can have taken effect.
+   * reply. A refusal is returned only when no attempt can have taken effect. While the store is failing, the call is
+   * not sent to it: a write without an answer would leave the caller unsure.
    */
   async run(
     call: SubmissionCall,
@@ -50,17 +60,16 @@
     execute: () => Promise<SubmissionReply>,
   ): Promise<SubmissionReply> {
     const {clock, peers} = this.options;
-    if (context.isRelayed || peers.getEntryCount() === 0) return execute();
+    const isFailing = this.options.health.isFailing;
+    if (isFailing) this.probe();
+    const localReply = isFailing ? untriedReply : execute();
+    if (context.isRelayed || peers.getEntryCount() === 0) return localReply;
     const deadline = clock.now() + getExecutionMs(context.timeoutMs);
-    const isUnresponsive = clock.now() < this.unresponsiveUntil;
-    const localReply =
-      isUnresponsive && this.isProbing ? untriedReply : this.executeLocally(execute);
     const firstReply = await withTimeout(
       localReply,
-      isUnresponsive ? 0 : Math.min(hedgeDelayMs, deadline - clock.now()),
+      Math.min(hedgeDelayMs, deadline - clock.now()),
     );
     if (firstReply !== undefined && isConclusive(firstReply)) return firstReply;
-    if (firstReply === undefined) this.unresponsiveUntil = clock.now() + unresponsiveMs;
     const relayedReply = this.relay(call, deadline);
     const conclusiveReply = await withTimeout(
       getFirstConclusive([localReply, relayedReply]),
@@ -75,15 +84,12 @@
     return isRefused && refusal !== undefined ? refusal : {kind: 'unknown'};
   }
 
-  private async executeLocally(execute: () => Promise<SubmissionReply>): Promise<SubmissionReply> {
-    const {clock} = this.options;
-    const startedAt = clock.now();
-    this.isProbing = true;
-    const reply = await execute();
-    this.isProbing = false;
-    const isQuick = clock.now() - startedAt < hedgeDelayMs;
-    if (isQuick && isConclusive(reply)) this.unresponsiveUntil = Number.NEGATIVE_INFINITY;
-    return reply;
+  /** Reads from a failing store, so that its health is known again as soon as it answers. */
+  private probe(): void {
+    const {clock, store} = this.options;
+    if (clock.now() - this.probedAt < probeIntervalMs) return;
+    this.probedAt = clock.now();
+    void store.read(probeKey);
   }
 
   /** Relays the call to other entries in turn until one gives a conclusive reply. */
@@ -91,10 +97,10 @@
     const {peers, clock, metrics} = this.options;
     let lastReply = await untriedReply;
     for (let attempt = 0; attempt < peers.getEntryCount(); attempt += 1) {
+      if (attempt >= maxRefusingEntries && lastReply.kind === 'refused') return lastReply;
       const remainingMs = deadline - clock.now();
-      // The entries that were not asked cannot have executed this call, but may have stored an earlier attempt of it.
-      if (remainingMs <= 0)
-        return attempt === 0 || call.kind !== 'submit' ? lastReply : {kind: 'unknown'};
+      // The entries that were not asked cannot have executed the call.
+      if (remainingMs <= 0) return lastReply;
       metrics.count('calls_relayed');
       const reply = await peers.relay(call, Math.min(relayTimeoutMs, remainingMs));
       if (reply !== undefined && isConclusive(reply)) return reply;
@@ -108,7 +114,7 @@
   }
 }
 
-/** Reply to a call that was not tried, for example while another call probes an unresponsive store. */
+/** Reply to a call that was not tried. */
 const untriedReply: Promise<SubmissionReply> = Promise.resolve({
   kind: 'refused',
   retryAfterSeconds: 1,
--- a/packages/runtime/src/dispatch/entry-losses.ts
+++ b/packages/runtime/src/dispatch/entry-losses.ts
@@ -12,12 +12,19 @@
  * loss of the previous process at its address.
  */
 export class EntryLosses {
+  private readonly startedAt: number;
   private latestAt: number;
   /** Addresses of the entries that have been lost and have not been heard of since. */
   private readonly lost = new Set<string>();
 
   constructor(private readonly clock: Clock) {
-    this.latestAt = clock.now();
+    this.startedAt = clock.now();
+    this.latestAt = this.startedAt;
+  }
+
+  /** Whether a caller of the previous process at this address may still repeat an attempt. */
+  get isStartRecent(): boolean {
+    return this.clock.now() - this.startedAt < repeatWindowMs;
   }
 
   /** Whether the caller of an entry that was lost may still repeat an attempt. */
--- a/packages/runtime/src/dispatch/entry-messages.ts
+++ b/packages/runtime/src/dispatch/entry-messages.ts
@@ -7,6 +7,8 @@
   | {readonly kind: 'entry'; readonly name: string}
   /** Looks up the state of a submission at the owner. */
   | {readonly kind: 'query'; readonly request: number; readonly id: string}
+  /** Asks what the entry knows of earlier attempts to hand in a submission. */
+  | {readonly kind: 'attempt'; readonly request: number; readonly id: string}
   /** Asks the owner for the number of pending submissions of a queue. */
   | {readonly kind: 'count'; readonly request: number; readonly queue: string}
   /** Notifies the owner that the store holds a cancel request for a submission. */
@@ -22,10 +24,17 @@
   readonly queue?: string;
 }
 
+/**
+ * What an entry knows of earlier attempts to hand in a submission: the store holds it, a write may have been or may still be
+ * executed, or there was none.
+ */
+export type AttemptState = 'stored' | 'unresolved' | 'none';
+
 /** Replies and notifications that an entry sends to another entry. */
 export type EntryResponse =
   | ({readonly kind: 'status'; readonly request: number} & SubmissionLookup)
   | {readonly kind: 'reply'; readonly request: number; readonly reply: SubmissionReply}
+  | {readonly kind: 'attempt-state'; readonly request: number; readonly state: AttemptState}
   /** Number of pending submissions of a queue; absent when the process that replied is not the owner. */
   | {readonly kind: 'pending'; readonly request: number; readonly pending?: number}
   | BacklogMessage
--- a/packages/runtime/src/dispatch/entry-node.ts
+++ b/packages/runtime/src/dispatch/entry-node.ts
@@ -6,10 +6,17 @@
   QueueConfiguration,
 } from '@chervilbeam/coordination';
 import {BacklogEncoder} from './backlog-messages.js';
-import type {EntryRequest, EntryResponse, SubmissionLookup} from './entry-messages.js';
+import type {
+  AttemptState,
+  EntryRequest,
+  EntryResponse,
+  SubmissionLookup,
+} from './entry-messages.js';
 import {EntryPeers} from './entry-peers.js';
 import {Link, type LinkHandlers, listenForLinks} from './link.js';
+import {ObservedStore} from './observed-store.js';
 import {OwnerProcess, type OwnerProcessOptions} from './owner-process.js';
+import {StoreHealth} from './store-health.js';
 import type {SubmissionCall, SubmissionReply} from './submission-calls.js';
 import {type CallContext, SubmissionService} from './submission-service.js';
 import {TrafficMeter} from './traffic-meter.js';
@@ -49,21 +56,26 @@
   private backlogTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: EntryNodeOptions) {
-    const {store, clock, log, metrics} = options;
+    const {clock, log, metrics} = options;
+    const health = new StoreHealth(clock);
+    const store = new ObservedStore(options.store, health);
     this.traffic = new TrafficMeter(metrics, log);
     this.owner = new OwnerProcess({
       ...options,
+      store,
       getOtherProcessors: () => this.peers.processors,
       onOwner: owner => this.setOwner(owner),
       onOwnership: isOwner => this.countOwnershipChange(isOwner),
     });
     this.peers = new EntryPeers({
       ...options,
+      store,
       traffic: this.traffic,
       onQueueBacklogs: backlogs => this.service.setQueueBacklogs(backlogs),
     });
     this.service = new SubmissionService({
       store,
+      health,
       clock,
       log,
       metrics,
@@ -75,7 +87,7 @@
           else this.peers.notifyCancelled(id);
         },
         getEntryCount: () => this.peers.addresses.length,
-        hasRecentLoss: () => this.peers.hasRecentLoss,
+        findAttempt: id => this.peers.findAttempt(id),
         relay: (call, timeoutMs) => this.peers.relay(call, timeoutMs),
       },
     });
@@ -165,6 +177,14 @@
       case 'query':
         link.send({kind: 'status', request: message.request, ...this.owner.lookUp(message.id)});
         return;
+      case 'attempt': {
+        link.send({
+          kind: 'attempt-state',
+          request: message.request,
+          state: this.getAttempt(message.id),
+        });
+        return;
+      }
       case 'count': {
         const {request, queue} = message;
         const pending = this.owner.countPending(queue);
@@ -182,6 +202,11 @@
     }
   }
 
+  private getAttempt(id: string): AttemptState {
+    const state = this.service.getAttempt(id);
+    return state === 'none' && this.peers.isStartRecent ? 'unresolved' : state;
+  }
+
   private askOwner(id: string): Promise<SubmissionLookup | undefined> {
     if (this.owner.isOwner) return Promise.resolve(this.owner.lookUp(id));
     return this.peers.askOwner(id);
--- a/packages/runtime/src/dispatch/entry-peers.ts
+++ b/packages/runtime/src/dispatch/entry-peers.ts
@@ -2,7 +2,12 @@
 import {BacklogDecoder} from './backlog-messages.js';
 import type {DecisionLogger} from './decision-logger.js';
 import {EntryLosses} from './entry-losses.js';
-import type {EntryRequest, EntryResponse, SubmissionLookup} from './entry-messages.js';
+import type {
+  AttemptState,
+  EntryRequest,
+  EntryResponse,
+  SubmissionLookup,
+} from './entry-messages.js';
 import {dialLink, type Link, type LinkHandlers} from './link.js';
 import type {RecordStore} from './record-store.js';
 import {entryPrefix} from './store-keys.js';
@@ -53,9 +58,9 @@
     this.losses = new EntryLosses(options.clock);
   }
 
-  /** Whether an entry, this one included, has recently started or been lost. */
-  get hasRecentLoss(): boolean {
-    return this.losses.isRecent;
+  /** Whether this entry has just started, so that it does not know what its predecessor has stored. */
+  get isStartRecent(): boolean {
+    return this.losses.isStartRecent;
   }
 
   /** Addresses of the other entries. */
@@ -108,6 +113,16 @@
     return response?.kind === 'pending' ? response.pending : undefined;
   }
 
+  /**
+   * Asks all other entries for earlier attempts to hand in a submission. An entry that does not reply within
+   * `queryTimeoutMs` may have one, and so may an entry that was lost within the time in which callers repeat attempts.
+   */
+  async findAttempt(id: string): Promise<AttemptState> {
+    const states = await Promise.all(this.addresses.map(address => this.askAttempt(address, id)));
+    if (states.includes('stored')) return 'stored';
+    return states.includes('unresolved') || this.losses.isRecent ? 'unresolved' : 'none';
+  }
+
   /** Notifies the owner of a cancelled submission; does nothing when no owner is known. */
   notifyCancelled(id: string): void {
     if (this.ownerAddress !== undefined) {
@@ -143,6 +158,18 @@
     for (const link of this.links.values()) link.end();
   }
 
+  private async askAttempt(address: string, id: string): Promise<AttemptState> {
+    const link = this.getLink(address);
+    const response = await this.request(link, queryTimeoutMs, request => ({
+      kind: 'attempt',
+      request,
+      id,
+    }));
+    if (response?.kind === 'attempt-state') return response.state;
+    // An entry that cannot be reached counts as lost.
+    return link.hasBeenOpen ? 'unresolved' : 'none';
+  }
+
   private async refreshEntries(): Promise<void> {
     const {store, address} = this.options;
     const result = await store.list(entryPrefix, {stale: true});
--- a/packages/runtime/src/dispatch/link-message-checks.ts
+++ b/packages/runtime/src/dispatch/link-message-checks.ts
@@ -3,6 +3,8 @@
 
 const runOutcomes = new Set<unknown>(['done', 'failed', 'stopped', 'lapsed', 'broken', 'alone']);
 
+const attemptStates = new Set<unknown>(['stored', 'unresolved', 'none']);
+
 /** Required fields of each kind of message on a `Link`. Other fields are optional or ignored. */
 const fieldChecksByKind: Readonly<Record<string, FieldChecks>> = {
   agent: {agent: 'string', dataCentre: 'string', incarnation: 'number'},
@@ -34,10 +36,12 @@
   pace: {life: 'string', term: 'number', task: 'string', run: 'number', percent: 'number'},
   entry: {name: 'string'},
   query: {request: 'number', id: 'string'},
+  attempt: {request: 'number', id: 'string'},
   count: {request: 'number', queue: 'string'},
   cancelled: {id: 'string'},
   call: {request: 'number', call: isCall},
   status: {request: 'number', isOwner: 'boolean'},
+  'attempt-state': {request: 'number', state: state => attemptStates.has(state)},
   pending: {request: 'number'},
   reply: {request: 'number', reply: isReply},
   'queue-backlogs': {
--- a/packages/runtime/src/dispatch/submission-service.ts
+++ b/packages/runtime/src/dispatch/submission-service.ts
@@ -10,10 +10,11 @@
 import type {Metrics} from '../metrics/index.js';
 import {CallRelays, getExecutionMs} from './call-relays.js';
 import type {DecisionLogger} from './decision-logger.js';
-import type {SubmissionLookup} from './entry-messages.js';
+import type {AttemptState, SubmissionLookup} from './entry-messages.js';
 import {LeaseClock} from './lease-clock.js';
 import type {ReadResult, RecordStore} from './record-store.js';
 import {parseProgress, parseQueueOf} from './record-parsers.js';
+import type {StoreHealth} from './store-health.js';
 import {cancelPrefix, progressPrefix, submissionPrefix} from './store-keys.js';
 import type {SubmissionCall, SubmissionReply} from './submission-calls.js';
 import {SubmissionWriter} from './submission-writer.js';
@@ -46,11 +47,8 @@
   notifyCancelled(id: string): void;
   /** Returns the number of other entries to which a call can be relayed. */
   getEntryCount(): number;
-  /**
-   * Whether an entry, this one included, has started or been lost so recently that the caller of an unanswered attempt
-   * may still repeat it.
-   */
-  hasRecentLoss(): boolean;
+  /** Asks the other entries, also those that were lost lately, for earlier attempts to hand in a submission. */
+  findAttempt(id: string): Promise<AttemptState>;
   /** Relays a call to another entry, in round-robin order; undefined when it does not reply within `timeoutMs`. */
   relay(call: SubmissionCall, timeoutMs: number): Promise<SubmissionReply | undefined>;
 }
@@ -58,6 +56,8 @@
 /** Options of `SubmissionService`. */
 export interface SubmissionServiceOptions {
   readonly store: RecordStore;
+  /** Health of `store`. */
+  readonly health: StoreHealth;
   readonly peers: SubmissionPeers;
   readonly clock: Clock;
   readonly log: DecisionLogger;
@@ -120,6 +120,11 @@
     return reply;
   }
 
+  /** Returns what this entry knows of earlier attempts to hand in a submission. */
+  getAttempt(id: string): AttemptState {
+    return this.writer.getAttempt(id);
+  }
+
   private async executeCall(call: SubmissionCall, context: CallContext): Promise<SubmissionReply> {
     const {configuration} = this;
     if (configuration === undefined) {
@@ -171,7 +176,7 @@
     }
     const reply = await this.relays.run(call, context, () => this.store(queue, call, context));
     if (reply.kind === 'accepted') this.writer.markStored(id);
-    return this.confirmRefusal(queue, id, reply);
+    return this.confirmRefusal(queue, id, reply, context);
   }
 
   /**
@@ -182,18 +187,19 @@
     queue: Queue,
     id: string,
     reply: SubmissionReply,
+    {isRelayed = false}: CallContext,
   ): Promise<SubmissionReply> {
     if (reply.kind !== 'refused') return reply;
-    if (reply.reason !== 'store-unreachable') {
+    // The entry that relayed the call asks itself, and an entry that refuses for the backlog has read the store.
+    if (isRelayed || reply.reason !== 'store-unreachable') {
       this.recordRefusal(id, reply);
       return reply;
     }
-    const lookup = await this.options.peers.askOwner(id);
-    if (lookup?.isOwner && lookup.status !== undefined) {
-      return this.acknowledgeSubmission(queue, id, 'known');
-    }
-    // A lost entry may have stored the submission without answering, and the store cannot be asked.
-    if (this.options.peers.hasRecentLoss()) return {kind: 'unknown'};
+    const {peers} = this.options;
+    const [lookup, attempt] = await Promise.all([peers.askOwner(id), peers.findAttempt(id)]);
+    const isKnown = lookup?.isOwner === true && lookup.status !== undefined;
+    if (isKnown || attempt === 'stored') return this.acknowledgeSubmission(queue, id, 'known');
+    if (attempt === 'unresolved') return {kind: 'unknown'};
     this.recordRefusal(id, reply);
     return reply;
   }
@@ -209,7 +215,7 @@
   ): Promise<SubmissionReply> {
     const untried = Promise.resolve(this.createUnreachableReply());
     const reply = await this.relays.run(call, context, () => untried);
-    return this.confirmRefusal(queue, call.id, reply);
+    return this.confirmRefusal(queue, call.id, reply, context);
   }
 
   private async store(
@@ -218,7 +224,8 @@
     context: CallContext,
   ): Promise<SubmissionReply> {
     const {id, draft} = call;
-    if (this.writer.hasStored(id)) return this.acknowledgeSubmission(queue, id, 'known');
+    if (this.writer.getAttempt(id) === 'stored')
+      return this.acknowledgeSubmission(queue, id, 'known');
     const timeoutMs = getExecutionMs(context.timeoutMs);
     const result = await this.writer.store(queue, id, draft, timeoutMs);
     if (result === 'timeout' || result.kind === 'unknown') return {kind: 'unknown'};
@@ -268,6 +275,7 @@
   private async checkExistence(id: string): Promise<'present' | 'absent' | 'unknown'> {
     const lookup = await this.options.peers.askOwner(id);
     if (lookup?.isOwner && lookup.status !== undefined) return 'present';
+    if (this.options.health.isFailing) return 'unknown';
     const result = await this.options.store.read(submissionPrefix + id);
     if (result.kind !== 'ok') return 'unknown';
     return result.record ? 'present' : 'absent';
--- a/packages/runtime/src/dispatch/submission-writer.ts
+++ b/packages/runtime/src/dispatch/submission-writer.ts
@@ -6,6 +6,7 @@
   type Submission,
 } from '@chervilbeam/coordination';
 import type {DecisionLogger} from './decision-logger.js';
+import type {AttemptState} from './entry-messages.js';
 import type {CommitResult, RecordStore} from './record-store.js';
 import {submissionPrefix} from './store-keys.js';
 
@@ -39,9 +40,10 @@
     return this.unresolvedWrites.has(id);
   }
 
-  /** Whether the store is known to hold the submission; also while the store cannot be reached. */
-  hasStored(id: string): boolean {
-    return this.storedIds.has(id);
+  /** Returns what is known of earlier attempts to store a submission, also while the store cannot be reached. */
+  getAttempt(id: string): AttemptState {
+    if (this.storedIds.has(id)) return 'stored';
+    return this.isUnresolved(id) ? 'unresolved' : 'none';
   }
 
   /** Records that the store holds the submission, so that an unresolved write is not retried. */
--- a/packages/runtime/test/dispatch/entry-peers.test.ts
+++ b/packages/runtime/test/dispatch/entry-peers.test.ts
@@ -2,14 +2,20 @@
 import type {AddressInfo, Socket} from 'node:net';
 import type {Clock} from '@chervilbeam/coordination';
 import t from 'tap';
-import {EntryPeers} from '../../src/dispatch/index.js';
-import {listenForLinks} from '../../src/dispatch/link.js';
+import {
+  type AttemptState,
+  EntryPeers,
+  type EntryRequest,
+  type EntryResponse,
+} from '../../src/dispatch/index.js';
+import {Link, listenForLinks} from '../../src/dispatch/link.js';
 import {TrafficMeter} from '../../src/dispatch/traffic-meter.js';
 import {Metrics} from '../../src/metrics/index.js';
 import {MemoryStore} from './memory-store.js';
 import {createTestLog} from './test-log.js';
 import {waitUntil} from './wait-until.js';
 
+const id = '00000000000000a1';
 /** Time in milliseconds after which a caller repeats no attempt any more. */
 const afterRepeatsMs = 5_000;
 
@@ -25,12 +31,18 @@
   }
 }
 
-/** Starts the peers of an entry beside one other entry, which accepts links. */
-async function startPeers() {
+/** Starts the peers of an entry beside one other entry, which answers with `state`, or not at all without one. */
+async function startPeers(state: AttemptState | undefined) {
   const sockets: Socket[] = [];
   const server = await listenForLinks('127.0.0.1:0', socket => {
-    socket.on('error', () => {});
-    sockets.push(socket.resume());
+    sockets.push(socket);
+    const link: Link<EntryRequest, EntryResponse> = new Link(socket, {
+      message: message => {
+        if (message.kind !== 'attempt' || state === undefined) return;
+        link.send({kind: 'attempt-state', request: message.request, state});
+      },
+      closed: () => {},
+    });
   });
   const other = `127.0.0.1:${(server.address() as AddressInfo).port}`;
   const store = new MemoryStore();
@@ -60,47 +72,53 @@
 
 const cases: ReadonlyArray<{
   readonly name: string;
-  readonly act: (fixture: Fixture) => Promise<void>;
-  readonly isLoss: boolean;
+  readonly state?: AttemptState;
+  readonly act?: (fixture: Fixture) => Promise<void>;
+  readonly expected: AttemptState;
 }> = [
+  {name: 'an entry knows of no attempt', state: 'none', expected: 'none'},
+  {name: 'an entry has stored the submission', state: 'stored', expected: 'stored'},
+  {name: 'an entry has a write without an answer', state: 'unresolved', expected: 'unresolved'},
+  {name: 'an entry that does not answer may have an attempt', expected: 'unresolved'},
   {
-    name: 'the start of an entry is the loss of its predecessor for a limited time only',
-    act: async () => {},
-    isLoss: false,
+    name: 'an entry that has just started does not know what its predecessor did',
+    state: 'none',
+    act: async ({clock}) => void (clock.timeMs -= afterRepeatsMs),
+    expected: 'unresolved',
   },
   {
-    name: 'an entry whose link breaks counts as lost',
+    name: 'an entry whose link broke may have been replaced',
+    state: 'none',
     act: async ({peers, other, sockets}) => {
       peers.setOwner(other);
       await waitUntil(() => sockets.length === 1);
       sockets[0]?.destroy();
-      await waitUntil(() => peers.hasRecentLoss);
+      // The link to the owner is dialled again.
+      await waitUntil(() => sockets.length === 2);
     },
-    isLoss: true,
+    expected: 'unresolved',
   },
   {
-    name: 'an entry that cannot be reached counts as lost',
-    act: async ({peers, server}) => {
+    name: 'an entry that cannot be reached may have stored the submission before',
+    act: async ({server}) => {
       server.close();
       await once(server, 'close');
-      await peers.relay({kind: 'query', queue: 'queue', id: '00000000000000a1'}, 2_000);
     },
-    isLoss: true,
+    expected: 'unresolved',
   },
   {
     name: 'an entry that stays away is lost once only',
     act: async ({peers, server, clock}) => {
       server.close();
       await once(server, 'close');
-      const call = {kind: 'query', queue: 'queue', id: '00000000000000a1'} as const;
-      await peers.relay(call, 2_000);
+      await peers.findAttempt(id);
       clock.timeMs += afterRepeatsMs;
-      await peers.relay(call, 2_000);
     },
-    isLoss: false,
+    expected: 'none',
   },
   {
     name: 'a link that is ended because the owner has changed is no loss',
+    state: 'none',
     act: async ({peers, other, sockets}) => {
       peers.setOwner(other);
       await waitUntil(() => sockets.length === 1);
@@ -108,19 +126,16 @@
       peers.setOwner(undefined);
       await closed;
     },
-    isLoss: false,
+    expected: 'none',
   },
 ];
 
-for (const {name, act, isLoss} of cases) {
+for (const {name, state, act, expected} of cases) {
   void t.test(name, async t => {
-    const fixture = await startPeers();
+    const fixture = await startPeers(state);
     t.teardown(fixture.stop);
-    const {peers, clock} = fixture;
-    t.ok(peers.hasRecentLoss, 'this entry has just started');
-    clock.timeMs += afterRepeatsMs;
-    t.notOk(peers.hasRecentLoss);
-    await act(fixture);
-    t.equal(peers.hasRecentLoss, isLoss);
+    fixture.clock.timeMs += afterRepeatsMs;
+    await act?.(fixture);
+    t.equal(await fixture.peers.findAttempt(id), expected);
   });
 }
--- a/packages/runtime/test/dispatch/malformed-messages.test.ts
+++ b/packages/runtime/test/dispatch/malformed-messages.test.ts
@@ -41,6 +41,8 @@
   {kind: 'lease', life, term: 2, deadlineMs: 9, acknowledged: 0},
   {kind: 'start', order: 1, life, term: 2, task, run: 1, spec: 'x', deadlineMs: 9},
   {kind: 'query', request: 1, id: 'a'},
+  {kind: 'attempt', request: 1, id: 'a'},
+  {kind: 'attempt-state', request: 1, state: 'none'},
   {kind: 'call', request: 1, call: {kind: 'cancel', queue: 'q', id: 'a'}},
   {
     kind: 'queue-backlogs',
--- a/packages/runtime/test/dispatch/memory-store.ts
+++ b/packages/runtime/test/dispatch/memory-store.ts
@@ -22,6 +22,8 @@
   historyFrom = 0;
   /** Faults of the next calls except those on leases, one for each call; undefined lets a call succeed. */
   faults: Array<StoreFault | undefined> = [];
+  /** Number of reads of single keys. */
+  reads = 0;
   /** Time in milliseconds that a commit takes. */
   commitDelayMs = 0;
   private readonly history: RecordChange[] = [];
@@ -47,6 +49,7 @@
   }
 
   async read(key: string): Promise<ReadResult> {
+    this.reads += 1;
     const fault = this.faults.shift();
     if (fault) return fail(fault);
     return {kind: 'ok', record: this.records.get(key), revision: this.revision};
--- a/packages/runtime/test/dispatch/submission-fixture.ts
+++ b/packages/runtime/test/dispatch/submission-fixture.ts
@@ -8,10 +8,12 @@
   type SubmissionStatus,
 } from '@chervilbeam/coordination';
 import {
+  type AttemptState,
   type SubmissionCall,
   type SubmissionReply,
   SubmissionService,
 } from '../../src/dispatch/index.js';
+import {StoreHealth} from '../../src/dispatch/store-health.js';
 import {SystemClock} from '../../src/loop/index.js';
 import {Metrics} from '../../src/metrics/index.js';
 import {MemoryStore, type StoreFault} from './memory-store.js';
@@ -89,8 +91,10 @@
   /** Number of other entries. */
   readonly entries?: number;
   readonly timeoutMs?: number;
-  /** Whether an entry has been lost recently. */
-  readonly hasRecentLoss?: boolean;
+  /** What the other entries know of earlier attempts. */
+  readonly attempt?: AttemptState;
+  /** Whether the store has not answered for some time. */
+  readonly isStoreFailing?: boolean;
 }
 
 /** Executes a call on a new service. */
@@ -121,9 +125,13 @@
     return result;
   };
   const {log, lines} = createTestLog();
+  const clock = new SystemClock();
+  const health = new StoreHealth(clock);
+  if (fixture.isStoreFailing) health.recordFailure(Number.NEGATIVE_INFINITY);
   const service = new SubmissionService({
     store,
-    clock: new SystemClock(),
+    health,
+    clock,
     log,
     metrics: new Metrics(),
     peers: {
@@ -131,7 +139,7 @@
         fixture.ownerStatus && {isOwner: true, status: fixture.ownerStatus, queue: queue.key},
       countPending: async () => fixture.ownerPending,
       getEntryCount: () => fixture.entries ?? 1,
-      hasRecentLoss: () => fixture.hasRecentLoss ?? false,
+      findAttempt: async () => fixture.attempt ?? 'none',
       relay: async () => {
         await new Promise(resolve => setTimeout(resolve, fixture.relayDelayMs ?? 0));
         return fixture.relayedReply;
@@ -141,5 +149,5 @@
   });
   if (fixture.isConfigured !== false) service.configure(configuration);
   if (fixture.backlogs) service.setQueueBacklogs(fixture.backlogs);
-  return {service, store, notified, lines};
+  return {service, store, health, notified, lines};
 }
--- a/packages/runtime/test/dispatch/submission-refusals.test.ts
+++ b/packages/runtime/test/dispatch/submission-refusals.test.ts
@@ -2,7 +2,7 @@
 import type {SubmissionReply} from '../../src/dispatch/index.js';
 import {createService, execute, type Fixture, full, id, submit} from './submission-fixture.js';
 
-/** Repeated submissions whose earlier attempt had no answer, while the store refuses this entry. */
+/** Submissions, some of them repeated after an attempt without an answer, while the store does not serve this entry. */
 const cases: ReadonlyArray<{
   readonly name: string;
   readonly fixture: Fixture;
@@ -14,13 +14,13 @@
     fixture: {
       faults: ['refused'],
       relayedReply: {kind: 'refused', retryAfterSeconds: 2, reason: 'store-unreachable'},
-      hasRecentLoss: true,
+      attempt: 'unresolved',
     },
     reply: {kind: 'unknown'},
   },
   {
-    name: 'the same behind a backlog',
-    fixture: {backlogs: full, faults: ['refused'], entries: 0, hasRecentLoss: true},
+    name: 'nor is one behind a backlog',
+    fixture: {backlogs: full, faults: ['refused'], entries: 0, attempt: 'unresolved'},
     reply: {kind: 'unknown'},
   },
   {
@@ -33,18 +33,53 @@
     reply: {kind: 'accepted'},
   },
   {
-    name: 'a refusal by another entry that has read the store stands although an entry was lost',
+    name: 'a repeated submission that another entry has stored is accepted while the store refuses all entries',
+    fixture: {
+      faults: ['refused'],
+      relayedReply: {kind: 'refused', retryAfterSeconds: 2, reason: 'store-unreachable'},
+      attempt: 'stored',
+    },
+    reply: {kind: 'accepted'},
+  },
+  {
+    name: 'a submission is not sent to a failing store, so that its caller can be refused at once',
+    fixture: {
+      isStoreFailing: true,
+      relayedReply: {kind: 'refused', retryAfterSeconds: 2, reason: 'store-unreachable'},
+    },
+    reply: {kind: 'refused', reason: 'store-unreachable'},
+    stored: false,
+  },
+  {
+    name: 'the same by a single entry',
+    fixture: {isStoreFailing: true, entries: 0},
+    reply: {kind: 'refused', reason: 'store-unreachable'},
+    stored: false,
+  },
+  {
+    name: 'the same behind a backlog',
+    fixture: {backlogs: full, isStoreFailing: true, entries: 0},
+    reply: {kind: 'refused', reason: 'store-unreachable'},
+    stored: false,
+  },
+  {
+    name: 'a submission is passed on to an entry that the store answers',
+    fixture: {isStoreFailing: true, relayedReply: {kind: 'accepted'}},
+    reply: {kind: 'accepted'},
+  },
+  {
+    name: 'a refusal by another entry that has read the store stands whatever an entry may have stored',
     fixture: {
       faults: ['refused'],
       relayedReply: {kind: 'refused', retryAfterSeconds: 5, reason: 'backlog'},
-      hasRecentLoss: true,
+      attempt: 'unresolved',
     },
     reply: {kind: 'refused'},
     stored: false,
   },
   {
-    name: 'a backlog still refuses work that the store does not hold after an entry was lost',
-    fixture: {backlogs: full, hasRecentLoss: true},
+    name: 'a backlog still refuses work that the store does not hold',
+    fixture: {backlogs: full, attempt: 'unresolved'},
     reply: {kind: 'refused', reason: 'backlog'},
     stored: false,
   },
@@ -67,3 +102,11 @@
     t.match(await service.execute(submit, {timeoutMs: 800}), {kind: 'accepted'});
   },
 );
+
+void t.test('a failing store is asked again, and used as soon as it answers', async t => {
+  const {service, store, health} = createService({isStoreFailing: true, entries: 0});
+  t.match(await service.execute(submit, {timeoutMs: 800}), {kind: 'refused'});
+  t.equal(store.reads, 1);
+  health.recordSuccess();
+  t.match(await service.execute(submit, {timeoutMs: 800}), {kind: 'accepted'});
+});
