Ask the previous owners when they ended, and wait only for leases until then

Ruled out: room, suspended workers, the store. A shorter wait without evidence is wrong: a revoked owner goes on for up to 6 s. Change: owners are listed in the store until a later one has recovered; a new owner asks each of them, and the recovery barrier opens when the leases until the latest end have expired. No answer, an unreadable list or one of an older version: as before.

--- a/packages/coordination/src/dispatch/decision-log.ts
+++ b/packages/coordination/src/dispatch/decision-log.ts
@@ -2,6 +2,7 @@
 export type DecisionEvent =
   | 'ownership-begun'
   | 'ownership-ended'
+  | 'predecessors-ended'
   | 'recovery-finished'
   | 'submission-accepted'
   | 'submission-restored'
--- a/packages/coordination/src/dispatch/dispatch-events.ts
+++ b/packages/coordination/src/dispatch/dispatch-events.ts
@@ -32,6 +32,8 @@
       readonly wallMs: number;
     }
   | {readonly kind: 'end'; readonly reason: string}
+  /** All previous owners have stopped granting leases, the last one `agoMs` milliseconds ago. */
+  | {readonly kind: 'predecessors-ended'; readonly agoMs: number}
   | {readonly kind: 'configuration'; readonly configuration: QueueConfiguration}
   /** A new submission has been stored. */
   | {readonly kind: 'submitted'; readonly submission: Submission}
@@ -87,6 +89,8 @@
       /** Time in milliseconds after which the request counts as lost. */
       readonly timeoutMs: number;
     }
+  /** Workers run nothing any more that a previous owner has started and this one does not know. */
+  | {readonly kind: 'recovered'}
   /** Another process has become the owner; this one must stop dispatching. */
   | {readonly kind: 'deposed'; readonly reason: string}
   | {readonly kind: 'log'; readonly decision: LoggedDecision}
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -50,7 +50,7 @@
   private readonly supervisor: RunSupervisor;
   private readonly ends: SubmissionEnds;
   private readonly workerReports: WorkerReports;
-  private isRecovering = false;
+  private hasUnknownRuns = false;
 
   constructor(timing: Partial<DispatchTiming> = {}) {
     this.state = new DispatchState({...defaultDispatchTiming, ...timing});
@@ -73,6 +73,11 @@
     });
   }
 
+  /** Whether a previous owner may have started tasks on workers that have not reported yet. */
+  get isRecovering(): boolean {
+    return this.hasUnknownRuns;
+  }
+
   /** Whether this process is the current owner. */
   get isOwner(): boolean {
     return this.state.term > 0;
@@ -122,6 +127,8 @@
         return this.begin(event, at);
       case 'end':
         return this.end(event.reason);
+      case 'predecessors-ended':
+        return this.limitRecovery(event.agoMs, at);
       case 'configuration':
         return this.configure(event.configuration);
       case 'submitted':
@@ -154,10 +161,10 @@
     state.generation = event.generation;
     state.setWallClock(event.wallMs, at);
     this.journal.reset(event.roster);
-    // The previous owner may grant leases until it stops, and a worker whose clock is slow keeps its lease longer.
-    const {previousOwnerMaxMs, leaseMs, clockDrift} = state.timing;
-    this.barrier.begin(event.roster, at + previousOwnerMaxMs + leaseMs / (1 - clockDrift));
-    this.isRecovering = true;
+    // The previous owner may grant leases until it stops.
+    const previousEndAt = at + state.timing.previousOwnerMaxMs;
+    this.barrier.begin(event.roster, this.getLeaseEnd(previousEndAt));
+    this.hasUnknownRuns = true;
     for (const stored of event.submissions) this.add(stored, at, true);
     state.log({
       event: 'ownership-begun',
@@ -169,6 +176,18 @@
     state.count('ownerships_begun');
   }
 
+  private limitRecovery(agoMs: number, at: number): void {
+    if (!this.isRecovering) return;
+    this.barrier.limit(this.getLeaseEnd(at - agoMs));
+    this.state.log({event: 'predecessors-ended', ageMs: Math.round(agoMs)});
+  }
+
+  /** Returns the time at which all leases that were granted until `grantedAt` have expired, also on a slow clock. */
+  private getLeaseEnd(grantedAt: number): number {
+    const {leaseMs, clockDrift} = this.state.timing;
+    return grantedAt + leaseMs / (1 - clockDrift);
+  }
+
   private end(reason: string): void {
     this.state.log({event: 'ownership-ended', term: this.state.term, reason});
     this.clear();
@@ -280,10 +299,11 @@
 
   private finishRecovery(at: number): void {
     const {state} = this;
-    this.isRecovering = false;
+    this.hasUnknownRuns = false;
     for (const submission of state.submissions.values()) submission.clearInDoubt();
     this.journal.markRosterChanged();
     state.isPlacementDue = true;
+    state.emit({kind: 'recovered'});
     state.log({event: 'recovery-finished', term: state.term, workers: state.workers.size, at});
   }
 }
--- a/packages/coordination/src/dispatch/recovery-barrier.ts
+++ b/packages/coordination/src/dispatch/recovery-barrier.ts
@@ -16,6 +16,11 @@
     this.openAt = openAt;
   }
 
+  /** Opens the barrier at `openAt` if it would open later: the leases are known to expire earlier. */
+  limit(openAt: number): void {
+    this.openAt = Math.min(this.openAt, openAt);
+  }
+
   /** Marks a worker incarnation as accounted for: it has listed its runs or has ended. */
   markAccounted(life: string): void {
     this.unaccounted.delete(life);
--- a/packages/runtime/src/dispatch/election-calls.ts
+++ b/packages/runtime/src/dispatch/election-calls.ts
@@ -7,8 +7,8 @@
 } from '@chervilbeam/coordination';
 import type {DecisionLogger} from './decision-logger.js';
 import type {RecordStore} from './record-store.js';
-import {type EntryRecord, parseOwner} from './record-parsers.js';
-import {entryPrefix, generationKey, ownerKey} from './store-keys.js';
+import {type EntryRecord, parseOwner, parseOwners} from './record-parsers.js';
+import {entryPrefix, generationKey, ownerKey, ownersKey} from './store-keys.js';
 
 /** Options of `ElectionCalls`. */
 export interface ElectionCallsOptions {
@@ -31,9 +31,21 @@
 export class ElectionCalls {
   /** Round-trip time in milliseconds of the latest successful call that opened a lease. */
   private roundTripMs = 0;
+  private latestNonce = '';
+  private previousOwners: readonly OwnerRecord[] | undefined;
 
   constructor(private readonly options: ElectionCallsOptions) {}
 
+  /** Owners before the latest claim whose leases may still be valid; undefined when they are not known. */
+  get predecessors(): readonly OwnerRecord[] | undefined {
+    return this.previousOwners;
+  }
+
+  /** Nonce of the latest claim; empty before the first one. */
+  get nonce(): string {
+    return this.latestNonce;
+  }
+
   /** Opens a lease of `ttlMs` milliseconds and registers the entry under it. */
   async openLease(ttlMs: number): Promise<void> {
     const {store, name, address, processors} = this.options;
@@ -82,11 +94,18 @@
   /** Claims the ownership, on condition that neither the owner key nor the generation has changed since it was read. */
   async claim(effect: Extract<ElectionEffect, {kind: 'claim'}>): Promise<void> {
     const {lease, nonce, expectedRevision} = effect;
+    this.latestNonce = nonce;
     const {store, name, address} = this.options;
-    const generationRead = await store.read(generationKey);
-    if (generationRead.kind !== 'ok') return this.postClaimFailure();
+    const [generationRead, ownersRead] = await Promise.all([
+      store.read(generationKey),
+      store.read(ownersKey),
+    ]);
+    if (generationRead.kind !== 'ok' || ownersRead.kind !== 'ok') return this.postClaimFailure();
     const generation = Number(generationRead.record?.value ?? 0) + 1;
     const owner: OwnerRecord = {name, address, nonce};
+    // Without a list, as before the first owner of this version, nothing is known of the owners before.
+    const owners = ownersRead.record && parseOwners(ownersRead.record.value);
+    this.previousOwners = generation === 1 ? [] : owners;
     const result = await store.commit({
       conditions: [
         {key: ownerKey, revision: expectedRevision},
@@ -95,6 +114,7 @@
       writes: [
         {key: ownerKey, value: JSON.stringify(owner), lease},
         {key: generationKey, value: String(generation)},
+        ...this.getOwnersWrite(owner),
       ],
       removals: [],
     });
@@ -105,6 +125,12 @@
     else this.postClaimFailure();
   }
 
+  private getOwnersWrite(owner: OwnerRecord): ReadonlyArray<{key: string; value: string}> {
+    const {previousOwners} = this;
+    if (previousOwners === undefined) return [];
+    return [{key: ownersKey, value: JSON.stringify([...previousOwners, owner])}];
+  }
+
   /** Reads the owner key to find out whether a claim without a reply took effect. */
   private async verifyClaim(nonce: string, generation: number): Promise<void> {
     const result = await this.options.store.read(ownerKey);
--- a/packages/runtime/src/dispatch/entry-messages.ts
+++ b/packages/runtime/src/dispatch/entry-messages.ts
@@ -9,6 +9,8 @@
   | {readonly kind: 'query'; readonly request: number; readonly id: string}
   /** Asks what the entry knows of earlier attempts to hand in a submission. */
   | {readonly kind: 'attempt'; readonly request: number; readonly id: string}
+  /** Asks when an ownership of the entry, or of an earlier process at its address, ended. */
+  | {readonly kind: 'ownership-end'; readonly request: number; readonly nonce: string}
   /** Asks the owner for the number of pending submissions of a queue. */
   | {readonly kind: 'count'; readonly request: number; readonly queue: string}
   /** Notifies the owner that the store holds a cancel request for a submission. */
@@ -35,6 +37,8 @@
   | ({readonly kind: 'status'; readonly request: number} & SubmissionLookup)
   | {readonly kind: 'reply'; readonly request: number; readonly reply: SubmissionReply}
   | {readonly kind: 'attempt-state'; readonly request: number; readonly state: AttemptState}
+  /** Milliseconds since an ownership ended at least; absent while it lasts. */
+  | {readonly kind: 'ownership-ended'; readonly request: number; readonly agoMs?: number}
   /** Number of pending submissions of a queue; absent when the process that replied is not the owner. */
   | {readonly kind: 'pending'; readonly request: number; readonly pending?: number}
   | BacklogMessage
--- a/packages/runtime/src/dispatch/entry-node.ts
+++ b/packages/runtime/src/dispatch/entry-node.ts
@@ -33,7 +33,7 @@
 /** Options of `EntryNode`: those of its `OwnerProcess`, except the callbacks that the entry provides. */
 export interface EntryNodeOptions extends Omit<
   OwnerProcessOptions,
-  'getOtherProcessors' | 'onOwner' | 'onOwnership'
+  'getOtherProcessors' | 'askOwnershipEnd' | 'onOwner' | 'onOwnership'
 > {
   /** Address to listen on when it differs from the address at which others reach this entry. */
   readonly listenAddress?: string;
@@ -64,6 +64,7 @@
       ...options,
       store,
       getOtherProcessors: () => this.peers.processors,
+      askOwnershipEnd: owner => this.peers.askOwnershipEnd(owner),
       onOwner: owner => this.setOwner(owner),
       onOwnership: isOwner => this.countOwnershipChange(isOwner),
     });
@@ -185,6 +186,12 @@
         });
         return;
       }
+      case 'ownership-end': {
+        const {request, nonce} = message;
+        const agoMs = this.owner.getOwnershipEndAge({nonce});
+        link.send({kind: 'ownership-ended', request, ...(agoMs !== undefined && {agoMs})});
+        return;
+      }
       case 'count': {
         const {request, queue} = message;
         const pending = this.owner.countPending(queue);
--- a/packages/runtime/src/dispatch/entry-peers.ts
+++ b/packages/runtime/src/dispatch/entry-peers.ts
@@ -1,4 +1,4 @@
-import type {Clock, QueueBacklogs} from '@chervilbeam/coordination';
+import type {Clock, OwnerRecord, QueueBacklogs} from '@chervilbeam/coordination';
 import {BacklogDecoder} from './backlog-messages.js';
 import type {DecisionLogger} from './decision-logger.js';
 import {EntryLosses} from './entry-losses.js';
@@ -123,6 +123,21 @@
     return states.includes('unresolved') || this.losses.isRecent ? 'unresolved' : 'none';
   }
 
+  /**
+   * Asks an entry how long ago in milliseconds an ownership of it ended at least; undefined when it lasts or the entry does
+   * not answer. When nothing listens at its address, its process has ended.
+   */
+  async askOwnershipEnd({address, nonce}: OwnerRecord): Promise<number | undefined> {
+    const link = this.getLink(address);
+    const response = await this.request(link, queryTimeoutMs, request => ({
+      kind: 'ownership-end',
+      request,
+      nonce,
+    }));
+    if (response?.kind === 'ownership-ended') return response.agoMs;
+    return link.closeReason === 'ECONNREFUSED' ? 0 : undefined;
+  }
+
   /** Notifies the owner of a cancelled submission; does nothing when no owner is known. */
   notifyCancelled(id: string): void {
     if (this.ownerAddress !== undefined) {
--- a/packages/runtime/src/dispatch/link-message-checks.ts
+++ b/packages/runtime/src/dispatch/link-message-checks.ts
@@ -37,11 +37,13 @@
   entry: {name: 'string'},
   query: {request: 'number', id: 'string'},
   attempt: {request: 'number', id: 'string'},
+  'ownership-end': {request: 'number', nonce: 'string'},
   count: {request: 'number', queue: 'string'},
   cancelled: {id: 'string'},
   call: {request: 'number', call: isCall},
   status: {request: 'number', isOwner: 'boolean'},
   'attempt-state': {request: 'number', state: state => attemptStates.has(state)},
+  'ownership-ended': {request: 'number', agoMs: ms => ms === undefined || Number.isFinite(ms)},
   pending: {request: 'number'},
   reply: {request: 'number', reply: isReply},
   'queue-backlogs': {
--- a/packages/runtime/src/dispatch/link.ts
+++ b/packages/runtime/src/dispatch/link.ts
@@ -65,6 +65,11 @@
     return this.hasOpened;
   }
 
+  /** Why the connection has closed, for example the code of a socket error; undefined while it is open. */
+  get closeReason(): string | undefined {
+    return this.isClosed ? this.reason : undefined;
+  }
+
   /** Sends a message; all messages of one event-loop turn share a single write. Ignored after the link has closed. */
   send(message: Outgoing): void {
     if (this.isClosed) return;
--- a/packages/runtime/src/dispatch/owner-process.ts
+++ b/packages/runtime/src/dispatch/owner-process.ts
@@ -26,16 +26,11 @@
 import {RecordWatch} from './record-watch.js';
 import type {RecordChange, RecordStore, StoredRecord} from './record-store.js';
 import {RoundScheduler} from './round-scheduler.js';
-import {parseOwner, parseSubmission} from './record-parsers.js';
+import {OwnershipHistory} from './ownership-history.js';
+import {parseOwner} from './record-parsers.js';
 import {readStoredState, toWriteResult} from './stored-state.js';
-import {
-  cancelPrefix,
-  ownerKey,
-  progressPrefix,
-  rosterKey,
-  submissionPrefix,
-  workPrefix,
-} from './store-keys.js';
+import {cancelPrefix, ownerKey, progressPrefix, rosterKey, submissionPrefix} from './store-keys.js';
+import {WorkWatch} from './work-watch.js';
 
 /** Tick interval in milliseconds of the owner. */
 const ownerTickMs = 100;
@@ -70,6 +65,8 @@
   readonly electionTiming?: Partial<ElectionTiming>;
   /** Returns the number of processors of each other entry; undefined until the entries have been listed. */
   readonly getOtherProcessors: () => readonly number[] | undefined;
+  /** Asks another process how long ago in milliseconds an ownership ended; undefined when that is not known. */
+  readonly askOwnershipEnd: (owner: OwnerRecord) => Promise<number | undefined>;
   /** Called with each owner record that is read from the store; undefined when there is no owner. */
   readonly onOwner: (owner: OwnerRecord | undefined) => void;
   /** Called when this process becomes or stops being the owner. */
@@ -89,10 +86,11 @@
   private readonly electionCalls: ElectionCalls;
   private readonly ownerWatch: RecordWatch;
   private readonly agents = new Map<string, Link<AgentMessage, OwnerMessage>>();
-  private workWatch: RecordWatch | undefined;
+  private workWatch: WorkWatch | undefined;
   /** Term of the current ownership, set before the stored state is loaded; 0 without ownership. */
   private electionTerm = 0;
   private readonly rounds: RoundScheduler;
+  private readonly history: OwnershipHistory;
   private tickTimer: NodeJS.Timeout | undefined;
   private isStopped = false;
 
@@ -118,6 +116,7 @@
       clock: this.leaseClock,
       post: event => this.electionLoop.post(event),
     });
+    this.history = new OwnershipHistory({...options, electionCalls: this.electionCalls});
     this.rounds = new RoundScheduler({
       clock,
       settle: () => this.loop.post({kind: 'settle'}),
@@ -203,6 +202,15 @@
     return {isOwner: true, ...(status && {status}), ...(queue !== undefined && {queue})};
   }
 
+  /**
+   * Returns how long ago in milliseconds an ownership of this process, or of an earlier one at its address, ended at least;
+   * undefined while it lasts.
+   */
+  getOwnershipEndAge({nonce}: Pick<OwnerRecord, 'nonce'>): number | undefined {
+    this.electionLoop.post({kind: 'look'});
+    return this.history.getEndAge(nonce, this.electionTerm > 0);
+  }
+
   /** Returns the number of pending submissions of a queue, or undefined when this process is not the owner. */
   countPending(queue: string): number | undefined {
     return this.checkOwnership() ? this.dispatcher.countPending(queue) : undefined;
@@ -246,6 +254,8 @@
         return this.agents.get(effect.agent)?.send(effect.message);
       case 'write':
         return void this.writeProgress(effect.sequence, effect.write);
+      case 'recovered':
+        return void this.history.forgetPredecessors(this.dispatcher.term);
       case 'advise':
         return void this.advise(effect);
       case 'deposed':
@@ -345,40 +355,27 @@
       roster: stored.roster,
       wallMs: clock.wallTime(),
     });
-    this.workWatch = new RecordWatch({
+    void this.limitRecovery(term);
+    this.workWatch = new WorkWatch({
       store,
       clock,
       log,
-      prefix: workPrefix,
-      onList: records => this.handleWorkRecords(records),
-      onChanges: changes => this.handleWorkChanges(changes),
+      post: event => this.post(event),
+      onOwnerRecord: record => this.handleOwnerRecord(record, record.revision),
     });
-    void this.workWatch.run(stored.revision);
+    this.workWatch.run(stored.revision);
     this.options.onOwnership(true);
   }
 
-  private handleWorkRecords(records: readonly StoredRecord[]): void {
-    for (const record of records) this.handleWorkRecord(record);
-  }
-
-  private handleWorkChanges(changes: readonly RecordChange[]): void {
-    for (const change of changes)
-      if (change.kind === 'written') this.handleWorkRecord(change.record);
-  }
-
-  private handleWorkRecord(record: StoredRecord): void {
-    const {key, value, revision} = record;
-    if (key.startsWith(submissionPrefix)) {
-      const submission = parseSubmission(value);
-      if (submission?.id === key.slice(submissionPrefix.length))
-        this.post({kind: 'submitted', submission});
-      else this.options.log.warn('record-unreadable', {key, revision});
-    } else if (key.startsWith(cancelPrefix)) {
-      this.post({kind: 'cancelled', id: key.slice(cancelPrefix.length)});
-    } else if (key === ownerKey) this.handleOwnerRecord(record, revision);
+  private async limitRecovery(term: number): Promise<void> {
+    const agoMs = await this.history.findPredecessorsEnd(
+      () => this.electionTerm === term && this.dispatcher.isRecovering,
+    );
+    if (agoMs !== undefined) this.post({kind: 'predecessors-ended', agoMs});
   }
 
   private end(reason: string): void {
+    if (this.electionTerm > 0) this.history.recordEnd();
     this.electionTerm = 0;
     this.workWatch?.stop();
     this.workWatch = undefined;
--- a/packages/runtime/src/dispatch/record-parsers.ts
+++ b/packages/runtime/src/dispatch/record-parsers.ts
@@ -81,6 +81,14 @@
   return isValid ? (record as unknown as OwnerRecord) : undefined;
 }
 
+/** Parses the stored list of owners; undefined when the record is unreadable. */
+export function parseOwners(value: string): readonly OwnerRecord[] | undefined {
+  const entries = parseJson(value);
+  if (!Array.isArray(entries)) return undefined;
+  const owners = entries.map((entry: unknown) => parseOwner(JSON.stringify(entry)));
+  return owners.every(owner => owner !== undefined) ? owners : undefined;
+}
+
 /** Parses the stored record of an entry; undefined when it is not valid JSON or has no address. */
 export function parseEntry(value: string): EntryRecord | undefined {
   const record = parseRecord(value);
--- a/packages/runtime/src/dispatch/store-keys.ts
+++ b/packages/runtime/src/dispatch/store-keys.ts
@@ -10,6 +10,8 @@
 export const progressPrefix = 'progress/';
 /** Key of the generation, the number of ownership claims that have succeeded. */
 export const generationKey = 'generation';
+/** Key of the owners that may have granted leases which are still valid; the last one is the latest owner. */
+export const ownersKey = 'owners';
 /** Key of the roster: the workers on which an owner may have started runs. */
 export const rosterKey = 'roster';
 /** Prefix of the records of running entries; each is bound to the lease of its entry. */
--- /dev/null
+++ b/packages/runtime/src/dispatch/work-watch.ts
@@ -0,0 +1,61 @@
+import type {Clock, DispatchEvent} from '@chervilbeam/coordination';
+import type {DecisionLogger} from './decision-logger.js';
+import {parseSubmission} from './record-parsers.js';
+import type {RecordChange, RecordStore, StoredRecord} from './record-store.js';
+import {RecordWatch} from './record-watch.js';
+import {cancelPrefix, ownerKey, submissionPrefix, workPrefix} from './store-keys.js';
+
+/** Options of `WorkWatch`. */
+export interface WorkWatchOptions {
+  readonly store: RecordStore;
+  readonly clock: Clock;
+  readonly log: DecisionLogger;
+  readonly post: (event: DispatchEvent) => void;
+  /** Called with each owner record that is written. */
+  readonly onOwnerRecord: (record: StoredRecord) => void;
+}
+
+/** Watches the submissions and cancel requests in the store, and the owner record beside them, for the owner. */
+export class WorkWatch {
+  private readonly watch: RecordWatch;
+
+  constructor(private readonly options: WorkWatchOptions) {
+    this.watch = new RecordWatch({
+      ...options,
+      prefix: workPrefix,
+      onList: records => this.handleRecords(records),
+      onChanges: changes => this.handleChanges(changes),
+    });
+  }
+
+  /** Watches changes after a revision until `stop`. */
+  run(revision: number): void {
+    void this.watch.run(revision);
+  }
+
+  /** Stops watching. */
+  stop(): void {
+    this.watch.stop();
+  }
+
+  private handleRecords(records: readonly StoredRecord[]): void {
+    for (const record of records) this.handleRecord(record);
+  }
+
+  private handleChanges(changes: readonly RecordChange[]): void {
+    for (const change of changes) if (change.kind === 'written') this.handleRecord(change.record);
+  }
+
+  private handleRecord(record: StoredRecord): void {
+    const {key, value, revision} = record;
+    const {post, log, onOwnerRecord} = this.options;
+    if (key.startsWith(submissionPrefix)) {
+      const submission = parseSubmission(value);
+      if (submission?.id === key.slice(submissionPrefix.length))
+        post({kind: 'submitted', submission});
+      else log.warn('record-unreadable', {key, revision});
+    } else if (key.startsWith(cancelPrefix)) {
+      post({kind: 'cancelled', id: key.slice(cancelPrefix.length)});
+    } else if (key === ownerKey) onOwnerRecord(record);
+  }
+}
--- a/packages/runtime/test/dispatch/malformed-messages.test.ts
+++ b/packages/runtime/test/dispatch/malformed-messages.test.ts
@@ -42,6 +42,8 @@
   {kind: 'start', order: 1, life, term: 2, task, run: 1, spec: 'x', deadlineMs: 9},
   {kind: 'query', request: 1, id: 'a'},
   {kind: 'attempt', request: 1, id: 'a'},
+  {kind: 'ownership-end', request: 1, nonce: 'a-1'},
+  {kind: 'ownership-ended', request: 1, agoMs: 5},
   {kind: 'attempt-state', request: 1, state: 'none'},
   {kind: 'call', request: 1, call: {kind: 'cancel', queue: 'q', id: 'a'}},
   {
--- a/packages/runtime/test/dispatch/owner-process.test.ts
+++ b/packages/runtime/test/dispatch/owner-process.test.ts
@@ -1,4 +1,4 @@
-import type {AgentMessage, Clock, OwnerMessage} from '@chervilbeam/coordination';
+import type {AgentMessage, Clock, OwnerMessage, OwnerRecord} from '@chervilbeam/coordination';
 import t, {type Test} from 'tap';
 import type {Link} from '../../src/dispatch/index.js';
 import {OwnerProcess} from '../../src/dispatch/owner-process.js';
@@ -55,6 +55,7 @@
   readonly clock: PausableClock;
   readonly store: MemoryStore;
   readonly link: RecordingLink;
+  readonly lines: ReturnType<typeof createTestLog>['lines'];
 }
 
 function asLink(link: RecordingLink): Link<AgentMessage, OwnerMessage> {
@@ -62,8 +63,14 @@
 }
 
 /** Creates a process that has become the owner and knows one worker. */
-async function createOwner(t: Test): Promise<Fixture> {
+async function createOwner(
+  t: Test,
+  prepare: (store: MemoryStore) => void = () => {},
+  askOwnershipEnd: (owner: OwnerRecord) => Promise<number | undefined> = async () => undefined,
+): Promise<Fixture> {
   const store = new MemoryStore();
+  prepare(store);
+  const {log, lines} = createTestLog();
   const clock = new PausableClock();
   const owner = new OwnerProcess({
     name: 'entry-1',
@@ -72,9 +79,10 @@
     incarnation: 'one',
     store,
     clock,
-    log: createTestLog().log,
+    log,
     metrics: new Metrics(),
     getOtherProcessors: () => [],
+    askOwnershipEnd,
     onOwner: () => {},
     onOwnership: () => {},
   });
@@ -87,7 +95,7 @@
     owner.receive(agent, asLink(link), message);
   }
   await waitUntil(() => link.orders.includes('lease'));
-  return {owner, clock, store, link};
+  return {owner, clock, store, link, lines};
 }
 
 function createWorker(): AgentMessage {
@@ -173,3 +181,88 @@
   t.same(link.orders.slice(before), []);
   t.equal(link.sent.at(-1)?.kind, 'elsewhere', 'the agent is told to look for the owner');
 });
+
+const ownersKey = 'owners';
+const previous: OwnerRecord = {name: 'entry-2', address: '10.0.0.2:1', nonce: 'two-1'};
+const older: OwnerRecord = {name: 'entry-3', address: '10.0.0.3:1', nonce: 'three-1'};
+
+function putPredecessors(store: MemoryStore, owners: string): void {
+  store.put('generation', '2');
+  store.put('roster', JSON.stringify([{agent: 'agent-9', life: 'i-9@9'}]));
+  store.put(ownersKey, owners);
+}
+
+function getOwners(store: MemoryStore): unknown {
+  const record = store.records.get(ownersKey);
+  return record && JSON.parse(record.value);
+}
+
+const predecessorCases: ReadonlyArray<{
+  readonly name: string;
+  readonly owners: string;
+  readonly ask: (owner: OwnerRecord) => Promise<number | undefined>;
+  /** Whether the end of all predecessors is found out. */
+  readonly isFound: boolean;
+}> = [
+  {
+    name: 'all predecessors answer',
+    owners: JSON.stringify([older, previous]),
+    ask: async owner => (owner.nonce === older.nonce ? 9_000 : 700),
+    isFound: true,
+  },
+  {
+    name: 'one of them does not answer',
+    owners: JSON.stringify([older, previous]),
+    ask: async owner => (owner.nonce === older.nonce ? undefined : 700),
+    isFound: false,
+  },
+  {name: 'the list of owners is unreadable', owners: '[{}]', ask: async () => 0, isFound: false},
+];
+
+for (const {name, owners, ask, isFound} of predecessorCases) {
+  void t.test(`the recovery waits for the latest end of the predecessors: ${name}`, async t => {
+    const asked: string[] = [];
+    const {lines, store} = await createOwner(
+      t,
+      store => putPredecessors(store, owners),
+      owner => {
+        asked.push(owner.nonce);
+        return ask(owner);
+      },
+    );
+    if (isFound) {
+      await waitUntil(() => lines.some(line => line.event === 'predecessors-ended'));
+      const age = lines.find(line => line.event === 'predecessors-ended')?.ageMs;
+      t.ok(Number(age) >= 700 && Number(age) < 9_000, `${String(age)} ms`);
+      t.match(getOwners(store), [older, previous, {nonce: /^one-/}], 'the claim adds the owner');
+    } else {
+      // Asked several times without a result.
+      await new Promise(resolve => setTimeout(resolve, 1_000));
+      t.notOk(lines.some(line => line.event === 'predecessors-ended'));
+    }
+    t.equal(asked.length > 0, owners.includes('nonce'));
+  });
+}
+
+void t.test('an owner that has recovered is the only one whose leases may be valid', async t => {
+  const {store} = await createOwner(t, store => {
+    store.put('generation', '2');
+    store.put(ownersKey, JSON.stringify([older, previous]));
+  });
+  await waitUntil(() => (getOwners(store) as unknown[]).length === 1);
+  t.match(getOwners(store), [{nonce: /^one-/}]);
+});
+
+void t.test(
+  'an ownership ends at the latest with its process, and lasts while it is held',
+  async t => {
+    const {owner, clock, store} = await createOwner(t);
+    clock.pause(1_000);
+    t.ok(Number(owner.getOwnershipEndAge(previous)) >= 1_000, 'of an earlier process');
+    const held = JSON.parse(store.records.get(ownerKey)?.value ?? '{}') as OwnerRecord;
+    t.equal(owner.getOwnershipEndAge(held), undefined);
+    clock.pause(pauseMs);
+    const ageMs = Number(owner.getOwnershipEndAge(held));
+    t.ok(ageMs < 1_000, `ended ${ageMs} ms ago, when the pause was noticed`);
+  },
+);
