--- a/packages/coordination/src/dispatch/active-submission.ts
+++ b/packages/coordination/src/dispatch/active-submission.ts
@@ -35,12 +35,27 @@
 
 /** One occurrence of a submission; an unscheduled submission has exactly one. */
 export class Occurrence {
+  /** Whether it has been seen running. */
+  hasRun = false;
+  /** Time since which it has not been seen running. */
+  idleSince: number;
+
   constructor(
     readonly index: number,
     /** Time from which its objective is measured. */
     readonly dueAt: number,
     readonly steps: readonly StepTasks[],
-  ) {}
+  ) {
+    this.idleSince = dueAt;
+  }
+
+  /** Records the number of its runs. */
+  recordRuns(runs: number, at: number): void {
+    if (runs > 0) {
+      this.hasRun = true;
+      this.idleSince = at;
+    }
+  }
 
   /** Whether all tasks of all steps are finished. */
   get isFinished(): boolean {
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -21,6 +21,7 @@
 } from './policy/queue-backlogs.js';
 import {RoomReservations} from './policy/room-reservations.js';
 import {RunSupervisor} from './policy/run-supervisor.js';
+import {StarvationGuard} from './policy/starvation-guard.js';
 import {sortCandidates} from './policy/submission-order.js';
 import {WorkerSelector} from './policy/worker-selector.js';
 import {WorkerHeadroomCache} from './policy/worker-headroom.js';
@@ -47,6 +48,7 @@
   private readonly interference = new InterferenceModel();
   private readonly headrooms = new WorkerHeadroomCache(this.interference);
   private readonly reservations: RoomReservations;
+  private readonly starvation: StarvationGuard;
   private readonly supervisor: RunSupervisor;
   private readonly ends: SubmissionEnds;
   private readonly workerReports: WorkerReports;
@@ -58,6 +60,7 @@
     this.tickets = new AdviceTickets(this.state);
     this.commands = new RunCommands(this.state, this.tickets);
     this.reservations = new RoomReservations(this.state, this.commands);
+    this.starvation = new StarvationGuard(this.state);
     this.supervisor = new RunSupervisor(this.state, this.commands, at => this.createSelector(at));
     this.ends = new SubmissionEnds(this.state, this.commands, this.journal);
     this.workerReports = new WorkerReports({
@@ -199,6 +202,7 @@
     this.state.workers.clear();
     this.reservations.clear();
     this.tickets.clear();
+    this.starvation.clear();
     this.journal.reset([]);
   }
 
@@ -286,7 +290,7 @@
     const preemption = new FillerPreemption(state, commands, headrooms, at);
     runPlacementRound(
       candidates,
-      {state, commands, selector, reservations, preemption, tickets},
+      {state, commands, selector, reservations, preemption, tickets, starvation: this.starvation},
       at,
     );
     if (selector.examinedCount > 0) state.count('workers_examined', selector.examinedCount);
--- a/packages/coordination/src/dispatch/policy/filler-preemption.ts
+++ b/packages/coordination/src/dispatch/policy/filler-preemption.ts
@@ -1,7 +1,8 @@
+import type {Occurrence} from '../active-submission.js';
 import type {DispatchState} from '../dispatch-state.js';
 import type {RunCommands} from '../run-commands.js';
 import type {Run, Task} from '../task.js';
-import {type Candidate, getRemainingCoreMs} from './submission-order.js';
+import {type Candidate, countRuns, getRemainingCoreMs} from './submission-order.js';
 import type {WorkerHeadroomCache} from './worker-headroom.js';
 
 /** Ratio of remaining work from which a submission gives way to one that is nearer to its end. */
@@ -15,6 +16,7 @@
 
 interface Victim {
   readonly run: Run;
+  readonly occurrence: Occurrence;
   /** Remaining work of its submission in core-milliseconds. */
   readonly remainingCoreMs: number;
 }
@@ -56,6 +58,8 @@
   private isVictim(victim: Victim, task: Task, candidate: Candidate): boolean {
     const {run, remainingCoreMs} = victim;
     if (remainingCoreMs < candidate.remainingCoreMs * minWorkRatio) return false;
+    // The last run of a submission keeps it from starving.
+    if (countRuns(victim.occurrence, 'running') <= 1) return false;
     if (run.task.submission.service !== candidate.submission.service) return false;
     if (task.avoidedWorkers.has(run.worker.life)) return false;
     const {label} = task.step;
@@ -77,7 +81,11 @@
           const occurrence = run.task.submission.getOccurrence(run.task.occurrence);
           if (occurrence === undefined) continue;
           const factor = state.getRunTimeFactor(run.task.submission.queue);
-          victims.push({run, remainingCoreMs: getRemainingCoreMs(occurrence, factor)});
+          victims.push({
+            run,
+            occurrence,
+            remainingCoreMs: getRemainingCoreMs(occurrence, factor),
+          });
         }
       }
     }
--- a/packages/coordination/src/dispatch/policy/placement-round.ts
+++ b/packages/coordination/src/dispatch/policy/placement-round.ts
@@ -5,6 +5,7 @@
 import type {FillerPreemption} from './filler-preemption.js';
 import type {RoomReservations} from './room-reservations.js';
 import type {WorkerView} from '../worker-view.js';
+import type {StarvationGuard} from './starvation-guard.js';
 import type {Candidate} from './submission-order.js';
 import type {WorkerSelector} from './worker-selector.js';
 
@@ -15,6 +16,7 @@
   readonly selector: WorkerSelector;
   readonly reservations: RoomReservations;
   readonly tickets: AdviceTickets;
+  readonly starvation: StarvationGuard;
   readonly preemption: FillerPreemption;
 }
 
@@ -29,6 +31,9 @@
 ): void {
   const {state, selector} = options;
   if (!selector.hasOpenWorkers) return;
+  for (const candidate of options.starvation.getStarving(candidates, at)) {
+    startFirst(candidate, options, at);
+  }
   for (const candidate of candidates) {
     for (const group of candidate.steps) {
       if (!state.startBudget.isOpen(at)) return;
@@ -38,6 +43,20 @@
   }
 }
 
+/** Starts one task, or one gang, of a candidate's first step with waiting tasks. */
+function startFirst(candidate: Candidate, options: PlacementRoundOptions, at: number): void {
+  const {state, selector, commands} = options;
+  const [group] = candidate.steps;
+  if (group === undefined || !state.startBudget.isOpen(at)) return;
+  if (group.step.gang) return startGang(candidate, group, options, at);
+  const task = group.tasks.find(candidate => candidate.isWaiting(at));
+  const worker = task && selector.selectWorker(task, group, candidate.priority);
+  if (task === undefined || worker === undefined) return;
+  state.count('runs_started_starving');
+  options.starvation.recordStart(commands.start(task, worker, at));
+  selector.recordPlacement(worker);
+}
+
 function startTasks(
   candidate: Candidate,
   group: StepTasks,
--- a/packages/coordination/src/dispatch/policy/submission-order.ts
+++ b/packages/coordination/src/dispatch/policy/submission-order.ts
@@ -6,6 +6,7 @@
 } from '../../submissions/index.js';
 import type {ActiveSubmission, Occurrence, StepTasks} from '../active-submission.js';
 import type {DispatchState} from '../dispatch-state.js';
+import type {RunState} from '../task.js';
 
 /** Priority of submissions whose queue is not configured; they go last. */
 const unknownQueuePriority = 1_000;
@@ -22,6 +23,10 @@
   readonly priority: number;
   /** `0`: can still meet its objective; `1`: late; `2`: too late to be of use to the caller. */
   readonly lateness: 0 | 1 | 2;
+  /** Number of runs of its tasks. */
+  readonly runs: number;
+  /** Time since which it has no runs. */
+  readonly idleSince: number;
   /** Processor time in core-milliseconds of its unfinished tasks; serving tasks are not counted. */
   readonly remainingCoreMs: number;
   /** Soft deadline: time by which it should be finished to meet its objective. */
@@ -88,10 +93,14 @@
   if (!submission.isLasting && expectedEndAt > deadlineAt) {
     lateness = expectedEndAt > occurrence.dueAt + expiredObjectiveMultiple * objectiveMs ? 2 : 1;
   }
+  const runs = countRuns(occurrence);
+  occurrence.recordRuns(runs, at);
   return {
     submission,
     occurrence,
     steps: options.steps,
+    runs,
+    idleSince: occurrence.idleSince,
     priority: queue?.priority ?? unknownQueuePriority,
     lateness,
     remainingCoreMs: getRemainingCoreMs(occurrence, factor),
@@ -99,6 +108,17 @@
   };
 }
 
+/** Returns the number of runs of an occurrence's tasks, all of them or those in one state. */
+export function countRuns(occurrence: Occurrence, state?: RunState): number {
+  let count = 0;
+  for (const {tasks} of occurrence.steps) {
+    for (const {runs} of tasks) {
+      for (const run of runs) if (state === undefined || run.state === state) count += 1;
+    }
+  }
+  return count;
+}
+
 /** Returns the processor time in core-milliseconds of the unfinished tasks; serving tasks are not counted. */
 export function getRemainingCoreMs(occurrence: Occurrence, factor: number): number {
   const remaining = occurrence.steps.map(({step, tasks, finished}) => ({
