Divide the dispatch folders by concern

Change: moves only, and the imports. runtime/dispatch: agent, entry, links, ownership, records, submissions; coordination/dispatch: admission, interference, placement, supervision. Tests mirror the sources. No code has changed.

--- a/packages/coordination/src/dispatch/policy/queue-backlogs.ts
+++ b/packages/coordination/src/dispatch/admission/queue-backlogs.ts
@@ -1,7 +1,7 @@
 import {getWorkCoreMs, type Queue} from '../../submissions/index.js';
 import type {ActiveSubmission} from '../active-submission.js';
 import type {DispatchState} from '../dispatch-state.js';
-import {urgentReserveShare} from './worker-selector.js';
+import {urgentReserveShare} from '../placement/worker-selector.js';
 
 /** Fraction of free processor time that a backlog can use; fragmentation leaves the rest idle. */
 const backlogUtilization = 0.85;
--- a/packages/coordination/src/dispatch/command-results.ts
+++ b/packages/coordination/src/dispatch/command-results.ts
@@ -1,6 +1,6 @@
 import type {CommandOutcome, StartRefusal} from './agent-messages.js';
 import type {DispatchState} from './dispatch-state.js';
-import type {AdviceTickets} from './policy/advice-tickets.js';
+import type {AdviceTickets} from './placement/advice-tickets.js';
 import type {RunCommands} from './run-commands.js';
 import type {Run} from './task.js';
 import type {WorkerView} from './worker-view.js';
--- a/packages/coordination/src/dispatch/dispatch-state.ts
+++ b/packages/coordination/src/dispatch/dispatch-state.ts
@@ -5,7 +5,7 @@
 import type {LoggedDecision} from './decision-log.js';
 import type {DispatchEffect} from './dispatch-events.js';
 import type {DispatchTiming} from './dispatch-timing.js';
-import {StartBudget} from './policy/start-budget.js';
+import {StartBudget} from './placement/start-budget.js';
 import type {WorkerView} from './worker-view.js';
 
 /** Workload name for `RunTimeEstimates`; run times are learned for each queue as a whole. */
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -9,22 +9,22 @@
 import type {DispatchEffect, DispatchEvent, StoredSubmission} from './dispatch-events.js';
 import {DispatchState} from './dispatch-state.js';
 import {defaultDispatchTiming, type DispatchTiming} from './dispatch-timing.js';
-import {AdviceTickets} from './policy/advice-tickets.js';
-import {FillerPreemption} from './policy/filler-preemption.js';
-import {FillerPacer} from './policy/filler-pacer.js';
-import {InterferenceModel} from './policy/interference-model.js';
-import {runPlacementRound} from './policy/placement-round.js';
+import {AdviceTickets} from './placement/advice-tickets.js';
+import {FillerPreemption} from './placement/filler-preemption.js';
+import {FillerPacer} from './interference/filler-pacer.js';
+import {InterferenceModel} from './interference/interference-model.js';
+import {runPlacementRound} from './placement/placement-round.js';
 import {
   countPendingSubmissions,
   getQueueBacklogs,
   type QueueBacklogs,
-} from './policy/queue-backlogs.js';
-import {RoomReservations} from './policy/room-reservations.js';
-import {RunSupervisor} from './policy/run-supervisor.js';
-import {StarvationGuard} from './policy/starvation-guard.js';
-import {sortCandidates} from './policy/submission-order.js';
-import {WorkerSelector} from './policy/worker-selector.js';
-import {WorkerHeadroomCache} from './policy/worker-headroom.js';
+} from './admission/queue-backlogs.js';
+import {RoomReservations} from './placement/room-reservations.js';
+import {RunSupervisor} from './supervision/run-supervisor.js';
+import {StarvationGuard} from './placement/starvation-guard.js';
+import {sortCandidates} from './placement/submission-order.js';
+import {WorkerSelector} from './placement/worker-selector.js';
+import {WorkerHeadroomCache} from './interference/worker-headroom.js';
 import {ProgressJournal} from './progress-journal.js';
 import {RecoveryBarrier} from './recovery-barrier.js';
 import {RunCommands} from './run-commands.js';
--- /dev/null
+++ b/packages/coordination/src/dispatch/placement/index.ts
@@ -0,0 +1,2 @@
+export type {AdviceReply} from './advice-tickets.js';
+export {RoundThrottle} from './round-throttle.js';
--- a/packages/coordination/src/dispatch/policy/worker-selector.ts
+++ b/packages/coordination/src/dispatch/placement/worker-selector.ts
@@ -4,10 +4,14 @@
 import type {Task} from '../task.js';
 import type {WorkerView} from '../worker-view.js';
 import type {AdviceTickets} from './advice-tickets.js';
-import type {InterferenceModel} from './interference-model.js';
+import type {InterferenceModel} from '../interference/interference-model.js';
 import type {RoomReservations} from './room-reservations.js';
 import {UnplaceableNeeds} from './unplaceable-needs.js';
-import {getImagePairKey, type WorkerHeadroom, type WorkerHeadroomCache} from './worker-headroom.js';
+import {
+  getImagePairKey,
+  type WorkerHeadroom,
+  type WorkerHeadroomCache,
+} from '../interference/worker-headroom.js';
 import {WorkerRanking} from './worker-ranking.js';
 
 /** Tolerance for rounding errors in sums of cores. */
--- a/packages/coordination/src/dispatch/run-commands.ts
+++ b/packages/coordination/src/dispatch/run-commands.ts
@@ -1,5 +1,5 @@
 import type {DispatchState} from './dispatch-state.js';
-import type {AdviceTickets} from './policy/advice-tickets.js';
+import type {AdviceTickets} from './placement/advice-tickets.js';
 import {Run, type Task} from './task.js';
 import type {WorkerView} from './worker-view.js';
 
--- a/packages/coordination/src/dispatch/policy/run-supervisor.ts
+++ b/packages/coordination/src/dispatch/supervision/run-supervisor.ts
@@ -3,7 +3,7 @@
 import type {RunCommands} from '../run-commands.js';
 import type {Run} from '../task.js';
 import type {WorkerView} from '../worker-view.js';
-import type {WorkerSelector} from './worker-selector.js';
+import type {WorkerSelector} from '../placement/worker-selector.js';
 
 /** Time in milliseconds without progress, on a reporting worker, after which a run is stalled. */
 const stallMs = 2_000;
--- a/packages/coordination/src/dispatch/worker-view.ts
+++ b/packages/coordination/src/dispatch/worker-view.ts
@@ -3,7 +3,7 @@
 import {addAmounts, createAmounts, type Amounts} from '../tasks/amounts.js';
 import type {WorkerDescription} from './agent-messages.js';
 import {EndCursor} from './end-cursor.js';
-import {WorkerEvidence} from './policy/worker-evidence.js';
+import {WorkerEvidence} from './supervision/worker-evidence.js';
 import {RecentSet} from './recent-set.js';
 import type {Run} from './task.js';
 
--- a/packages/coordination/test/dispatch/fleet/shared-load.ts
+++ b/packages/coordination/test/dispatch/fleet/shared-load.ts
@@ -1,4 +1,4 @@
-import {decideAdmission} from '../../../src/dispatch/policy/admission.js';
+import {decideAdmission} from '../../../src/dispatch/admission/admission.js';
 import {SeededRandom} from '../../../src/routing/seeded-random.js';
 import {getWorkCoreMs, type Step, type Submission} from '../../../src/submissions/index.js';
 import {createQueue, VirtualFleet} from './virtual-fleet.js';
--- a/packages/coordination/test/dispatch/policy/load-forecasts.test.ts
+++ b/packages/coordination/test/dispatch/interference/load-forecasts.test.ts
@@ -1,5 +1,5 @@
 import t from 'tap';
-import {LoadForecasts} from '../../../src/dispatch/policy/load-forecasts.js';
+import {LoadForecasts} from '../../../src/dispatch/interference/load-forecasts.js';
 
 const step = 'step';
 
--- a/packages/coordination/test/dispatch/filling-order.test.ts
+++ b/packages/coordination/test/dispatch/placement/filling-order.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
-import {getObjectiveMs} from '../../src/submissions/index.js';
-import {createStep, createSubmission, sharedQueues} from './fleet/shared-load.js';
-import {VirtualFleet} from './fleet/virtual-fleet.js';
+import {getObjectiveMs} from '../../../src/submissions/index.js';
+import {createStep, createSubmission, sharedQueues} from '../fleet/shared-load.js';
+import {VirtualFleet} from '../fleet/virtual-fleet.js';
 
 /** Time in milliseconds after which the short batches have ended, or are too late. */
 const endMs = 40_000;
--- a/packages/coordination/test/dispatch/policy/round-throttle.test.ts
+++ b/packages/coordination/test/dispatch/placement/round-throttle.test.ts
@@ -1,5 +1,5 @@
 import t from 'tap';
-import {RoundThrottle} from '../../../src/dispatch/policy/round-throttle.js';
+import {RoundThrottle} from '../../../src/dispatch/placement/round-throttle.js';
 
 /** Plays events that each ask for a round; returns the number of rounds and the longest wait of an event. */
 function play(roundMs: number, eventIntervalMs: number, durationMs: number) {
--- a/packages/coordination/test/dispatch/starvation.test.ts
+++ b/packages/coordination/test/dispatch/placement/starvation.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
-import {SeededRandom} from '../../src/routing/seeded-random.js';
-import {createStep, createSubmission, sharedQueues} from './fleet/shared-load.js';
-import {VirtualFleet} from './fleet/virtual-fleet.js';
+import {SeededRandom} from '../../../src/routing/seeded-random.js';
+import {createStep, createSubmission, sharedQueues} from '../fleet/shared-load.js';
+import {VirtualFleet} from '../fleet/virtual-fleet.js';
 
 const large = '00000000000000aa';
 /** Longest time in milliseconds until a submission is begun, and for which it then stands still. */
--- a/packages/coordination/test/dispatch/policy/worker-evidence.test.ts
+++ b/packages/coordination/test/dispatch/supervision/worker-evidence.test.ts
@@ -1,5 +1,5 @@
 import t from 'tap';
-import {WorkerEvidence} from '../../../src/dispatch/policy/worker-evidence.js';
+import {WorkerEvidence} from '../../../src/dispatch/supervision/worker-evidence.js';
 
 /** Failed and ended runs of the same work on other workers. */
 const succeedsElsewhere = [0, 5] as const;
--- a/packages/runtime/src/dispatch/agent-node.ts
+++ b/packages/runtime/src/dispatch/agent/agent-node.ts
@@ -7,12 +7,12 @@
   type RunRow,
   type WorkerDescription,
 } from '@chervilbeam/coordination';
-import type {Metrics} from '../metrics/index.js';
-import type {DecisionLogger} from './decision-logger.js';
-import {dialLink, type Link, type LinkDialer, type LinkHandlers} from './link.js';
+import type {Metrics} from '../../metrics/index.js';
+import type {DecisionLogger} from '../decision-logger.js';
+import {dialLink, type Link, type LinkDialer, type LinkHandlers} from '../links/link.js';
 import {OwnerSearch} from './owner-search.js';
-import type {RecordStore} from './record-store.js';
-import {TrafficMeter} from './traffic-meter.js';
+import type {RecordStore} from '../records/record-store.js';
+import {TrafficMeter} from '../links/traffic-meter.js';
 import {WorkerCommands} from './worker-commands.js';
 import type {LeaseRenewalReply, WorkerPort} from './worker-port.js';
 
--- a/packages/runtime/src/dispatch/worker-commands.ts
+++ b/packages/runtime/src/dispatch/agent/worker-commands.ts
@@ -5,8 +5,8 @@
   type OwnerMessage,
   type WorkerDescription,
 } from '@chervilbeam/coordination';
-import type {Metrics} from '../metrics/index.js';
-import type {DecisionLogger} from './decision-logger.js';
+import type {Metrics} from '../../metrics/index.js';
+import type {DecisionLogger} from '../decision-logger.js';
 import {SpecCache} from './spec-cache.js';
 import type {WorkerPort} from './worker-port.js';
 
--- a/packages/runtime/src/dispatch/entry-node.ts
+++ b/packages/runtime/src/dispatch/entry/entry-node.ts
@@ -5,21 +5,21 @@
   OwnerRecord,
   QueueConfiguration,
 } from '@chervilbeam/coordination';
-import {BacklogEncoder} from './backlog-messages.js';
+import {BacklogEncoder} from '../links/backlog-messages.js';
 import type {
   AttemptState,
   EntryRequest,
   EntryResponse,
   SubmissionLookup,
-} from './entry-messages.js';
+} from '../links/entry-messages.js';
 import {EntryPeers} from './entry-peers.js';
-import {Link, type LinkHandlers, listenForLinks} from './link.js';
-import {ObservedStore} from './observed-store.js';
-import {OwnerProcess, type OwnerProcessOptions} from './owner-process.js';
-import {StoreHealth} from './store-health.js';
-import type {SubmissionCall, SubmissionReply} from './submission-calls.js';
-import {type CallContext, SubmissionService} from './submission-service.js';
-import {TrafficMeter} from './traffic-meter.js';
+import {Link, type LinkHandlers, listenForLinks} from '../links/link.js';
+import {ObservedStore} from '../records/observed-store.js';
+import {OwnerProcess, type OwnerProcessOptions} from '../ownership/owner-process.js';
+import {StoreHealth} from '../records/store-health.js';
+import type {SubmissionCall, SubmissionReply} from '../submissions/submission-calls.js';
+import {type CallContext, SubmissionService} from '../submissions/submission-service.js';
+import {TrafficMeter} from '../links/traffic-meter.js';
 
 /** Shortest and longest interval in milliseconds at which the owner publishes the queue backlogs to the other entries. */
 const minBacklogIntervalMs = 300;
--- /dev/null
+++ b/packages/runtime/src/dispatch/entry/index.ts
@@ -0,0 +1,2 @@
+export * from './entry-node.js';
+export * from './entry-peers.js';
--- /dev/null
+++ b/packages/runtime/src/dispatch/links/index.ts
@@ -0,0 +1,3 @@
+export * from './backlog-messages.js';
+export * from './entry-messages.js';
+export * from './link.js';
--- a/packages/runtime/src/dispatch/link-message-checks.ts
+++ b/packages/runtime/src/dispatch/links/link-message-checks.ts
@@ -1,5 +1,5 @@
 import {isRecord} from '@chervilbeam/coordination';
-import {type FieldChecks, findBadField, FrameError} from '../framing/index.js';
+import {type FieldChecks, findBadField, FrameError} from '../../framing/index.js';
 
 const runOutcomes = new Set<unknown>(['done', 'failed', 'stopped', 'lapsed', 'broken', 'alone']);
 
--- a/packages/runtime/src/dispatch/link.ts
+++ b/packages/runtime/src/dispatch/links/link.ts
@@ -1,6 +1,6 @@
 import {connect, createServer, type Server, type Socket} from 'node:net';
 import {Encoder} from 'cbor-x';
-import {FrameDecoder, FrameError, prefixBytes} from '../framing/index.js';
+import {FrameDecoder, FrameError, prefixBytes} from '../../framing/index.js';
 import {checkLinkMessage} from './link-message-checks.js';
 import type {TrafficMeter} from './traffic-meter.js';
 
--- a/packages/runtime/src/dispatch/traffic-meter.ts
+++ b/packages/runtime/src/dispatch/links/traffic-meter.ts
@@ -1,5 +1,5 @@
-import type {Metrics} from '../metrics/index.js';
-import type {DecisionLogger} from './decision-logger.js';
+import type {Metrics} from '../../metrics/index.js';
+import type {DecisionLogger} from '../decision-logger.js';
 
 /** Interval in milliseconds between two log lines with the traffic by message kind. */
 const logIntervalMs = 10_000;
--- a/packages/runtime/src/dispatch/election-calls.ts
+++ b/packages/runtime/src/dispatch/ownership/election-calls.ts
@@ -5,10 +5,10 @@
   getClaimDelayMs,
   type OwnerRecord,
 } from '@chervilbeam/coordination';
-import type {DecisionLogger} from './decision-logger.js';
-import type {RecordStore} from './record-store.js';
-import {type EntryRecord, parseOwner, parseOwners} from './record-parsers.js';
-import {entryPrefix, generationKey, ownerKey, ownersKey} from './store-keys.js';
+import type {DecisionLogger} from '../decision-logger.js';
+import type {RecordStore} from '../records/record-store.js';
+import {type EntryRecord, parseOwner, parseOwners} from '../records/record-parsers.js';
+import {entryPrefix, generationKey, ownerKey, ownersKey} from '../records/store-keys.js';
 
 /** Options of `ElectionCalls`. */
 export interface ElectionCallsOptions {
--- /dev/null
+++ b/packages/runtime/src/dispatch/ownership/index.ts
@@ -0,0 +1,3 @@
+export * from './advisor-port.js';
+export * from './lease-clock.js';
+export * from './owner-process.js';
--- a/packages/runtime/src/dispatch/owner-process.ts
+++ b/packages/runtime/src/dispatch/ownership/owner-process.ts
@@ -15,21 +15,27 @@
   type QueueBacklogs,
   type QueueConfiguration,
 } from '@chervilbeam/coordination';
-import {Loop} from '../loop/index.js';
-import type {Metrics} from '../metrics/index.js';
+import {Loop} from '../../loop/index.js';
+import type {Metrics} from '../../metrics/index.js';
 import type {AdvisorPort} from './advisor-port.js';
-import type {DecisionLogger} from './decision-logger.js';
+import type {DecisionLogger} from '../decision-logger.js';
 import {ElectionCalls} from './election-calls.js';
-import type {SubmissionLookup} from './entry-messages.js';
+import type {SubmissionLookup} from '../links/entry-messages.js';
 import {LeaseClock} from './lease-clock.js';
-import type {Link} from './link.js';
-import {RecordWatch} from './record-watch.js';
-import type {RecordChange, RecordStore, StoredRecord} from './record-store.js';
+import type {Link} from '../links/link.js';
+import {RecordWatch} from '../records/record-watch.js';
+import type {RecordChange, RecordStore, StoredRecord} from '../records/record-store.js';
 import {RoundScheduler} from './round-scheduler.js';
 import {OwnershipHistory} from './ownership-history.js';
-import {parseOwner} from './record-parsers.js';
-import {readStoredState, toWriteResult} from './stored-state.js';
-import {cancelPrefix, ownerKey, progressPrefix, rosterKey, submissionPrefix} from './store-keys.js';
+import {parseOwner} from '../records/record-parsers.js';
+import {readStoredState, toWriteResult} from '../records/stored-state.js';
+import {
+  cancelPrefix,
+  ownerKey,
+  progressPrefix,
+  rosterKey,
+  submissionPrefix,
+} from '../records/store-keys.js';
 import {WorkWatch} from './work-watch.js';
 
 /** Tick interval in milliseconds of the owner. */
--- a/packages/runtime/src/dispatch/work-watch.ts
+++ b/packages/runtime/src/dispatch/ownership/work-watch.ts
@@ -1,9 +1,9 @@
 import type {Clock, DispatchEvent} from '@chervilbeam/coordination';
-import type {DecisionLogger} from './decision-logger.js';
-import {parseSubmission} from './record-parsers.js';
-import type {RecordChange, RecordStore, StoredRecord} from './record-store.js';
-import {RecordWatch} from './record-watch.js';
-import {cancelPrefix, ownerKey, submissionPrefix, workPrefix} from './store-keys.js';
+import type {DecisionLogger} from '../decision-logger.js';
+import {parseSubmission} from '../records/record-parsers.js';
+import type {RecordChange, RecordStore, StoredRecord} from '../records/record-store.js';
+import {RecordWatch} from '../records/record-watch.js';
+import {cancelPrefix, ownerKey, submissionPrefix, workPrefix} from '../records/store-keys.js';
 
 /** Options of `WorkWatch`. */
 export interface WorkWatchOptions {
--- /dev/null
+++ b/packages/runtime/src/dispatch/records/index.ts
@@ -0,0 +1,3 @@
+export * from './record-store.js';
+export * from './record-watch.js';
+export * from './store-keys.js';
--- a/packages/runtime/src/dispatch/record-watch.ts
+++ b/packages/runtime/src/dispatch/records/record-watch.ts
@@ -1,5 +1,5 @@
 import type {Clock} from '@chervilbeam/coordination';
-import type {DecisionLogger} from './decision-logger.js';
+import type {DecisionLogger} from '../decision-logger.js';
 import type {RecordChange, RecordStore, StoredRecord} from './record-store.js';
 
 /** Options of `RecordWatch`. */
--- a/packages/runtime/src/dispatch/stored-state.ts
+++ b/packages/runtime/src/dispatch/records/stored-state.ts
@@ -4,7 +4,7 @@
   StoredSubmission,
   WriteResult,
 } from '@chervilbeam/coordination';
-import type {DecisionLogger} from './decision-logger.js';
+import type {DecisionLogger} from '../decision-logger.js';
 import {parseProgress, parseRoster, parseSubmission} from './record-parsers.js';
 import type {CommitResult, RecordStore, StoredRecord} from './record-store.js';
 import {
--- a/packages/runtime/src/dispatch/call-relays.ts
+++ b/packages/runtime/src/dispatch/submissions/call-relays.ts
@@ -1,8 +1,8 @@
 import type {Clock} from '@chervilbeam/coordination';
-import type {Metrics} from '../metrics/index.js';
-import type {RecordStore} from './record-store.js';
-import type {StoreHealth} from './store-health.js';
-import {ownerKey} from './store-keys.js';
+import type {Metrics} from '../../metrics/index.js';
+import type {RecordStore} from '../records/record-store.js';
+import type {StoreHealth} from '../records/store-health.js';
+import {ownerKey} from '../records/store-keys.js';
 import type {SubmissionCall, SubmissionReply} from './submission-calls.js';
 import type {CallContext, SubmissionPeers} from './submission-service.js';
 
--- /dev/null
+++ b/packages/runtime/src/dispatch/submissions/index.ts
@@ -0,0 +1,2 @@
+export * from './submission-calls.js';
+export * from './submission-service.js';
--- a/packages/runtime/src/dispatch/submission-service.ts
+++ b/packages/runtime/src/dispatch/submissions/submission-service.ts
@@ -7,15 +7,15 @@
   type QueueConfiguration,
   type QueueBacklogs,
 } from '@chervilbeam/coordination';
-import type {Metrics} from '../metrics/index.js';
+import type {Metrics} from '../../metrics/index.js';
 import {CallRelays, getExecutionMs} from './call-relays.js';
-import type {DecisionLogger} from './decision-logger.js';
-import type {AttemptState, SubmissionLookup} from './entry-messages.js';
-import {LeaseClock} from './lease-clock.js';
-import type {ReadResult, RecordStore} from './record-store.js';
-import {parseProgress, parseQueueOf} from './record-parsers.js';
-import type {StoreHealth} from './store-health.js';
-import {cancelPrefix, progressPrefix, submissionPrefix} from './store-keys.js';
+import type {DecisionLogger} from '../decision-logger.js';
+import type {AttemptState, SubmissionLookup} from '../links/entry-messages.js';
+import {LeaseClock} from '../ownership/lease-clock.js';
+import type {ReadResult, RecordStore} from '../records/record-store.js';
+import {parseProgress, parseQueueOf} from '../records/record-parsers.js';
+import type {StoreHealth} from '../records/store-health.js';
+import {cancelPrefix, progressPrefix, submissionPrefix} from '../records/store-keys.js';
 import type {SubmissionCall, SubmissionReply} from './submission-calls.js';
 import {SubmissionWriter} from './submission-writer.js';
 
--- a/packages/runtime/src/dispatch/submission-writer.ts
+++ b/packages/runtime/src/dispatch/submissions/submission-writer.ts
@@ -5,10 +5,10 @@
   type Queue,
   type Submission,
 } from '@chervilbeam/coordination';
-import type {DecisionLogger} from './decision-logger.js';
-import type {AttemptState} from './entry-messages.js';
-import type {CommitResult, RecordStore} from './record-store.js';
-import {submissionPrefix} from './store-keys.js';
+import type {DecisionLogger} from '../decision-logger.js';
+import type {AttemptState} from '../links/entry-messages.js';
+import type {CommitResult, RecordStore} from '../records/record-store.js';
+import {submissionPrefix} from '../records/store-keys.js';
 
 /** Delay in milliseconds before a write that got no reply is retried. */
 const writeRetryDelayMs = 150;
--- a/packages/runtime/test/dispatch/agent-node.test.ts
+++ b/packages/runtime/test/dispatch/agent/agent-node.test.ts
@@ -12,12 +12,12 @@
   ownerKey,
   unacknowledgedEndsPauseMs,
   type WorkerPort,
-} from '../../src/dispatch/index.js';
-import {SystemClock} from '../../src/loop/index.js';
-import {Metrics} from '../../src/metrics/index.js';
-import {waitUntil} from './wait-until.js';
-import {MemoryStore} from './memory-store.js';
-import {createTestLog} from './test-log.js';
+} from '../../../src/dispatch/index.js';
+import {SystemClock} from '../../../src/loop/index.js';
+import {Metrics} from '../../../src/metrics/index.js';
+import {waitUntil} from '../wait-until.js';
+import {MemoryStore} from '../records/memory-store.js';
+import {createTestLog} from '../test-log.js';
 
 /** A link to a host that never replies; tests deliver messages through its handlers. */
 class UnresponsiveLink {
--- a/packages/runtime/test/dispatch/entry-peers.test.ts
+++ b/packages/runtime/test/dispatch/entry/entry-peers.test.ts
@@ -7,13 +7,13 @@
   EntryPeers,
   type EntryRequest,
   type EntryResponse,
-} from '../../src/dispatch/index.js';
-import {Link, listenForLinks} from '../../src/dispatch/link.js';
-import {TrafficMeter} from '../../src/dispatch/traffic-meter.js';
-import {Metrics} from '../../src/metrics/index.js';
-import {MemoryStore} from './memory-store.js';
-import {createTestLog} from './test-log.js';
-import {waitUntil} from './wait-until.js';
+} from '../../../src/dispatch/index.js';
+import {Link, listenForLinks} from '../../../src/dispatch/links/link.js';
+import {TrafficMeter} from '../../../src/dispatch/links/traffic-meter.js';
+import {Metrics} from '../../../src/metrics/index.js';
+import {MemoryStore} from '../records/memory-store.js';
+import {createTestLog} from '../test-log.js';
+import {waitUntil} from '../wait-until.js';
 
 const id = '00000000000000a1';
 /** Time in milliseconds after which a caller repeats no attempt any more. */
--- a/packages/runtime/test/dispatch/backlog-messages.test.ts
+++ b/packages/runtime/test/dispatch/links/backlog-messages.test.ts
@@ -7,7 +7,7 @@
 import {encode} from 'cbor-x';
 import fc from 'fast-check';
 import t from 'tap';
-import {BacklogDecoder, BacklogEncoder} from '../../src/dispatch/index.js';
+import {BacklogDecoder, BacklogEncoder} from '../../../src/dispatch/index.js';
 
 const group: GroupBacklog = {group: 'press/1', waitMs: 0, fillWaitMs: 0, cores: 16};
 
--- a/packages/runtime/test/dispatch/malformed-messages.test.ts
+++ b/packages/runtime/test/dispatch/links/malformed-messages.test.ts
@@ -4,10 +4,10 @@
 import {Encoder} from 'cbor-x';
 import fc from 'fast-check';
 import t from 'tap';
-import {checkLinkMessage} from '../../src/dispatch/link-message-checks.js';
-import {Link, listenForLinks} from '../../src/dispatch/link.js';
-import {FrameError} from '../../src/framing/index.js';
-import {mutate} from './mutations.js';
+import {checkLinkMessage} from '../../../src/dispatch/links/link-message-checks.js';
+import {Link, listenForLinks} from '../../../src/dispatch/links/link.js';
+import {FrameError} from '../../../src/framing/index.js';
+import {mutate} from '../mutations.js';
 
 const life = 'w@1';
 const task = '00000000000000a1.0.0.0';
--- a/packages/runtime/test/dispatch/lease-clock.test.ts
+++ b/packages/runtime/test/dispatch/ownership/lease-clock.test.ts
@@ -1,5 +1,5 @@
 import t from 'tap';
-import {LeaseClock} from '../../src/dispatch/index.js';
+import {LeaseClock} from '../../../src/dispatch/index.js';
 
 const cases = [
   {
--- a/packages/runtime/test/dispatch/owner-process.test.ts
+++ b/packages/runtime/test/dispatch/ownership/owner-process.test.ts
@@ -1,11 +1,11 @@
 import type {AgentMessage, Clock, OwnerMessage, OwnerRecord} from '@chervilbeam/coordination';
 import t, {type Test} from 'tap';
-import type {Link} from '../../src/dispatch/index.js';
-import {OwnerProcess} from '../../src/dispatch/owner-process.js';
-import {Metrics} from '../../src/metrics/index.js';
-import {MemoryStore} from './memory-store.js';
-import {createTestLog} from './test-log.js';
-import {waitUntil} from './wait-until.js';
+import type {Link} from '../../../src/dispatch/index.js';
+import {OwnerProcess} from '../../../src/dispatch/ownership/owner-process.js';
+import {Metrics} from '../../../src/metrics/index.js';
+import {MemoryStore} from '../records/memory-store.js';
+import {createTestLog} from '../test-log.js';
+import {waitUntil} from '../wait-until.js';
 
 const ownerKey = 'work/owner';
 const life = 'i-1@1';
--- a/packages/runtime/test/dispatch/malformed-records.test.ts
+++ b/packages/runtime/test/dispatch/records/malformed-records.test.ts
@@ -7,11 +7,11 @@
   parseProgress,
   parseRoster,
   parseSubmission,
-} from '../../src/dispatch/record-parsers.js';
-import {readStoredState} from '../../src/dispatch/stored-state.js';
+} from '../../../src/dispatch/records/record-parsers.js';
+import {readStoredState} from '../../../src/dispatch/records/stored-state.js';
 import {MemoryStore} from './memory-store.js';
-import {mutate} from './mutations.js';
-import {createTestLog} from './test-log.js';
+import {mutate} from '../mutations.js';
+import {createTestLog} from '../test-log.js';
 
 const id = '00000000000000a1';
 const other = '00000000000000a2';
--- a/packages/runtime/test/dispatch/memory-store.ts
+++ b/packages/runtime/test/dispatch/records/memory-store.ts
@@ -9,7 +9,7 @@
   StoredRecord,
   StoreFailure,
   WatchResult,
-} from '../../src/dispatch/index.js';
+} from '../../../src/dispatch/index.js';
 
 /** How a call fails. Only with `lost` does a commit take effect; its reply is lost. */
 export type StoreFault = 'refused' | 'unknown' | 'lost';
--- a/packages/runtime/test/dispatch/observed-store.test.ts
+++ b/packages/runtime/test/dispatch/records/observed-store.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
-import {ObservedStore} from '../../src/dispatch/observed-store.js';
-import type {RecordStore} from '../../src/dispatch/index.js';
-import {StoreHealth} from '../../src/dispatch/store-health.js';
+import {ObservedStore} from '../../../src/dispatch/records/observed-store.js';
+import type {RecordStore} from '../../../src/dispatch/index.js';
+import {StoreHealth} from '../../../src/dispatch/records/store-health.js';
 import {MemoryStore, type StoreFault} from './memory-store.js';
 
 const commit = {conditions: [], writes: [{key: 'a', value: '1'}], removals: []};
--- a/packages/runtime/test/dispatch/store-health.test.ts
+++ b/packages/runtime/test/dispatch/records/store-health.test.ts
@@ -1,5 +1,5 @@
 import t from 'tap';
-import {StoreHealth} from '../../src/dispatch/store-health.js';
+import {StoreHealth} from '../../../src/dispatch/records/store-health.js';
 
 type Step =
   | {readonly at: number; readonly begin: string}
--- a/packages/runtime/test/dispatch/submission-fixture.ts
+++ b/packages/runtime/test/dispatch/submissions/submission-fixture.ts
@@ -12,12 +12,12 @@
   type SubmissionCall,
   type SubmissionReply,
   SubmissionService,
-} from '../../src/dispatch/index.js';
-import {StoreHealth} from '../../src/dispatch/store-health.js';
-import {SystemClock} from '../../src/loop/index.js';
-import {Metrics} from '../../src/metrics/index.js';
-import {MemoryStore, type StoreFault} from './memory-store.js';
-import {createTestLog} from './test-log.js';
+} from '../../../src/dispatch/index.js';
+import {StoreHealth} from '../../../src/dispatch/records/store-health.js';
+import {SystemClock} from '../../../src/loop/index.js';
+import {Metrics} from '../../../src/metrics/index.js';
+import {MemoryStore, type StoreFault} from '../records/memory-store.js';
+import {createTestLog} from '../test-log.js';
 
 /** Queue of the submission in the tests. */
 export const queue: Queue = {
--- a/packages/runtime/test/dispatch/submission-refusals.test.ts
+++ b/packages/runtime/test/dispatch/submissions/submission-refusals.test.ts
@@ -1,5 +1,5 @@
 import t from 'tap';
-import type {SubmissionReply} from '../../src/dispatch/index.js';
+import type {SubmissionReply} from '../../../src/dispatch/index.js';
 import {createService, execute, type Fixture, full, id, submit} from './submission-fixture.js';
 
 /** Submissions, some of them repeated after an attempt without an answer, while the store does not serve this entry. */
--- a/packages/runtime/test/dispatch/submission-service.test.ts
+++ b/packages/runtime/test/dispatch/submissions/submission-service.test.ts
@@ -1,6 +1,6 @@
 import {getQueueGroup, QueueBacklogs} from '@chervilbeam/coordination';
 import t from 'tap';
-import type {SubmissionCall, SubmissionReply} from '../../src/dispatch/index.js';
+import type {SubmissionCall, SubmissionReply} from '../../../src/dispatch/index.js';
 import {execute, type Fixture, full, id, queue, submit, waits} from './submission-fixture.js';
 
 const cases: ReadonlyArray<{
