Wait for a write that is under way, and never refuse its submission

Change: a retry joins the write whatever the health of the store; a refusal of another entry does not stand while it is unresolved. Result: submission-refusals.test.ts, 'a write of this entry without an answer ...', fails before and passes now.

--- a/packages/runtime/src/dispatch/submissions/call-relays.ts
+++ b/packages/runtime/src/dispatch/submissions/call-relays.ts
@@ -52,15 +52,17 @@
   /**
    * Executes a call locally and, when the store does not answer, on other entries; returns the first conclusive
    * reply. A refusal is returned only when no attempt can have taken effect. While the store is failing, the call is
-   * not sent to it: a write without an answer would leave the caller unsure.
+   * not sent to it: a write without an answer would leave the caller unsure. `isUnderWay` is whether `execute` only waits
+   * for a write that has been sent before.
    */
   async run(
     call: SubmissionCall,
     context: CallContext,
     execute: () => Promise<SubmissionReply>,
+    isUnderWay = false,
   ): Promise<SubmissionReply> {
-    const {clock, peers} = this.options;
-    const isFailing = this.options.health.isFailing;
+    const {clock, peers, health} = this.options;
+    const isFailing = health.isFailing && !isUnderWay;
     if (isFailing) this.probe();
     const localReply = isFailing ? untriedReply : execute();
     if (context.isRelayed || peers.getEntryCount() === 0) return localReply;
--- a/packages/runtime/src/dispatch/submissions/submission-service.ts
+++ b/packages/runtime/src/dispatch/submissions/submission-service.ts
@@ -174,7 +174,12 @@
       if (existence === 'present') return this.acknowledgeSubmission(queue, id, 'known');
       return this.submitElsewhere(queue, call, context);
     }
-    const reply = await this.relays.run(call, context, () => this.store(queue, call, context));
+    const reply = await this.relays.run(
+      call,
+      context,
+      () => this.store(queue, call, context),
+      this.writer.isUnresolved(id),
+    );
     if (reply.kind === 'accepted') this.writer.markStored(id);
     return this.confirmRefusal(queue, id, reply, context);
   }
@@ -190,6 +195,7 @@
     {isRelayed = false}: CallContext,
   ): Promise<SubmissionReply> {
     if (reply.kind !== 'refused') return reply;
+    if (this.writer.isUnresolved(id)) return {kind: 'unknown'};
     // The entry that relayed the call asks itself, and an entry that refuses for the backlog has read the store.
     if (isRelayed || reply.reason !== 'store-unreachable') {
       this.recordRefusal(id, reply);
--- a/packages/runtime/test/dispatch/submissions/submission-refusals.test.ts
+++ b/packages/runtime/test/dispatch/submissions/submission-refusals.test.ts
@@ -110,3 +110,17 @@
   health.recordSuccess();
   t.match(await service.execute(submit, {timeoutMs: 800}), {kind: 'accepted'});
 });
+
+void t.test(
+  'a write of this entry without an answer keeps its retry from being refused',
+  async t => {
+    const {service, store, health} = createService({entries: 0});
+    store.faults = Array.from({length: 40}, () => 'unknown' as const);
+    t.match(await service.execute(submit, {timeoutMs: 200}), {kind: 'unknown'});
+    health.recordFailure(Number.NEGATIVE_INFINITY);
+    t.match(await service.execute(submit, {timeoutMs: 200}), {kind: 'unknown'});
+    store.faults = [];
+    const reply = await service.execute(submit, {timeoutMs: 2_000});
+    t.match(reply, {kind: 'accepted'}, 'the retry waits for the write that is under way');
+  },
+);
