Compute the remaining work of a submission once in a round, and share a test fleet

Cause: read as a newcomer: FillerPreemption computed the remaining work of a submission for each of its runs, and two tests built the same fleet. Change: one computation a submission and round; createFillingFleet. No decision changes.

--- a/packages/coordination/src/dispatch/placement/filler-preemption.ts
+++ b/packages/coordination/src/dispatch/placement/filler-preemption.ts
@@ -71,6 +71,7 @@
   private collectVictims(): Victim[] {
     const {state, at} = this;
     const victims: Victim[] = [];
+    const remainingWork = new Map<Occurrence, number>();
     let stopping = 0;
     for (const worker of state.workers.values()) {
       const isOpen = worker.canAcceptTasks(at, state.timing.unreachableMs);
@@ -80,12 +81,11 @@
         else if (isOpen && isPreemptible(run, at)) {
           const occurrence = run.task.submission.getOccurrence(run.task.occurrence);
           if (occurrence === undefined) continue;
-          const factor = state.getRunTimeFactor(run.task.submission.queue);
-          victims.push({
-            run,
-            occurrence,
-            remainingCoreMs: getRemainingCoreMs(occurrence, factor),
-          });
+          const remainingCoreMs =
+            remainingWork.get(occurrence) ??
+            getRemainingCoreMs(occurrence, state.getRunTimeFactor(run.task.submission.queue));
+          remainingWork.set(occurrence, remainingCoreMs);
+          victims.push({run, occurrence, remainingCoreMs});
         }
       }
     }
--- a/packages/coordination/test/dispatch/placement/filling-order.test.ts
+++ b/packages/coordination/test/dispatch/placement/filling-order.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
 import {getObjectiveMs} from '../../../src/submissions/index.js';
-import {createStep, createSubmission, sharedQueues} from '../fleet/shared-load.js';
-import {VirtualFleet} from '../fleet/virtual-fleet.js';
+import {createFillingFleet, createFillingStep} from '../fleet/filling-fleet.js';
+import {createSubmission, sharedQueues} from '../fleet/shared-load.js';
 
 /** Time in milliseconds after which the short batches have ended, or are too late. */
 const endMs = 40_000;
@@ -14,21 +14,10 @@
 for (const {name, tasks, estimatedMs} of cases) {
   void t.test(`short batches are in time behind ${name}, and it is finished`, async t => {
     const {batch} = sharedQueues;
-    const fleet = new VirtualFleet({
-      seed: 1,
-      queues: [batch],
-      workers: [0, 1, 2].map(index => ({
-        agent: `w${index}`,
-        life: `life-${index}`,
-        cores: 16,
-        rack: 'r0',
-      })),
-      getBehaviour: (_, submission) => ({durationMs: submission.steps[0]?.estimatedMs ?? 0}),
-    });
-    const filling = {cores: 2, fills: true, checkpoints: true, image: 'render'};
-    const long = createStep({...filling, count: tasks, estimatedMs});
+    const fleet = createFillingFleet();
+    const long = createFillingStep(tasks, estimatedMs);
     fleet.submit(createSubmission('00000000000000aa', batch.key, [long]));
-    const shortSteps = [createStep({...filling, count: 4, estimatedMs: 1_500})];
+    const shortSteps = [createFillingStep(4, 1_500)];
     const submittedAt = new Map<string, number>();
     for (let index = 0; index < 10; index += 1) {
       fleet.run(fleet.now + 2_000);
--- a/packages/coordination/test/dispatch/placement/starvation.test.ts
+++ b/packages/coordination/test/dispatch/placement/starvation.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
 import {SeededRandom} from '../../../src/routing/seeded-random.js';
-import {createStep, createSubmission, sharedQueues} from '../fleet/shared-load.js';
-import {VirtualFleet} from '../fleet/virtual-fleet.js';
+import {createFillingFleet, createFillingStep} from '../fleet/filling-fleet.js';
+import {createSubmission, sharedQueues} from '../fleet/shared-load.js';
 
 const large = '00000000000000aa';
 /** Longest time in milliseconds until a submission is begun, and for which it then stands still. */
@@ -19,21 +19,8 @@
   void t.test(`a large batch does not stand still behind a lasting load of ${name}`, async t => {
     const {batch} = sharedQueues;
     const random = new SeededRandom(1);
-    const fleet = new VirtualFleet({
-      seed: 1,
-      queues: [batch],
-      workers: [0, 1, 2].map(index => ({
-        agent: `w${index}`,
-        life: `life-${index}`,
-        cores: 16,
-        rack: 'r0',
-      })),
-      // Run times differ, so that processors become free all the time.
-      getBehaviour: (_, submission) => ({
-        durationMs: (submission.steps[0]?.estimatedMs ?? 0) * random.between(0.7, 1.3),
-      }),
-    });
-    const filling = {cores: 2, fills: true, checkpoints: true, image: 'render'};
+    // Run times differ, so that processors become free all the time.
+    const fleet = createFillingFleet(() => random.between(0.7, 1.3));
     let isBegun = false;
     let idleSince = 0;
     let longestIdleMs = 0;
@@ -52,13 +39,13 @@
     let nextId = 1;
     const submitSmall = () => {
       const id = (nextId++).toString(16).padStart(16, '0');
-      const steps = [createStep({...filling, count: tasks, estimatedMs})];
+      const steps = [createFillingStep(tasks, estimatedMs)];
       fleet.submit(createSubmission(id, batch.key, steps, {acceptedAtMs: fleet.now}));
     };
     submitSmall();
     fleet.run(500);
     idleSince = fleet.now;
-    const steps = [createStep({...filling, count: 200, estimatedMs: 4_000})];
+    const steps = [createFillingStep(200, 4_000)];
     fleet.submit(createSubmission(large, batch.key, steps, {acceptedAtMs: fleet.now}));
     while (fleet.now < endMs) {
       submitSmall();
