Sort the imports of the files that were moved

Cause: moving files between folders left their imports out of order. Change: relative imports in the order of their paths.

--- a/packages/coordination/src/dispatch/dispatch-events.ts
+++ b/packages/coordination/src/dispatch/dispatch-events.ts
@@ -1,5 +1,5 @@
-import type {CountEffect, ObserveEffect} from '../tasks/events.js';
 import type {ProgressRecord, QueueConfiguration, Submission} from '../submissions/index.js';
+import type {CountEffect, ObserveEffect} from '../tasks/events.js';
 import type {AgentMessage, OwnerMessage, WorkerIncarnation} from './agent-messages.js';
 import type {LoggedDecision} from './decision-log.js';
 import type {AdviceReply} from './placement/advice-tickets.js';
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -6,29 +6,29 @@
   type SubmissionStatus,
 } from '../submissions/index.js';
 import {ActiveSubmission, describeSteps} from './active-submission.js';
+import {
+  countPendingSubmissions,
+  getQueueBacklogs,
+  type QueueBacklogs,
+} from './admission/queue-backlogs.js';
 import type {DispatchEffect, DispatchEvent, StoredSubmission} from './dispatch-events.js';
 import {DispatchState} from './dispatch-state.js';
 import {defaultDispatchTiming, type DispatchTiming} from './dispatch-timing.js';
-import {AdviceTickets} from './placement/advice-tickets.js';
-import {FillerPreemption} from './placement/filler-preemption.js';
 import {FillerPacer} from './interference/filler-pacer.js';
 import {InterferenceModel} from './interference/interference-model.js';
+import {WorkerHeadroomCache} from './interference/worker-headroom.js';
+import {AdviceTickets} from './placement/advice-tickets.js';
+import {FillerPreemption} from './placement/filler-preemption.js';
 import {runPlacementRound} from './placement/placement-round.js';
-import {
-  countPendingSubmissions,
-  getQueueBacklogs,
-  type QueueBacklogs,
-} from './admission/queue-backlogs.js';
 import {RoomReservations} from './placement/room-reservations.js';
-import {RunSupervisor} from './supervision/run-supervisor.js';
 import {StarvationGuard} from './placement/starvation-guard.js';
 import {sortCandidates} from './placement/submission-order.js';
 import {WorkerSelector} from './placement/worker-selector.js';
-import {WorkerHeadroomCache} from './interference/worker-headroom.js';
 import {ProgressJournal} from './progress-journal.js';
 import {RecoveryBarrier} from './recovery-barrier.js';
 import {RunCommands} from './run-commands.js';
 import {SubmissionEnds} from './submission-ends.js';
+import {RunSupervisor} from './supervision/run-supervisor.js';
 import {WorkerReports} from './worker-reports.js';
 
 /** Size of the range of run numbers reserved for each owner, so that the numbers of different owners do not overlap. */
--- a/packages/coordination/src/dispatch/placement/filler-preemption.ts
+++ b/packages/coordination/src/dispatch/placement/filler-preemption.ts
@@ -1,9 +1,9 @@
 import type {Occurrence} from '../active-submission.js';
 import type {DispatchState} from '../dispatch-state.js';
+import type {WorkerHeadroomCache} from '../interference/worker-headroom.js';
 import type {RunCommands} from '../run-commands.js';
 import type {Run, Task} from '../task.js';
 import {type Candidate, countRuns, getRemainingCoreMs} from './submission-order.js';
-import type {WorkerHeadroomCache} from '../interference/worker-headroom.js';
 
 /** Ratio of remaining work from which a submission gives way to one that is nearer to its end. */
 const minWorkRatio = 3;
--- a/packages/coordination/src/dispatch/placement/placement-round.ts
+++ b/packages/coordination/src/dispatch/placement/placement-round.ts
@@ -1,10 +1,10 @@
 import type {StepTasks} from '../active-submission.js';
 import type {DispatchState} from '../dispatch-state.js';
 import type {RunCommands} from '../run-commands.js';
+import type {WorkerView} from '../worker-view.js';
 import type {AdviceTickets} from './advice-tickets.js';
 import type {FillerPreemption} from './filler-preemption.js';
 import type {RoomReservations} from './room-reservations.js';
-import type {WorkerView} from '../worker-view.js';
 import type {StarvationGuard} from './starvation-guard.js';
 import type {Candidate} from './submission-order.js';
 import type {WorkerSelector} from './worker-selector.js';
--- a/packages/coordination/src/dispatch/placement/unplaceable-needs.ts
+++ b/packages/coordination/src/dispatch/placement/unplaceable-needs.ts
@@ -1,5 +1,5 @@
-import {getEstimateMs, type Step} from '../../submissions/index.js';
 import type {Resources} from '../../messages/identity.js';
+import {getEstimateMs, type Step} from '../../submissions/index.js';
 
 /** Largest number of needs that are kept for each kind of task. */
 const maxNeeds = 8;
--- a/packages/coordination/src/dispatch/placement/worker-selector.ts
+++ b/packages/coordination/src/dispatch/placement/worker-selector.ts
@@ -1,17 +1,17 @@
 import type {Step} from '../../submissions/index.js';
 import type {StepTasks} from '../active-submission.js';
 import type {DispatchState} from '../dispatch-state.js';
-import type {Task} from '../task.js';
-import type {WorkerView} from '../worker-view.js';
-import type {AdviceTickets} from './advice-tickets.js';
 import type {InterferenceModel} from '../interference/interference-model.js';
-import type {RoomReservations} from './room-reservations.js';
-import {UnplaceableNeeds} from './unplaceable-needs.js';
 import {
   getImagePairKey,
   type WorkerHeadroom,
   type WorkerHeadroomCache,
 } from '../interference/worker-headroom.js';
+import type {Task} from '../task.js';
+import type {WorkerView} from '../worker-view.js';
+import type {AdviceTickets} from './advice-tickets.js';
+import type {RoomReservations} from './room-reservations.js';
+import {UnplaceableNeeds} from './unplaceable-needs.js';
 import {WorkerRanking} from './worker-ranking.js';
 
 /** Tolerance for rounding errors in sums of cores. */
--- a/packages/coordination/src/dispatch/supervision/run-supervisor.ts
+++ b/packages/coordination/src/dispatch/supervision/run-supervisor.ts
@@ -1,9 +1,9 @@
 import {getEstimateMs} from '../../submissions/index.js';
 import type {DispatchState} from '../dispatch-state.js';
+import type {WorkerSelector} from '../placement/worker-selector.js';
 import type {RunCommands} from '../run-commands.js';
 import type {Run} from '../task.js';
 import type {WorkerView} from '../worker-view.js';
-import type {WorkerSelector} from '../placement/worker-selector.js';
 
 /** Time in milliseconds without progress, on a reporting worker, after which a run is stalled. */
 const stallMs = 2_000;
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -1,16 +1,16 @@
-import type {ActiveSubmission} from './active-submission.js';
 import {getSubmissionId} from '../submissions/index.js';
+import type {ActiveSubmission} from './active-submission.js';
 import type {AgentMessage, RunEndRow, RunRow, WorkerDescription} from './agent-messages.js';
+import {CommandResults} from './command-results.js';
 import type {DispatchState} from './dispatch-state.js';
-import type {AdviceTickets} from './placement/advice-tickets.js';
 import type {FillerPacer} from './interference/filler-pacer.js';
+import type {AdviceTickets} from './placement/advice-tickets.js';
 import type {RoomReservations} from './placement/room-reservations.js';
-import type {RunSupervisor} from './supervision/run-supervisor.js';
-import {CommandResults} from './command-results.js';
 import type {ProgressJournal} from './progress-journal.js';
 import type {RecoveryBarrier} from './recovery-barrier.js';
 import type {RunCommands} from './run-commands.js';
 import type {SubmissionEnds} from './submission-ends.js';
+import type {RunSupervisor} from './supervision/run-supervisor.js';
 import {Run, type Task} from './task.js';
 import {WorkerView} from './worker-view.js';
 
--- a/packages/coordination/src/dispatch/worker-view.ts
+++ b/packages/coordination/src/dispatch/worker-view.ts
@@ -3,8 +3,8 @@
 import {addAmounts, createAmounts, type Amounts} from '../tasks/amounts.js';
 import type {WorkerDescription} from './agent-messages.js';
 import {EndCursor} from './end-cursor.js';
-import {WorkerEvidence} from './supervision/worker-evidence.js';
 import {RecentSet} from './recent-set.js';
+import {WorkerEvidence} from './supervision/worker-evidence.js';
 import type {Run} from './task.js';
 
 /** Sums of cores are rounded to thousandths, the unit in which workers report processor use. */
--- a/packages/coordination/test/dispatch/fleet/virtual-worker.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-worker.ts
@@ -1,5 +1,5 @@
-import type {SeededRandom} from '../../../src/routing/seeded-random.js';
 import type {RunEndRow, OwnerMessage, RunOutcome, RunRow} from '../../../src/dispatch/index.js';
+import type {SeededRandom} from '../../../src/routing/seeded-random.js';
 import type {Step} from '../../../src/submissions/index.js';
 
 /** Actual behaviour of a task, which the dispatcher does not know. */
--- a/packages/runtime/src/dispatch/agent/agent-node.ts
+++ b/packages/runtime/src/dispatch/agent/agent-node.ts
@@ -10,9 +10,9 @@
 import type {Metrics} from '../../metrics/index.js';
 import type {DecisionLogger} from '../decision-logger.js';
 import {dialLink, type Link, type LinkDialer, type LinkHandlers} from '../links/link.js';
-import {OwnerSearch} from './owner-search.js';
-import type {RecordStore} from '../records/record-store.js';
 import {TrafficMeter} from '../links/traffic-meter.js';
+import type {RecordStore} from '../records/record-store.js';
+import {OwnerSearch} from './owner-search.js';
 import {WorkerCommands} from './worker-commands.js';
 import type {LeaseRenewalReply, WorkerPort} from './worker-port.js';
 
--- a/packages/runtime/src/dispatch/agent/owner-search.ts
+++ b/packages/runtime/src/dispatch/agent/owner-search.ts
@@ -1,9 +1,9 @@
 import type {Clock} from '@chervilbeam/coordination';
 import type {DecisionLogger} from '../decision-logger.js';
-import {RecordWatch} from '../records/record-watch.js';
+import {parseEntry, parseOwner} from '../records/record-parsers.js';
 import type {RecordChange, RecordStore, StoredRecord} from '../records/record-store.js';
+import {RecordWatch} from '../records/record-watch.js';
 import {entryPrefix, ownerKey} from '../records/store-keys.js';
-import {parseEntry, parseOwner} from '../records/record-parsers.js';
 
 /** Long-poll time in milliseconds of a watch on the owner key while no owner is reached. */
 const searchWaitMs = 1_000;
--- a/packages/runtime/src/dispatch/entry/entry-node.ts
+++ b/packages/runtime/src/dispatch/entry/entry-node.ts
@@ -12,14 +12,14 @@
   EntryResponse,
   SubmissionLookup,
 } from '../links/entry-messages.js';
-import {EntryPeers} from './entry-peers.js';
 import {Link, type LinkHandlers, listenForLinks} from '../links/link.js';
-import {ObservedStore} from '../records/observed-store.js';
+import {TrafficMeter} from '../links/traffic-meter.js';
 import {OwnerProcess, type OwnerProcessOptions} from '../ownership/owner-process.js';
+import {ObservedStore} from '../records/observed-store.js';
 import {StoreHealth} from '../records/store-health.js';
 import type {SubmissionCall, SubmissionReply} from '../submissions/submission-calls.js';
 import {type CallContext, SubmissionService} from '../submissions/submission-service.js';
-import {TrafficMeter} from '../links/traffic-meter.js';
+import {EntryPeers} from './entry-peers.js';
 
 /** Shortest and longest interval in milliseconds at which the owner publishes the queue backlogs to the other entries. */
 const minBacklogIntervalMs = 300;
--- a/packages/runtime/src/dispatch/entry/entry-peers.ts
+++ b/packages/runtime/src/dispatch/entry/entry-peers.ts
@@ -1,7 +1,6 @@
 import type {Clock, OwnerRecord, QueueBacklogs} from '@chervilbeam/coordination';
-import {BacklogDecoder} from '../links/backlog-messages.js';
 import type {DecisionLogger} from '../decision-logger.js';
-import {EntryLosses} from './entry-losses.js';
+import {BacklogDecoder} from '../links/backlog-messages.js';
 import type {
   AttemptState,
   EntryRequest,
@@ -9,11 +8,12 @@
   SubmissionLookup,
 } from '../links/entry-messages.js';
 import {dialLink, type Link, type LinkHandlers} from '../links/link.js';
+import type {TrafficMeter} from '../links/traffic-meter.js';
+import {type EntryRecord, parseEntry} from '../records/record-parsers.js';
 import type {RecordStore} from '../records/record-store.js';
 import {entryPrefix} from '../records/store-keys.js';
-import {type EntryRecord, parseEntry} from '../records/record-parsers.js';
 import type {SubmissionCall, SubmissionReply} from '../submissions/submission-calls.js';
-import type {TrafficMeter} from '../links/traffic-meter.js';
+import {EntryLosses} from './entry-losses.js';
 
 /** Timeout in milliseconds of a query to the owner. A round trip to the farthest region takes 60 ms (30 ms each way). */
 const queryTimeoutMs = 600;
--- a/packages/runtime/src/dispatch/links/entry-messages.ts
+++ b/packages/runtime/src/dispatch/links/entry-messages.ts
@@ -1,6 +1,6 @@
 import type {OwnerMessage, SubmissionStatus} from '@chervilbeam/coordination';
-import type {BacklogMessage} from './backlog-messages.js';
 import type {SubmissionCall, SubmissionReply} from '../submissions/submission-calls.js';
+import type {BacklogMessage} from './backlog-messages.js';
 
 /** Messages that an entry sends to another entry. */
 export type EntryRequest =
--- a/packages/runtime/src/dispatch/ownership/election-calls.ts
+++ b/packages/runtime/src/dispatch/ownership/election-calls.ts
@@ -6,8 +6,8 @@
   type OwnerRecord,
 } from '@chervilbeam/coordination';
 import type {DecisionLogger} from '../decision-logger.js';
-import type {RecordStore} from '../records/record-store.js';
 import {type EntryRecord, parseOwner, parseOwners} from '../records/record-parsers.js';
+import type {RecordStore} from '../records/record-store.js';
 import {entryPrefix, generationKey, ownerKey, ownersKey} from '../records/store-keys.js';
 
 /** Options of `ElectionCalls`. */
--- a/packages/runtime/src/dispatch/ownership/owner-process.ts
+++ b/packages/runtime/src/dispatch/ownership/owner-process.ts
@@ -17,18 +17,12 @@
 } from '@chervilbeam/coordination';
 import {Loop} from '../../loop/index.js';
 import type {Metrics} from '../../metrics/index.js';
-import type {AdvisorPort} from './advisor-port.js';
 import type {DecisionLogger} from '../decision-logger.js';
-import {ElectionCalls} from './election-calls.js';
 import type {SubmissionLookup} from '../links/entry-messages.js';
-import {LeaseClock} from './lease-clock.js';
 import type {Link} from '../links/link.js';
-import {RecordWatch} from '../records/record-watch.js';
-import type {RecordChange, RecordStore, StoredRecord} from '../records/record-store.js';
-import {RoundScheduler} from './round-scheduler.js';
-import {OwnershipHistory} from './ownership-history.js';
 import {parseOwner} from '../records/record-parsers.js';
-import {readStoredState, toWriteResult} from '../records/stored-state.js';
+import type {RecordChange, RecordStore, StoredRecord} from '../records/record-store.js';
+import {RecordWatch} from '../records/record-watch.js';
 import {
   cancelPrefix,
   ownerKey,
@@ -36,6 +30,12 @@
   rosterKey,
   submissionPrefix,
 } from '../records/store-keys.js';
+import {readStoredState, toWriteResult} from '../records/stored-state.js';
+import type {AdvisorPort} from './advisor-port.js';
+import {ElectionCalls} from './election-calls.js';
+import {LeaseClock} from './lease-clock.js';
+import {OwnershipHistory} from './ownership-history.js';
+import {RoundScheduler} from './round-scheduler.js';
 import {WorkWatch} from './work-watch.js';
 
 /** Tick interval in milliseconds of the owner. */
--- a/packages/runtime/src/dispatch/ownership/ownership-history.ts
+++ b/packages/runtime/src/dispatch/ownership/ownership-history.ts
@@ -1,8 +1,8 @@
 import type {Clock, OwnerRecord} from '@chervilbeam/coordination';
-import type {ElectionCalls} from './election-calls.js';
-import {PredecessorCheck} from './predecessor-check.js';
 import type {RecordStore} from '../records/record-store.js';
 import {ownerKey, ownersKey} from '../records/store-keys.js';
+import type {ElectionCalls} from './election-calls.js';
+import {PredecessorCheck} from './predecessor-check.js';
 
 /** Options of `OwnershipHistory`. */
 export interface OwnershipHistoryOptions {
--- a/packages/runtime/src/dispatch/submissions/submission-service.ts
+++ b/packages/runtime/src/dispatch/submissions/submission-service.ts
@@ -8,14 +8,14 @@
   type QueueBacklogs,
 } from '@chervilbeam/coordination';
 import type {Metrics} from '../../metrics/index.js';
-import {CallRelays, getExecutionMs} from './call-relays.js';
 import type {DecisionLogger} from '../decision-logger.js';
 import type {AttemptState, SubmissionLookup} from '../links/entry-messages.js';
 import {LeaseClock} from '../ownership/lease-clock.js';
-import type {ReadResult, RecordStore} from '../records/record-store.js';
 import {parseProgress, parseQueueOf} from '../records/record-parsers.js';
+import type {ReadResult, RecordStore} from '../records/record-store.js';
 import type {StoreHealth} from '../records/store-health.js';
 import {cancelPrefix, progressPrefix, submissionPrefix} from '../records/store-keys.js';
+import {CallRelays, getExecutionMs} from './call-relays.js';
 import type {SubmissionCall, SubmissionReply} from './submission-calls.js';
 import {SubmissionWriter} from './submission-writer.js';
 
--- a/packages/runtime/test/dispatch/agent/agent-node.test.ts
+++ b/packages/runtime/test/dispatch/agent/agent-node.test.ts
@@ -15,9 +15,9 @@
 } from '../../../src/dispatch/index.js';
 import {SystemClock} from '../../../src/loop/index.js';
 import {Metrics} from '../../../src/metrics/index.js';
-import {waitUntil} from '../wait-until.js';
 import {MemoryStore} from '../records/memory-store.js';
 import {createTestLog} from '../test-log.js';
+import {waitUntil} from '../wait-until.js';
 
 /** A link to a host that never replies; tests deliver messages through its handlers. */
 class UnresponsiveLink {
--- a/packages/runtime/test/dispatch/records/malformed-records.test.ts
+++ b/packages/runtime/test/dispatch/records/malformed-records.test.ts
@@ -9,9 +9,9 @@
   parseSubmission,
 } from '../../../src/dispatch/records/record-parsers.js';
 import {readStoredState} from '../../../src/dispatch/records/stored-state.js';
-import {MemoryStore} from './memory-store.js';
 import {mutate} from '../mutations.js';
 import {createTestLog} from '../test-log.js';
+import {MemoryStore} from './memory-store.js';
 
 const id = '00000000000000a1';
 const other = '00000000000000a2';
--- a/packages/runtime/test/dispatch/records/observed-store.test.ts
+++ b/packages/runtime/test/dispatch/records/observed-store.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
-import {ObservedStore} from '../../../src/dispatch/records/observed-store.js';
 import type {RecordStore} from '../../../src/dispatch/index.js';
+import {ObservedStore} from '../../../src/dispatch/records/observed-store.js';
 import {StoreHealth} from '../../../src/dispatch/records/store-health.js';
 import {MemoryStore, type StoreFault} from './memory-store.js';
 
--- a/packages/runtime/test/dispatch/records/record-watch.test.ts
+++ b/packages/runtime/test/dispatch/records/record-watch.test.ts
@@ -1,8 +1,8 @@
 import t from 'tap';
 import {RecordWatch} from '../../../src/dispatch/index.js';
 import {SystemClock} from '../../../src/loop/index.js';
-import {MemoryStore} from './memory-store.js';
 import {createTestLog} from '../test-log.js';
+import {MemoryStore} from './memory-store.js';
 
 function startWatch(store: MemoryStore) {
   const seen = new Map<string, string>();
