Log each write of the progress with its revision, attempts and contents

Callers saw TWICE: a finished task was started again by the next owner.

`progress-stored` now has the sequence, attempts, revision, the submissions with their numbers of finished tasks and the ends that the write covers; `progress-not-stored` the sequence and attempts; `submission-restored` the revision and the number of finished tasks; `run-ended` the state of the submission, which decides whether the end needs a write. One write is in flight at a time, so the lines are bounded. No decision is changed.

--- a/packages/coordination/src/dispatch/active-submission.ts
+++ b/packages/coordination/src/dispatch/active-submission.ts
@@ -166,6 +166,11 @@
     return hasOpened;
   }
 
+  /** Number of finished tasks of all occurrences. */
+  get finishedCount(): number {
+    return this.finished.count;
+  }
+
   /** Whether every task of every occurrence is finished. */
   get isFinished(): boolean {
     return (
--- a/packages/coordination/src/dispatch/dispatch-events.ts
+++ b/packages/coordination/src/dispatch/dispatch-events.ts
@@ -8,6 +8,8 @@
 export interface StoredSubmission {
   readonly submission: Submission;
   readonly progress?: ProgressRecord;
+  /** Revision of the stored progress. */
+  readonly progressRevision?: number;
   readonly cancelled: boolean;
 }
 
@@ -42,7 +44,13 @@
   | {readonly kind: 'agent-up'; readonly agent: string}
   | {readonly kind: 'agent-down'; readonly agent: string}
   | {readonly kind: 'message'; readonly agent: string; readonly message: AgentMessage}
-  | {readonly kind: 'written'; readonly sequence: number; readonly result: WriteResult}
+  | {
+      readonly kind: 'written';
+      readonly sequence: number;
+      readonly result: WriteResult;
+      /** Revision of the written records; absent when the write did not succeed. */
+      readonly revision?: number;
+    }
   /** Reply to an `advise` effect. */
   | {readonly kind: 'advised'; readonly step: string; readonly reply: AdviceReply}
   /** Time has passed; `wallMs` is the Unix time in milliseconds. */
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -145,7 +145,7 @@
       case 'message':
         return this.workerReports.receive(event.agent, event.message, at);
       case 'written':
-        return this.journal.handleResult(event.sequence, event.result, at);
+        return this.journal.handleResult(event, at);
       case 'advised':
         return this.tickets.receive(event.step, event.reply, at);
       case 'tick':
@@ -244,6 +244,7 @@
       submission: submission.id,
       queue: active.queue?.name,
       steps: describeSteps(submission.steps),
+      ...(progress && {finished: active.finishedCount, revision: stored.progressRevision}),
       ...(active.final !== undefined && {reason: active.final}),
     });
     if (!isRestored) state.count('submissions_accepted');
--- a/packages/coordination/src/dispatch/progress-journal.ts
+++ b/packages/coordination/src/dispatch/progress-journal.ts
@@ -1,5 +1,5 @@
 import type {ActiveSubmission} from './active-submission.js';
-import type {ProgressWrite, RosterEntry, StoredProgress, WriteResult} from './dispatch-events.js';
+import type {DispatchEvent, ProgressWrite, RosterEntry, StoredProgress} from './dispatch-events.js';
 import type {DispatchState} from './dispatch-state.js';
 import type {WorkerView} from './worker-view.js';
 
@@ -20,6 +20,8 @@
   readonly ends: readonly UnstoredEnd[];
   readonly rosterLives?: ReadonlySet<string>;
   readonly sentAt: number;
+  /** Number of times the write has been sent. */
+  attempts: number;
 }
 
 /** Stores the progress of submissions in batches, and acknowledges run ends once they are stored. */
@@ -111,14 +113,16 @@
       ends: this.ends.filter(end => included.has(end.submission)),
       ...(roster && {rosterLives: new Set(roster.map(entry => entry.life))}),
       sentAt: at,
+      attempts: 0,
     };
     this.ends = this.ends.filter(end => !included.has(end.submission));
     this.send();
   }
 
   /** Handles the result of a write. */
-  handleResult(sequence: number, result: WriteResult, at: number): void {
+  handleResult(event: Extract<DispatchEvent, {kind: 'written'}>, at: number): void {
     const {pending, state} = this;
+    const {sequence, result, revision} = event;
     if (pending === undefined || pending.sequence !== sequence) return;
     if (result === 'conflict') {
       this.pending = undefined;
@@ -127,11 +131,25 @@
     }
     if (result !== 'ok') {
       state.count('progress_writes_retried');
-      state.log({event: 'progress-not-stored', reason: result, ageMs: at - pending.sentAt});
+      state.log({
+        event: 'progress-not-stored',
+        reason: result,
+        ageMs: Math.round(at - pending.sentAt),
+        sequence,
+        attempts: pending.attempts,
+      });
       this.retryAt = at + state.timing.writeRetryMs;
       return;
     }
     this.pending = undefined;
+    state.log({
+      event: 'progress-stored',
+      ageMs: Math.round(at - pending.sentAt),
+      sequence,
+      attempts: pending.attempts,
+      revision,
+      ...describeWrite(pending),
+    });
     this.applyWritten(pending, at);
   }
 
@@ -146,6 +164,7 @@
   private send(): void {
     const {pending} = this;
     if (pending === undefined) return;
+    pending.attempts += 1;
     this.state.emit({kind: 'write', sequence: pending.sequence, write: pending.write});
   }
 
@@ -215,6 +234,14 @@
   return {id, record, finished: submission.toFinishedSubmission()};
 }
 
+/** Describes a write in the log: each submission with its number of finished tasks, and each end with its worker. */
+function describeWrite({submissions, ends}: PendingWrite): {submissions: string; ends: string} {
+  return {
+    submissions: submissions.map(({id, finishedCount}) => `${id}:${finishedCount}`).join(' '),
+    ends: ends.map(({worker, end}) => `${worker.life}:${end}`).join(' '),
+  };
+}
+
 /** Returns the number of records to be written: a final submission replaces its stored submission as well. */
 function countRecords(submissions: readonly ActiveSubmission[]): number {
   let records = 0;
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -264,6 +264,7 @@
       reason: how,
       ...(run && {ageMs: Math.round(at - run.startedAt), percent: run.percent}),
       end: endNumber,
+      submissionState: task === undefined ? 'unknown' : (task.submission.final ?? 'active'),
     });
     state.count(`runs_ended_${how}`);
     if (task === undefined) {
--- a/packages/coordination/src/submissions/progress.ts
+++ b/packages/coordination/src/submissions/progress.ts
@@ -47,6 +47,13 @@
     return this.sets.get(`${occurrence}.${step}`)?.size ?? 0;
   }
 
+  /** Number of finished tasks of all steps. */
+  get count(): number {
+    let count = 0;
+    for (const set of this.sets.values()) count += set.size;
+    return count;
+  }
+
   /** Returns the stored form. */
   toRecord(): Record<string, string> {
     return Object.fromEntries([...this.sets].map(([key, set]) => [key, set.toText()]));
--- a/packages/runtime/src/dispatch/ownership/owner-process.ts
+++ b/packages/runtime/src/dispatch/ownership/owner-process.ts
@@ -20,16 +20,11 @@
 import type {DecisionLogger} from '../decision-logger.js';
 import type {SubmissionLookup} from '../links/entry-messages.js';
 import type {Link} from '../links/link.js';
+import {ProgressWriter} from '../records/progress-writer.js';
 import {parseOwner} from '../records/record-parsers.js';
 import type {RecordChange, RecordStore, StoredRecord} from '../records/record-store.js';
 import {RecordWatch} from '../records/record-watch.js';
-import {
-  cancelPrefix,
-  ownerKey,
-  progressPrefix,
-  rosterKey,
-  submissionPrefix,
-} from '../records/store-keys.js';
+import {ownerKey} from '../records/store-keys.js';
 import {readStoredState, toWriteResult} from '../records/stored-state.js';
 import type {AdvisorPort} from './advisor-port.js';
 import {ElectionCalls} from './election-calls.js';
@@ -91,6 +86,7 @@
   private readonly leaseClock: LeaseClock;
   private readonly electionCalls: ElectionCalls;
   private readonly ownerWatch: RecordWatch;
+  private readonly progressWriter: ProgressWriter;
   private readonly agents = new Map<string, Link<AgentMessage, OwnerMessage>>();
   private workWatch: WorkWatch | undefined;
   /** Term of the current ownership, set before the stored state is loaded; 0 without ownership. */
@@ -122,6 +118,7 @@
       clock: this.leaseClock,
       post: event => this.electionLoop.post(event),
     });
+    this.progressWriter = new ProgressWriter(store);
     this.history = new OwnershipHistory({...options, electionCalls: this.electionCalls});
     this.rounds = new RoundScheduler({
       clock,
@@ -288,27 +285,13 @@
   }
 
   private async writeProgress(sequence: number, write: ProgressWrite): Promise<void> {
-    const {store} = this.options;
-    const result = await store.commit({
-      // Fences off a previous owner: the commit fails unless the owner key still has the revision of this term.
-      conditions: [{key: ownerKey, revision: this.dispatcher.term}],
-      writes: [
-        ...write.progress.map(({id, record}) => ({
-          key: progressPrefix + id,
-          value: JSON.stringify(record),
-        })),
-        ...write.progress.flatMap(({id, finished}) =>
-          finished ? [{key: submissionPrefix + id, value: JSON.stringify(finished)}] : [],
-        ),
-        ...(write.roster ? [{key: rosterKey, value: JSON.stringify(write.roster)}] : []),
-      ],
-      removals: write.forgotten.flatMap(id => [
-        submissionPrefix + id,
-        cancelPrefix + id,
-        progressPrefix + id,
-      ]),
+    const result = await this.progressWriter.write(this.dispatcher.term, write);
+    this.post({
+      kind: 'written',
+      sequence,
+      result: toWriteResult(result),
+      ...(result.kind === 'ok' && {revision: result.revision}),
     });
-    this.post({kind: 'written', sequence, result: toWriteResult(result)});
   }
 
   private executeElectionEffect(effect: ElectionEffect): void {
--- a/packages/runtime/src/dispatch/records/stored-state.ts
+++ b/packages/runtime/src/dispatch/records/stored-state.ts
@@ -23,6 +23,12 @@
   readonly revision: number;
 }
 
+interface ReadProgress {
+  /** Undefined when the record is unreadable. */
+  readonly progress: ProgressRecord | undefined;
+  readonly revision: number;
+}
+
 /** Delay in milliseconds before a load with a failed read is retried. */
 const readRetryDelayMs = 200;
 
@@ -75,11 +81,12 @@
   progress: readonly StoredRecord[],
   log: DecisionLogger,
 ): StoredSubmission[] {
-  const progressById = new Map<string, ProgressRecord | undefined>();
+  const progressById = new Map<string, ReadProgress>();
   for (const record of progress) {
     const parsed = parseProgress(record.value);
     if (parsed === undefined) logUnreadable(record, log);
-    progressById.set(record.key.slice(progressPrefix.length), parsed);
+    const {revision} = record;
+    progressById.set(record.key.slice(progressPrefix.length), {progress: parsed, revision});
   }
   const cancelled = new Set(
     work
@@ -95,12 +102,12 @@
       logUnreadable(record, log);
       continue;
     }
-    const progressRecord = progressById.get(id);
-    if (progressRecord === undefined && progressById.has(id)) continue;
+    const read = progressById.get(id);
+    if (read && read.progress === undefined) continue;
     stored.push({
       submission,
       cancelled: cancelled.has(submission.id),
-      ...(progressRecord && {progress: progressRecord}),
+      ...(read?.progress && {progress: read.progress, progressRevision: read.revision}),
     });
   }
   return stored;
