Order the owner's writes, so that a delayed attempt cannot replace newer progress

Callers saw TWICE: tasks whose runs had ended as done, and whose ends had been acknowledged, were started again by the next owner. Cause: an attempt without a reply was repeated, newer writes followed, and then the first attempt took effect. Its only condition was the revision of the owner key, which is the same for all writes of a term: it fences off other owners, but does not order the writes of one.

A delayed attempt fails once a newer write has succeeded. A write has room for 28 records in place of 30. A retry time from an earlier term no longer sends the first write of the next one twice.

--- a/packages/coordination/src/dispatch/progress-journal.ts
+++ b/packages/coordination/src/dispatch/progress-journal.ts
@@ -3,8 +3,11 @@
 import type {DispatchState} from './dispatch-state.js';
 import type {WorkerView} from './worker-view.js';
 
-/** Maximum number of records in one write: the store accepts 32; one is reserved for the roster and one is spare. */
-const maxRecords = 30;
+/**
+ * Maximum number of records in one write: the store accepts 32 entries, of which two are the conditions, one is the journal
+ * record and one the roster.
+ */
+const maxRecords = 28;
 
 interface UnstoredEnd {
   readonly worker: WorkerView;
@@ -52,6 +55,7 @@
     this.pending = undefined;
     this.isUrgent = false;
     this.changedAt = Number.POSITIVE_INFINITY;
+    this.retryAt = Number.NEGATIVE_INFINITY;
     this.storedRoster = new Set(roster.map(entry => entry.life));
     this.isRosterChanged = false;
   }
@@ -153,7 +157,7 @@
     this.applyWritten(pending, at);
   }
 
-  /** Repeats a failed write when its retry is due; writes are idempotent while this process is the owner. */
+  /** Repeats a failed write, unchanged and with the same sequence number, when its retry is due. */
   retryIfDue(at: number): void {
     if (this.pending === undefined || at < this.retryAt) return;
     if (this.retryAt === Number.NEGATIVE_INFINITY) return;
--- a/packages/runtime/src/dispatch/ownership/owner-process.ts
+++ b/packages/runtime/src/dispatch/ownership/owner-process.ts
@@ -285,7 +285,7 @@
   }
 
   private async writeProgress(sequence: number, write: ProgressWrite): Promise<void> {
-    const result = await this.progressWriter.write(this.dispatcher.term, write);
+    const result = await this.progressWriter.write(this.dispatcher.term, sequence, write);
     this.post({
       kind: 'written',
       sequence,
--- a/packages/runtime/src/dispatch/records/store-keys.ts
+++ b/packages/runtime/src/dispatch/records/store-keys.ts
@@ -16,3 +16,5 @@
 export const rosterKey = 'roster';
 /** Prefix of the records of running entries; each is bound to the lease of its entry. */
 export const entryPrefix = 'entry/';
+/** Key of the journal record: the latest write of the progress, which orders the writes of an owner. */
+export const journalKey = 'journal';
