Order the registrations of an entry, and repeat one without a reply

Seen: found by an audit of the store writes, not by a caller. An entry that is missing from the list of entries is not asked for earlier attempts of a submission and gets no relayed calls. Cause: the registration had no condition. One under an older lease that takes effect late replaced the newer one, and the record disappeared when that lease ended. A registration that was refused or got no reply was logged and not repeated. Change: EntryRegistrar writes the record on condition of its latest known revision, which a conflict tells, and repeats a failed registration with the next renewal of the lease. An undisturbed start still takes one write.

--- a/packages/runtime/src/dispatch/ownership/election-calls.ts
+++ b/packages/runtime/src/dispatch/ownership/election-calls.ts
@@ -6,9 +6,10 @@
   type OwnerRecord,
 } from '@chervilbeam/coordination';
 import type {DecisionLogger} from '../decision-logger.js';
-import {type EntryRecord, parseOwner, parseOwners} from '../records/record-parsers.js';
+import {parseOwner, parseOwners} from '../records/record-parsers.js';
 import type {RecordStore} from '../records/record-store.js';
-import {entryPrefix, generationKey, ownerKey, ownersKey} from '../records/store-keys.js';
+import {generationKey, ownerKey, ownersKey} from '../records/store-keys.js';
+import {EntryRegistrar} from './entry-registrar.js';
 
 /** Options of `ElectionCalls`. */
 export interface ElectionCallsOptions {
@@ -33,8 +34,11 @@
   private roundTripMs = 0;
   private latestNonce = '';
   private previousOwners: readonly OwnerRecord[] | undefined;
+  private readonly registrar: EntryRegistrar;
 
-  constructor(private readonly options: ElectionCallsOptions) {}
+  constructor(private readonly options: ElectionCallsOptions) {
+    this.registrar = new EntryRegistrar(options);
+  }
 
   /** Owners before the latest claim whose leases may still be valid; undefined when they are not known. */
   get predecessors(): readonly OwnerRecord[] | undefined {
@@ -48,8 +52,7 @@
 
   /** Opens a lease of `ttlMs` milliseconds and registers the entry under it. */
   async openLease(ttlMs: number): Promise<void> {
-    const {store, name, address, processors} = this.options;
-    const entry: EntryRecord = {address, processors};
+    const {store} = this.options;
     const sentAt = this.options.clock.now();
     const result = await store.openLease(ttlMs);
     if (result.kind !== 'ok') {
@@ -59,14 +62,7 @@
     this.roundTripMs = this.options.clock.now() - sentAt;
     this.updateClaimDelay();
     this.options.post({kind: 'lease-opened', lease: result.lease, sentAt});
-    const registration = await store.commit({
-      conditions: [],
-      writes: [{key: entryPrefix + name, value: JSON.stringify(entry), lease: result.lease}],
-      removals: [],
-    });
-    if (registration.kind !== 'ok') {
-      this.options.log.warn('registration-failed', {result: registration.kind});
-    }
+    await this.registrar.register(result.lease);
   }
 
   /** Updates the delay after which the election claims a vacant ownership. */
@@ -81,13 +77,15 @@
     this.options.post({kind: 'claim-delay', delayMs});
   }
 
-  /** Renews a lease. */
+  /** Renews a lease, and registers the entry under it if that has failed before. */
   async renewLease(lease: string): Promise<void> {
     const {store} = this.options;
     const sentAt = this.options.clock.now();
     const result = await store.renewLease(lease);
-    if (result.kind === 'ok') this.options.post({kind: 'lease-kept', sentAt});
-    else if (result.kind === 'no-lease') this.options.post({kind: 'lease-ended'});
+    if (result.kind === 'ok') {
+      this.options.post({kind: 'lease-kept', sentAt});
+      await this.registrar.register(lease);
+    } else if (result.kind === 'no-lease') this.options.post({kind: 'lease-ended'});
     else this.options.post({kind: 'call-failed', call: 'keep-lease'});
   }
 
--- /dev/null
+++ b/packages/runtime/test/dispatch/ownership/election-calls.test.ts
@@ -0,0 +1,111 @@
+import type {ElectionEvent} from '@chervilbeam/coordination';
+import t from 'tap';
+import {ElectionCalls} from '../../../src/dispatch/ownership/election-calls.js';
+import {SystemClock} from '../../../src/loop/index.js';
+import {LateStore} from '../records/late-store.js';
+import {createTestLog} from '../test-log.js';
+
+const ttlMs = 3_000;
+const entryKey = 'entry/entry-1';
+
+function createCalls(store: LateStore): {calls: ElectionCalls; events: ElectionEvent[]} {
+  const events: ElectionEvent[] = [];
+  const calls = new ElectionCalls({
+    name: 'entry-1',
+    address: '10.0.0.1:1',
+    processors: 2,
+    store,
+    clock: new SystemClock(),
+    log: createTestLog().log,
+    getOtherProcessors: () => [],
+    post: event => events.push(event),
+  });
+  return {calls, events};
+}
+
+const registrationCases: ReadonlyArray<{
+  readonly name: string;
+  readonly act: (calls: ElectionCalls, store: LateStore) => Promise<void>;
+  /** Lease that the record of the entry is bound to. */
+  readonly lease: string;
+}> = [
+  {
+    name: 'is bound to the lease that was opened',
+    act: calls => calls.openLease(ttlMs),
+    lease: '1',
+  },
+  {
+    name: 'is repeated with the next renewal after it got no reply',
+    act: async (calls, store) => {
+      store.faults = ['unknown'];
+      await calls.openLease(ttlMs);
+      await calls.renewLease('1');
+    },
+    lease: '1',
+  },
+  {
+    name: 'is repeated with the next renewal after the store refused it',
+    act: async (calls, store) => {
+      store.faults = ['refused'];
+      await calls.openLease(ttlMs);
+      await calls.renewLease('1');
+    },
+    lease: '1',
+  },
+  {
+    name: 'replaces that of a previous incarnation',
+    act: async (calls, store) => {
+      await createCalls(store).calls.openLease(ttlMs);
+      await calls.openLease(ttlMs);
+    },
+    lease: '2',
+  },
+  {
+    name: 'under an older lease that takes effect late does not replace the newer one',
+    act: async (calls, store) => {
+      store.held = 1;
+      await calls.openLease(ttlMs);
+      await calls.openLease(ttlMs);
+      await store.deliver();
+    },
+    lease: '2',
+  },
+  {
+    name: 'of a previous incarnation that takes effect late does not replace the newer one',
+    act: async (calls, store) => {
+      store.held = 1;
+      await createCalls(store).calls.openLease(ttlMs);
+      await calls.openLease(ttlMs);
+      await store.deliver();
+    },
+    lease: '2',
+  },
+  {
+    name: 'is repeated when one under an older lease took effect before it',
+    act: async (calls, store) => {
+      store.held = 2;
+      await calls.openLease(ttlMs);
+      await calls.openLease(ttlMs);
+      await store.deliver();
+      await calls.renewLease('2');
+    },
+    lease: '2',
+  },
+];
+
+for (const {name, act, lease} of registrationCases) {
+  void t.test(`the registration of an entry ${name}`, async t => {
+    const store = new LateStore();
+    await act(createCalls(store).calls, store);
+    t.equal(store.records.get(entryKey)?.lease, lease);
+  });
+}
+
+void t.test('an entry that is registered does not write its record with each renewal', async t => {
+  const store = new LateStore();
+  const {calls} = createCalls(store);
+  await calls.openLease(ttlMs);
+  const {revision} = store;
+  await calls.renewLease('1');
+  t.equal(store.revision, revision);
+});
