Claim the ownership again when an abandoned claim has taken effect

Seen: found by an audit of the store writes, not by a caller. No entry owns the submissions and none claims them, without end. Cause: a claim without a reply is given up when the owner key does not show it. When it took effect after that, or could not be read, the key named this process and was bound to the lease that it went on renewing. The process took the key for one that it had lost and waited for its end; the other entries saw an owner. Change: the election remembers the nonces of the claims under its current lease, and claims a key with one of them again on condition of its revision. After the end of an ownership the lease is released and the key disappears, as before. Result: owner-election.test.ts, 'a claim that took effect after it was given up ...', failed before and passes now.

--- a/packages/coordination/src/ownership/owner-election.ts
+++ b/packages/coordination/src/ownership/owner-election.ts
@@ -97,8 +97,10 @@
   private term = 0;
   private hasReadOwnerKey = false;
   private vacantSince: number | undefined;
-  /** Revision of the owner key when a previous incarnation of this process holds it, otherwise 0. */
-  private previousIncarnationRevision = 0;
+  /** Revision of the owner key when this process may replace it without waiting for the end of its lease, otherwise 0. */
+  private replaceableRevision = 0;
+  /** Nonces of the claims under the current lease. */
+  private readonly leaseNonces = new Set<string>();
   private claimCount = 0;
   private claimDelayMs: number;
   private isDraining = false;
@@ -131,6 +133,7 @@
       case 'lease-opened':
         this.pending = undefined;
         this.lease = event.lease;
+        this.leaseNonces.clear();
         this.leaseConfirmedAt = event.sentAt;
         return this.tick(at);
       case 'lease-kept':
@@ -180,15 +183,16 @@
     } else if (this.term === 0 && this.canClaim(at)) {
       this.claimCount += 1;
       const nonce = `${this.options.incarnation}-${this.claimCount}`;
-      const expectedRevision = this.previousIncarnationRevision;
+      this.leaseNonces.add(nonce);
+      const expectedRevision = this.replaceableRevision;
       this.call('claim', {kind: 'claim', lease: this.lease, nonce, expectedRevision}, at);
     }
   }
 
   private canClaim(at: number): boolean {
     if (!this.hasReadOwnerKey || this.vacantSince === undefined) return false;
-    // The end of a previous incarnation of this process is noticed here first, so there is no competitor to wait for.
-    if (this.previousIncarnationRevision > 0) return true;
+    // Only this process knows that it may replace the key, so there is no competitor to wait for.
+    if (this.replaceableRevision > 0) return true;
     return at - this.vacantSince >= this.claimDelayMs;
   }
 
@@ -200,8 +204,9 @@
 
   private observeOwner(owner: OwnerRecord | undefined, revision: number, at: number): void {
     this.hasReadOwnerKey = true;
-    this.previousIncarnationRevision = this.isPreviousIncarnation(owner) ? revision : 0;
-    if (owner === undefined || this.previousIncarnationRevision > 0) this.vacantSince ??= at;
+    const isReplaceable = this.isPreviousIncarnation(owner) || this.isAbandonedClaim(owner);
+    this.replaceableRevision = isReplaceable ? revision : 0;
+    if (owner === undefined || isReplaceable) this.vacantSince ??= at;
     else this.vacantSince = undefined;
     // An observation older than the claim of this process is stale.
     if (this.term > 0 && revision > this.term) this.end(owner ? 'replaced' : 'key-removed');
@@ -217,10 +222,19 @@
     return !owner.nonce.startsWith(`${this.options.incarnation}-`);
   }
 
+  /**
+   * Whether the key is a claim of this process that was not confirmed, because it took effect late. The key does not
+   * disappear by itself, since this process renews the lease to which it is bound.
+   */
+  private isAbandonedClaim(owner: OwnerRecord | undefined): boolean {
+    return owner !== undefined && this.term === 0 && this.leaseNonces.has(owner.nonce);
+  }
+
   private begin(term: number, generation: number): void {
     if (this.isDraining || this.term >= term) return;
     this.term = term;
     this.vacantSince = undefined;
+    this.replaceableRevision = 0;
     this.effects.push({kind: 'begin', term, generation});
   }
 
--- a/packages/coordination/test/ownership/owner-election.test.ts
+++ b/packages/coordination/test/ownership/owner-election.test.ts
@@ -66,6 +66,32 @@
     ],
     last: [],
   },
+  {
+    name: 'a claim that took effect after it was given up is claimed again, because its key is bound to the lease',
+    events: [
+      ...claimed.slice(0, 3),
+      [20, {kind: 'call-failed', call: 'claim'}],
+      [
+        30,
+        {kind: 'owner-seen', owner: {...owner, address: ownAddress, nonce: 'self-1'}, revision: 9},
+      ],
+      [400, {kind: 'tick'}],
+    ],
+    last: ['claim'],
+  },
+  {
+    name: 'a claim whose key is seen before its reply is not repeated',
+    events: [
+      ...claimed.slice(0, 3),
+      [
+        15,
+        {kind: 'owner-seen', owner: {...owner, address: ownAddress, nonce: 'self-1'}, revision: 9},
+      ],
+      [20, {kind: 'claimed', revision: 9, generation: 1}],
+      [400, {kind: 'tick'}],
+    ],
+    last: [],
+  },
   {
     name: 'a stale observation of the vacant key does not end a newer ownership',
     events: [...claimed, [30, {kind: 'owner-seen', owner: undefined, revision: 8}]],
