Ask for earlier attempts before a refusal by an entry without a configuration stands

A caller is refused although an earlier attempt, which got no answer, may still store its submission; the submission then runs. Cause: every reason of a refusal but 'store-unreachable' counted as proof that nothing is stored. An entry that has just started and has no configuration yet has not read the store. Change: only the reason 'backlog' counts as proof. For the others, the owner and the entries are asked.

--- a/packages/runtime/src/dispatch/submissions/submission-service.ts
+++ b/packages/runtime/src/dispatch/submissions/submission-service.ts
@@ -196,8 +196,8 @@
   ): Promise<SubmissionReply> {
     if (reply.kind !== 'refused') return reply;
     if (this.writer.isUnresolved(id)) return {kind: 'unknown'};
-    // The entry that relayed the call asks itself, and an entry that refuses for the backlog has read the store.
-    if (isRelayed || reply.reason !== 'store-unreachable') {
+    // The entry that relayed the call asks itself, and only an entry that refuses for the backlog has read the store.
+    if (isRelayed || reply.reason === 'backlog') {
       this.recordRefusal(id, reply);
       return reply;
     }
--- a/packages/runtime/test/dispatch/submissions/submission-refusals.test.ts
+++ b/packages/runtime/test/dispatch/submissions/submission-refusals.test.ts
@@ -41,6 +41,33 @@
     },
     reply: {kind: 'accepted'},
   },
+  {
+    name: 'a repeated submission is not refused because an entry without a configuration refuses it',
+    fixture: {
+      faults: ['refused'],
+      relayedReply: {kind: 'refused', retryAfterSeconds: 1, reason: 'not-configured'},
+      attempt: 'unresolved',
+    },
+    reply: {kind: 'unknown'},
+  },
+  {
+    name: 'a repeated submission that the owner knows is accepted although an entry without a configuration refuses it',
+    fixture: {
+      faults: ['refused'],
+      relayedReply: {kind: 'refused', retryAfterSeconds: 1, reason: 'not-configured'},
+      ownerStatus: 'queued',
+    },
+    reply: {kind: 'accepted'},
+  },
+  {
+    name: 'a new submission is refused when an entry without a configuration refuses it as well',
+    fixture: {
+      faults: ['refused'],
+      relayedReply: {kind: 'refused', retryAfterSeconds: 1, reason: 'not-configured'},
+    },
+    reply: {kind: 'refused'},
+    stored: false,
+  },
   {
     name: 'a submission is not sent to a failing store, so that its caller can be refused at once',
     fixture: {
