Claim the ownership only with the list of owners that was read

Seen: found by an audit of the store writes, not by a caller. An owner that is missing from the list is not asked when its ownership ended, so the recovery of the next owner may end while leases that it granted are valid, and their tasks may run twice. Cause: a claim reads the generation and the owners with two calls, and its conditions covered the generation only. An owner that claimed and gave up between the two reads was dropped from the list. Change: the revision of the list is a condition of the claim as well. Result: election-calls.test.ts, 'a claim does not drop an owner ...', failed before and passes now; 'a claim that takes effect late ...' passed before as well.

--- a/packages/runtime/src/dispatch/ownership/election-calls.ts
+++ b/packages/runtime/src/dispatch/ownership/election-calls.ts
@@ -89,7 +89,7 @@
     else this.options.post({kind: 'call-failed', call: 'keep-lease'});
   }
 
-  /** Claims the ownership, on condition that neither the owner key nor the generation has changed since it was read. */
+  /** Claims the ownership, on condition that the owner key, the generation and the owners are unchanged since they were read. */
   async claim(effect: Extract<ElectionEffect, {kind: 'claim'}>): Promise<void> {
     const {lease, nonce, expectedRevision} = effect;
     this.latestNonce = nonce;
@@ -108,6 +108,8 @@
       conditions: [
         {key: ownerKey, revision: expectedRevision},
         {key: generationKey, revision: generationRead.record?.revision ?? 0},
+        // The two reads are not a snapshot: an owner may have been added after the list was read.
+        {key: ownersKey, revision: ownersRead.record?.revision ?? 0},
       ],
       writes: [
         {key: ownerKey, value: JSON.stringify(owner), lease},
--- a/packages/runtime/test/dispatch/ownership/election-calls.test.ts
+++ b/packages/runtime/test/dispatch/ownership/election-calls.test.ts
@@ -1,5 +1,6 @@
-import type {ElectionEvent} from '@chervilbeam/coordination';
+import type {ElectionEvent, OwnerRecord} from '@chervilbeam/coordination';
 import t from 'tap';
+import type {ReadResult} from '../../../src/dispatch/index.js';
 import {ElectionCalls} from '../../../src/dispatch/ownership/election-calls.js';
 import {SystemClock} from '../../../src/loop/index.js';
 import {LateStore} from '../records/late-store.js';
@@ -109,3 +110,49 @@
   await calls.renewLease('1');
   t.equal(store.revision, revision);
 });
+
+const claim = {kind: 'claim', lease: '1', nonce: 'one-1', expectedRevision: 0} as const;
+const other: OwnerRecord = {name: 'entry-2', address: '10.0.0.2:1', nonce: 'two-1'};
+
+/** A store in which another process claims and gives up the ownership between the reads of the owners and the generation. */
+class InterleavedStore extends LateStore {
+  private finishClaim = () => {};
+  private readonly otherClaim = new Promise<void>(resolve => {
+    this.finishClaim = resolve;
+  });
+
+  override async read(key: string): Promise<ReadResult> {
+    if (key === 'generation') await this.otherClaim;
+    const result = await super.read(key);
+    if (key === 'owners') {
+      this.put('generation', '2');
+      this.put('owners', JSON.stringify([other]));
+      this.finishClaim();
+    }
+    return result;
+  }
+}
+
+void t.test('a claim does not drop an owner that claimed while it read the owners', async t => {
+  const store = new InterleavedStore();
+  store.put('generation', '1');
+  store.put('owners', '[]');
+  const {calls, events} = createCalls(store);
+  await calls.openLease(ttlMs);
+  await calls.claim(claim);
+  t.match(events.at(-1), {kind: 'call-failed', call: 'claim'});
+  t.same(JSON.parse(store.records.get('owners')?.value ?? ''), [other]);
+});
+
+void t.test('a claim that takes effect late does not replace that of a newer owner', async t => {
+  const store = new LateStore();
+  const {calls, events} = createCalls(store);
+  await calls.openLease(ttlMs);
+  store.held = 1;
+  await calls.claim(claim);
+  t.match(events.at(-1), {kind: 'call-failed', call: 'claim'});
+  await calls.claim({...claim, nonce: 'one-2'});
+  await store.endLease('1');
+  t.match(await store.deliver(), [{kind: 'conflict'}]);
+  t.equal(store.records.get('work/owner'), undefined);
+});
