Do not answer a cancel with absent while the submission may still be stored

Seen: found by an audit of the store writes, not by a caller. A cancel is answered with absent, and the submission runs after that. Cause: a cancel took the absence of the record as proof that no submission exists, although a write of it that got no answer may take effect after the read. Change: when the record is absent, this entry and the others are asked for such a write, and the reply is unknown while there is one. A cancel of a stored submission asks nobody, as before.

--- a/packages/runtime/src/dispatch/submissions/submission-service.ts
+++ b/packages/runtime/src/dispatch/submissions/submission-service.ts
@@ -319,7 +319,9 @@
     const key = submissionPrefix + id;
     const read = await store.read(key);
     if (read.kind !== 'ok') return this.createUnreachableReply();
-    if (read.record === undefined) return {kind: 'absent'};
+    if (read.record === undefined) {
+      return {kind: (await this.mayBeStoredLater(id)) ? 'unknown' : 'absent'};
+    }
     let {revision} = read.record;
     while (clock.now() < deadline) {
       const result = await store.commit({
@@ -342,6 +344,12 @@
     return {kind: 'unknown'};
   }
 
+  /** Whether a write of the submission that has no answer yet, by this or another entry, may still take effect. */
+  private async mayBeStoredLater(id: string): Promise<boolean> {
+    if (this.writer.isUnresolved(id)) return true;
+    return (await this.options.peers.findAttempt(id)) === 'unresolved';
+  }
+
   private createUnreachableReply(): SubmissionReply {
     return {
       kind: 'refused',
--- a/packages/runtime/test/dispatch/submissions/submission-refusals.test.ts
+++ b/packages/runtime/test/dispatch/submissions/submission-refusals.test.ts
@@ -1,6 +1,14 @@
 import t from 'tap';
-import type {SubmissionReply} from '../../../src/dispatch/index.js';
-import {createService, execute, type Fixture, full, id, submit} from './submission-fixture.js';
+import type {AttemptState, SubmissionCall, SubmissionReply} from '../../../src/dispatch/index.js';
+import {
+  createService,
+  execute,
+  type Fixture,
+  full,
+  id,
+  queue,
+  submit,
+} from './submission-fixture.js';
 
 /** Submissions, some of them repeated after an attempt without an answer, while the store does not serve this entry. */
 const cases: ReadonlyArray<{
@@ -151,3 +159,40 @@
     t.match(reply, {kind: 'accepted'}, 'the retry waits for the write that is under way');
   },
 );
+
+const cancel: SubmissionCall = {kind: 'cancel', queue: queue.key, id};
+
+const cancelCases: ReadonlyArray<{
+  readonly name: string;
+  readonly attempt: AttemptState;
+  readonly reply: SubmissionReply;
+}> = [
+  {name: 'absent when no entry knows of it', attempt: 'none', reply: {kind: 'absent'}},
+  {
+    name: 'unknown while an entry may still store it',
+    attempt: 'unresolved',
+    reply: {kind: 'unknown'},
+  },
+  {
+    name: 'absent when an entry has stored it, because it has been removed since',
+    attempt: 'stored',
+    reply: {kind: 'absent'},
+  },
+];
+
+for (const {name, attempt, reply} of cancelCases) {
+  void t.test(`a cancel of a submission that the store does not hold is ${name}`, async t => {
+    const result = await execute(cancel, {attempt});
+    t.same(result.reply, reply);
+  });
+}
+
+void t.test(
+  'a cancel is not answered with absent while a write of this entry has no answer',
+  async t => {
+    const {service, store} = createService({entries: 0});
+    store.faults = ['unknown'];
+    t.match(await service.execute(submit, {timeoutMs: 50}), {kind: 'unknown'});
+    t.match(await service.execute(cancel, {timeoutMs: 50}), {kind: 'unknown'});
+  },
+);
