Tests: hold commits back with one store

Two tests of the same incident held commits back in two ways. LateStore serves both; MemoryStore is as before.

--- a/packages/runtime/test/dispatch/ownership/late-writes.test.ts
+++ b/packages/runtime/test/dispatch/ownership/late-writes.test.ts
@@ -9,7 +9,7 @@
 import {OwnerProcess} from '../../../src/dispatch/ownership/owner-process.js';
 import {SystemClock} from '../../../src/loop/index.js';
 import {Metrics} from '../../../src/metrics/index.js';
-import {MemoryStore} from '../records/memory-store.js';
+import {LateStore} from '../records/late-store.js';
 import {queue, submit} from '../submissions/submission-fixture.js';
 import {createTestLog} from '../test-log.js';
 import {waitUntil} from '../wait-until.js';
@@ -49,7 +49,7 @@
   private readonly ends: RunEnd[] = [];
   private readonly log = createTestLog();
 
-  constructor(store: MemoryStore, name: string) {
+  constructor(store: LateStore, name: string) {
     this.link = {
       send: (message: OwnerMessage) => this.handle(message),
       destroy: () => {},
@@ -151,7 +151,7 @@
   }
 }
 
-function createOwner(t: Test, store: MemoryStore, name: string): OwnerFixture {
+function createOwner(t: Test, store: LateStore, name: string): OwnerFixture {
   const owner = new OwnerFixture(store, name);
   t.teardown(() => owner.stop());
   return owner;
@@ -170,17 +170,17 @@
 
 for (const {name, held, finished} of cases) {
   void t.test(`a write that takes effect late does not revive finished tasks: ${name}`, async t => {
-    const store = new MemoryStore();
+    const store = new LateStore();
     store.put(`work/job/${id}`, JSON.stringify(submission));
     const first = createOwner(t, store, 'one');
     await first.begin();
     await waitUntil(() => first.starts.length === 4);
-    store.commitsToHold = held;
+    store.held = held;
     for (const [index, start] of first.starts.slice(0, finished).entries()) {
       first.finish(start);
       await waitUntil(() => first.acknowledged === index + 1);
     }
-    store.applyHeldCommits();
+    await store.deliver();
     first.stop();
     const second = createOwner(t, store, 'two');
     await second.begin(first.getRunning());
--- a/packages/runtime/test/dispatch/records/memory-store.ts
+++ b/packages/runtime/test/dispatch/records/memory-store.ts
@@ -26,9 +26,6 @@
   reads = 0;
   /** Time in milliseconds that a commit takes. */
   commitDelayMs = 0;
-  /** Number of the next commits that get no reply and are held back until `applyHeldCommits`. */
-  commitsToHold = 0;
-  private heldCommits: RecordCommit[] = [];
   private readonly history: RecordChange[] = [];
   private readonly waiting = new Set<() => void>();
   private readonly leases = new Set<string>();
@@ -86,23 +83,12 @@
 
   async commit(commit: RecordCommit): Promise<CommitResult> {
     if (this.commitDelayMs > 0) await new Promise(done => setTimeout(done, this.commitDelayMs));
-    if (this.commitsToHold > 0) {
-      this.commitsToHold -= 1;
-      this.heldCommits.push(commit);
-      return fail('unknown');
-    }
     const fault = this.faults.shift();
     if (fault === 'refused' || fault === 'unknown') return fail(fault);
     const result = this.apply(commit);
     return fault === 'lost' ? fail('unknown') : result;
   }
 
-  /** Executes the commits that were held back, as far as their conditions still hold. */
-  applyHeldCommits(): void {
-    for (const commit of this.heldCommits) this.apply(commit);
-    this.heldCommits = [];
-  }
-
   async openLease(ttlMs: number): Promise<LeaseResult> {
     const lease = String(this.nextLease++);
     this.leases.add(lease);
--- a/packages/runtime/test/dispatch/records/progress-writer.test.ts
+++ b/packages/runtime/test/dispatch/records/progress-writer.test.ts
@@ -2,7 +2,7 @@
 import t from 'tap';
 import {ProgressWriter} from '../../../src/dispatch/records/progress-writer.js';
 import {ownerKey, progressPrefix} from '../../../src/dispatch/records/store-keys.js';
-import {MemoryStore} from './memory-store.js';
+import {LateStore} from './late-store.js';
 
 const id = '00000000000000a1';
 
@@ -93,18 +93,18 @@
 
 for (const {name, steps, stored} of cases) {
   void t.test(`the writes of an owner take effect in order: ${name}`, async t => {
-    const store = new MemoryStore();
+    const store = new LateStore();
     store.put(ownerKey, 'one');
     const term = store.revision;
     const writer = new ProgressWriter(store);
     for (const step of steps) {
       if ('event' in step) {
-        if (step.event === 'late-attempts') store.applyHeldCommits();
+        if (step.event === 'late-attempts') await store.deliver();
         else store.put(ownerKey, 'two');
         continue;
       }
       const {write, fails, result} = step;
-      if (fails === 'held') store.commitsToHold = 1;
+      if (fails === 'held') store.held = 1;
       else if (fails === 'journal-refused') store.faults = ['refused'];
       else if (fails !== undefined && write[0] === 1) store.faults = [undefined, fails];
       else if (fails !== undefined) store.faults = [fails];
