Acknowledge the ends of a failed submission only once its failure is stored

Callers could see a task of a submission that had failed start again under the next owner after a run of it had ended as done, and that end had been acknowledged. Cause: an end of a submission that was no longer active was acknowledged at once, although the final state was not stored yet; until then the next owner goes on with the submission. The ends done and failed now wait for the write of the final state.

unstored-ends.test.ts: 3 of 3 cases failed before (the ends of the other tasks had been acknowledged) and pass now; 251 tests of dispatch pass.

--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -305,7 +305,10 @@
     const {supervisor, commands, ends} = this.components;
     const how = end[3];
     const {submission, step} = task;
-    if (!submission.isActive) return false;
+    if (!submission.isActive) {
+      // Until the final state is stored, the next owner goes on with the submission and must learn of this end.
+      return !submission.isFinalStored && (how === 'done' || how === 'failed');
+    }
     if (how === 'done' && !step.lasting) {
       if (run) {
         supervisor.recordRunTime(run, at);
--- a/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
@@ -99,6 +99,8 @@
   readonly silences = new Map<string, Silence>();
   /** Time until which the owner's process is paused; events wait until then. */
   ownerPausedUntil = 0;
+  /** Whether writes to the store have no effect and no reply. */
+  isStoreSilent = false;
   roster: readonly RosterEntry[] = [];
   private readonly heldEvents: DispatchEvent[] = [];
   /** Time at which each final state was stored. */
@@ -331,6 +333,7 @@
   }
 
   private write(sequence: number, write: ProgressWrite): void {
+    if (this.isStoreSilent) return;
     for (const {id, record, finished} of write.progress) {
       if (finished) this.submissions.set(id, finished);
       this.progress.set(id, record);
