Open an occurrence that a previous owner has started, also when it is not due yet

Callers could see a task of a scheduled submission run twice around a takeover. Cause: the wall clocks of two owners differ, or one was set back. For the next owner the occurrence was not due, so its tasks were unknown: an end was acknowledged at once without being stored, a run was stopped, and both tasks started again once the occurrence was due. The new owner now opens each occurrence that a worker names; its tasks do not start before they are due on the clock of this owner.

--- a/packages/coordination/src/dispatch/active-submission.ts
+++ b/packages/coordination/src/dispatch/active-submission.ts
@@ -155,17 +155,27 @@
   openDueOccurrences(at: number, wallMs: number): boolean {
     let hasOpened = false;
     while (this.nextOccurrence < getOccurrenceCount(this.submission)) {
-      const dueMs = getDueMs(this.submission, this.nextOccurrence);
-      if (dueMs > wallMs) break;
-      const dueAt = isTimed(this.submission) ? at - (wallMs - dueMs) : this.arrivedAt;
-      const occurrence = this.createOccurrence(this.nextOccurrence, dueAt);
-      if (!occurrence.isFinished) this.occurrences.push(occurrence);
-      this.nextOccurrence += 1;
+      if (getDueMs(this.submission, this.nextOccurrence) > wallMs) break;
+      this.openNextOccurrence(at, wallMs);
       hasOpened = true;
     }
     return hasOpened;
   }
 
+  /** Opens all occurrences up to one that a previous owner has started; its tasks do not start before they are due. */
+  openStartedOccurrence(index: number, at: number, wallMs: number): void {
+    const count = Math.min(index + 1, getOccurrenceCount(this.submission));
+    while (this.nextOccurrence < count) this.openNextOccurrence(at, wallMs);
+  }
+
+  private openNextOccurrence(at: number, wallMs: number): void {
+    const dueMs = getDueMs(this.submission, this.nextOccurrence);
+    const dueAt = isTimed(this.submission) ? at - (wallMs - dueMs) : this.arrivedAt;
+    const occurrence = this.createOccurrence(this.nextOccurrence, dueAt);
+    if (!occurrence.isFinished) this.occurrences.push(occurrence);
+    this.nextOccurrence += 1;
+  }
+
   /** Number of finished tasks of all occurrences. */
   get finishedCount(): number {
     return this.finished.count;
@@ -275,6 +285,7 @@
       const tasks = Array.from({length: step.count}, (_, taskIndex) =>
         this.createTask(index, stepIndex, taskIndex, step),
       );
+      for (const task of tasks) task.notBefore = dueAt;
       const group = new StepTasks(index, stepIndex, step, tasks);
       group.finished = tasks.filter(task => task.isFinished).length;
       return group;
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -212,7 +212,7 @@
   /** Adopts a run that a previous owner started, or stops it when it is unknown, a duplicate or no longer needed. */
   private adoptRun(worker: WorkerView, name: string, number: number, at: number): Run | undefined {
     const {state, commands} = this.components;
-    const task = this.getTask(name);
+    const task = this.getTask(name, at);
     const log = {submission: getSubmissionId(name), task: name, run: number, worker: worker.life};
     if (task === undefined) {
       // An owner reads all submissions before it dispatches, so this run belongs to none of them.
@@ -243,9 +243,15 @@
     state.send(worker.agent, {kind: 'stop', order, life: worker.life, term, task, run});
   }
 
-  private getTask(name: string): Task | undefined {
+  /** Returns the task that a worker names, or undefined when it is unknown. */
+  private getTask(name: string, at: number): Task | undefined {
+    const {state} = this.components;
     const [id = '', occurrence, step, index] = name.split('.');
-    const submission = this.components.state.submissions.get(id);
+    const submission = state.submissions.get(id);
+    // A previous owner, whose clock was ahead, may have started an occurrence that is not due yet.
+    if (submission?.isActive) {
+      submission.openStartedOccurrence(Number(occurrence), at, state.getUnixMs(at));
+    }
     return submission?.getTask(Number(occurrence), Number(step), Number(index));
   }
 
@@ -254,7 +260,7 @@
     const [endNumber, name, runNumber, how, checkpoint] = end;
     if (!worker.ends.add(endNumber)) return;
     const run = worker.getRun(name, runNumber);
-    const task = run?.task ?? this.getTask(name);
+    const task = run?.task ?? this.getTask(name, at);
     state.log({
       event: 'run-ended',
       submission: getSubmissionId(name),
--- a/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
@@ -101,6 +101,8 @@
   ownerPausedUntil = 0;
   /** Whether writes to the store have no effect and no reply. */
   isStoreSilent = false;
+  /** Time in milliseconds by which the owner's wall clock is ahead. */
+  wallClockOffsetMs = 0;
   roster: readonly RosterEntry[] = [];
   private readonly heldEvents: DispatchEvent[] = [];
   /** Time at which each final state was stored. */
@@ -149,7 +151,7 @@
       generation: this.generation,
       submissions,
       roster: this.roster,
-      wallMs: this.now,
+      wallMs: this.now + this.wallClockOffsetMs,
     });
     for (const worker of this.workers.values()) this.connect(worker);
   }
@@ -213,7 +215,8 @@
         const phase = worker.options.agent.length * 37 + worker.options.agent.charCodeAt(1) * 25;
         if (hasEndedRuns || (this.now + phase) % reportIntervalMs < stepMs) this.report(worker);
       }
-      if (this.now % tickIntervalMs === 0) this.post({kind: 'tick', wallMs: this.now});
+      if (this.now % tickIntervalMs === 0)
+        this.post({kind: 'tick', wallMs: this.now + this.wallClockOffsetMs});
       this.settle();
       this.onStep();
     }
@@ -232,7 +235,7 @@
 
   /** Passes the held events on; timers of a process that was paused run before it reads its connections. */
   private resumeOwner(): void {
-    this.post({kind: 'tick', wallMs: this.now});
+    this.post({kind: 'tick', wallMs: this.now + this.wallClockOffsetMs});
     this.settle();
     for (const event of this.heldEvents.splice(0)) this.post(event);
   }
--- a/packages/coordination/test/dispatch/unstored-ends.test.ts
+++ b/packages/coordination/test/dispatch/unstored-ends.test.ts
@@ -54,3 +54,33 @@
     },
   );
 }
+
+void t.test(
+  'an occurrence that a previous owner started does not run again when the clock of the next owner is behind',
+  async t => {
+    const fleet = new VirtualFleet({
+      seed: 1,
+      queues: [queue],
+      workers: [{agent: 'w1', life: 'w1-life', cores: 16, rack: 'r0'}],
+    });
+    const schedule = {repetitions: 2, startAtMs: 1_000, intervalMs: 20_000};
+    const steps = [createStep({count: 2, estimatedMs: durationMs}), createStep({after: [0]})];
+    fleet.submit(createSubmission(id, queue.key, steps, schedule));
+    fleet.run(1_100);
+    fleet.ownerPausedUntil = 2_000;
+    fleet.run(1_900);
+    fleet.wallClockOffsetMs = -3_000;
+    fleet.ownerPausedUntil = 0;
+    fleet.startOwner();
+    fleet.run(10_000);
+    const starts = fleet.decisions.filter(decision => decision.event === 'run-placed');
+    for (const task of [0, 1].map(index => `${id}.0.0.${index}`)) {
+      t.equal(starts.filter(start => start.task === task).length, 1, task);
+    }
+    const later = starts.filter(start => start.task === `${id}.0.1.0`).at(-1);
+    t.ok(
+      Number(later?.at) >= 4_000,
+      'the next step waits until it is due on the clock of this owner',
+    );
+  },
+);
