Give up a task that crashes one worker after another

Cause: only ends that a worker lists as failed counted as attempts. A crashed worker lists nothing, so its runs were dropped and their tasks waited again as if nothing had happened. The record of the progress had no place for crashes either, and the tasks of a crashed worker were placed together on the next one, so that no crash told which of them had caused it.

Change: a worker that ends without a farewell has crashed. The crash is held against its young runs, as a set of worker incarnations for each task, which is stored with the progress before the task is started again. Suspects run on different workers where little else would be lost, and one at a time while no task of their step has survived. A suspect is given up, and its submission fails, after the second crash when nothing else can have caused it, else after the third. A run that outlives the crashes clears its task. Workers that drain, leave, or are only silent do not count; a silent one that comes back as another incarnation does. The logs have worker-crashed, task-cleared and task-given-up, and run-placed has the number of crashes.

--- a/packages/coordination/src/dispatch/active-submission.ts
+++ b/packages/coordination/src/dispatch/active-submission.ts
@@ -6,6 +6,7 @@
   isLasting,
   isTimed,
   type CheckpointRow,
+  type CrashRow,
   type FailureRow,
   type ProgressRecord,
   type Queue,
@@ -13,12 +14,15 @@
   type Submission,
   type SubmissionStatus,
 } from '../submissions/index.js';
+import {CrashHistory} from './crash-history.js';
 import {Task} from './task.js';
 
 /** The tasks of one step of one occurrence. */
 export class StepTasks {
   /** Number of finished tasks. */
   finished = 0;
+  /** Whether a run has worked for longer than one that crashes its worker. */
+  hasSurvivor = false;
 
   constructor(
     readonly occurrence: number,
@@ -31,6 +35,12 @@
   get isFinished(): boolean {
     return this.finished >= this.tasks.length;
   }
+
+  /** Whether any of the tasks may crash workers, so that they start one by one until one of them works. */
+  get isOnTrial(): boolean {
+    if (this.hasSurvivor || this.finished > 0 || this.step.gang) return false;
+    return this.tasks.some(task => task.crashes.isSuspect);
+  }
 }
 
 /** One occurrence of a submission; an unscheduled submission has exactly one. */
@@ -110,6 +120,11 @@
   /** Stored failures and checkpoints, which tasks get when their occurrence opens. */
   private readonly failures: readonly FailureRow[];
   private readonly checkpoints: readonly CheckpointRow[];
+  private readonly crashes: readonly CrashRow[];
+  /** Tasks that may crash workers. */
+  readonly suspects = new Set<Task>();
+  /** Whether the store has all crashes of its tasks. */
+  areCrashesStored = true;
 
   constructor(options: ActiveSubmissionOptions) {
     const {submission, progress} = options;
@@ -122,6 +137,7 @@
     this.finished = FinishedTasks.fromRecord(progress?.finished ?? {});
     this.failures = progress?.failures ?? [];
     this.checkpoints = progress?.checkpoints ?? [];
+    this.crashes = progress?.crashes ?? [];
     this.hasStarted = Object.keys(progress?.finished ?? {}).length > 0;
     if (progress?.final !== undefined) {
       this.final = progress.final;
@@ -179,6 +195,11 @@
     return this.getOccurrence(occurrence)?.steps[step]?.tasks[index];
   }
 
+  /** Returns the tasks of the step to which a task belongs, or undefined when its occurrence is not open. */
+  getStepTasks(task: Task): StepTasks | undefined {
+    return this.getOccurrence(task.occurrence)?.steps[task.stepIndex];
+  }
+
   /** Returns an occurrence, or undefined when it is not open. */
   getOccurrence(index: number): Occurrence | undefined {
     return this.occurrences.find(occurrence => occurrence.index === index);
@@ -240,6 +261,7 @@
   toRecord(): ProgressRecord {
     const failures: FailureRow[] = [];
     const checkpoints: CheckpointRow[] = [];
+    const crashes: CrashRow[] = [];
     if (this.final === undefined) {
       for (const task of this.getTasks()) {
         if (task.isFinished) continue;
@@ -247,6 +269,9 @@
         if (task.failedRuns.size > 0) {
           failures.push([occurrence, stepIndex, index, [...task.failedRuns]]);
         }
+        if (task.crashes.count > 0) {
+          crashes.push([occurrence, stepIndex, index, ...task.crashes.lives]);
+        }
         if (task.checkpoint !== '') {
           checkpoints.push([occurrence, stepIndex, index, task.checkpoint]);
         }
@@ -257,6 +282,7 @@
       finished: this.final === undefined ? this.finished.toRecord() : {},
       failures,
       checkpoints,
+      ...(crashes.length > 0 && {crashes}),
     };
   }
 
@@ -282,10 +308,13 @@
     const task = new Task(this, name, occurrence, stepIndex, index, step, this.baseRunNumber);
     task.isFinished = this.finished.has(occurrence, stepIndex, index);
     task.isInDoubt = this.isInDoubt;
-    const isTaskRow = (row: readonly [number, number, number, unknown]) =>
+    const isTaskRow = (row: readonly [number, number, number, ...unknown[]]) =>
       row[0] === occurrence && row[1] === stepIndex && row[2] === index;
     for (const run of this.failures.find(isTaskRow)?.[3] ?? []) task.failedRuns.add(run);
     task.checkpoint = this.checkpoints.find(isTaskRow)?.[3] ?? '';
+    const [, , , early, late] = this.crashes.find(isTaskRow) ?? [];
+    task.crashes = new CrashHistory(early, late);
+    if (task.crashes.isSuspect) this.suspects.add(task);
     return task;
   }
 }
--- a/packages/coordination/src/dispatch/command-results.ts
+++ b/packages/coordination/src/dispatch/command-results.ts
@@ -29,6 +29,7 @@
       case 'accepted':
         if (run.state !== 'starting') return;
         run.state = 'running';
+        run.confirmedAt ??= at;
         run.task.submission.hasStarted = true;
         this.state.observe('run_start', at - run.startedAt);
         return;
--- a/packages/coordination/src/dispatch/decision-log.ts
+++ b/packages/coordination/src/dispatch/decision-log.ts
@@ -27,6 +27,9 @@
   | 'worker-unreachable'
   | 'worker-reachable'
   | 'worker-suspended'
+  | 'worker-crashed'
+  | 'task-cleared'
+  | 'task-given-up'
   | 'progress-stored'
   | 'progress-not-stored'
   | 'configuration-used';
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -28,6 +28,7 @@
 import {RecoveryBarrier} from './recovery-barrier.js';
 import {RunCommands} from './run-commands.js';
 import {SubmissionEnds} from './submission-ends.js';
+import {CrashTracker} from './supervision/crash-tracker.js';
 import {RunSupervisor} from './supervision/run-supervisor.js';
 import {WorkerReports} from './worker-reports.js';
 
@@ -51,6 +52,7 @@
   private readonly starvation: StarvationGuard;
   private readonly supervisor: RunSupervisor;
   private readonly ends: SubmissionEnds;
+  private readonly crashes: CrashTracker;
   private readonly workerReports: WorkerReports;
   private hasUnknownRuns = false;
 
@@ -63,6 +65,7 @@
     this.starvation = new StarvationGuard(this.state);
     this.supervisor = new RunSupervisor(this.state, this.commands, at => this.createSelector(at));
     this.ends = new SubmissionEnds(this.state, this.commands, this.journal);
+    this.crashes = new CrashTracker(this.state, this.journal, this.ends);
     this.workerReports = new WorkerReports({
       state: this.state,
       journal: this.journal,
@@ -72,6 +75,7 @@
       reservations: this.reservations,
       supervisor: this.supervisor,
       ends: this.ends,
+      crashes: this.crashes,
       pacer: new FillerPacer(this.state, this.commands, this.interference, this.headrooms),
     });
   }
@@ -203,6 +207,7 @@
     this.reservations.clear();
     this.tickets.clear();
     this.starvation.clear();
+    this.crashes.clear();
     this.journal.reset([]);
   }
 
--- a/packages/coordination/src/dispatch/placement/placement-round.ts
+++ b/packages/coordination/src/dispatch/placement/placement-round.ts
@@ -38,6 +38,7 @@
     for (const group of candidate.steps) {
       if (!state.startBudget.isOpen(at)) return;
       if (group.step.gang) startGang(candidate, group, options, at);
+      else if (group.isOnTrial) startSuspect(candidate, group, options, at);
       else startTasks(candidate, group, options, at);
     }
   }
@@ -49,6 +50,7 @@
   const [group] = candidate.steps;
   if (group === undefined || !state.startBudget.isOpen(at)) return;
   if (group.step.gang) return startGang(candidate, group, options, at);
+  if (group.isOnTrial) return startSuspect(candidate, group, options, at);
   const task = group.tasks.find(candidate => candidate.isWaiting(at));
   const worker = task && selector.selectWorker(task, group, candidate.priority);
   if (task === undefined || worker === undefined) return;
@@ -82,6 +84,23 @@
   }
 }
 
+/** Starts one task of a step that may crash workers, unless another one runs; the others wait for what becomes of it. */
+function startSuspect(
+  candidate: Candidate,
+  group: StepTasks,
+  options: PlacementRoundOptions,
+  at: number,
+): void {
+  const {commands, selector} = options;
+  if (group.tasks.some(task => task.runs.length > 0)) return;
+  const task = group.tasks.find(task => task.crashes.isSuspect && task.isWaiting(at));
+  const worker = task && selector.selectWorker(task, group, candidate.priority);
+  if (task === undefined) return;
+  if (worker === undefined) return requestTickets(group, options, at);
+  commands.start(task, worker, at);
+  selector.recordPlacement(worker);
+}
+
 /** Starts all tasks of a gang, with the same run number, or none of them. */
 function startGang(
   candidate: Candidate,
--- a/packages/coordination/src/dispatch/placement/worker-selector.ts
+++ b/packages/coordination/src/dispatch/placement/worker-selector.ts
@@ -11,6 +11,7 @@
 import type {WorkerView} from '../worker-view.js';
 import type {AdviceTickets} from './advice-tickets.js';
 import type {RoomReservations} from './room-reservations.js';
+import {SuspectIsolation} from './suspect-isolation.js';
 import {UnplaceableNeeds} from './unplaceable-needs.js';
 import {WorkerRanking} from './worker-ranking.js';
 
@@ -73,6 +74,7 @@
   examinedCount = 0;
   /** Workers that may get new tasks, by service. */
   private readonly openWorkers = new Map<string, WorkerView[]>();
+  private readonly isolation: SuspectIsolation;
   private readonly unplaceableNeeds = new UnplaceableNeeds();
   private stepRanking: StepRanking | undefined;
   /** Unmeasured pairs of images that run together on some worker; collected when the first filling task is placed. */
@@ -92,6 +94,7 @@
     this.reservations = options.reservations;
     this.tickets = options.tickets;
     this.at = options.at;
+    this.isolation = new SuspectIsolation(this.state.submissions.values());
     for (const worker of this.state.workers.values()) {
       if (!this.isOpen(worker)) continue;
       const {service} = worker.description;
@@ -108,6 +111,7 @@
 
   /** Records that a task was placed on a worker. */
   recordPlacement(worker: WorkerView): void {
+    this.isolation.update(worker);
     if (this.probedPairs) this.collectProbes(worker, this.probedPairs);
     this.stepRanking?.ranking.markChanged(worker);
   }
@@ -180,7 +184,7 @@
     const {step} = task;
     if (step.label !== undefined && !description.labels.includes(step.label)) return false;
     if (task.runs.some(run => run.worker === worker)) return false;
-    if (!this.hasTicket(task, worker)) return false;
+    if (!this.hasTicket(task, worker) || !this.isolation.isAllowed(worker, task)) return false;
     if (used.memoryMb + step.need.memoryMb > capacity.memoryMb) return false;
     if (used.accelerators + step.need.accelerators > capacity.accelerators) return false;
     const freeCores = capacity.processors - used.processors + coreTolerance;
@@ -234,7 +238,7 @@
   private getCost(worker: WorkerView, task: Task, group: StepTasks): number {
     const {step} = task;
     const {processors} = worker.capacity;
-    let cost = 0;
+    let cost = this.isolation.getCost(worker, task);
     if (task.avoidedWorkers.has(worker.life)) cost += costs.avoided;
     if (worker.health.isSuspect) cost += costs.suspect;
     cost += Math.max(0, worker.slowness - 1) * costs.slowness;
@@ -255,8 +259,8 @@
 
 /** Whether the worker of a task depends on nothing that the other tasks of its step do not share. */
 function isRankingShared(task: Task): boolean {
-  const {step, runs, avoidedWorkers, hasStarted} = task;
-  if (step.gang || step.sameRack) return false;
+  const {step, runs, avoidedWorkers, hasStarted, crashes} = task;
+  if (step.gang || step.sameRack || crashes.isSuspect) return false;
   return runs.length === 0 && avoidedWorkers.size === 0 && !(step.lasting && hasStarted);
 }
 
--- a/packages/coordination/src/dispatch/progress-journal.ts
+++ b/packages/coordination/src/dispatch/progress-journal.ts
@@ -153,6 +153,11 @@
     const {state} = this;
     state.observe('progress_write', at - pending.sentAt);
     for (const {worker, end} of pending.ends) worker.ends.store(end);
+    for (const submission of pending.submissions) {
+      if (submission.areCrashesStored || this.changed.has(submission)) continue;
+      submission.areCrashesStored = true;
+      state.isPlacementDue = true;
+    }
     for (const submission of pending.finals) {
       if (submission.isFinalStored) continue;
       submission.isFinalStored = true;
--- a/packages/coordination/src/dispatch/run-commands.ts
+++ b/packages/coordination/src/dispatch/run-commands.ts
@@ -33,6 +33,7 @@
       ageMs: Math.round(at - worker.lastContactAt),
       freeCores: worker.capacity.processors - worker.used.processors,
       copy: task.runs.length > 1,
+      ...(task.crashes.count > 0 && {crashes: task.crashes.count}),
     });
     const {id, spec} = task.submission.submission;
     const ticket = this.tickets.getTicket(task, worker, at);
--- a/packages/coordination/src/dispatch/submission-ends.ts
+++ b/packages/coordination/src/dispatch/submission-ends.ts
@@ -51,6 +51,11 @@
     if (task.failedRuns.size >= limit) this.end(submission, 'failed', at);
   }
 
+  /** Fails a submission with a task that must not be started again. */
+  fail(submission: ActiveSubmission, at: number): void {
+    if (submission.isActive) this.end(submission, 'failed', at);
+  }
+
   /** Completes a submission when all its tasks are finished. */
   completeIfFinished(submission: ActiveSubmission, at: number): void {
     if (submission.isActive && submission.isFinished) this.end(submission, 'completed', at);
--- /dev/null
+++ b/packages/coordination/src/dispatch/supervision/crash-blame.ts
@@ -0,0 +1,53 @@
+import {getCrashTiming, type CrashTiming} from '../crash-history.js';
+import type {Run, Task} from '../task.js';
+
+/** Number of crashes from which a suspect is given up although other tasks may have caused the latest one. */
+const maxCrashes = 3;
+/** The same when no other task can have caused the latest one. */
+const maxDecisiveCrashes = 2;
+
+/** What the crash of a worker says of one task. */
+export interface CrashVerdict {
+  readonly task: Task;
+  readonly timing: CrashTiming;
+  /** Whether the task must not be started again. */
+  readonly isGivenUp: boolean;
+}
+
+/** A run that was on a worker when it crashed. */
+export interface CrashedRun {
+  readonly run: Run;
+  /** Time in milliseconds for which the run had certainly worked. */
+  readonly ageMs: number;
+}
+
+/**
+ * Decides which of the runs on a worker its crash is held against. Suspects of earlier crashes come first; the other
+ * runs become suspects only when there is none of these. A submission fails as a whole, so a crash is decisive when all
+ * tasks that can have caused it belong to the same one.
+ */
+export function blameCrash(runs: readonly CrashedRun[]): CrashVerdict[] {
+  const candidates = runs.flatMap(({run, ageMs}) => {
+    const timing = getCrashTiming(ageMs);
+    return timing === undefined ? [] : [{task: run.task, timing, ageMs}];
+  });
+  const suspects = candidates.filter(
+    ({task, ageMs}) => task.crashes.isSuspect && !task.crashes.isOutlived(ageMs),
+  );
+  const others = candidates.filter(candidate => !suspects.includes(candidate));
+  const possibleCauses = [...suspects, ...others.filter(({timing}) => timing === 'early')];
+  const isDecisive = new Set(possibleCauses.map(({task}) => task.submission)).size === 1;
+  const limit = isDecisive ? maxDecisiveCrashes : maxCrashes;
+  return [
+    ...suspects.map(({task, timing}) => ({
+      task,
+      timing,
+      isGivenUp: task.crashes.count + 1 >= limit,
+    })),
+    ...others.map(({task, timing}) => ({
+      task,
+      timing: suspects.length > 0 ? ('late' as const) : timing,
+      isGivenUp: false,
+    })),
+  ];
+}
--- /dev/null
+++ b/packages/coordination/src/dispatch/supervision/crash-tracker.ts
@@ -0,0 +1,149 @@
+import type {DispatchState} from '../dispatch-state.js';
+import type {ProgressJournal} from '../progress-journal.js';
+import type {SubmissionEnds} from '../submission-ends.js';
+import type {Run, Task} from '../task.js';
+import type {WorkerView} from '../worker-view.js';
+import {blameCrash, type CrashedRun} from './crash-blame.js';
+
+/** Largest number of incarnations whose crashes can be retracted. */
+const maxRetractableCrashes = 64;
+
+/** The runs of a worker that fell silent until its lease ended. */
+interface SilentWorker {
+  readonly life: string;
+  readonly runs: readonly CrashedRun[];
+}
+
+/**
+ * Records under which tasks workers crash, and fails submissions with a task that crashes one worker after another. A
+ * worker crashes when it ends without a farewell; one that leaves, or is only silent, does not.
+ */
+export class CrashTracker {
+  /** Workers that may have crashed, by agent; the next incarnation of an agent's worker proves it. */
+  private readonly silentWorkers = new Map<string, SilentWorker>();
+  /** Tasks whose history contains the crash of an incarnation. */
+  private readonly tasksByLife = new Map<string, readonly Task[]>();
+
+  constructor(
+    private readonly state: DispatchState,
+    private readonly journal: ProgressJournal,
+    private readonly ends: SubmissionEnds,
+  ) {}
+
+  /** Forgets all workers. */
+  clear(): void {
+    this.silentWorkers.clear();
+    this.tasksByLife.clear();
+  }
+
+  /** Records that a worker has ended; its runs are still known. */
+  recordEnd(worker: WorkerView, reason: string, at: number): void {
+    if (reason === 'farewell' || worker.isDraining) {
+      this.silentWorkers.delete(worker.agent);
+      return;
+    }
+    this.recordCrash(worker.life, getCrashedRuns(worker), at);
+  }
+
+  /** Records that a worker was silent until its lease ended; its runs are still known. */
+  recordSilence(worker: WorkerView): void {
+    if (worker.isDraining || worker.runs.size === 0) return;
+    this.silentWorkers.set(worker.agent, {life: worker.life, runs: getCrashedRuns(worker)});
+  }
+
+  /** Records that an agent has a worker incarnation: a silent one before it has crashed, and this one has not. */
+  recordPresence(agent: string, life: string, at: number): void {
+    const silent = this.silentWorkers.get(agent);
+    this.silentWorkers.delete(agent);
+    if (silent !== undefined && silent.life !== life)
+      this.recordCrash(silent.life, silent.runs, at);
+    for (const task of this.tasksByLife.get(life) ?? []) {
+      if (task.crashes.delete(life)) this.markChanged(task, at);
+    }
+    this.tasksByLife.delete(life);
+  }
+
+  /** Clears a task of suspicion as far as a run of it has outlived the crashes. */
+  recordWork(run: Run, at: number): void {
+    run.confirmedAt ??= at;
+    const {task} = run;
+    const ageMs = at - run.confirmedAt;
+    if (task.crashes.isOutlived(ageMs)) markSurvivor(task);
+    if (task.crashes.count === 0 || !task.crashes.clearOutlived(ageMs)) return;
+    this.markCleared(task, at);
+  }
+
+  /** Clears a task of suspicion because it has ended as done. */
+  recordDone(task: Task, at: number): void {
+    markSurvivor(task);
+    if (task.crashes.clear()) this.markCleared(task, at);
+  }
+
+  private recordCrash(life: string, runs: readonly CrashedRun[], at: number): void {
+    const {state} = this;
+    const active = runs.filter(({run: {task}}) => !task.isFinished && task.submission.isActive);
+    const verdicts = blameCrash(active);
+    for (const {task, timing} of verdicts) {
+      task.crashes.add(life, timing);
+      task.submission.areCrashesStored = false;
+      if (task.crashes.isSuspect) task.submission.suspects.add(task);
+      this.journal.markChanged(task.submission, at, true);
+    }
+    this.remember(
+      life,
+      verdicts.map(({task}) => task),
+    );
+    const suspects = verdicts.filter(({task}) => task.crashes.isSuspect);
+    state.count('workers_crashed');
+    state.count('tasks_suspected', suspects.length);
+    state.log({
+      event: 'worker-crashed',
+      worker: life,
+      runs: runs.length,
+      recorded: verdicts.length,
+      suspects: suspects.length,
+    });
+    for (const {task, isGivenUp} of verdicts) {
+      if (!isGivenUp || !task.submission.isActive) continue;
+      state.log({
+        event: 'task-given-up',
+        submission: task.submission.id,
+        task: task.name,
+        worker: life,
+        reason: 'crashes',
+        crashes: task.crashes.count,
+      });
+      this.ends.fail(task.submission, at);
+    }
+  }
+
+  private markCleared(task: Task, at: number): void {
+    this.state.count('tasks_cleared');
+    this.state.log({event: 'task-cleared', submission: task.submission.id, task: task.name});
+    this.markChanged(task, at);
+  }
+
+  private markChanged(task: Task, at: number): void {
+    if (task.submission.isActive) this.journal.markChanged(task.submission, at);
+    if (!task.crashes.isSuspect) task.submission.suspects.delete(task);
+    this.state.isPlacementDue = true;
+  }
+
+  private remember(life: string, tasks: readonly Task[]): void {
+    this.tasksByLife.set(life, tasks);
+    const [oldest] = this.tasksByLife.keys();
+    if (this.tasksByLife.size > maxRetractableCrashes && oldest !== undefined) {
+      this.tasksByLife.delete(oldest);
+    }
+  }
+}
+
+/** Returns the runs of a worker with their ages at its latest list; unconfirmed runs may just have begun. */
+function getCrashedRuns(worker: WorkerView): CrashedRun[] {
+  return [...worker.runs.values()].map(run => ({run, ageMs: run.confirmedAgeMs}));
+}
+
+function markSurvivor(task: Task): void {
+  const group = task.submission.getStepTasks(task);
+  if (group !== undefined) group.hasSurvivor = true;
+}
--- a/packages/coordination/src/dispatch/task.ts
+++ b/packages/coordination/src/dispatch/task.ts
@@ -1,5 +1,6 @@
 import type {Step} from '../submissions/index.js';
 import type {ActiveSubmission} from './active-submission.js';
+import {CrashHistory} from './crash-history.js';
 import type {WorkerView} from './worker-view.js';
 
 /**
@@ -27,6 +28,8 @@
   commandSentAt: number;
   /** Whether this incarnation of the worker has listed the run. */
   isListed = false;
+  /** Time at which the worker confirmed the start, by its answer or a list. */
+  confirmedAt?: number;
 
   constructor(
     readonly task: Task,
@@ -37,6 +40,17 @@
     this.progressAt = startedAt;
     this.commandSentAt = startedAt;
   }
+
+  /** Time in milliseconds for which the worker's lists show the run at work; 0 while its start is not confirmed. */
+  get confirmedAgeMs(): number {
+    return Math.max(0, this.worker.lastListedAt - (this.confirmedAt ?? Number.POSITIVE_INFINITY));
+  }
+
+  /** Whether the run may be about to crash its worker, as earlier runs of its task seem to have done. */
+  get isOnTrial(): boolean {
+    const {crashes} = this.task;
+    return crashes.isSuspect && !crashes.isOutlived(this.confirmedAgeMs);
+  }
 }
 
 /** One task of an occurrence of a submission. */
@@ -47,6 +61,8 @@
   isInDoubt = false;
   /** Numbers of the failed runs; a set, because a worker lists the same end again to a new owner. */
   readonly failedRuns = new Set<number>();
+  /** Worker incarnations that have crashed under the task. */
+  crashes = new CrashHistory();
   /** Latest checkpoint of any run; empty if none. */
   checkpoint = '';
   /** Highest run number that may be in use; the next run gets a higher one. */
@@ -72,7 +88,10 @@
 
   /** Whether the task's next run may be started. */
   isWaiting(at: number): boolean {
-    return !this.isFinished && !this.isInDoubt && this.runs.length === 0 && at >= this.notBefore;
+    if (this.isFinished || this.isInDoubt || this.runs.length > 0) return false;
+    // A crash that the next owner does not know of would not count.
+    if (this.crashes.count > 0 && !this.submission.areCrashesStored) return false;
+    return at >= this.notBefore;
   }
 
   /** Removes a run. */
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -10,6 +10,7 @@
 import type {RecoveryBarrier} from './recovery-barrier.js';
 import type {RunCommands} from './run-commands.js';
 import type {SubmissionEnds} from './submission-ends.js';
+import type {CrashTracker} from './supervision/crash-tracker.js';
 import type {RunSupervisor} from './supervision/run-supervisor.js';
 import {Run, type Task} from './task.js';
 import {WorkerView} from './worker-view.js';
@@ -28,6 +29,7 @@
   readonly supervisor: RunSupervisor;
   readonly ends: SubmissionEnds;
   readonly pacer: FillerPacer;
+  readonly crashes: CrashTracker;
 }
 
 /** Handles the agents' messages about their workers, and grants and expires worker leases. */
@@ -65,7 +67,7 @@
         return this.registerWorker(agent, message.worker, at);
       case 'worker-gone':
         this.components.barrier.markAccounted(message.life);
-        if (worker?.life === message.life) this.removeWorker(worker, message.reason);
+        if (worker?.life === message.life) this.removeWorker(worker, message.reason, at);
         return;
       case 'report':
         if (worker?.life === message.life) this.report(worker, message, at);
@@ -82,7 +84,7 @@
     for (const worker of [...state.workers.values()]) {
       this.updateReachability(worker, at);
       if (!worker.isConnected || at - worker.lastContactAt >= state.timing.unreachableMs) {
-        if (at > worker.getLeaseEnd(state.timing.clockDrift)) this.expireLease(worker);
+        if (at > worker.getLeaseEnd(state.timing.clockDrift)) this.expireLease(worker, at);
         continue;
       }
       this.renew(worker, at);
@@ -91,8 +93,9 @@
   }
 
   private registerWorker(agent: string, description: WorkerDescription, at: number): void {
-    const {state, barrier, journal} = this.components;
+    const {state, barrier, journal, crashes} = this.components;
     const currentWorker = state.workers.get(agent);
+    crashes.recordPresence(agent, description.life, at);
     if (currentWorker?.life === description.life) {
       this.updateDescription(currentWorker, description, at);
       return;
@@ -100,7 +103,7 @@
     const unlisted = currentWorker
       ? [...currentWorker.runs.values()].filter(run => !run.isListed)
       : [];
-    if (currentWorker) this.removeWorker(currentWorker, 'replaced');
+    if (currentWorker) this.removeWorker(currentWorker, 'replaced', at);
     barrier.markReplaced(agent, description.life);
     const worker = new WorkerView(agent, description, at);
     worker.isInRoster = journal.isInStoredRoster(description.life);
@@ -165,6 +168,7 @@
     worker.recordClock(message.clockMs, at);
     for (const end of message.ends) this.applyEndRow(worker, end, at);
     if (message.running === undefined) return;
+    worker.lastListedAt = at;
     const listed = new Set<Run>();
     for (const row of message.running) {
       const run = this.applyRunRow(worker, row, at);
@@ -196,6 +200,7 @@
     // The start took effect although it had no answer; a stop has already been sent.
     else if (run.state === 'unresolved') run.state = 'stopping';
     run.isListed = true;
+    this.components.crashes.recordWork(run, at);
     run.task.submission.hasStarted = true;
     if (percent !== run.percent || run.task.step.lasting) {
       if (percent !== run.percent) run.progressAt = at;
@@ -311,6 +316,7 @@
         worker.health.recordSuccess(run.startedAt, at);
         submission.recordRunEnd(worker.life, false);
       }
+      this.components.crashes.recordDone(task, at);
       if (step.gang) this.finishGang(task, submission);
       else submission.finish(task);
       commands.stopRuns(task, 'finished-elsewhere', at);
@@ -371,14 +377,16 @@
   }
 
   /** Declares all runs on an unreachable worker lost, because its lease has expired. */
-  private expireLease(worker: WorkerView): void {
+  private expireLease(worker: WorkerView, at: number): void {
+    this.components.crashes.recordSilence(worker);
     for (const run of [...worker.runs.values()])
       this.commandResults.removeLost(run, 'lease-expired');
-    if (!worker.isConnected) this.removeWorker(worker, 'lease-expired');
+    if (!worker.isConnected) this.removeWorker(worker, 'lease-expired', at);
   }
 
-  private removeWorker(worker: WorkerView, reason: string): void {
-    const {state, journal} = this.components;
+  private removeWorker(worker: WorkerView, reason: string, at: number): void {
+    const {state, journal, crashes} = this.components;
+    if (reason !== 'lease-expired') crashes.recordEnd(worker, reason, at);
     for (const run of [...worker.runs.values()]) this.commandResults.removeLost(run, reason);
     if (state.workers.get(worker.agent) === worker) state.workers.delete(worker.agent);
     journal.markRosterChanged();
--- a/packages/coordination/src/submissions/progress.ts
+++ b/packages/coordination/src/submissions/progress.ts
@@ -6,6 +6,12 @@
 /** Checkpoint of one task: occurrence, step, index and the value. */
 export type CheckpointRow = readonly [number, number, number, string];
 
+/**
+ * Worker incarnations that crashed under one task: occurrence, step, index, those that crashed soon after the start of
+ * the run, and those that crashed later.
+ */
+export type CrashRow = readonly [number, number, number, readonly string[], readonly string[]];
+
 /** Stored progress of a submission, from which a new owner continues. */
 export interface ProgressRecord {
   /** Final state, absent while the submission is active. */
@@ -16,6 +22,8 @@
   readonly finished: Readonly<Record<string, string>>;
   readonly failures: readonly FailureRow[];
   readonly checkpoints: readonly CheckpointRow[];
+  /** Absent without crashes, and in records of older versions. */
+  readonly crashes?: readonly CrashRow[];
 }
 
 /** Finished tasks of one submission. */
--- /dev/null
+++ b/packages/coordination/test/dispatch/crashing-tasks.test.ts
@@ -0,0 +1,147 @@
+import t from 'tap';
+import type {Step} from '../../src/submissions/index.js';
+import {CrashingFleet, queue, type CrashingFleetOptions} from './fleet/crashing-fleet.js';
+import {createStep, createSubmission} from './fleet/shared-load.js';
+
+const deadlyId = '00000000000000d1';
+const innocentIds = Array.from({length: 8}, (_, index) => `00000000000000a${index}`);
+/** A task is started less than three times more after three workers have crashed under it. */
+const maxCrashes = 5;
+
+/** Submits a submission whose first task crashes workers between others whose tasks do not. */
+function submitAll(fleet: CrashingFleet, deadlyStep: Step): void {
+  innocentIds.forEach((id, index) => {
+    if (index === 4) fleet.submit(createSubmission(deadlyId, queue.key, [deadlyStep]));
+    fleet.submit(createSubmission(id, queue.key, [createStep({count: 6, estimatedMs: 1_500})]));
+  });
+}
+
+const cases: ReadonlyArray<{
+  readonly name: string;
+  readonly step?: Partial<Step>;
+  readonly options?: CrashingFleetOptions;
+  /** Time in milliseconds between two changes of the owner. */
+  readonly takeoverMs?: number;
+}> = [
+  {name: 'soon after its start'},
+  {
+    name: 'after more than a second',
+    step: {estimatedMs: 5_000},
+    options: {getCrashDelayMs: task => getDelay(task, 1_500)},
+  },
+  {name: 'and serves', step: {lasting: true}},
+  {name: 'and belongs to a gang', step: {gang: true}},
+  {name: 'and has tasks of its step beside it', step: {count: 20}},
+  {
+    name: 'and has siblings that do the same',
+    step: {count: 20},
+    options: {getCrashDelayMs: task => (task.startsWith(deadlyId) ? 10 : undefined)},
+  },
+  {name: 'while owners change', takeoverMs: 1_700},
+  {name: 'and only the next incarnation shows it', options: {areCrashesReported: false}},
+];
+
+function getDelay(task: string, delayMs = 10): number | undefined {
+  return task === `${deadlyId}.0.0.0` ? delayMs : undefined;
+}
+
+for (const {name, step, options, takeoverMs} of cases) {
+  void t.test(`a task that crashes its workers ${name} is given up in time`, async t => {
+    const fleet = new CrashingFleet({getCrashDelayMs: getDelay, ...options});
+    submitAll(fleet, createStep({count: 3, estimatedMs: 800, ...step}));
+    while (fleet.now < 60_000) {
+      fleet.run(fleet.now + (takeoverMs ?? 60_000));
+      // The previous owner's messages are lost with it.
+      if (takeoverMs !== undefined && fleet.now < 12_000) fleet.startOwner();
+    }
+    for (const [task, crashes] of fleet.crashes) {
+      t.ok(crashes <= maxCrashes, `${task} has crashed ${crashes} workers`);
+    }
+    t.equal(fleet.progress.get(deadlyId)?.final, 'failed');
+    for (const id of innocentIds) t.equal(fleet.progress.get(id)?.final, 'completed', id);
+  });
+}
+
+void t.test(
+  'a submission that is given up is shown as failed only once that is stored',
+  async t => {
+    const fleet = new CrashingFleet({getCrashDelayMs: getDelay});
+    submitAll(fleet, createStep({count: 3}));
+    let wasShownEarly = false;
+    for (let at = 0; at < 20_000; at += 25) {
+      fleet.run(at);
+      const isStored = fleet.progress.get(deadlyId)?.final === 'failed';
+      if (fleet.dispatcher.getStatus(deadlyId) === 'failed' && !isStored) wasShownEarly = true;
+    }
+    t.notOk(wasShownEarly);
+    t.equal(fleet.dispatcher.getStatus(deadlyId), 'failed');
+  },
+);
+
+const innocentId = '00000000000000b1';
+const endings: ReadonlyArray<{
+  readonly name: string;
+  readonly end: (fleet: CrashingFleet, agent: string, life: string) => void;
+}> = [
+  {
+    name: 'leaves with a farewell',
+    end: (fleet, agent, life) => {
+      const message = {kind: 'worker-gone', life, reason: 'farewell'} as const;
+      fleet.post({kind: 'message', agent, message});
+      fleet.replace(agent, `${life}+`);
+    },
+  },
+  {
+    name: 'is silent until its lease has ended, and lives',
+    end: (fleet, agent) => {
+      fleet.silences.set(agent, 'both');
+      fleet.plan(9_000, () => fleet.silences.delete(agent));
+    },
+  },
+  {
+    name: 'is disconnected until its lease has ended, and lives',
+    end: (fleet, agent) => {
+      const worker = fleet.workers.get(agent);
+      fleet.silences.set(agent, 'both');
+      fleet.post({kind: 'agent-down', agent});
+      fleet.plan(9_000, () => {
+        fleet.silences.delete(agent);
+        if (worker) fleet.connect(worker);
+      });
+    },
+  },
+  {
+    name: 'crashes although the task has worked for long',
+    end: (fleet, agent) => fleet.plan(11_000, () => fleet.crash(agent)),
+  },
+];
+
+for (const {name, end} of endings) {
+  void t.test(`a task is not given up because its worker ${name}, time and again`, async t => {
+    const fleet = new CrashingFleet();
+    const step = createStep({count: 1, estimatedMs: 25_000});
+    fleet.submit(createSubmission(innocentId, queue.key, [step]));
+    for (let ends = 0; ends < 6; ends += 1) {
+      fleet.run(fleet.now + 300);
+      const task = `${innocentId}.0.0.0`;
+      const worker = [...fleet.workers.values()].find(candidate => candidate.runs.has(task));
+      if (worker) end(fleet, worker.options.agent, worker.options.life);
+      fleet.run(fleet.now + 14_000);
+    }
+    fleet.run(fleet.now + 60_000);
+    t.ok(fleet.countStarts(`${innocentId}.0.0.0`) >= 6, 'the task was started again');
+    t.equal(fleet.progress.get(innocentId)?.final, 'completed');
+  });
+}
+
+void t.test('a task lost with one worker is cleared once it works elsewhere', async t => {
+  const fleet = new CrashingFleet();
+  const step = createStep({count: 6, estimatedMs: 20_000});
+  fleet.submit(createSubmission(innocentId, queue.key, [step]));
+  fleet.run(200);
+  fleet.crash('w0');
+  fleet.run(1_000);
+  t.not(fleet.progress.get(innocentId)?.crashes?.length ?? 0, 0, 'the crash is stored');
+  fleet.run(12_000);
+  t.same(fleet.progress.get(innocentId)?.crashes ?? [], []);
+});
--- a/packages/runtime/src/dispatch/records/record-parsers.ts
+++ b/packages/runtime/src/dispatch/records/record-parsers.ts
@@ -42,7 +42,7 @@
 export function parseProgress(value: string): ProgressRecord | undefined {
   const record = parseRecord(value);
   if (record === undefined) return undefined;
-  const {final, finished, failures, checkpoints} = record;
+  const {final, finished, failures, checkpoints, crashes} = record;
   const isFinalValid = final === undefined || finalStates.has(final);
   const areRowsValid = [failures, checkpoints].every(
     rows => Array.isArray(rows) && rows.every(row => Array.isArray(row) && row.length === 4),
@@ -52,6 +52,8 @@
     (failures as unknown[][]).every(row => Array.isArray(row[3])) &&
     (checkpoints as unknown[][]).every(row => typeof row[3] === 'string');
   if (!areValuesValid || !areFinishedTasksValid(finished)) return undefined;
+  // Records of older versions have no crashes.
+  if (crashes !== undefined && !areCrashesValid(crashes)) return undefined;
   return record as unknown as ProgressRecord;
 }
 
@@ -59,6 +61,18 @@
   return isRecord(finished) && Object.values(finished).every(text => typeof text === 'string');
 }
 
+function areCrashesValid(crashes: unknown): boolean {
+  const isLives = (value: unknown) =>
+    Array.isArray(value) && value.every(life => typeof life === 'string');
+  return (
+    Array.isArray(crashes) &&
+    crashes.every(
+      (row: unknown) =>
+        Array.isArray(row) && row.length === 5 && isLives(row[3]) && isLives(row[4]),
+    )
+  );
+}
+
 /** Parses the stored roster; undefined when the record is unreadable. */
 export function parseRoster(value: string): readonly RosterEntry[] | undefined {
   const entries = parseJson(value);
--- a/packages/runtime/test/dispatch/records/malformed-records.test.ts
+++ b/packages/runtime/test/dispatch/records/malformed-records.test.ts
@@ -30,6 +30,7 @@
   finished: {'0.0': '3'},
   failures: [[0, 0, 1, [1, 2]]],
   checkpoints: [[0, 0, 1, 'abc']],
+  crashes: [[0, 0, 1, ['a@1'], ['b@2']]],
 };
 const roster = [{agent: 'a', life: 'a@1'}];
 const owner = {name: 'entry', address: '10.0.0.1:1', nonce: 'n-1'};
@@ -58,6 +59,27 @@
   });
 }
 
+void t.test('a record without crashes, from an older version, is parsed', async t => {
+  t.ok(parseProgress(JSON.stringify({...progress, crashes: undefined})));
+});
+
+const malformedCrashes: readonly unknown[] = [
+  7,
+  null,
+  {},
+  [7],
+  [[0, 0, 1, ['a@1']]],
+  [[0, 0, 1, 'a@1', []]],
+  [[0, 0, 1, ['a@1'], [7]]],
+  [[0, 0, 1, ['a@1'], ['b@2'], 0]],
+];
+
+for (const crashes of malformedCrashes) {
+  void t.test(`progress with the crashes ${stringify(crashes)} is unreadable`, async t => {
+    t.equal(parseProgress(JSON.stringify({...progress, crashes})), undefined);
+  });
+}
+
 function stringify(value: unknown): string {
   return JSON.stringify(value) ?? '';
 }
