--- a/packages/coordination/src/dispatch/dispatch-state.ts
+++ b/packages/coordination/src/dispatch/dispatch-state.ts
@@ -6,6 +6,7 @@
 import type {DispatchEffect} from './dispatch-events.js';
 import type {DispatchTiming} from './dispatch-timing.js';
 import {StartBudget} from './placement/start-budget.js';
+import type {Task} from './task.js';
 import type {WorkerView} from './worker-view.js';
 
 /** Workload name for `RunTimeEstimates`; run times are learned for each queue as a whole. */
@@ -96,4 +97,15 @@
     this.effects = [];
     return taken;
   }
+
+  /** Returns the task that a run name of a worker refers to, or undefined when it is unknown. */
+  getNamedTask(name: string, at: number): Task | undefined {
+    const [id = '', occurrence, step, index] = name.split('.');
+    const submission = this.submissions.get(id);
+    // A previous owner, whose clock was ahead, may have started an occurrence that is not due yet.
+    if (submission?.isActive) {
+      submission.openStartedOccurrence(Number(occurrence), at, this.getUnixMs(at));
+    }
+    return submission?.getTask(Number(occurrence), Number(step), Number(index));
+  }
 }
