Make room for a suspect that fits on no worker

Cause: the tasks of a step that start one by one asked for no reservation when they fitted nowhere, and a task with two crashes waited for a worker without any new run.

Both go the usual way now, and where there are more suspects than workers, those of a first crash share workers evenly. The new test fails without the request for room.

--- a/packages/coordination/src/dispatch/placement/placement-round.ts
+++ b/packages/coordination/src/dispatch/placement/placement-round.ts
@@ -1,6 +1,7 @@
 import type {StepTasks} from '../active-submission.js';
 import type {DispatchState} from '../dispatch-state.js';
 import type {RunCommands} from '../run-commands.js';
+import type {Task} from '../task.js';
 import type {WorkerView} from '../worker-view.js';
 import type {AdviceTickets} from './advice-tickets.js';
 import type {FillerPreemption} from './filler-preemption.js';
@@ -65,18 +66,16 @@
   options: PlacementRoundOptions,
   at: number,
 ): void {
-  const {state, commands, selector, reservations, preemption} = options;
+  const {state, commands, selector} = options;
   for (const task of group.tasks) {
     if (!task.isWaiting(at)) continue;
     if (!state.startBudget.isOpen(at)) return;
     const worker = selector.selectWorker(task, group, candidate.priority);
     // The tasks of a step need the same resources, so the others do not fit either; only `avoidedWorkers` differs.
     if (worker === undefined) {
-      requestTickets(group, options, at);
-      preemption.makeRoom(task, candidate);
-      if (!reservations.canReserve(task)) return;
+      makeRoom(task, candidate, group, options, at);
       // Each task that restarts needs room of its own, and another one may have it already.
-      reservations.request(task, selector.getCandidates(task, group), at);
+      if (!options.reservations.canReserve(task)) return;
       continue;
     }
     commands.start(task, worker, at);
@@ -84,6 +83,21 @@
   }
 }
 
+/** Prepares room for a task that fits on no worker. */
+function makeRoom(
+  task: Task,
+  candidate: Candidate,
+  group: StepTasks,
+  options: PlacementRoundOptions,
+  at: number,
+): void {
+  const {selector, reservations, preemption} = options;
+  requestTickets(group, options, at);
+  preemption.makeRoom(task, candidate);
+  if (!reservations.canReserve(task)) return;
+  reservations.request(task, selector.getCandidates(task, group), at);
+}
+
 /** Starts one task of a step that may crash workers, unless another one runs; the others wait for what becomes of it. */
 function startSuspect(
   candidate: Candidate,
@@ -96,7 +110,7 @@
   const task = group.tasks.find(task => task.crashes.isSuspect && task.isWaiting(at));
   const worker = task && selector.selectWorker(task, group, candidate.priority);
   if (task === undefined) return;
-  if (worker === undefined) return requestTickets(group, options, at);
+  if (worker === undefined) return makeRoom(task, candidate, group, options, at);
   commands.start(task, worker, at);
   selector.recordPlacement(worker);
 }
--- a/packages/coordination/src/dispatch/placement/suspect-isolation.ts
+++ b/packages/coordination/src/dispatch/placement/suspect-isolation.ts
@@ -1,8 +1,8 @@
-import type {ActiveSubmission} from '../active-submission.js';
+import type {DispatchState} from '../dispatch-state.js';
 import type {Task} from '../task.js';
 import type {WorkerView} from '../worker-view.js';
 
-/** Number of crashes from which a task shares its worker with no run that could be to blame for the next one. */
+/** Number of crashes from which a task shares its worker with no other suspect and no task joins it. */
 const minExclusiveCrashes = 2;
 
 /** Placement costs that come before all preferences but the workers that a task avoids. */
@@ -15,36 +15,52 @@
   besideSuspect: 200,
 };
 
+/** The runs on a worker that may be about to crash it. */
+interface Trials {
+  readonly runs: number;
+  /** Largest number of crashes of one task. */
+  readonly crashes: number;
+}
+
+const noTrials: Trials = {runs: 0, crashes: 0};
+
 /**
  * Keeps tasks that may crash their workers apart, so that a crash tells which of them causes it and little other work is
- * lost. Serves one placement round.
+ * lost. Where there are more suspects than workers, those of a first crash share workers evenly instead of waiting for
+ * each other. Serves one placement round.
  */
 export class SuspectIsolation {
-  /** Largest number of crashes of a run on trial, by worker. */
-  private readonly trials = new Map<WorkerView, number>();
+  private readonly trials = new Map<WorkerView, Trials>();
+  /** Number of suspects that may share a worker. */
+  private readonly maxTrials: number;
 
-  constructor(submissions: Iterable<ActiveSubmission>) {
-    for (const {suspects} of submissions) {
+  constructor({submissions, workers}: Pick<DispatchState, 'submissions' | 'workers'>) {
+    let count = 0;
+    for (const {isActive, suspects} of submissions.values()) {
+      if (isActive) count += suspects.size;
       for (const task of suspects) for (const {worker} of task.runs) this.update(worker);
     }
+    this.maxTrials = Math.max(1, Math.ceil(count / Math.max(1, workers.size)));
   }
 
   /** Records the runs of a worker. */
   update(worker: WorkerView): void {
-    let crashes = 0;
+    let {runs, crashes} = noTrials;
     for (const run of worker.runs.values()) {
-      if (run.isOnTrial) crashes = Math.max(crashes, run.task.crashes.count);
+      if (!run.isOnTrial) continue;
+      runs += 1;
+      crashes = Math.max(crashes, run.task.crashes.count);
     }
-    if (crashes > 0) this.trials.set(worker, crashes);
+    if (runs > 0) this.trials.set(worker, {runs, crashes});
     else this.trials.delete(worker);
   }
 
   /** Whether a worker may get a task. */
   isAllowed(worker: WorkerView, task: Task): boolean {
-    const crashes = this.trials.get(worker) ?? 0;
-    if (!task.crashes.isSuspect) return crashes < minExclusiveCrashes;
-    if (crashes > 0) return false;
-    return task.crashes.count < minExclusiveCrashes || !hasNewRun(worker, task);
+    const {runs, crashes} = this.trials.get(worker) ?? noTrials;
+    if (crashes >= minExclusiveCrashes) return false;
+    if (!task.crashes.isSuspect) return true;
+    return runs < (task.crashes.count >= minExclusiveCrashes ? 1 : this.maxTrials);
   }
 
   /** Returns what a worker costs a task in addition. */
--- a/packages/coordination/src/dispatch/placement/worker-selector.ts
+++ b/packages/coordination/src/dispatch/placement/worker-selector.ts
@@ -94,7 +94,7 @@
     this.reservations = options.reservations;
     this.tickets = options.tickets;
     this.at = options.at;
-    this.isolation = new SuspectIsolation(this.state.submissions.values());
+    this.isolation = new SuspectIsolation(this.state);
     for (const worker of this.state.workers.values()) {
       if (!this.isOpen(worker)) continue;
       const {service} = worker.description;
--- a/packages/coordination/test/dispatch/crashing-tasks.test.ts
+++ b/packages/coordination/test/dispatch/crashing-tasks.test.ts
@@ -2,6 +2,7 @@
 import type {Step} from '../../src/submissions/index.js';
 import {CrashingFleet, queue, type CrashingFleetOptions} from './fleet/crashing-fleet.js';
 import {createStep, createSubmission} from './fleet/shared-load.js';
+import {createQueue} from './fleet/virtual-fleet.js';
 
 const deadlyId = '00000000000000d1';
 const innocentIds = Array.from({length: 8}, (_, index) => `00000000000000a${index}`);
@@ -145,3 +146,25 @@
   fleet.run(12_000);
   t.same(fleet.progress.get(innocentId)?.crashes ?? [], []);
 });
+
+void t.test('serving tasks that are lost with their worker get room on full ones', async t => {
+  const servingQueue = createQueue({name: 'serving', priority: 1});
+  const fleet = new CrashingFleet({workerCount: 3, queues: [queue, servingQueue]});
+  const servingId = '00000000000000c1';
+  const serving = createStep({count: 3, cores: 5, lasting: true});
+  fleet.submit(createSubmission(servingId, servingQueue.key, [serving]));
+  const countServing = () =>
+    [0, 1, 2].filter(index => fleet.countRuns(`${servingId}.0.0.${index}`) > 0).length;
+  while (countServing() < 3 && fleet.now < 1_000) fleet.run(fleet.now + 25);
+  const urgent = createStep({count: 600, cores: 1, estimatedMs: 1_500});
+  fleet.submit(createSubmission(innocentId, queue.key, [urgent]));
+  fleet.run(fleet.now + 50);
+  for (const [agent, {runs}] of fleet.workers) {
+    if ([...runs.keys()].some(task => task.startsWith(servingId))) fleet.crash(agent);
+  }
+  const crashedAt = fleet.now;
+  fleet.run(crashedAt + 4_000);
+  t.ok(countServing() > 0, 'a task works after 4 s');
+  fleet.run(crashedAt + 10_000);
+  t.equal(countServing(), 3, 'all tasks work after 10 s');
+});
