Judge the age of a run by the time at which its worker stopped answering

The crash of a worker made about as many suspects as it had runs that were younger than a second, and most tasks to blame needed a third crash: the owner knew the age of a run only from the latest report before the crash, which may be 0.8 s older. Older agents do not tell it; then the latest report counts as before.

--- a/packages/coordination/src/dispatch/agent-messages.ts
+++ b/packages/coordination/src/dispatch/agent-messages.ts
@@ -95,6 +95,8 @@
       readonly kind: 'worker-gone';
       readonly life: WorkerIncarnation;
       readonly reason: 'farewell' | 'refused-connection' | 'replaced';
+      /** Time in milliseconds since the worker stopped answering the agent; absent from older agents. */
+      readonly silentMs?: number;
     }
   /** Runs and unacknowledged run ends that the worker has listed. */
   | {
--- a/packages/coordination/src/dispatch/supervision/crash-tracker.ts
+++ b/packages/coordination/src/dispatch/supervision/crash-tracker.ts
@@ -14,6 +14,14 @@
   readonly runs: readonly CrashedRun[];
 }
 
+/** How a worker has ended. */
+export interface WorkerEnd {
+  readonly reason: string;
+  readonly at: number;
+  /** Time at which it stopped answering its agent, when that is known. */
+  readonly silentAt: number | undefined;
+}
+
 /**
  * Records under which tasks workers crash, and fails submissions with a task that crashes one worker after another. A
  * worker crashes when it ends without a farewell; one that leaves, or is only silent, does not.
@@ -37,12 +45,12 @@
   }
 
   /** Records that a worker has ended; its runs are still known. */
-  recordEnd(worker: WorkerView, reason: string, at: number): void {
+  recordEnd(worker: WorkerView, {reason, at, silentAt}: WorkerEnd): void {
     if (reason === 'farewell' || worker.isDraining) {
       this.silentWorkers.delete(worker.agent);
       return;
     }
-    this.recordCrash(worker.life, getCrashedRuns(worker), at);
+    this.recordCrash(worker.life, getCrashedRuns(worker, silentAt), at);
   }
 
   /** Records that a worker was silent until its lease ended; its runs are still known. */
@@ -138,9 +146,17 @@
   }
 }
 
-/** Returns the runs of a worker with their ages at its latest list; unconfirmed runs may just have begun. */
-function getCrashedRuns(worker: WorkerView): CrashedRun[] {
-  return [...worker.runs.values()].map(run => ({run, ageMs: run.confirmedAgeMs}));
+/** Returns the runs of a worker with their ages at its crash, or at its latest report when that time is not known. */
+function getCrashedRuns(worker: WorkerView, crashedAt?: number): CrashedRun[] {
+  return [...worker.runs.values()].map(run => {
+    const {confirmedAt, confirmedAgeMs} = run;
+    // An unconfirmed run may just have begun.
+    const ageMs =
+      crashedAt === undefined || confirmedAt === undefined
+        ? confirmedAgeMs
+        : Math.max(confirmedAgeMs, crashedAt - confirmedAt);
+    return {run, ageMs};
+  });
 }
 
 function markSurvivor(task: Task): void {
--- a/packages/coordination/src/dispatch/task.ts
+++ b/packages/coordination/src/dispatch/task.ts
@@ -41,9 +41,9 @@
     this.commandSentAt = startedAt;
   }
 
-  /** Time in milliseconds for which the worker's lists show the run at work; 0 while its start is not confirmed. */
+  /** Time in milliseconds for which the worker is known to have had the run; 0 while its start is not confirmed. */
   get confirmedAgeMs(): number {
-    return Math.max(0, this.worker.lastListedAt - (this.confirmedAt ?? Number.POSITIVE_INFINITY));
+    return Math.max(0, this.worker.lastReportAt - (this.confirmedAt ?? Number.POSITIVE_INFINITY));
   }
 
   /** Whether the run may be about to crash its worker, as earlier runs of its task seem to have done. */
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -67,7 +67,10 @@
         return this.registerWorker(agent, message.worker, at);
       case 'worker-gone':
         this.components.barrier.markAccounted(message.life);
-        if (worker?.life === message.life) this.removeWorker(worker, message.reason, at);
+        if (worker?.life === message.life) {
+          const silentAt = message.silentMs === undefined ? undefined : at - message.silentMs;
+          this.removeWorker(worker, message.reason, at, silentAt);
+        }
         return;
       case 'report':
         if (worker?.life === message.life) this.report(worker, message, at);
@@ -165,10 +168,10 @@
     const {state, barrier, pacer} = this.components;
     if (message.term !== state.term) return;
     worker.lastContactAt = at;
+    worker.lastReportAt = at;
     worker.recordClock(message.clockMs, at);
     for (const end of message.ends) this.applyEndRow(worker, end, at);
     if (message.running === undefined) return;
-    worker.lastListedAt = at;
     const listed = new Set<Run>();
     for (const row of message.running) {
       const run = this.applyRunRow(worker, row, at);
@@ -384,9 +387,9 @@
     if (!worker.isConnected) this.removeWorker(worker, 'lease-expired', at);
   }
 
-  private removeWorker(worker: WorkerView, reason: string, at: number): void {
+  private removeWorker(worker: WorkerView, reason: string, at: number, silentAt?: number): void {
     const {state, journal, crashes} = this.components;
-    if (reason !== 'lease-expired') crashes.recordEnd(worker, reason, at);
+    if (reason !== 'lease-expired') crashes.recordEnd(worker, {reason, at, silentAt});
     for (const run of [...worker.runs.values()]) this.commandResults.removeLost(run, reason);
     if (state.workers.get(worker.agent) === worker) state.workers.delete(worker.agent);
     journal.markRosterChanged();
--- a/packages/coordination/src/dispatch/worker-view.ts
+++ b/packages/coordination/src/dispatch/worker-view.ts
@@ -34,8 +34,8 @@
   readonly sentSpecs = new RecentSet<string>(maxSentSpecs);
   isConnected = true;
   lastContactAt: number;
-  /** Time of the worker's latest list of runs. */
-  lastListedAt = Number.NEGATIVE_INFINITY;
+  /** Time of the worker's latest report about its runs. */
+  lastReportAt = Number.NEGATIVE_INFINITY;
   /** Whether the worker has listed its runs under this owner's fencing token since it connected. */
   isReconciled = false;
   /** Whether the stored roster contains this incarnation. */
--- a/packages/runtime/src/dispatch/agent/agent-node.ts
+++ b/packages/runtime/src/dispatch/agent/agent-node.ts
@@ -80,6 +80,8 @@
   private isRunListDue = true;
   /** Consecutive renewals that failed with a refused connection. */
   private refusedConnections = 0;
+  /** Time of the first of the consecutive renewals that failed; undefined after a successful one. */
+  private silentSince: number | undefined;
   /** Generation of the current renewal loop; a loop ends once this number has changed. */
   private renewalGeneration = 0;
   /** Ends the pause in `waitForAcknowledgement`. */
@@ -134,6 +136,7 @@
       this.lastSentEnd = 0;
       this.isRunListDue = true;
       this.refusedConnections = 0;
+      this.silentSince = undefined;
       this.options.log.log('worker-up', {worker: worker.life, former: former?.life});
       this.startRenewalLoop();
     } else if (JSON.stringify(former) === JSON.stringify(worker)) return;
@@ -156,8 +159,10 @@
   private dropWorker(reason: 'farewell' | 'refused-connection'): void {
     const {worker} = this;
     if (worker === undefined) return;
-    this.options.log.log('worker-gone', {worker: worker.life, reason});
-    this.send({kind: 'worker-gone', life: worker.life, reason});
+    const {clock, log} = this.options;
+    const silentMs = this.silentSince === undefined ? 0 : clock.now() - this.silentSince;
+    log.log('worker-gone', {worker: worker.life, reason, silentMs: Math.round(silentMs)});
+    this.send({kind: 'worker-gone', life: worker.life, reason, silentMs});
     this.worker = undefined;
     this.renewalGeneration += 1;
   }
@@ -333,6 +338,7 @@
       this.link?.destroy('fenced');
       return false;
     }
+    this.silentSince ??= this.options.clock.now();
     this.refusedConnections = reply.kind === 'absent' ? this.refusedConnections + 1 : 0;
     if (this.refusedConnections >= maxRefusedConnections) {
       this.dropWorker('refused-connection');
@@ -356,6 +362,7 @@
     reply: Extract<LeaseRenewalReply, {kind: 'listed'}>,
   ): void {
     this.refusedConnections = 0;
+    this.silentSince = undefined;
     const now = this.options.clock.now();
     const ends: RunEndRow[] = [];
     for (const end of reply.ends) if (end[0] > this.lastSentEnd) ends.push(end);
--- a/packages/runtime/src/dispatch/links/link-message-checks.ts
+++ b/packages/runtime/src/dispatch/links/link-message-checks.ts
@@ -9,7 +9,11 @@
 const fieldChecksByKind: Readonly<Record<string, FieldChecks>> = {
   agent: {agent: 'string', dataCentre: 'string', incarnation: 'number'},
   worker: {worker: isWorker},
-  'worker-gone': {life: 'string', reason: 'string'},
+  'worker-gone': {
+    life: 'string',
+    reason: 'string',
+    silentMs: value => value === undefined || Number.isFinite(value),
+  },
   report: {
     life: 'string',
     term: 'number',
