Give up a task after four crashes when none of them came early

Crashes later than 250 ms after the start have other causes more often than not, so it takes four of them; a task that crashes its workers late still stays within five.

--- a/packages/coordination/src/dispatch/crash-history.ts
+++ b/packages/coordination/src/dispatch/crash-history.ts
@@ -33,6 +33,11 @@
     return this.early.size + this.late.size;
   }
 
+  /** Whether any of them crashed soon after the start of the run. */
+  get hasEarly(): boolean {
+    return this.early.size > 0;
+  }
+
   /** Whether the task may be the one that crashes its workers. */
   get isSuspect(): boolean {
     return this.early.size > 0 || this.late.size >= minLateCrashes;
--- a/packages/coordination/src/dispatch/supervision/crash-blame.ts
+++ b/packages/coordination/src/dispatch/supervision/crash-blame.ts
@@ -5,6 +5,8 @@
 const maxCrashes = 3;
 /** The same when no other task can have caused the latest one. */
 const maxDecisiveCrashes = 2;
+/** The same when none of them came soon after the start of the run, as crashes with other causes do. */
+const maxLateCrashes = 4;
 
 /** What the crash of a worker says of one task. */
 export interface CrashVerdict {
@@ -42,7 +44,9 @@
     ...suspects.map(({task, timing}) => ({
       task,
       timing,
-      isGivenUp: task.crashes.count + 1 >= limit,
+      isGivenUp:
+        task.crashes.count + 1 >=
+        (timing === 'early' || task.crashes.hasEarly ? limit : maxLateCrashes),
     })),
     ...others.map(({task, timing}) => ({
       task,
