--- a/packages/coordination/src/dispatch/crash-history.ts
+++ b/packages/coordination/src/dispatch/crash-history.ts
@@ -1,5 +1,5 @@
 /** Age in milliseconds of a run from which a crash of its worker is hardly its doing; most of such tasks crash at once. */
-const earlyCrashMs = 500;
+const earlyCrashMs = 250;
 /** Age in milliseconds of a run from which a crash of its worker is not held against it at all. */
 const lateCrashMs = 10_000;
 
@@ -33,6 +33,11 @@
     return this.early.size + this.late.size;
   }
 
+  /** Whether any of them crashed soon after the start of the run. */
+  get hasEarly(): boolean {
+    return this.early.size > 0;
+  }
+
   /** Whether the task may be the one that crashes its workers. */
   get isSuspect(): boolean {
     return this.early.size > 0 || this.late.size >= minLateCrashes;
