Render deeply nested rejected values without exhausting the stack

Seen: a stored submission with one deeply nested field ended the entry that had just become the owner, while it loaded the records; the next owner ended in the same way. A caller that sent such a submission got 500 instead of the findings.

Cause: a finding renders the rejected value with JSON.stringify, which calls itself for each level; 5,000 levels (10 kB) are enough on Node.js 20. JSON.parse has no such limit. The RangeError left the parser as an unhandled rejection.

Change: values below ten levels are rendered as an ellipsis.

--- a/packages/coordination/src/findings/object-reader.ts
+++ b/packages/coordination/src/findings/object-reader.ts
@@ -16,15 +16,30 @@
 /** Largest number of characters of a rendered value. */
 const maxRenderedCharacters = 60;
 
-/** Renders a rejected value for display as one line, shortened if it is long. */
+/** Largest number of levels of nesting that are rendered; a few thousand would exhaust the stack. */
+const maxRenderedLevels = 10;
+
+/** Renders a rejected value for display as one line, shortened if it is long or deeply nested. */
 export function renderValue(value: unknown): string {
   if (value === undefined) return 'missing';
-  const text = JSON.stringify(value) ?? String(value);
+  const text = JSON.stringify(value, createLevelLimiter()) ?? String(value);
   return text.length > maxRenderedCharacters
     ? `${text.slice(0, maxRenderedCharacters - 3)}...`
     : text;
 }
 
+/** Returns a replacer for `JSON.stringify` that renders values below `maxRenderedLevels` as an ellipsis. */
+function createLevelLimiter(): (this: object, key: string, value: unknown) => unknown {
+  const levels = new WeakMap<object, number>();
+  return function (_key, value) {
+    if (typeof value !== 'object' || value === null) return value;
+    const level = (levels.get(this) ?? 0) + 1;
+    if (level > maxRenderedLevels) return '...';
+    levels.set(value, level);
+    return value;
+  };
+}
+
 /** Returns whether a value is an object and not an array. */
 export function isRecord(value: unknown): value is Record<string, unknown> {
   return typeof value === 'object' && value !== null && !Array.isArray(value);
--- a/packages/runtime/test/dispatch/mutations.ts
+++ b/packages/runtime/test/dispatch/mutations.ts
@@ -47,3 +47,17 @@
   else if (isRemoval) delete (target as Record<string | number, unknown>)[last];
   else (target as Record<string | number, unknown>)[last] = value;
 }
+
+/** Levels of nesting at which a function that calls itself for each level exhausts the stack; parsing does not. */
+const nestedLevels = 50_000;
+
+/** JSON text of a very deeply nested list. */
+export const nestedText = '['.repeat(nestedLevels) + ']'.repeat(nestedLevels);
+
+/** Returns the JSON texts of a valid record in which one field, or an additional one, is a very deeply nested list. */
+export function getNestedTexts(valid: object): ReadonlyArray<{name: string; text: string}> {
+  return [...Object.keys(valid), 'extra'].map(name => {
+    const marked = JSON.stringify({...valid, [name]: '<nested>'});
+    return {name, text: marked.replace('"<nested>"', nestedText)};
+  });
+}
--- a/packages/runtime/test/dispatch/records/malformed-records.test.ts
+++ b/packages/runtime/test/dispatch/records/malformed-records.test.ts
@@ -9,10 +9,12 @@
   parseSubmission,
 } from '../../../src/dispatch/records/record-parsers.js';
 import {readStoredState} from '../../../src/dispatch/records/stored-state.js';
-import {mutate} from '../mutations.js';
+import {getNestedTexts, mutate} from '../mutations.js';
 import {createTestLog} from '../test-log.js';
 import {MemoryStore} from './memory-store.js';
 
+/** Length of the log lines about one record. */
+const maxLogCharacters = 500;
 const id = '00000000000000a1';
 const other = '00000000000000a2';
 const submission = {
@@ -62,6 +64,19 @@
   return JSON.stringify(value) ?? '';
 }
 
+// The new owner, which loads the record, ended; so did the next one.
+for (const {name, text} of getNestedTexts(submission)) {
+  void t.test(`a submission with a deeply nested ${name} does not keep the others away`, async t => {
+    const store = new MemoryStore();
+    store.put(`work/job/${other}`, JSON.stringify({...submission, id: other}));
+    store.put(`work/job/${id}`, text);
+    const {log, lines} = createTestLog();
+    const stored = await readStoredState(store, log, () => true);
+    t.ok(stored?.submissions.some(each => each.submission.id === other));
+    t.ok(JSON.stringify(lines).length < maxLogCharacters);
+  });
+}
+
 void t.test('an owner loads and dispatches whatever records the store holds', async () => {
   await fc.assert(
     fc.asyncProperty(
