Keep only the checked fields of a stored record

Seen: an entry of the list of owners, or an additional field of any record, that is nested very deeply ended every entry that claimed the ownership or wrote the record again; so did a failed run number that was a list.

Cause: the parsers returned the parsed JSON with all its fields, and the list of owners was written as JSON to check each entry. JSON.stringify exhausts the stack at about 5,000 levels. The calls are not awaited, so that the process ended.

Change: each parser returns the fields that it has checked and nothing else. Failure and checkpoint rows must start with three whole numbers, and the numbers of failed runs must be whole.

--- a/packages/runtime/src/dispatch/records/record-parsers.ts
+++ b/packages/runtime/src/dispatch/records/record-parsers.ts
@@ -7,6 +7,11 @@
   type Submission,
 } from '@chervilbeam/coordination';
 
+/*
+ * The parsers return only the fields that they have checked. Owners write most records again, and a field that was kept
+ * unchecked could be nested too deeply to be written.
+ */
+
 const finalStates = new Set<unknown>(['completed', 'failed', 'cancelled']);
 
 /** Stored record of a running entry. */
@@ -26,10 +31,23 @@
   if (!texts.every(text => typeof text === 'string') || !Number.isFinite(acceptedAtMs)) {
     return undefined;
   }
-  const submission = record as unknown as Submission;
-  if (Array.isArray(steps) && steps.length === 0) return submission;
+  const identity = {id, queue, service, acceptedAtMs} as Pick<
+    Submission,
+    'id' | 'queue' | 'service' | 'acceptedAtMs'
+  >;
+  if (Array.isArray(steps) && steps.length === 0) {
+    const {repetitions, startAtMs, intervalMs} = record;
+    return {
+      ...identity,
+      spec: '',
+      steps: [],
+      repetitions: toNumber(repetitions),
+      startAtMs: toNumber(startAtMs),
+      intervalMs: toNumber(intervalMs),
+    };
+  }
   const {draft} = checkDraft(record);
-  return draft && {...submission, ...draft};
+  return draft && {...identity, ...draft};
 }
 
 /** Returns the queue of a stored submission; undefined when it cannot be read. */
@@ -42,17 +60,35 @@
 export function parseProgress(value: string): ProgressRecord | undefined {
   const record = parseRecord(value);
   if (record === undefined) return undefined;
-  const {final, finished, failures, checkpoints} = record;
+  const {final, endedAtMs, finished, failures, checkpoints} = record;
   const isFinalValid = final === undefined || finalStates.has(final);
-  const areRowsValid = [failures, checkpoints].every(
-    rows => Array.isArray(rows) && rows.every(row => Array.isArray(row) && row.length === 4),
+  const areRowsValid =
+    isTaskRows(failures, isRunNumbers) &&
+    isTaskRows(checkpoints, checkpoint => typeof checkpoint === 'string');
+  if (!isFinalValid || !areRowsValid || !areFinishedTasksValid(finished)) return undefined;
+  return {
+    ...(final !== undefined && {final}),
+    ...(Number.isFinite(endedAtMs) && {endedAtMs}),
+    finished,
+    failures,
+    checkpoints,
+  } as ProgressRecord;
+}
+
+/** Whether all rows have an occurrence, a step, an index and a valid value. */
+function isTaskRows(rows: unknown, isValid: (value: unknown) => boolean): boolean {
+  if (!Array.isArray(rows)) return false;
+  return rows.every(
+    (row: unknown) =>
+      Array.isArray(row) &&
+      row.length === 4 &&
+      row.slice(0, 3).every(Number.isSafeInteger) &&
+      isValid(row[3]),
   );
-  if (!areRowsValid || !isFinalValid) return undefined;
-  const areValuesValid =
-    (failures as unknown[][]).every(row => Array.isArray(row[3])) &&
-    (checkpoints as unknown[][]).every(row => typeof row[3] === 'string');
-  if (!areValuesValid || !areFinishedTasksValid(finished)) return undefined;
-  return record as unknown as ProgressRecord;
+}
+
+function isRunNumbers(value: unknown): boolean {
+  return Array.isArray(value) && value.every(Number.isSafeInteger);
 }
 
 function areFinishedTasksValid(finished: unknown): boolean {
@@ -61,32 +97,39 @@
 
 /** Parses the stored roster; undefined when the record is unreadable. */
 export function parseRoster(value: string): readonly RosterEntry[] | undefined {
-  const entries = parseJson(value);
-  const isValid =
-    Array.isArray(entries) &&
-    entries.every(
-      (entry: unknown) =>
-        isRecord(entry) && typeof entry.agent === 'string' && typeof entry.life === 'string',
-    );
-  return isValid ? (entries as RosterEntry[]) : undefined;
+  return parseAll(parseJson(value), entry => {
+    if (!isRecord(entry)) return undefined;
+    const {agent, life} = entry;
+    return typeof agent === 'string' && typeof life === 'string' ? {agent, life} : undefined;
+  });
 }
 
 /** Parses a stored owner record; undefined when the record is unreadable. */
 export function parseOwner(value: string): OwnerRecord | undefined {
-  const record = parseRecord(value);
-  const isValid =
-    typeof record?.address === 'string' &&
-    typeof record.name === 'string' &&
-    typeof record.nonce === 'string';
-  return isValid ? (record as unknown as OwnerRecord) : undefined;
+  return toOwner(parseJson(value));
 }
 
 /** Parses the stored list of owners; undefined when the record is unreadable. */
 export function parseOwners(value: string): readonly OwnerRecord[] | undefined {
-  const entries = parseJson(value);
-  if (!Array.isArray(entries)) return undefined;
-  const owners = entries.map((entry: unknown) => parseOwner(JSON.stringify(entry)));
-  return owners.every(owner => owner !== undefined) ? owners : undefined;
+  return parseAll(parseJson(value), toOwner);
+}
+
+function toOwner(record: unknown): OwnerRecord | undefined {
+  if (!isRecord(record)) return undefined;
+  const {name, address, nonce} = record;
+  const isValid =
+    typeof name === 'string' && typeof address === 'string' && typeof nonce === 'string';
+  return isValid ? {name, address, nonce} : undefined;
+}
+
+/** Converts all entries of a list; undefined when it is not a list or one of them is invalid. */
+function parseAll<T>(
+  list: unknown,
+  convert: (entry: unknown) => T | undefined,
+): readonly T[] | undefined {
+  if (!Array.isArray(list)) return undefined;
+  const entries = list.map(convert);
+  return entries.every(entry => entry !== undefined) ? (entries as T[]) : undefined;
 }
 
 /** Parses the stored record of an entry; undefined when it is not valid JSON or has no address. */
@@ -109,3 +152,7 @@
     return undefined;
   }
 }
+
+function toNumber(value: unknown): number {
+  return typeof value === 'number' && Number.isFinite(value) ? value : 0;
+}
--- a/packages/runtime/test/dispatch/records/malformed-records.test.ts
+++ b/packages/runtime/test/dispatch/records/malformed-records.test.ts
@@ -4,6 +4,7 @@
 import {
   parseEntry,
   parseOwner,
+  parseOwners,
   parseProgress,
   parseRoster,
   parseSubmission,
@@ -38,7 +39,7 @@
 
 const parsers: ReadonlyArray<{
   readonly name: string;
-  readonly valid: unknown;
+  readonly valid: object;
   readonly parse: (value: string) => unknown;
 }> = [
   {name: 'a submission', valid: submission, parse: parseSubmission},
@@ -60,21 +61,59 @@
   });
 }
 
+const rewritten: typeof parsers = [
+  ...parsers,
+  {
+    name: 'a worker of a roster',
+    valid: {agent: 'a', life: 'a@1'},
+    parse: text => parseRoster(`[${text}]`),
+  },
+  {
+    name: 'a failed run',
+    valid: {},
+    parse: text => parseProgress(JSON.stringify(progress).replace('[1,2]', `[1,${text}]`)),
+  },
+];
+
+// Owners write these records again, which cannot be done with a field of any depth.
+for (const {name, valid, parse} of rewritten) {
+  for (const {name: field, text} of getNestedTexts(valid)) {
+    void t.test(
+      `a parsed record of ${name} with a deeply nested ${field} can be written`,
+      async t => {
+        t.doesNotThrow(() => JSON.stringify(parse(text)));
+      },
+    );
+  }
+}
+
+const otherOwner = {name: 'other', address: '10.0.0.2:1', nonce: 'o-1'};
+for (const {name, text} of getNestedTexts(owner)) {
+  void t.test(`a list of owners with a deeply nested ${name} does not end the claim`, async t => {
+    const list = `[${JSON.stringify(otherOwner)},${text}]`;
+    const owners = parseOwners(list);
+    t.same(owners, name === 'extra' ? [otherOwner, owner] : undefined);
+  });
+}
+
 function stringify(value: unknown): string {
   return JSON.stringify(value) ?? '';
 }
 
 // The new owner, which loads the record, ended; so did the next one.
 for (const {name, text} of getNestedTexts(submission)) {
-  void t.test(`a submission with a deeply nested ${name} does not keep the others away`, async t => {
-    const store = new MemoryStore();
-    store.put(`work/job/${other}`, JSON.stringify({...submission, id: other}));
-    store.put(`work/job/${id}`, text);
-    const {log, lines} = createTestLog();
-    const stored = await readStoredState(store, log, () => true);
-    t.ok(stored?.submissions.some(each => each.submission.id === other));
-    t.ok(JSON.stringify(lines).length < maxLogCharacters);
-  });
+  void t.test(
+    `a submission with a deeply nested ${name} does not keep the others away`,
+    async t => {
+      const store = new MemoryStore();
+      store.put(`work/job/${other}`, JSON.stringify({...submission, id: other}));
+      store.put(`work/job/${id}`, text);
+      const {log, lines} = createTestLog();
+      const stored = await readStoredState(store, log, () => true);
+      t.ok(stored?.submissions.some(each => each.submission.id === other));
+      t.ok(JSON.stringify(lines).length < maxLogCharacters);
+    },
+  );
 }
 
 void t.test('an owner loads and dispatches whatever records the store holds', async () => {
