Ignore records of processes whose address cannot be dialled

Seen: an entry or an owner that is stored with a port out of range ended the processes that read it. An entry ended when callers' calls were relayed, when earlier attempts were looked up for another entry, and at a takeover when its predecessors were asked; an agent ended 300 ms after it had read the owner. An entry that stated too many processors held back the claims of all others. An owner stored at port 0 or without a host counted as ended, so that its leases were not waited for.

Cause: net.connect throws synchronously for a port that is not from 0 to 65535. The link was opened from timers and from calls that are not awaited. A port 0, or an empty host, is refused by the own host, which was taken for the answer of the owner's.

Change: parseProcessAddress is the one check of an address. A stored entry or owner without a valid address is unreadable, and an entry is logged once for each revision of its record; a number of processors out of range counts as 0. dialLink reports an invalid address through `closed`, as its other failures, since addresses also come from settings and messages.

--- /dev/null
+++ b/packages/runtime/src/addresses/index.ts
@@ -0,0 +1,1 @@
+export * from './process-address.js';
--- a/packages/runtime/src/dispatch/entry/entry-peers.ts
+++ b/packages/runtime/src/dispatch/entry/entry-peers.ts
@@ -10,8 +10,9 @@
 import {dialLink, type Link, type LinkHandlers} from '../links/link.js';
 import type {TrafficMeter} from '../links/traffic-meter.js';
 import {type EntryRecord, parseEntry} from '../records/record-parsers.js';
-import type {RecordStore} from '../records/record-store.js';
+import type {RecordStore, StoredRecord} from '../records/record-store.js';
 import {entryPrefix} from '../records/store-keys.js';
+import {UnreadableRecords} from '../records/unreadable-records.js';
 import type {SubmissionCall, SubmissionReply} from '../submissions/submission-calls.js';
 import {EntryLosses} from './entry-losses.js';
 
@@ -53,8 +54,10 @@
   private listTimer: NodeJS.Timeout | undefined;
   private isStopped = false;
   private readonly losses: EntryLosses;
+  private readonly unreadable: UnreadableRecords;
 
   constructor(private readonly options: EntryPeersOptions) {
+    this.unreadable = new UnreadableRecords(options.log);
     this.losses = new EntryLosses(options.clock);
   }
 
@@ -190,7 +193,7 @@
     const result = await store.list(entryPrefix, {stale: true});
     if (this.isStopped) return;
     if (result.kind === 'ok') {
-      const entries = result.records.flatMap(record => parseEntry(record.value) ?? []);
+      const entries = result.records.flatMap(record => this.parseRecord(record) ?? []);
       // The list is empty after the store has lost its leases; the previous list is then more likely to be right.
       if (entries.length > 0)
         this.setOtherEntries(entries.filter(entry => entry.address !== address));
@@ -199,6 +202,12 @@
     this.listTimer = setTimeout(() => void this.refreshEntries(), entryListIntervalMs);
   }
 
+  private parseRecord(record: StoredRecord): EntryRecord | undefined {
+    const entry = parseEntry(record.value);
+    if (entry === undefined) this.unreadable.report(record);
+    return entry;
+  }
+
   private setOtherEntries(entries: readonly EntryRecord[]): void {
     const addresses = new Set(entries.map(entry => entry.address));
     for (const address of this.addresses) if (!addresses.has(address)) this.losses.record(address);
--- a/packages/runtime/src/dispatch/links/link.ts
+++ b/packages/runtime/src/dispatch/links/link.ts
@@ -1,5 +1,6 @@
-import {connect, createServer, type Server, type Socket} from 'node:net';
+import {connect, createServer, type Server, Socket} from 'node:net';
 import {Encoder} from 'cbor-x';
+import {parseProcessAddress} from '../../addresses/index.js';
 import {FrameDecoder, FrameError, prefixBytes} from '../../framing/index.js';
 import {checkLinkMessage} from './link-message-checks.js';
 import type {TrafficMeter} from './traffic-meter.js';
@@ -52,7 +53,7 @@
     private readonly traffic?: TrafficMeter,
   ) {
     socket.setNoDelay(true);
-    this.hasOpened = !socket.connecting;
+    this.hasOpened = !socket.connecting && !socket.destroyed;
     socket.once('connect', () => (this.hasOpened = true));
     this.probeTimer = setInterval(() => this.probe(), probeIntervalMs);
     socket.on('data', bytes => this.receive(bytes));
@@ -166,14 +167,22 @@
   traffic?: TrafficMeter,
 ) => Link<Incoming, Outgoing>;
 
-/** Opens a link to `ip:port`; a failure to connect is reported through `closed`. */
+/** Code of the error of a link to a text that is not an address. */
+const invalidAddressCode = 'invalid-address';
+
+/** Opens a link to `ip:port`; a failure to connect, also to an invalid address, is reported through `closed`. */
 export function dialLink<Incoming, Outgoing>(
   address: string,
   handlers: LinkHandlers<Incoming>,
   traffic?: TrafficMeter,
 ): Link<Incoming, Outgoing> {
-  const separator = address.lastIndexOf(':');
-  const socket = connect(Number(address.slice(separator + 1)), address.slice(0, separator));
+  const target = parseProcessAddress(address);
+  if (target === undefined) {
+    const socket = new Socket();
+    socket.destroy(Object.assign(new Error(invalidAddressCode), {code: invalidAddressCode}));
+    return new Link(socket, handlers, traffic);
+  }
+  const socket = connect(target.port, target.host);
   const timer = setTimeout(() => socket.destroy(new Error('connect-timeout')), connectTimeoutMs);
   socket.once('connect', () => clearTimeout(timer));
   socket.once('close', () => clearTimeout(timer));
--- a/packages/runtime/src/dispatch/records/record-parsers.ts
+++ b/packages/runtime/src/dispatch/records/record-parsers.ts
@@ -6,12 +6,16 @@
   type RosterEntry,
   type Submission,
 } from '@chervilbeam/coordination';
+import {parseProcessAddress} from '../../addresses/index.js';
 
 /*
  * The parsers return only the fields that they have checked. Owners write most records again, and a field that was kept
  * unchecked could be nested too deeply to be written.
  */
 
+/** Largest number of processors of one entry; a larger one is a mistake and would delay the claims of all others. */
+const maxProcessors = 10_000;
+
 const finalStates = new Set<unknown>(['completed', 'failed', 'cancelled']);
 
 /** Stored record of a running entry. */
@@ -117,9 +121,9 @@
 function toOwner(record: unknown): OwnerRecord | undefined {
   if (!isRecord(record)) return undefined;
   const {name, address, nonce} = record;
-  const isValid =
-    typeof name === 'string' && typeof address === 'string' && typeof nonce === 'string';
-  return isValid ? {name, address, nonce} : undefined;
+  if (typeof name !== 'string' || typeof nonce !== 'string' || !isAddress(address))
+    return undefined;
+  return {name, address, nonce};
 }
 
 /** Converts all entries of a list; undefined when it is not a list or one of them is invalid. */
@@ -132,12 +136,17 @@
   return entries.every(entry => entry !== undefined) ? (entries as T[]) : undefined;
 }
 
-/** Parses the stored record of an entry; undefined when it is not valid JSON or has no address. */
+/** Parses the stored record of an entry; undefined when it is not valid JSON or has no valid address. */
 export function parseEntry(value: string): EntryRecord | undefined {
   const record = parseRecord(value);
-  if (typeof record?.address !== 'string') return undefined;
+  if (record === undefined || !isAddress(record.address)) return undefined;
   const {address, processors} = record;
-  return {address, processors: typeof processors === 'number' ? processors : 0};
+  const isAmount = typeof processors === 'number' && processors >= 0 && processors <= maxProcessors;
+  return {address, processors: isAmount ? processors : 0};
+}
+
+function isAddress(value: unknown): value is string {
+  return typeof value === 'string' && parseProcessAddress(value) !== undefined;
 }
 
 function parseRecord(value: string): Readonly<Record<string, unknown>> | undefined {
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,3 +1,4 @@
+export * from './addresses/index.js';
 export * from './backend/index.js';
 export * from './control/index.js';
 export * from './daemon/index.js';
--- a/packages/runtime/test/dispatch/agent/agent-node.test.ts
+++ b/packages/runtime/test/dispatch/agent/agent-node.test.ts
@@ -16,6 +16,7 @@
 import {SystemClock} from '../../../src/loop/index.js';
 import {Metrics} from '../../../src/metrics/index.js';
 import {MemoryStore} from '../records/memory-store.js';
+import {oddAddresses} from '../odd-addresses.js';
 import {createTestLog} from '../test-log.js';
 import {waitUntil} from '../wait-until.js';
 
@@ -39,6 +40,9 @@
   }
 }
 
+/** Interval in milliseconds at which an agent tries to reach a known owner. */
+const attemptIntervalMs = 300;
+
 const unusedWorker = {} as WorkerPort;
 
 function createDescription(life: string): WorkerDescription {
@@ -205,3 +209,19 @@
   t.pass('the acknowledgement is passed on');
   agent.stop();
 });
+
+// The address was dialled again at intervals, outside of the watch that had read it.
+for (const address of oddAddresses) {
+  void t.test(`an agent waits for the owner after one at "${address.slice(0, 20)}"`, async t => {
+    const store = new MemoryStore();
+    claim(store, address);
+    const {agent, links} = createAgent(store, [address]);
+    agent.start();
+    t.teardown(() => agent.stop());
+    await new Promise(resolve => setTimeout(resolve, 2 * attemptIntervalMs));
+    t.same(links, []);
+    claim(store, '10.0.0.2:1');
+    await waitUntil(() => links.length === 1);
+    t.equal(links[0]?.address, '10.0.0.2:1');
+  });
+}
--- a/packages/runtime/test/dispatch/entry/entry-peers.test.ts
+++ b/packages/runtime/test/dispatch/entry/entry-peers.test.ts
@@ -12,6 +12,7 @@
 import {TrafficMeter} from '../../../src/dispatch/links/traffic-meter.js';
 import {Metrics} from '../../../src/metrics/index.js';
 import {MemoryStore} from '../records/memory-store.js';
+import {oddAddresses} from '../odd-addresses.js';
 import {createTestLog} from '../test-log.js';
 import {waitUntil} from '../wait-until.js';
 
@@ -32,7 +33,7 @@
 }
 
 /** Starts the peers of an entry beside one other entry, which answers with `state`, or not at all without one. */
-async function startPeers(state: AttemptState | undefined) {
+async function startPeers(state: AttemptState | undefined, oddAddress?: string) {
   const sockets: Socket[] = [];
   const server = await listenForLinks('127.0.0.1:0', socket => {
     sockets.push(socket);
@@ -47,8 +48,11 @@
   const other = `127.0.0.1:${(server.address() as AddressInfo).port}`;
   const store = new MemoryStore();
   store.put('entry/other', JSON.stringify({address: other, processors: 1}));
+  if (oddAddress !== undefined) {
+    store.put('entry/odd', JSON.stringify({address: oddAddress, processors: 1}));
+  }
   const clock = new ManualClock();
-  const {log} = createTestLog();
+  const {log, lines} = createTestLog();
   const peers = new EntryPeers({
     name: 'this',
     address: '127.0.0.1:1',
@@ -59,13 +63,13 @@
     onQueueBacklogs: () => {},
   });
   peers.start();
-  await waitUntil(() => peers.addresses.length === 1);
+  await waitUntil(() => peers.addresses.includes(other));
   const stop = () => {
     peers.stop();
     server.close();
     for (const socket of sockets) socket.destroy();
   };
-  return {peers, clock, other, server, sockets, stop};
+  return {peers, clock, other, server, sockets, lines, stop};
 }
 
 type Fixture = Awaited<ReturnType<typeof startPeers>>;
@@ -139,3 +143,34 @@
     t.equal(await fixture.peers.findAttempt(id), expected);
   });
 }
+
+for (const address of oddAddresses) {
+  void t.test(`an entry with the address "${address.slice(0, 20)}" is left out`, async t => {
+    const {peers, clock, other, lines, stop} = await startPeers('none', address);
+    t.teardown(stop);
+    clock.timeMs += afterRepeatsMs;
+    t.same(peers.addresses, [other]);
+    t.match(lines, [{event: 'record-unreadable', key: 'entry/odd'}]);
+    t.equal(await peers.findAttempt(id), 'none');
+    const call = {kind: 'query', queue: 'q', id} as const;
+    // The other entry does not answer calls; none is relayed to the odd one.
+    for (let turn = 0; turn < 2; turn += 1) t.equal(await peers.relay(call, 20), undefined);
+  });
+
+  void t.test(`the end of an owner at "${address.slice(0, 20)}" is not known`, async t => {
+    const {peers, stop} = await startPeers('none');
+    t.teardown(stop);
+    t.equal(await peers.askOwnershipEnd({name: 'odd', address, nonce: 'o-1'}), undefined);
+  });
+
+  void t.test(
+    `an owner at "${address.slice(0, 20)}" is not reached, and the next one is`,
+    async t => {
+      const {peers, other, sockets, stop} = await startPeers('none');
+      t.teardown(stop);
+      peers.setOwner(address);
+      peers.setOwner(other);
+      await waitUntil(() => sockets.length === 1);
+    },
+  );
+}
--- a/packages/runtime/test/dispatch/links/malformed-messages.test.ts
+++ b/packages/runtime/test/dispatch/links/malformed-messages.test.ts
@@ -5,9 +5,10 @@
 import fc from 'fast-check';
 import t from 'tap';
 import {checkLinkMessage} from '../../../src/dispatch/links/link-message-checks.js';
-import {Link, listenForLinks} from '../../../src/dispatch/links/link.js';
+import {dialLink, Link, listenForLinks} from '../../../src/dispatch/links/link.js';
 import {FrameError} from '../../../src/framing/index.js';
 import {mutate} from '../mutations.js';
+import {oddAddresses} from '../odd-addresses.js';
 
 const life = 'w@1';
 const task = '00000000000000a1.0.0.0';
@@ -152,3 +153,14 @@
   t.notOk(checkLinkMessage({kind: 'invented', field: 1}));
   t.notOk(checkLinkMessage({kind: 'toString'}));
 });
+
+for (const address of oddAddresses) {
+  void t.test(`a link to "${address.slice(0, 20)}" is closed and never open`, async t => {
+    const reason = await new Promise<string>(closed => {
+      const link = dialLink(address, {message: () => {}, closed});
+      link.send({kind: 'query', request: 1, id: 'a'});
+      t.notOk(link.hasBeenOpen);
+    });
+    t.equal(reason, 'invalid-address');
+  });
+}
--- a/packages/runtime/test/dispatch/records/malformed-records.test.ts
+++ b/packages/runtime/test/dispatch/records/malformed-records.test.ts
@@ -10,7 +10,8 @@
   parseSubmission,
 } from '../../../src/dispatch/records/record-parsers.js';
 import {readStoredState} from '../../../src/dispatch/records/stored-state.js';
-import {getNestedTexts, mutate} from '../mutations.js';
+import {getNestedTexts, mutate, nestedText} from '../mutations.js';
+import {oddAddresses} from '../odd-addresses.js';
 import {createTestLog} from '../test-log.js';
 import {MemoryStore} from './memory-store.js';
 
@@ -96,6 +97,36 @@
   });
 }
 
+// Each process dials all entries and owners that it reads.
+for (const address of [...oddAddresses, 7, null, [], {}]) {
+  void t.test(`a record with the address ${describe(address)} names no process`, async t => {
+    t.equal(parseEntry(JSON.stringify({address, processors: 1})), undefined);
+    t.equal(parseOwner(JSON.stringify({...owner, address})), undefined);
+    t.equal(parseOwners(JSON.stringify([otherOwner, {...owner, address}])), undefined);
+  });
+}
+
+for (const address of ['10.0.0.1:1', 'host-1.example:65535', '[::1]:8080', 'localhost:80']) {
+  void t.test(`a record with the address ${address} names a process`, async t => {
+    t.match(parseEntry(JSON.stringify({address, processors: 1})), {address});
+    t.match(parseOwner(JSON.stringify({...owner, address})), {address});
+  });
+}
+
+for (const text of ['1e400', '1e308', '-1', '"9"', 'null', nestedText]) {
+  void t.test(
+    `an entry with ${text.slice(0, 10)} processors cannot be the stronger one`,
+    async t => {
+      const record = `{"address":"10.0.0.1:1","processors":${text}}`;
+      t.equal(parseEntry(record)?.processors, 0);
+    },
+  );
+}
+
+function describe(value: unknown): string {
+  return JSON.stringify(value).slice(0, 30);
+}
+
 function stringify(value: unknown): string {
   return JSON.stringify(value) ?? '';
 }
