Continue the generation when its record is unreadable

Seen: with another text in the record of the generation, the next owner took office with the generation NaN, Infinity, a fraction, or a number at which adding one changes nothing, and stored it again. The numbers of its runs follow from it, so no worker could accept a start, under this owner and all later ones. An empty text started again with 1, below the runs of before.

Cause: the text was converted with Number() and not checked.

Change: a generation that is not a whole number, or is above the revision of its record, is unreadable and logged. Each claim increases the revision of the store, so the revision of the record exceeds the number of claims before and takes its place.

--- a/packages/runtime/src/dispatch/ownership/election-calls.ts
+++ b/packages/runtime/src/dispatch/ownership/election-calls.ts
@@ -6,8 +6,13 @@
   type OwnerRecord,
 } from '@chervilbeam/coordination';
 import type {DecisionLogger} from '../decision-logger.js';
-import {type EntryRecord, parseOwner, parseOwners} from '../records/record-parsers.js';
-import type {RecordStore} from '../records/record-store.js';
+import {
+  type EntryRecord,
+  parseGeneration,
+  parseOwner,
+  parseOwners,
+} from '../records/record-parsers.js';
+import type {RecordStore, StoredRecord} from '../records/record-store.js';
 import {entryPrefix, generationKey, ownerKey, ownersKey} from '../records/store-keys.js';
 
 /** Options of `ElectionCalls`. */
@@ -101,7 +106,7 @@
       store.read(ownersKey),
     ]);
     if (generationRead.kind !== 'ok' || ownersRead.kind !== 'ok') return this.postClaimFailure();
-    const generation = Number(generationRead.record?.value ?? 0) + 1;
+    const generation = this.getNextGeneration(generationRead.record);
     const owner: OwnerRecord = {name, address, nonce};
     // Without a list, as before the first owner of this version, nothing is known of the owners before.
     const owners = ownersRead.record && parseOwners(ownersRead.record.value);
@@ -125,6 +130,18 @@
     else this.postClaimFailure();
   }
 
+  /** Each claim changes the store, so the revision of an unreadable generation exceeds the number of claims before. */
+  private getNextGeneration(record: StoredRecord | undefined): number {
+    if (record === undefined) return 1;
+    const generation = parseGeneration(record);
+    if (generation === undefined) this.logUnreadable(record);
+    return (generation ?? record.revision) + 1;
+  }
+
+  private logUnreadable({key, revision}: StoredRecord): void {
+    this.options.log.warn('record-unreadable', {key, revision});
+  }
+
   private getOwnersWrite(owner: OwnerRecord): ReadonlyArray<{key: string; value: string}> {
     const {previousOwners} = this;
     if (previousOwners === undefined) return [];
--- a/packages/runtime/src/dispatch/records/record-parsers.ts
+++ b/packages/runtime/src/dispatch/records/record-parsers.ts
@@ -7,6 +7,7 @@
   type Submission,
 } from '@chervilbeam/coordination';
 import {parseProcessAddress} from '../../addresses/index.js';
+import type {StoredRecord} from './record-store.js';
 
 /*
  * The parsers return only the fields that they have checked. Owners write most records again, and a field that was kept
@@ -16,6 +17,8 @@
 /** Largest number of processors of one entry; a larger one is a mistake and would delay the claims of all others. */
 const maxProcessors = 10_000;
 
+const generationPattern = /^\d{1,15}$/;
+
 const finalStates = new Set<unknown>(['completed', 'failed', 'cancelled']);
 
 /** Stored record of a running entry. */
@@ -108,6 +111,16 @@
   });
 }
 
+/**
+ * Parses the stored generation; undefined when it is not a number of claims that the store can have seen: each claim
+ * increases the revision.
+ */
+export function parseGeneration({value, revision}: StoredRecord): number | undefined {
+  if (!generationPattern.test(value)) return undefined;
+  const generation = Number(value);
+  return generation <= revision ? generation : undefined;
+}
+
 /** Parses a stored owner record; undefined when the record is unreadable. */
 export function parseOwner(value: string): OwnerRecord | undefined {
   return toOwner(parseJson(value));
--- a/packages/runtime/test/dispatch/ownership/owner-process.test.ts
+++ b/packages/runtime/test/dispatch/ownership/owner-process.test.ts
@@ -3,6 +3,7 @@
 import type {Link} from '../../../src/dispatch/index.js';
 import {OwnerProcess} from '../../../src/dispatch/ownership/owner-process.js';
 import {Metrics} from '../../../src/metrics/index.js';
+import {nestedText} from '../mutations.js';
 import {MemoryStore} from '../records/memory-store.js';
 import {createTestLog} from '../test-log.js';
 import {waitUntil} from '../wait-until.js';
@@ -70,6 +71,24 @@
 ): Promise<Fixture> {
   const store = new MemoryStore();
   prepare(store);
+  const {owner, clock, lines} = createProcess(t, store, askOwnershipEnd);
+  owner.start();
+  await waitUntil(() => owner.isOwner);
+  const link = new RecordingLink();
+  owner.addAgent(agent, asLink(link), []);
+  for (const message of [createWorker(), createReport(link)]) {
+    owner.receive(agent, asLink(link), message);
+  }
+  await waitUntil(() => link.orders.includes('lease'));
+  return {owner, clock, store, link, lines};
+}
+
+/** Creates a process that does not take part in the election yet. */
+function createProcess(
+  t: Test,
+  store: MemoryStore,
+  askOwnershipEnd: (owner: OwnerRecord) => Promise<number | undefined> = async () => undefined,
+) {
   const {log, lines} = createTestLog();
   const clock = new PausableClock();
   const owner = new OwnerProcess({
@@ -87,15 +106,7 @@
     onOwnership: () => {},
   });
   t.teardown(() => owner.drain());
-  owner.start();
-  await waitUntil(() => owner.isOwner);
-  const link = new RecordingLink();
-  owner.addAgent(agent, asLink(link), []);
-  for (const message of [createWorker(), createReport(link)]) {
-    owner.receive(agent, asLink(link), message);
-  }
-  await waitUntil(() => link.orders.includes('lease'));
-  return {owner, clock, store, link, lines};
+  return {owner, clock, lines};
 }
 
 function createWorker(): AgentMessage {
@@ -266,3 +277,28 @@
     t.ok(ageMs < 1_000, `ended ${ageMs} ms ago, when the pause was noticed`);
   },
 );
+
+const generations: ReadonlyArray<{readonly name: string; readonly text: string}> = [
+  {name: 'not a number', text: 'x'},
+  {name: 'nested', text: nestedText},
+  {name: 'empty', text: ''},
+  {name: 'infinite', text: '1e400'},
+  {name: 'too large for a run number', text: '9007199254740991'},
+  {name: 'larger than the number of changes', text: '1e15'},
+  {name: 'negative', text: '-5'},
+  {name: 'a fraction', text: '1.5'},
+];
+
+for (const {name, text} of generations) {
+  void t.test(`the generation continues above all earlier ones when it is ${name}`, async t => {
+    const earlier = 40;
+    const {store, lines} = await createOwner(t, store => {
+      store.revision = earlier;
+      store.put('generation', text);
+    });
+    const generation = Number(store.records.get('generation')?.value);
+    t.ok(Number.isSafeInteger(generation) && generation > earlier, String(generation));
+    t.ok(generation < 1_000, String(generation));
+    t.ok(lines.some(line => line.event === 'record-unreadable' && line.key === 'generation'));
+  });
+}
