Replace an owner record that names no owner

Seen: while the key of the owner held a text that is not an owner record, nobody became the owner: no task was started or renewed until somebody removed the key.

Cause: an unreadable record counts as a vacancy, but the claim requires the key to be absent, so every claim met a conflict.

Change: a claim that meets an unreadable record remembers its revision, and the next claim replaces exactly that revision. A readable record that was written meanwhile is kept, as a test shows.

--- a/packages/runtime/src/dispatch/ownership/election-calls.ts
+++ b/packages/runtime/src/dispatch/ownership/election-calls.ts
@@ -38,6 +38,8 @@
   private roundTripMs = 0;
   private latestNonce = '';
   private previousOwners: readonly OwnerRecord[] | undefined;
+  /** Revision of an unreadable owner record that the latest claim has met, otherwise 0. */
+  private unreadableOwnerRevision = 0;
 
   constructor(private readonly options: ElectionCallsOptions) {}
 
@@ -96,9 +98,13 @@
     else this.options.post({kind: 'call-failed', call: 'keep-lease'});
   }
 
-  /** Claims the ownership, on condition that neither the owner key nor the generation has changed since it was read. */
+  /**
+   * Claims the ownership, on condition that neither the owner key nor the generation has changed since it was read. An
+   * unreadable owner record names no owner: the claim after the one that met it replaces it.
+   */
   async claim(effect: Extract<ElectionEffect, {kind: 'claim'}>): Promise<void> {
-    const {lease, nonce, expectedRevision} = effect;
+    const {lease, nonce} = effect;
+    const expectedRevision = effect.expectedRevision || this.unreadableOwnerRevision;
     this.latestNonce = nonce;
     const {store, name, address} = this.options;
     const [generationRead, ownersRead] = await Promise.all([
@@ -123,6 +129,8 @@
       ],
       removals: [],
     });
+    const current = result.kind === 'conflict' ? result.current : [];
+    this.unreadableOwnerRevision = this.findUnreadableOwner(current)?.revision ?? 0;
     if (result.kind === 'ok') {
       this.options.post({kind: 'claimed', revision: result.revision, generation});
     } else if (result.kind === 'unknown') await this.verifyClaim(nonce, generation);
@@ -138,6 +146,13 @@
     return (generation ?? record.revision) + 1;
   }
 
+  private findUnreadableOwner(records: readonly StoredRecord[]): StoredRecord | undefined {
+    const record = records.find(({key}) => key === ownerKey);
+    if (record === undefined || parseOwner(record.value) !== undefined) return undefined;
+    this.logUnreadable(record);
+    return record;
+  }
+
   private logUnreadable({key, revision}: StoredRecord): void {
     this.options.log.warn('record-unreadable', {key, revision});
   }
--- a/packages/runtime/test/dispatch/ownership/owner-process.test.ts
+++ b/packages/runtime/test/dispatch/ownership/owner-process.test.ts
@@ -278,6 +278,40 @@
   },
 );
 
+const oddTexts = [
+  '{',
+  'null',
+  '7',
+  '[]',
+  '',
+  '{"name":"x"}',
+  nestedText,
+  `{"address":${nestedText}}`,
+];
+for (const text of oddTexts) {
+  void t.test(`an unreadable owner record is replaced: ${text.slice(0, 20)}`, async t => {
+    const {owner, store} = await createOwner(t, store => store.put(ownerKey, text));
+    t.ok(owner.isOwner);
+    t.match(JSON.parse(store.records.get(ownerKey)?.value ?? ''), {nonce: /^one-/});
+  });
+}
+
+/** Time in milliseconds in which a process would have claimed a vacant ownership several times. */
+const claimWaitMs = 1_500;
+
+void t.test('a readable owner record is not replaced by a claim', async t => {
+  const store = new MemoryStore();
+  store.put(ownerKey, '{');
+  const {owner} = createProcess(t, store);
+  const text = JSON.stringify(previous);
+  // Written after the claim has found an unreadable record.
+  store.onConflict = () => store.put(ownerKey, text);
+  owner.start();
+  await new Promise(resolve => setTimeout(resolve, claimWaitMs));
+  t.notOk(owner.isOwner);
+  t.equal(store.records.get(ownerKey)?.value, text);
+});
+
 const generations: ReadonlyArray<{readonly name: string; readonly text: string}> = [
   {name: 'not a number', text: 'x'},
   {name: 'nested', text: nestedText},
--- a/packages/runtime/test/dispatch/records/memory-store.ts
+++ b/packages/runtime/test/dispatch/records/memory-store.ts
@@ -26,6 +26,8 @@
   reads = 0;
   /** Time in milliseconds that a commit takes. */
   commitDelayMs = 0;
+  /** Called after a commit has failed because of a condition. */
+  onConflict: () => void = () => {};
   private readonly history: RecordChange[] = [];
   private readonly waiting = new Set<() => void>();
   private readonly leases = new Set<string>();
@@ -113,6 +115,7 @@
     if (fails) {
       const keys = commit.conditions.map(condition => condition.key);
       const current = keys.map(key => this.records.get(key)).filter(record => record !== undefined);
+      this.onConflict();
       return {kind: 'conflict', current};
     }
     // All changes of a commit have the same revision.
