Leave out the addresses of a hello that cannot be dialled

Seen: a daemon ended when a process that it was connected to named an entry with a port out of range, or something that is not a text, among the addresses in its hello; it ended again after each start. A seed of this kind ended its start.

Cause: net.connect throws synchronously, here from the handler of the socket's data, and the elements of the list were not checked.

Change: addresses from hellos and seeds are checked in one place; the others are left out and counted as `invalid-address`. The check is shared with the records. A deeply nested CBOR list is a new case of malformed-messages.test.ts; it passed before.

--- a/packages/runtime/src/addresses/process-address.ts
+++ b/packages/runtime/src/addresses/process-address.ts
@@ -14,3 +14,8 @@
   if (host === undefined || !(port >= 1 && port <= maxPort)) return undefined;
   return {host, port};
 }
+
+/** Whether a value is an address to which a connection can be opened. */
+export function isProcessAddress(value: unknown): value is string {
+  return typeof value === 'string' && parseProcessAddress(value) !== undefined;
+}
--- a/packages/runtime/src/dispatch/records/record-parsers.ts
+++ b/packages/runtime/src/dispatch/records/record-parsers.ts
@@ -6,7 +6,7 @@
   type RosterEntry,
   type Submission,
 } from '@chervilbeam/coordination';
-import {parseProcessAddress} from '../../addresses/index.js';
+import {isProcessAddress} from '../../addresses/index.js';
 import type {StoredRecord} from './record-store.js';
 
 /*
@@ -134,7 +134,7 @@
 function toOwner(record: unknown): OwnerRecord | undefined {
   if (!isRecord(record)) return undefined;
   const {name, address, nonce} = record;
-  if (typeof name !== 'string' || typeof nonce !== 'string' || !isAddress(address))
+  if (typeof name !== 'string' || typeof nonce !== 'string' || !isProcessAddress(address))
     return undefined;
   return {name, address, nonce};
 }
@@ -152,16 +152,12 @@
 /** Parses the stored record of an entry; undefined when it is not valid JSON or has no valid address. */
 export function parseEntry(value: string): EntryRecord | undefined {
   const record = parseRecord(value);
-  if (record === undefined || !isAddress(record.address)) return undefined;
+  if (record === undefined || !isProcessAddress(record.address)) return undefined;
   const {address, processors} = record;
   const isAmount = typeof processors === 'number' && processors >= 0 && processors <= maxProcessors;
   return {address, processors: isAmount ? processors : 0};
 }
 
-function isAddress(value: unknown): value is string {
-  return typeof value === 'string' && parseProcessAddress(value) !== undefined;
-}
-
 function parseRecord(value: string): Readonly<Record<string, unknown>> | undefined {
   const record = parseJson(value);
   return isRecord(record) ? record : undefined;
--- a/packages/runtime/src/peers/peer-network.ts
+++ b/packages/runtime/src/peers/peer-network.ts
@@ -1,5 +1,6 @@
 import {createServer, type Server, type Socket} from 'node:net';
 import type {Channel, Hello} from '@chervilbeam/coordination';
+import {isProcessAddress} from '../addresses/index.js';
 import type {PeerMessage} from '../framing/index.js';
 import {PeerConnection, type StampClock} from './peer-connection.js';
 import {PeerDialler} from './peer-dialler.js';
@@ -49,7 +50,7 @@
   /** Listens if an address is configured, and connects to the seeds. Rejects when listening fails. */
   async start(): Promise<void> {
     if (this.options.listen !== undefined) await this.listen(this.options.listen);
-    for (const seed of this.options.seeds) this.knownAddresses.add(seed);
+    this.addValidAddresses(this.options.seeds);
     this.connectToKnownAddresses();
   }
 
@@ -103,13 +104,21 @@
 
   private addKnownAddresses(hello: Hello): void {
     const [address] = hello.peers;
-    if (hello.role === 'entry' && address !== undefined) {
+    if (hello.role === 'entry' && isProcessAddress(address)) {
       this.entries.set(hello.name, {region: hello.region, address});
     }
-    for (const peerAddress of hello.peers) this.knownAddresses.add(peerAddress);
+    this.addValidAddresses(hello.peers);
     this.connectToKnownAddresses();
   }
 
+  /** Adds the addresses that can be dialled, and counts the others. */
+  private addValidAddresses(addresses: readonly unknown[]): void {
+    for (const address of addresses) {
+      if (isProcessAddress(address)) this.knownAddresses.add(address);
+      else this.handlers.refused('invalid-address');
+    }
+  }
+
   /**
    * Entries connect to all entries. Agents open a control connection to every entry, since any of them may
    * own their cell, and data connections to entries of their own region only.
--- a/packages/runtime/test/dispatch/links/malformed-messages.test.ts
+++ b/packages/runtime/test/dispatch/links/malformed-messages.test.ts
@@ -107,6 +107,8 @@
 
 const frames: ReadonlyArray<{readonly name: string; readonly bytes: Buffer}> = [
   {name: 'bytes that are not CBOR', bytes: frame(Buffer.from([0xff, 0x00, 0x1c]))},
+  // 0x81 begins a list of one element.
+  {name: 'a deeply nested list', bytes: frame(Buffer.alloc(500_000, 0x81))},
   {name: 'a message that is not a record', bytes: frame(encoder.encode('text') as Buffer)},
   {name: 'a field of the wrong type', bytes: frame(encoder.encode({kind: 'agent'}) as Buffer)},
   {name: 'a frame above the limit', bytes: Buffer.from([0x7f, 0xff, 0xff, 0xff, 0])},
--- a/packages/runtime/test/peers/peer-network.test.ts
+++ b/packages/runtime/test/peers/peer-network.test.ts
@@ -1,8 +1,10 @@
-import {connect} from 'node:net';
+import {once} from 'node:events';
+import {type AddressInfo, connect, createServer, type Server} from 'node:net';
 import type {Hello} from '@chervilbeam/coordination';
 import t from 'tap';
 import {encodeFrame} from '../../src/framing/index.js';
 import {getRendezvousWeight, PeerNetwork} from '../../src/peers/index.js';
+import {oddAddresses} from '../dispatch/odd-addresses.js';
 
 const hello: Hello = {
   kind: 'hello',
@@ -77,3 +79,45 @@
     }
   },
 );
+
+async function startServer(): Promise<{readonly server: Server; readonly address: string}> {
+  const server = createServer(socket => socket.on('error', () => {}).resume());
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  return {server, address: `127.0.0.1:${(server.address() as AddressInfo).port}`};
+}
+
+const oddPeers: readonly unknown[] = [...oddAddresses, 7, null, {}, []];
+for (const odd of oddPeers) {
+  void t.test(
+    `an entry that names ${JSON.stringify(odd).slice(0, 20)} keeps no other entry away`,
+    async t => {
+      const [first, second] = [await startServer(), await startServer()];
+      first.server.on('connection', socket => {
+        const peers = [first.address, odd, second.address] as string[];
+        socket.write(encodeFrame({...hello, role: 'entry', name: 'entry-1', peers}, 5));
+        socket.on('error', () => {});
+      });
+      const seeds = typeof odd === 'string' ? [odd, first.address] : [first.address];
+      const network = new PeerNetwork(
+        {hello: () => hello, seeds},
+        {
+          controlUp: () => {},
+          controlDown: () => {},
+          peerUp: () => {},
+          peerDown: () => {},
+          message: () => {},
+          refused: () => {},
+        },
+      );
+      t.teardown(async () => {
+        await network.stop();
+        for (const {server} of [first, second]) server.close();
+      });
+      const dialled = once(second.server, 'connection');
+      await network.start();
+      await dialled;
+      t.same(network.getKnownAddresses(), [first.address, second.address]);
+    },
+  );
+}
