Watch a single key without the keys that begin like it

Seen: a key such as `work/owner-2` with an owner record, written by anybody, deposed the owner, and agents dialled the address in it.

Cause: the watches of the owner key ask the store for all keys that begin with it, and took the first or the last of them.

Evidence: the two cases "a key that only begins like that of the owner" of owner-process.test.ts (the ownership was claimed again) and agent-node.test.ts (the agent dialled 10.0.0.9:1) fail before the change.

Change: a watch whose prefix does not end with a slash passes on that key only.

Result: both cases pass.

--- a/packages/runtime/src/dispatch/records/record-watch.ts
+++ b/packages/runtime/src/dispatch/records/record-watch.ts
@@ -7,7 +7,7 @@
   readonly store: RecordStore;
   readonly clock: Clock;
   readonly log: DecisionLogger;
-  /** Prefix of the keys. */
+  /** Prefix of the keys; one that does not end with a slash is a single key. */
   readonly prefix: string;
   /** Returns the long-poll time in milliseconds of the next call. */
   readonly getWaitMs?: () => number;
@@ -61,7 +61,8 @@
     if (this.isStopped || result.kind !== 'ok') return this.checkResult(result);
     this.confirmedAt = sentAt;
     this.revision = result.revision;
-    this.handle(() => this.options.onList(result.records, result.revision));
+    const records = result.records.filter(record => this.isWatched(record.key));
+    this.handle(() => this.options.onList(records, result.revision));
     return true;
   }
 
@@ -80,11 +81,16 @@
     if (result.kind !== 'ok') return this.checkResult(result);
     this.confirmedAt = sentAt;
     this.revision = Math.max(this.revision ?? 0, result.revision);
-    if (result.changes.length > 0)
-      this.handle(() => this.options.onChanges(result.changes, result.revision));
+    const changes = result.changes.filter(change => this.isWatched(getChangedKey(change)));
+    if (changes.length > 0) this.handle(() => this.options.onChanges(changes, result.revision));
     return true;
   }
 
+  private isWatched(key: string): boolean {
+    const {prefix} = this.options;
+    return prefix.endsWith('/') || key === prefix;
+  }
+
   /** Calls a handler; an unexpected error in it must not end the watch. */
   private handle(handler: () => void): void {
     try {
@@ -111,3 +117,7 @@
     await new Promise(resolve => setTimeout(resolve, ms));
   }
 }
+
+function getChangedKey(change: RecordChange): string {
+  return change.kind === 'written' ? change.record.key : change.key;
+}
--- a/packages/runtime/test/dispatch/agent/agent-node.test.ts
+++ b/packages/runtime/test/dispatch/agent/agent-node.test.ts
@@ -225,3 +225,20 @@
     t.equal(links[0]?.address, '10.0.0.2:1');
   });
 }
+
+void t.test('a key that only begins like that of the owner names no owner', async t => {
+  const store = new MemoryStore();
+  const stray = {name: 'stray', address: '10.0.0.9:1', nonce: 'stray-1'};
+  const {agent, links} = createAgent(store);
+  store.put(`${ownerKey}-2`, JSON.stringify(stray));
+  agent.start();
+  t.teardown(() => agent.stop());
+  await new Promise(resolve => setTimeout(resolve, attemptIntervalMs));
+  store.put(`${ownerKey}-3`, JSON.stringify(stray));
+  await new Promise(resolve => setTimeout(resolve, attemptIntervalMs));
+  claim(store, '10.0.0.1:1');
+  store.put(`${ownerKey}-4`, JSON.stringify(stray));
+  await waitUntil(() => links.length > 0);
+  await new Promise(resolve => setTimeout(resolve, attemptIntervalMs));
+  t.same(new Set(links.map(link => link.address)), new Set(['10.0.0.1:1']));
+});
--- a/packages/runtime/test/dispatch/ownership/owner-process.test.ts
+++ b/packages/runtime/test/dispatch/ownership/owner-process.test.ts
@@ -312,6 +312,14 @@
   t.equal(store.records.get(ownerKey)?.value, text);
 });
 
+void t.test('a key that only begins like that of the owner does not end an ownership', async t => {
+  const {owner, store, lines} = await createOwner(t);
+  store.put(`${ownerKey}-2`, JSON.stringify(previous));
+  await new Promise(resolve => setTimeout(resolve, claimWaitMs));
+  t.ok(owner.isOwner);
+  t.equal(lines.filter(line => line.event === 'ownership-claimed').length, 1);
+});
+
 const generations: ReadonlyArray<{readonly name: string; readonly text: string}> = [
   {name: 'not a number', text: 'x'},
   {name: 'nested', text: nestedText},
