--- a/packages/coordination/src/dispatch/progress-journal.ts
+++ b/packages/coordination/src/dispatch/progress-journal.ts
@@ -1,10 +1,13 @@
 import type {ActiveSubmission} from './active-submission.js';
-import type {ProgressWrite, RosterEntry, StoredProgress, WriteResult} from './dispatch-events.js';
+import type {DispatchEvent, ProgressWrite, RosterEntry, StoredProgress} from './dispatch-events.js';
 import type {DispatchState} from './dispatch-state.js';
 import type {WorkerView} from './worker-view.js';
 
-/** Maximum number of records in one write: the store accepts 32; one is reserved for the roster and one is spare. */
-const maxRecords = 30;
+/**
+ * Maximum number of records in one write: the store accepts 32 entries, of which two are the conditions, one is the journal
+ * record and one the roster.
+ */
+const maxRecords = 28;
 
 interface UnstoredEnd {
   readonly worker: WorkerView;
@@ -20,6 +23,8 @@
   readonly ends: readonly UnstoredEnd[];
   readonly rosterLives?: ReadonlySet<string>;
   readonly sentAt: number;
+  /** Number of times the write has been sent. */
+  attempts: number;
 }
 
 /** Stores the progress of submissions in batches, and acknowledges run ends once they are stored. */
@@ -50,6 +55,7 @@
     this.pending = undefined;
     this.isUrgent = false;
     this.changedAt = Number.POSITIVE_INFINITY;
+    this.retryAt = Number.NEGATIVE_INFINITY;
     this.storedRoster = new Set(roster.map(entry => entry.life));
     this.isRosterChanged = false;
   }
@@ -111,14 +117,16 @@
       ends: this.ends.filter(end => included.has(end.submission)),
       ...(roster && {rosterLives: new Set(roster.map(entry => entry.life))}),
       sentAt: at,
+      attempts: 0,
     };
     this.ends = this.ends.filter(end => !included.has(end.submission));
     this.send();
   }
 
   /** Handles the result of a write. */
-  handleResult(sequence: number, result: WriteResult, at: number): void {
+  handleResult(event: Extract<DispatchEvent, {kind: 'written'}>, at: number): void {
     const {pending, state} = this;
+    const {sequence, result, revision} = event;
     if (pending === undefined || pending.sequence !== sequence) return;
     if (result === 'conflict') {
       this.pending = undefined;
@@ -127,15 +135,29 @@
     }
     if (result !== 'ok') {
       state.count('progress_writes_retried');
-      state.log({event: 'progress-not-stored', reason: result, ageMs: at - pending.sentAt});
+      state.log({
+        event: 'progress-not-stored',
+        reason: result,
+        ageMs: Math.round(at - pending.sentAt),
+        sequence,
+        attempts: pending.attempts,
+      });
       this.retryAt = at + state.timing.writeRetryMs;
       return;
     }
     this.pending = undefined;
+    state.log({
+      event: 'progress-stored',
+      ageMs: Math.round(at - pending.sentAt),
+      sequence,
+      attempts: pending.attempts,
+      revision,
+      ...describeWrite(pending),
+    });
     this.applyWritten(pending, at);
   }
 
-  /** Repeats a failed write when its retry is due; writes are idempotent while this process is the owner. */
+  /** Repeats a failed write, unchanged and with the same sequence number, when its retry is due. */
   retryIfDue(at: number): void {
     if (this.pending === undefined || at < this.retryAt) return;
     if (this.retryAt === Number.NEGATIVE_INFINITY) return;
@@ -146,6 +168,7 @@
   private send(): void {
     const {pending} = this;
     if (pending === undefined) return;
+    pending.attempts += 1;
     this.state.emit({kind: 'write', sequence: pending.sequence, write: pending.write});
   }
 
@@ -153,6 +176,11 @@
     const {state} = this;
     state.observe('progress_write', at - pending.sentAt);
     for (const {worker, end} of pending.ends) worker.ends.store(end);
+    for (const submission of pending.submissions) {
+      if (submission.areCrashesStored || this.changed.has(submission)) continue;
+      submission.areCrashesStored = true;
+      state.isPlacementDue = true;
+    }
     for (const submission of pending.finals) {
       if (submission.isFinalStored) continue;
       submission.isFinalStored = true;
@@ -215,6 +243,14 @@
   return {id, record, finished: submission.toFinishedSubmission()};
 }
 
+/** Describes a write in the log: each submission with its number of finished tasks, and each end with its worker. */
+function describeWrite({submissions, ends}: PendingWrite): {submissions: string; ends: string} {
+  return {
+    submissions: submissions.map(({id, finishedCount}) => `${id}:${finishedCount}`).join(' '),
+    ends: ends.map(({worker, end}) => `${worker.life}:${end}`).join(' '),
+  };
+}
+
 /** Returns the number of records to be written: a final submission replaces its stored submission as well. */
 function countRecords(submissions: readonly ActiveSubmission[]): number {
   let records = 0;
--- /dev/null
+++ b/packages/coordination/test/dispatch/unstored-ends.test.ts
@@ -0,0 +1,86 @@
+import t from 'tap';
+import {createStep, createSubmission} from './fleet/shared-load.js';
+import {createQueue, VirtualFleet} from './fleet/virtual-fleet.js';
+
+const queue = createQueue({name: 'proofs', maxAttempts: 1});
+const id = '00000000000000a1';
+/** Run time in milliseconds after which a faulty run of twice and a half the length fails. */
+const durationMs = 400;
+
+const cases: ReadonlyArray<{readonly name: string; readonly faulty: number}> = [
+  {name: 'the first of three tasks fails', faulty: 0},
+  {name: 'the second of three tasks fails', faulty: 1},
+  {name: 'the third of three tasks fails', faulty: 2},
+];
+
+for (const {name, faulty} of cases) {
+  void t.test(
+    `the ends of a failed submission are acknowledged only once its failure is stored: ${name}`,
+    async t => {
+      const fleet = new VirtualFleet({
+        seed: 1,
+        queues: [queue],
+        workers: ['w1', 'w2', 'w3'].map((agent, index) => ({
+          agent,
+          life: `${agent}-life`,
+          cores: 16,
+          rack: `r${index}`,
+        })),
+        getBehaviour: task =>
+          task.endsWith(`.${faulty}`)
+            ? {durationMs: durationMs * 2.5, faultyRuns: 1}
+            : {durationMs},
+      });
+      fleet.run(200);
+      fleet.submit(createSubmission(id, queue.key, [createStep({count: 3, spreadLimit: 1})]));
+      fleet.run(400);
+      fleet.isStoreSilent = true;
+      fleet.run(2_500);
+      const ends = [...fleet.workers.values()].flatMap(worker =>
+        worker.ends.map(([, task, , how]) => `${task} ${how}`),
+      );
+      const expected = [0, 1, 2].map(
+        index => `${id}.0.0.${index} ${index === faulty ? 'failed' : 'done'}`,
+      );
+      t.same(ends.sort(), expected, 'all ends are listed still');
+      fleet.isStoreSilent = false;
+      fleet.startOwner();
+      fleet.run(12_000);
+      const starts = fleet.decisions.filter(decision => decision.event === 'run-placed');
+      t.equal(starts.length, 3, 'no task starts again');
+      t.equal(fleet.progress.get(id)?.final, 'failed');
+      const left = [...fleet.workers.values()].flatMap(worker => worker.ends);
+      t.same(left, [], 'the ends are acknowledged after the write');
+    },
+  );
+}
+
+void t.test(
+  'an occurrence that a previous owner started does not run again when the clock of the next owner is behind',
+  async t => {
+    const fleet = new VirtualFleet({
+      seed: 1,
+      queues: [queue],
+      workers: [{agent: 'w1', life: 'w1-life', cores: 16, rack: 'r0'}],
+    });
+    const schedule = {repetitions: 2, startAtMs: 1_000, intervalMs: 20_000};
+    const steps = [createStep({count: 2, estimatedMs: durationMs}), createStep({after: [0]})];
+    fleet.submit(createSubmission(id, queue.key, steps, schedule));
+    fleet.run(1_100);
+    fleet.ownerPausedUntil = 2_000;
+    fleet.run(1_900);
+    fleet.wallClockOffsetMs = -3_000;
+    fleet.ownerPausedUntil = 0;
+    fleet.startOwner();
+    fleet.run(10_000);
+    const starts = fleet.decisions.filter(decision => decision.event === 'run-placed');
+    for (const task of [0, 1].map(index => `${id}.0.0.${index}`)) {
+      t.equal(starts.filter(start => start.task === task).length, 1, task);
+    }
+    const later = starts.filter(start => start.task === `${id}.0.1.0`).at(-1);
+    t.ok(
+      Number(later?.at) >= 4_000,
+      'the next step waits until it is due on the clock of this owner',
+    );
+  },
+);
--- a/packages/runtime/src/dispatch/ownership/election-calls.ts
+++ b/packages/runtime/src/dispatch/ownership/election-calls.ts
@@ -6,14 +6,10 @@
   type OwnerRecord,
 } from '@chervilbeam/coordination';
 import type {DecisionLogger} from '../decision-logger.js';
-import {
-  type EntryRecord,
-  parseGeneration,
-  parseOwner,
-  parseOwners,
-} from '../records/record-parsers.js';
+import {parseGeneration, parseOwner, parseOwners} from '../records/record-parsers.js';
 import type {RecordStore, StoredRecord} from '../records/record-store.js';
-import {entryPrefix, generationKey, ownerKey, ownersKey} from '../records/store-keys.js';
+import {generationKey, ownerKey, ownersKey} from '../records/store-keys.js';
+import {EntryRegistrar} from './entry-registrar.js';
 
 /** Options of `ElectionCalls`. */
 export interface ElectionCallsOptions {
@@ -40,8 +36,11 @@
   private previousOwners: readonly OwnerRecord[] | undefined;
   /** Revision of an unreadable owner record that the latest claim has met, otherwise 0. */
   private unreadableOwnerRevision = 0;
+  private readonly registrar: EntryRegistrar;
 
-  constructor(private readonly options: ElectionCallsOptions) {}
+  constructor(private readonly options: ElectionCallsOptions) {
+    this.registrar = new EntryRegistrar(options);
+  }
 
   /** Owners before the latest claim whose leases may still be valid; undefined when they are not known. */
   get predecessors(): readonly OwnerRecord[] | undefined {
@@ -55,8 +54,7 @@
 
   /** Opens a lease of `ttlMs` milliseconds and registers the entry under it. */
   async openLease(ttlMs: number): Promise<void> {
-    const {store, name, address, processors} = this.options;
-    const entry: EntryRecord = {address, processors};
+    const {store} = this.options;
     const sentAt = this.options.clock.now();
     const result = await store.openLease(ttlMs);
     if (result.kind !== 'ok') {
@@ -66,14 +64,7 @@
     this.roundTripMs = this.options.clock.now() - sentAt;
     this.updateClaimDelay();
     this.options.post({kind: 'lease-opened', lease: result.lease, sentAt});
-    const registration = await store.commit({
-      conditions: [],
-      writes: [{key: entryPrefix + name, value: JSON.stringify(entry), lease: result.lease}],
-      removals: [],
-    });
-    if (registration.kind !== 'ok') {
-      this.options.log.warn('registration-failed', {result: registration.kind});
-    }
+    await this.registrar.register(result.lease);
   }
 
   /** Updates the delay after which the election claims a vacant ownership. */
@@ -88,19 +79,21 @@
     this.options.post({kind: 'claim-delay', delayMs});
   }
 
-  /** Renews a lease. */
+  /** Renews a lease, and registers the entry under it if that has failed before. */
   async renewLease(lease: string): Promise<void> {
     const {store} = this.options;
     const sentAt = this.options.clock.now();
     const result = await store.renewLease(lease);
-    if (result.kind === 'ok') this.options.post({kind: 'lease-kept', sentAt});
-    else if (result.kind === 'no-lease') this.options.post({kind: 'lease-ended'});
+    if (result.kind === 'ok') {
+      this.options.post({kind: 'lease-kept', sentAt});
+      await this.registrar.register(lease);
+    } else if (result.kind === 'no-lease') this.options.post({kind: 'lease-ended'});
     else this.options.post({kind: 'call-failed', call: 'keep-lease'});
   }
 
   /**
-   * Claims the ownership, on condition that neither the owner key nor the generation has changed since it was read. An
-   * unreadable owner record names no owner: the claim after the one that met it replaces it.
+   * Claims the ownership, on condition that the owner key, the generation and the owners are unchanged since they were
+   * read. An unreadable owner record names no owner: the claim after the one that met it replaces it.
    */
   async claim(effect: Extract<ElectionEffect, {kind: 'claim'}>): Promise<void> {
     const {lease, nonce} = effect;
@@ -121,6 +114,8 @@
       conditions: [
         {key: ownerKey, revision: expectedRevision},
         {key: generationKey, revision: generationRead.record?.revision ?? 0},
+        // The two reads are not a snapshot: an owner may have been added after the list was read.
+        {key: ownersKey, revision: ownersRead.record?.revision ?? 0},
       ],
       writes: [
         {key: ownerKey, value: JSON.stringify(owner), lease},
--- a/packages/runtime/src/dispatch/records/record-parsers.ts
+++ b/packages/runtime/src/dispatch/records/record-parsers.ts
@@ -67,18 +67,21 @@
 export function parseProgress(value: string): ProgressRecord | undefined {
   const record = parseRecord(value);
   if (record === undefined) return undefined;
-  const {final, endedAtMs, finished, failures, checkpoints} = record;
+  const {final, endedAtMs, finished, failures, checkpoints, crashes} = record;
   const isFinalValid = final === undefined || finalStates.has(final);
   const areRowsValid =
     isTaskRows(failures, isRunNumbers) &&
     isTaskRows(checkpoints, checkpoint => typeof checkpoint === 'string');
   if (!isFinalValid || !areRowsValid || !areFinishedTasksValid(finished)) return undefined;
+  // Records of older versions have no crashes.
+  if (crashes !== undefined && !areCrashesValid(crashes)) return undefined;
   return {
     ...(final !== undefined && {final}),
     ...(Number.isFinite(endedAtMs) && {endedAtMs}),
     finished,
     failures,
     checkpoints,
+    ...(crashes !== undefined && {crashes}),
   } as ProgressRecord;
 }
 
@@ -102,6 +105,22 @@
   return isRecord(finished) && Object.values(finished).every(text => typeof text === 'string');
 }
 
+function areCrashesValid(crashes: unknown): boolean {
+  const isLives = (value: unknown) =>
+    Array.isArray(value) && value.every(life => typeof life === 'string');
+  return (
+    Array.isArray(crashes) &&
+    crashes.every(
+      (row: unknown) =>
+        Array.isArray(row) &&
+        row.length === 5 &&
+        row.slice(0, 3).every(Number.isSafeInteger) &&
+        isLives(row[3]) &&
+        isLives(row[4]),
+    )
+  );
+}
+
 /** Parses the stored roster; undefined when the record is unreadable. */
 export function parseRoster(value: string): readonly RosterEntry[] | undefined {
   return parseAll(parseJson(value), entry => {
