--- a/packages/runtime/src/dispatch/ownership/election-calls.ts
+++ b/packages/runtime/src/dispatch/ownership/election-calls.ts
@@ -6,8 +6,8 @@
   type OwnerRecord,
 } from '@chervilbeam/coordination';
 import type {DecisionLogger} from '../decision-logger.js';
-import {parseOwner, parseOwners} from '../records/record-parsers.js';
-import type {RecordStore} from '../records/record-store.js';
+import {parseGeneration, parseOwner, parseOwners} from '../records/record-parsers.js';
+import type {RecordStore, StoredRecord} from '../records/record-store.js';
 import {generationKey, ownerKey, ownersKey} from '../records/store-keys.js';
 import {EntryRegistrar} from './entry-registrar.js';
 
@@ -34,6 +34,8 @@
   private roundTripMs = 0;
   private latestNonce = '';
   private previousOwners: readonly OwnerRecord[] | undefined;
+  /** Revision of an unreadable owner record that the latest claim has met, otherwise 0. */
+  private unreadableOwnerRevision = 0;
   private readonly registrar: EntryRegistrar;
 
   constructor(private readonly options: ElectionCallsOptions) {
@@ -89,9 +91,13 @@
     else this.options.post({kind: 'call-failed', call: 'keep-lease'});
   }
 
-  /** Claims the ownership, on condition that the owner key, the generation and the owners are unchanged since they were read. */
+  /**
+   * Claims the ownership, on condition that the owner key, the generation and the owners are unchanged since they were
+   * read. An unreadable owner record names no owner: the claim after the one that met it replaces it.
+   */
   async claim(effect: Extract<ElectionEffect, {kind: 'claim'}>): Promise<void> {
-    const {lease, nonce, expectedRevision} = effect;
+    const {lease, nonce} = effect;
+    const expectedRevision = effect.expectedRevision || this.unreadableOwnerRevision;
     this.latestNonce = nonce;
     const {store, name, address} = this.options;
     const [generationRead, ownersRead] = await Promise.all([
@@ -99,7 +105,7 @@
       store.read(ownersKey),
     ]);
     if (generationRead.kind !== 'ok' || ownersRead.kind !== 'ok') return this.postClaimFailure();
-    const generation = Number(generationRead.record?.value ?? 0) + 1;
+    const generation = this.getNextGeneration(generationRead.record);
     const owner: OwnerRecord = {name, address, nonce};
     // Without a list, as before the first owner of this version, nothing is known of the owners before.
     const owners = ownersRead.record && parseOwners(ownersRead.record.value);
@@ -118,6 +124,8 @@
       ],
       removals: [],
     });
+    const current = result.kind === 'conflict' ? result.current : [];
+    this.unreadableOwnerRevision = this.findUnreadableOwner(current)?.revision ?? 0;
     if (result.kind === 'ok') {
       this.options.post({kind: 'claimed', revision: result.revision, generation});
     } else if (result.kind === 'unknown') await this.verifyClaim(nonce, generation);
@@ -125,6 +133,25 @@
     else this.postClaimFailure();
   }
 
+  /** Each claim changes the store, so the revision of an unreadable generation exceeds the number of claims before. */
+  private getNextGeneration(record: StoredRecord | undefined): number {
+    if (record === undefined) return 1;
+    const generation = parseGeneration(record);
+    if (generation === undefined) this.logUnreadable(record);
+    return (generation ?? record.revision) + 1;
+  }
+
+  private findUnreadableOwner(records: readonly StoredRecord[]): StoredRecord | undefined {
+    const record = records.find(({key}) => key === ownerKey);
+    if (record === undefined || parseOwner(record.value) !== undefined) return undefined;
+    this.logUnreadable(record);
+    return record;
+  }
+
+  private logUnreadable({key, revision}: StoredRecord): void {
+    this.options.log.warn('record-unreadable', {key, revision});
+  }
+
   private getOwnersWrite(owner: OwnerRecord): ReadonlyArray<{key: string; value: string}> {
     const {previousOwners} = this;
     if (previousOwners === undefined) return [];
--- a/packages/runtime/test/dispatch/links/malformed-messages.test.ts
+++ b/packages/runtime/test/dispatch/links/malformed-messages.test.ts
@@ -5,9 +5,10 @@
 import fc from 'fast-check';
 import t from 'tap';
 import {checkLinkMessage} from '../../../src/dispatch/links/link-message-checks.js';
-import {Link, listenForLinks} from '../../../src/dispatch/links/link.js';
+import {dialLink, Link, listenForLinks} from '../../../src/dispatch/links/link.js';
 import {FrameError} from '../../../src/framing/index.js';
 import {mutate} from '../mutations.js';
+import {oddAddresses} from '../odd-addresses.js';
 
 const life = 'w@1';
 const task = '00000000000000a1.0.0.0';
@@ -106,6 +107,8 @@
 
 const frames: ReadonlyArray<{readonly name: string; readonly bytes: Buffer}> = [
   {name: 'bytes that are not CBOR', bytes: frame(Buffer.from([0xff, 0x00, 0x1c]))},
+  // 0x81 begins a list of one element.
+  {name: 'a deeply nested list', bytes: frame(Buffer.alloc(500_000, 0x81))},
   {name: 'a message that is not a record', bytes: frame(encoder.encode('text') as Buffer)},
   {name: 'a field of the wrong type', bytes: frame(encoder.encode({kind: 'agent'}) as Buffer)},
   {name: 'a frame above the limit', bytes: Buffer.from([0x7f, 0xff, 0xff, 0xff, 0])},
@@ -152,3 +155,14 @@
   t.notOk(checkLinkMessage({kind: 'invented', field: 1}));
   t.notOk(checkLinkMessage({kind: 'toString'}));
 });
+
+for (const address of oddAddresses) {
+  void t.test(`a link to "${address.slice(0, 20)}" is closed and never open`, async t => {
+    const reason = await new Promise<string>(closed => {
+      const link = dialLink(address, {message: () => {}, closed});
+      link.send({kind: 'query', request: 1, id: 'a'});
+      t.notOk(link.hasBeenOpen);
+    });
+    t.equal(reason, 'invalid-address');
+  });
+}
--- a/packages/runtime/test/dispatch/records/malformed-records.test.ts
+++ b/packages/runtime/test/dispatch/records/malformed-records.test.ts
@@ -4,15 +4,19 @@
 import {
   parseEntry,
   parseOwner,
+  parseOwners,
   parseProgress,
   parseRoster,
   parseSubmission,
 } from '../../../src/dispatch/records/record-parsers.js';
 import {readStoredState} from '../../../src/dispatch/records/stored-state.js';
-import {mutate} from '../mutations.js';
+import {getNestedTexts, mutate, nestedText} from '../mutations.js';
+import {oddAddresses} from '../odd-addresses.js';
 import {createTestLog} from '../test-log.js';
 import {MemoryStore} from './memory-store.js';
 
+/** Length of the log lines about one record. */
+const maxLogCharacters = 500;
 const id = '00000000000000a1';
 const other = '00000000000000a2';
 const submission = {
@@ -37,7 +41,7 @@
 
 const parsers: ReadonlyArray<{
   readonly name: string;
-  readonly valid: unknown;
+  readonly valid: object;
   readonly parse: (value: string) => unknown;
 }> = [
   {name: 'a submission', valid: submission, parse: parseSubmission},
@@ -59,10 +63,81 @@
   });
 }
 
+const rewritten: typeof parsers = [
+  ...parsers,
+  {
+    name: 'a worker of a roster',
+    valid: {agent: 'a', life: 'a@1'},
+    parse: text => parseRoster(`[${text}]`),
+  },
+  {
+    name: 'a failed run',
+    valid: {},
+    parse: text => parseProgress(JSON.stringify(progress).replace('[1,2]', `[1,${text}]`)),
+  },
+];
+
+// Owners write these records again, which cannot be done with a field of any depth.
+for (const {name, valid, parse} of rewritten) {
+  for (const {name: field, text} of getNestedTexts(valid)) {
+    void t.test(
+      `a parsed record of ${name} with a deeply nested ${field} can be written`,
+      async t => {
+        t.doesNotThrow(() => JSON.stringify(parse(text)));
+      },
+    );
+  }
+}
+
+const otherOwner = {name: 'other', address: '10.0.0.2:1', nonce: 'o-1'};
+for (const {name, text} of getNestedTexts(owner)) {
+  void t.test(`a list of owners with a deeply nested ${name} does not end the claim`, async t => {
+    const list = `[${JSON.stringify(otherOwner)},${text}]`;
+    const owners = parseOwners(list);
+    t.same(owners, name === 'extra' ? [otherOwner, owner] : undefined);
+  });
+}
+
+// Each process dials all entries and owners that it reads.
+for (const address of [...oddAddresses, 7, null, [], {}]) {
+  void t.test(`a record with the address ${describe(address)} names no process`, async t => {
+    t.equal(parseEntry(JSON.stringify({address, processors: 1})), undefined);
+    t.equal(parseOwner(JSON.stringify({...owner, address})), undefined);
+    t.equal(parseOwners(JSON.stringify([otherOwner, {...owner, address}])), undefined);
+  });
+}
+
+for (const address of ['10.0.0.1:1', 'host-1.example:65535', '[::1]:8080', 'localhost:80']) {
+  void t.test(`a record with the address ${address} names a process`, async t => {
+    t.match(parseEntry(JSON.stringify({address, processors: 1})), {address});
+    t.match(parseOwner(JSON.stringify({...owner, address})), {address});
+  });
+}
+
+for (const text of ['1e400', '1e308', '-1', '"9"', 'null', nestedText]) {
+  void t.test(
+    `an entry with ${text.slice(0, 10)} processors cannot be the stronger one`,
+    async t => {
+      const record = `{"address":"10.0.0.1:1","processors":${text}}`;
+      t.equal(parseEntry(record)?.processors, 0);
+    },
+  );
+}
+
+function describe(value: unknown): string {
+  return JSON.stringify(value).slice(0, 30);
+}
+
 void t.test('a record without crashes, from an older version, is parsed', async t => {
   t.ok(parseProgress(JSON.stringify({...progress, crashes: undefined})));
 });
 
+void t.test('the parsed progress has all fields of the record', async t => {
+  t.same(parseProgress(JSON.stringify(progress)), progress);
+  const final = {...progress, final: 'completed', endedAtMs: 9};
+  t.same(parseProgress(JSON.stringify(final)), final);
+});
+
 const malformedCrashes: readonly unknown[] = [
   7,
   null,
@@ -84,6 +159,22 @@
   return JSON.stringify(value) ?? '';
 }
 
+// The new owner, which loads the record, ended; so did the next one.
+for (const {name, text} of getNestedTexts(submission)) {
+  void t.test(
+    `a submission with a deeply nested ${name} does not keep the others away`,
+    async t => {
+      const store = new MemoryStore();
+      store.put(`work/job/${other}`, JSON.stringify({...submission, id: other}));
+      store.put(`work/job/${id}`, text);
+      const {log, lines} = createTestLog();
+      const stored = await readStoredState(store, log, () => true);
+      t.ok(stored?.submissions.some(each => each.submission.id === other));
+      t.ok(JSON.stringify(lines).length < maxLogCharacters);
+    },
+  );
+}
+
 void t.test('an owner loads and dispatches whatever records the store holds', async () => {
   await fc.assert(
     fc.asyncProperty(
