Start no runs on a worker that a write in flight removes from the roster

Callers could see a task run twice around a takeover. Cause: a worker that was lost and came back as the same incarnation counted as listed in the stored roster, although a write without it was in flight. Once that write takes effect, the next owner does not wait for the worker's runs. The worker now waits for the write that adds it again. 'a worker gets no runs while a write in flight ...' failed before.

progress-stored now logs the numbers of finished tasks as they were when the write was created, not when it succeeded.

--- a/packages/coordination/src/dispatch/progress-journal.ts
+++ b/packages/coordination/src/dispatch/progress-journal.ts
@@ -23,6 +23,8 @@
   readonly ends: readonly UnstoredEnd[];
   readonly rosterLives?: ReadonlySet<string>;
   readonly sentAt: number;
+  /** Submissions with their numbers of finished tasks, for the log. */
+  readonly contents: string;
   /** Number of times the write has been sent. */
   attempts: number;
 }
@@ -82,9 +84,10 @@
     this.isRosterChanged = true;
   }
 
-  /** Whether the stored roster contains a worker incarnation. */
+  /** Whether the stored roster contains a worker incarnation, and no write in flight removes it. */
   isInStoredRoster(life: string): boolean {
-    return this.storedRoster.has(life);
+    const isRemoved = this.pending?.rosterLives?.has(life) === false;
+    return this.storedRoster.has(life) && !isRemoved;
   }
 
   /** Sends the next write when one is due and none is in flight. */
@@ -117,6 +120,7 @@
       ends: this.ends.filter(end => included.has(end.submission)),
       ...(roster && {rosterLives: new Set(roster.map(entry => entry.life))}),
       sentAt: at,
+      contents: submissions.map(({id, finishedCount}) => `${id}:${finishedCount}`).join(' '),
       attempts: 0,
     };
     this.ends = this.ends.filter(end => !included.has(end.submission));
@@ -152,7 +156,8 @@
       sequence,
       attempts: pending.attempts,
       revision,
-      ...describeWrite(pending),
+      submissions: pending.contents,
+      ends: pending.ends.map(({worker, end}) => `${worker.life}:${end}`).join(' '),
     });
     this.applyWritten(pending, at);
   }
@@ -243,14 +248,6 @@
   return {id, record, finished: submission.toFinishedSubmission()};
 }
 
-/** Describes a write in the log: each submission with its number of finished tasks, and each end with its worker. */
-function describeWrite({submissions, ends}: PendingWrite): {submissions: string; ends: string} {
-  return {
-    submissions: submissions.map(({id, finishedCount}) => `${id}:${finishedCount}`).join(' '),
-    ends: ends.map(({worker, end}) => `${worker.life}:${end}`).join(' '),
-  };
-}
-
 /** Returns the number of records to be written: a final submission replaces its stored submission as well. */
 function countRecords(submissions: readonly ActiveSubmission[]): number {
   let records = 0;
--- a/packages/coordination/test/dispatch/unstored-ends.test.ts
+++ b/packages/coordination/test/dispatch/unstored-ends.test.ts
@@ -84,3 +84,34 @@
     );
   },
 );
+
+const worker = {agent: 'w1', life: 'w1-life', cores: 16, rack: 'r0'};
+
+void t.test('a worker gets no runs while a write in flight removes it from the roster', async t => {
+  const blocker = '00000000000000b2';
+  const fleet = new VirtualFleet({
+    seed: 1,
+    queues: [queue],
+    workers: ['w1', 'w2'].map(agent => ({...worker, agent, life: `${agent}-life`, cores: 2})),
+    getBehaviour: task => ({durationMs: task.startsWith(blocker) ? 6_000 : 60_000}),
+  });
+  fleet.run(1_000);
+  fleet.silences.set('w1', 'both');
+  fleet.post({kind: 'agent-down', agent: 'w1'});
+  fleet.run(4_000);
+  const short = createStep({cores: 1, estimatedMs: 6_000});
+  fleet.submit(createSubmission(blocker, queue.key, [short]));
+  fleet.run(6_500);
+  fleet.isStoreSilent = true;
+  fleet.run(9_000);
+  fleet.silences.delete('w1');
+  const returned = fleet.workers.get('w1');
+  if (returned === undefined) throw new RangeError('no worker w1');
+  fleet.connect(returned);
+  fleet.submit(createSubmission(id, queue.key, [createStep({cores: 2, estimatedMs: 60_000})]));
+  fleet.run(9_600);
+  const placed = fleet.decisions.filter(
+    entry => entry.event === 'run-placed' && entry.submission === id && entry.worker === 'w1-life',
+  );
+  t.same(placed, []);
+});
