Take a list of ends that was cut off for an incomplete one

Callers could see finished tasks start again under the next owner. Cause: a worker lists at most 500 ends at a time. A new owner took the first list for complete, so the runs whose ends were still to come passed for runs that had never started; a stop of such a run was answered with "not listed". 500 ends gather on a worker within 10 to 20 s of an outage of the store.

The agent tells the owner that more ends follow; until the list is complete the worker is not accounted for and its runs are not resolved, and a stop without a listed run stays open. 'ends beyond the length of a list ...' failed before.

--- a/packages/coordination/src/dispatch/agent-messages.ts
+++ b/packages/coordination/src/dispatch/agent-messages.ts
@@ -109,6 +109,8 @@
       /** All current runs; absent when the report contains only ends. */
       readonly running?: readonly RunRow[];
       readonly ends: readonly RunEndRow[];
+      /** Whether the worker has more ends, which it lists once these are acknowledged. */
+      readonly hasMoreEnds?: boolean;
     }
   /** Result of the command with the number `order`. */
   | {readonly kind: 'result'; readonly order: number; readonly outcome: CommandOutcome};
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -162,6 +162,8 @@
       const run = this.applyRunRow(worker, row, at);
       if (run) listed.add(run);
     }
+    // Without all ends, a run that has ended would pass for one that never started.
+    if (message.hasMoreEnds) return;
     if (!worker.isReconciled) this.fence(worker, listed, at);
     barrier.markAccounted(worker.life);
     worker.changes += 1;
--- a/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
@@ -101,6 +101,8 @@
   ownerPausedUntil = 0;
   /** Whether writes to the store have no effect and no reply. */
   isStoreSilent = false;
+  /** Number of ends that a worker lists at once. */
+  maxListedEnds = Number.POSITIVE_INFINITY;
   /** Time in milliseconds by which the owner's wall clock is ahead. */
   wallClockOffsetMs = 0;
   roster: readonly RosterEntry[] = [];
@@ -263,7 +265,8 @@
         term: worker.fencingToken,
         clockMs: this.now,
         running: worker.list(),
-        ends: [...worker.ends],
+        ends: worker.ends.slice(0, this.maxListedEnds),
+        ...(worker.ends.length > this.maxListedEnds && {hasMoreEnds: true}),
       },
     });
   }
--- a/packages/coordination/test/dispatch/unstored-ends.test.ts
+++ b/packages/coordination/test/dispatch/unstored-ends.test.ts
@@ -87,6 +87,32 @@
 
 const worker = {agent: 'w1', life: 'w1-life', cores: 16, rack: 'r0'};
 
+void t.test(
+  'ends beyond the length of a list are not taken for runs that never started',
+  async t => {
+    const maxListed = 3;
+    const fleet = new VirtualFleet({
+      seed: 1,
+      queues: [queue],
+      workers: [worker],
+      getBehaviour: () => ({durationMs}),
+    });
+    fleet.maxListedEnds = maxListed;
+    fleet.run(500);
+    fleet.submit(
+      createSubmission(id, queue.key, [createStep({count: 6, estimatedMs: durationMs})]),
+    );
+    fleet.run(700);
+    fleet.isStoreSilent = true;
+    fleet.run(2_500);
+    fleet.isStoreSilent = false;
+    fleet.startOwner();
+    fleet.run(8_000);
+    t.equal(fleet.decisions.filter(entry => entry.event === 'run-placed').length, 6);
+    t.equal(fleet.progress.get(id)?.final, 'completed');
+  },
+);
+
 void t.test('a worker gets no runs while a write in flight removes it from the roster', async t => {
   const blocker = '00000000000000b2';
   const fleet = new VirtualFleet({
--- a/packages/runtime/src/dispatch/agent/agent-node.ts
+++ b/packages/runtime/src/dispatch/agent/agent-node.ts
@@ -377,6 +377,7 @@
       term,
       clockMs: reply.clockMs,
       ends,
+      ...(reply.hasMoreEnds && {hasMoreEnds: true}),
       ...running,
     });
   }
--- a/packages/runtime/src/dispatch/agent/worker-commands.ts
+++ b/packages/runtime/src/dispatch/agent/worker-commands.ts
@@ -104,6 +104,7 @@
     if (reply.kind !== 'listed') return {kind: 'unknown'};
     const isRunning = reply.running.some(row => row[0] === task && row[1] === run);
     const isEnded = reply.ends.some(end => end[1] === task && end[2] === run);
+    if (!isRunning && !isEnded && reply.hasMoreEnds) return {kind: 'unknown'};
     return {kind: 'stopped', listed: isRunning || isEnded};
   }
 
--- a/packages/runtime/src/dispatch/agent/worker-port.ts
+++ b/packages/runtime/src/dispatch/agent/worker-port.ts
@@ -25,6 +25,8 @@
       readonly clockMs: number;
       readonly running: readonly RunRow[];
       readonly ends: readonly RunEndRow[];
+      /** Whether the worker has unacknowledged ends that the list leaves out because of its length. */
+      readonly hasMoreEnds?: boolean;
     }
   /** The worker has seen a higher fencing token. */
   | {readonly kind: 'fenced'}
