Keep what is stored of occurrences that are not open, and let opened ones wait until they are due

Two rests of the occurrences that a previous owner with another clock has started. Failures, checkpoints and crashes of an occurrence that was not open were left out of the next write, so that attempts were counted from 0 again. The tasks of an occurrence that was opened early waited for a time that was fixed when it was opened, so a later correction of the clock started them too early or 26 s too late. Stored rows of unopened occurrences are written again, and the tasks wait until the occurrence is due, checked at each tick. 'failures and checkpoints of ...' and both cases of 'a started occurrence goes on ...' failed before.

--- a/packages/coordination/src/dispatch/active-submission.ts
+++ b/packages/coordination/src/dispatch/active-submission.ts
@@ -104,6 +104,8 @@
   readonly isLasting: boolean;
   /** Occurrences that have become due; finished ones are removed once they have no runs. */
   readonly occurrences: Occurrence[] = [];
+  /** Open occurrences that a previous owner has started, but that are not due yet on the clock of this one. */
+  private readonly earlyOccurrences = new Set<Occurrence>();
   /** Decided final state; callers see it only once it is stored. */
   final?: ProgressRecord['final'];
   isFinalStored = false;
@@ -167,9 +169,9 @@
     return this.hasStarted ? 'running' : 'queued';
   }
 
-  /** Opens the occurrences that have become due; returns whether there were any. */
+  /** Opens the occurrences that have become due; returns whether tasks may start because of that. */
   openDueOccurrences(at: number, wallMs: number): boolean {
-    let hasOpened = false;
+    let hasOpened = this.releaseDueOccurrences(wallMs);
     while (this.nextOccurrence < getOccurrenceCount(this.submission)) {
       if (getDueMs(this.submission, this.nextOccurrence) > wallMs) break;
       this.openNextOccurrence(at, wallMs);
@@ -184,11 +186,31 @@
     while (this.nextOccurrence < count) this.openNextOccurrence(at, wallMs);
   }
 
+  /** Whether the steps contain a task, also when its occurrence is not open. */
+  hasTask(occurrence: number, step: number, index: number): boolean {
+    const {steps} = this.submission;
+    return occurrence < getOccurrenceCount(this.submission) && index < (steps[step]?.count ?? 0);
+  }
+
+  /** Allows the tasks of occurrences that were opened early to start once they are due. */
+  private releaseDueOccurrences(wallMs: number): boolean {
+    let hasReleased = false;
+    for (const occurrence of this.earlyOccurrences) {
+      if (getDueMs(this.submission, occurrence.index) > wallMs) continue;
+      for (const {tasks} of occurrence.steps) for (const task of tasks) task.isDue = true;
+      this.earlyOccurrences.delete(occurrence);
+      hasReleased = true;
+    }
+    return hasReleased;
+  }
+
   private openNextOccurrence(at: number, wallMs: number): void {
     const dueMs = getDueMs(this.submission, this.nextOccurrence);
     const dueAt = isTimed(this.submission) ? at - (wallMs - dueMs) : this.arrivedAt;
     const occurrence = this.createOccurrence(this.nextOccurrence, dueAt);
     if (!occurrence.isFinished) this.occurrences.push(occurrence);
+    if (dueMs > wallMs) this.earlyOccurrences.add(occurrence);
+    for (const {tasks} of occurrence.steps) for (const task of tasks) task.isDue = dueMs <= wallMs;
     this.nextOccurrence += 1;
   }
 
@@ -291,6 +313,11 @@
           checkpoints.push([occurrence, stepIndex, index, task.checkpoint]);
         }
       }
+      const isUnopened = ([occurrence]: readonly [number, ...unknown[]]) =>
+        occurrence >= this.nextOccurrence;
+      failures.push(...this.failures.filter(isUnopened));
+      checkpoints.push(...this.checkpoints.filter(isUnopened));
+      crashes.push(...this.crashes.filter(isUnopened));
     }
     return {
       ...(this.final !== undefined && {final: this.final, endedAtMs: this.endedAtMs}),
@@ -311,7 +338,6 @@
       const tasks = Array.from({length: step.count}, (_, taskIndex) =>
         this.createTask(index, stepIndex, taskIndex, step),
       );
-      for (const task of tasks) task.notBefore = dueAt;
       const group = new StepTasks(index, stepIndex, step, tasks);
       group.finished = tasks.filter(task => task.isFinished).length;
       return group;
--- a/packages/coordination/src/dispatch/task.ts
+++ b/packages/coordination/src/dispatch/task.ts
@@ -71,6 +71,8 @@
   hasStarted = false;
   /** Time before which the task is not started again. */
   notBefore = Number.NEGATIVE_INFINITY;
+  /** Whether its occurrence is due. */
+  isDue = true;
   /** Worker incarnations on which a run of the task has failed, stalled or been too slow. */
   readonly avoidedWorkers = new Set<string>();
 
@@ -88,7 +90,7 @@
 
   /** Whether the task's next run may be started. */
   isWaiting(at: number): boolean {
-    if (this.isFinished || this.isInDoubt || this.runs.length > 0) return false;
+    if (this.isFinished || this.isInDoubt || !this.isDue || this.runs.length > 0) return false;
     // A crash that the next owner does not know of would not count.
     if (this.crashes.count > 0 && !this.submission.areCrashesStored) return false;
     return at >= this.notBefore;
--- a/packages/coordination/test/dispatch/unstored-ends.test.ts
+++ b/packages/coordination/test/dispatch/unstored-ends.test.ts
@@ -1,4 +1,5 @@
 import t from 'tap';
+import {ActiveSubmission} from '../../src/dispatch/active-submission.js';
 import {createStep, createSubmission} from './fleet/shared-load.js';
 import {createQueue, VirtualFleet} from './fleet/virtual-fleet.js';
 
@@ -87,6 +88,44 @@
 
 const worker = {agent: 'w1', life: 'w1-life', cores: 16, rack: 'r0'};
 
+const clockCases = [
+  {name: 'is set back afterwards', firstMs: 29_500, takeoverMs: 26_000, laterMs: 0, dueMs: 30_000},
+  {name: 'is set ahead afterwards', firstMs: 0, takeoverMs: -30_000, laterMs: 0, dueMs: 1_000},
+];
+for (const {name, firstMs, takeoverMs, laterMs, dueMs} of clockCases) {
+  void t.test(
+    `a started occurrence goes on when it is due on the clock, which ${name}`,
+    async t => {
+      const fleet = new VirtualFleet({
+        seed: 1,
+        queues: [queue],
+        workers: [worker],
+        getBehaviour: () => ({durationMs: 2_000}),
+      });
+      fleet.wallClockOffsetMs = firstMs;
+      const steps = [createStep({count: 2, estimatedMs: durationMs}), createStep({after: [0]})];
+      const schedule = {repetitions: 2, startAtMs: dueMs, intervalMs: 100_000};
+      fleet.submit(createSubmission(id, queue.key, steps, schedule));
+      fleet.run(1_100);
+      fleet.ownerPausedUntil = 2_000;
+      fleet.run(1_900);
+      fleet.wallClockOffsetMs = takeoverMs;
+      fleet.ownerPausedUntil = 0;
+      fleet.startOwner();
+      fleet.run(2_500);
+      fleet.wallClockOffsetMs = laterMs;
+      const isDueSoon = dueMs < 12_000;
+      fleet.run(12_000);
+      const next = `${id}.0.1.0`;
+      const start = fleet.decisions.find(
+        entry => entry.event === 'run-placed' && entry.task === next,
+      );
+      if (isDueSoon) t.ok(start && start.at >= 2_500 && start.at < 6_000, `at ${start?.at}`);
+      else t.equal(start, undefined, 'it is not due yet');
+    },
+  );
+}
+
 void t.test(
   'ends beyond the length of a list are not taken for runs that never started',
   async t => {
@@ -141,3 +180,24 @@
   );
   t.same(placed, []);
 });
+
+void t.test('failures and checkpoints of an occurrence that is not open are kept', async t => {
+  const schedule = {repetitions: 2, startAtMs: 1_000, intervalMs: 20_000};
+  const submission = new ActiveSubmission({
+    queue,
+    arrivedAt: 0,
+    submission: createSubmission(id, queue.key, [createStep({count: 2})], schedule),
+    progress: {
+      finished: {},
+      failures: [[1, 0, 0, [1]]],
+      checkpoints: [[1, 0, 1, 'c1']],
+      crashes: [[1, 0, 1, ['life'], []]],
+    },
+  });
+  submission.openDueOccurrences(1_500, 1_500);
+  t.match(submission.toRecord(), {
+    failures: [[1, 0, 0, [1]]],
+    checkpoints: [[1, 0, 1, 'c1']],
+    crashes: [[1, 0, 1, ['life'], []]],
+  });
+});
