--- a/packages/coordination/src/dispatch/dispatch-state.ts
+++ b/packages/coordination/src/dispatch/dispatch-state.ts
@@ -1,4 +1,4 @@
-import type {Queue, QueueConfiguration} from '../submissions/index.js';
+import {getTaskName, type Queue, type QueueConfiguration} from '../submissions/index.js';
 import {RunTimeEstimates} from '../tasks/round/run-time-estimates.js';
 import type {ActiveSubmission} from './active-submission.js';
 import type {OwnerMessage} from './agent-messages.js';
@@ -100,12 +100,15 @@
 
   /** Returns the task that a run name of a worker refers to, or undefined when it is unknown. */
   getNamedTask(name: string, at: number): Task | undefined {
-    const [id = '', occurrence, step, index] = name.split('.');
+    const [id = '', ...position] = name.split('.');
+    const [occurrence = 0, step = 0, index = 0] = position.map(Number);
     const submission = this.submissions.get(id);
+    if (submission === undefined || getTaskName(id, occurrence, step, index) !== name)
+      return undefined;
     // A previous owner, whose clock was ahead, may have started an occurrence that is not due yet.
-    if (submission?.isActive) {
-      submission.openStartedOccurrence(Number(occurrence), at, this.getUnixMs(at));
+    if (!submission.isFinalStored && submission.hasTask(occurrence, step, index)) {
+      submission.openStartedOccurrence(occurrence, at, this.getUnixMs(at));
     }
-    return submission?.getTask(Number(occurrence), Number(step), Number(index));
+    return submission.getTask(occurrence, step, index);
   }
 }
--- a/packages/coordination/test/dispatch/unstored-ends.test.ts
+++ b/packages/coordination/test/dispatch/unstored-ends.test.ts
@@ -88,6 +88,49 @@
 
 const worker = {agent: 'w1', life: 'w1-life', cores: 16, rack: 'r0'};
 
+/** Creates a fleet with one worker and a submission with a far schedule, of which nothing is due. */
+function createFleetWithSchedule(): VirtualFleet {
+  const fleet = new VirtualFleet({seed: 1, queues: [queue], workers: [worker]});
+  const schedule = {repetitions: 10_000, startAtMs: 100_000_000, intervalMs: 20_000};
+  fleet.submit(createSubmission(id, queue.key, [createStep({count: 20})], schedule));
+  fleet.run(500);
+  return fleet;
+}
+
+const foreignNames = [
+  '1e9.0.0',
+  'Infinity.0.0',
+  '0x7f.0.0',
+  '.0.0',
+  '1.5.0.0',
+  '7.9.0',
+  '7.0.99',
+  '10000.0.0',
+  '-1.0.0',
+  '',
+];
+for (const name of foreignNames) {
+  void t.test(`an end of a task that does not exist opens no occurrence: '${name}'`, async t => {
+    const fleet = createFleetWithSchedule();
+    const before = fleet.dispatcher.countPending(queue.key);
+    fleet.post({
+      kind: 'message',
+      agent: 'w1',
+      message: {
+        kind: 'report',
+        life: 'w1-life',
+        term: 10,
+        clockMs: fleet.now,
+        running: [],
+        ends: [[1, `${id}.${name}`, 1, 'done', '']],
+      },
+    });
+    fleet.run(2_000);
+    t.equal(fleet.dispatcher.countPending(queue.key), before);
+    t.equal(fleet.dispatcher.getStatus(id), 'queued', 'no task has run');
+  });
+}
+
 const clockCases = [
   {name: 'is set back afterwards', firstMs: 29_500, takeoverMs: 26_000, laterMs: 0, dueMs: 30_000},
   {name: 'is set ahead afterwards', firstMs: 0, takeoverMs: -30_000, laterMs: 0, dueMs: 1_000},
