Do not restore a submission that is being removed

Callers could see a submission that had failed as completed. Cause: after its retention the owner forgets a submission before the removal is stored; a list of the watch in between brings its finished form, without steps, which completed at once. Found by the review of the incident. 'a failed submission is not shown as completed ...' failed before.

--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -231,6 +231,8 @@
     const {state} = this;
     const {submission, progress} = stored;
     if (state.submissions.has(submission.id)) return;
+    // The record of a finished submission without its progress was read while the submission was being removed.
+    if (submission.steps.length === 0 && progress === undefined) return;
     const ageMs = Math.max(0, state.getUnixMs(at) - submission.acceptedAtMs);
     const active = new ActiveSubmission({
       submission,
--- a/packages/coordination/test/dispatch/unstored-ends.test.ts
+++ b/packages/coordination/test/dispatch/unstored-ends.test.ts
@@ -244,3 +244,24 @@
     crashes: [[1, 0, 1, ['life'], []]],
   });
 });
+
+void t.test('a failed submission is not shown as completed while it is removed', async t => {
+  const fleet = new VirtualFleet({
+    seed: 1,
+    queues: [queue],
+    workers: [worker],
+    getBehaviour: () => ({durationMs: 300, faultyRuns: 1}),
+  });
+  fleet.submit(createSubmission(id, queue.key, [createStep({count: 1})]));
+  fleet.run(5_000);
+  const stored = fleet.submissions.get(id);
+  let isListed = false;
+  fleet.onStep = () => {
+    if (isListed || stored === undefined || fleet.dispatcher.getStatus(id) !== undefined) return;
+    isListed = true;
+    fleet.post({kind: 'submitted', submission: stored});
+  };
+  fleet.run(320_000);
+  t.ok(isListed, 'the watch lists its record once more');
+  t.equal(fleet.dispatcher.getStatus(id), undefined);
+});
