--- a/packages/runtime/test/dispatch/records/progress-writer.test.ts
+++ b/packages/runtime/test/dispatch/records/progress-writer.test.ts
@@ -31,6 +31,16 @@
 }> = [
   {
     name: 'an attempt that is executed after a newer write',
+    steps: [
+      {write: [1, 1], fails: 'held', result: 'unknown'},
+      {write: [1, 1], result: 'ok'},
+      {write: [2, 2], result: 'ok'},
+      {event: 'late-attempts'},
+    ],
+    stored: 2,
+  },
+  {
+    name: 'a write after an attempt that was executed late',
     steps: [
       {write: [1, 1], fails: 'held', result: 'unknown'},
       {write: [1, 1], result: 'ok'},
