Keep only tasks with early crashes alone on their workers

Tasks with two late crashes kept a worker to themselves for up to 10 s, and every task of a crashed worker waited until its crash was stored.

--- a/packages/coordination/src/dispatch/placement/suspect-isolation.ts
+++ b/packages/coordination/src/dispatch/placement/suspect-isolation.ts
@@ -2,7 +2,7 @@
 import type {Task} from '../task.js';
 import type {WorkerView} from '../worker-view.js';
 
-/** Number of crashes from which a task shares its worker with no other suspect and no task joins it. */
+/** Number of crashes from which a task shares its worker with no other suspect. */
 const minExclusiveCrashes = 2;
 
 /** Placement costs that come before all preferences but the workers that a task avoids. */
@@ -20,9 +20,11 @@
   readonly runs: number;
   /** Largest number of crashes of one task. */
   readonly crashes: number;
+  /** Whether other tasks may join, because a trial is long. */
+  readonly isOpen: boolean;
 }
 
-const noTrials: Trials = {runs: 0, crashes: 0};
+const noTrials: Trials = {runs: 0, crashes: 0, isOpen: true};
 
 /**
  * Keeps tasks that may crash their workers apart, so that a crash tells which of them causes it and little other work is
@@ -45,27 +47,31 @@
 
   /** Records the runs of a worker. */
   update(worker: WorkerView): void {
-    let {runs, crashes} = noTrials;
+    let {runs, crashes, isOpen} = noTrials;
     for (const run of worker.runs.values()) {
       if (!run.isOnTrial) continue;
       runs += 1;
       crashes = Math.max(crashes, run.task.crashes.count);
+      isOpen &&= !run.task.crashes.hasEarly;
     }
-    if (runs > 0) this.trials.set(worker, {runs, crashes});
+    if (runs > 0) this.trials.set(worker, {runs, crashes, isOpen});
     else this.trials.delete(worker);
   }
 
   /** Whether a worker may get a task. */
   isAllowed(worker: WorkerView, task: Task): boolean {
-    const {runs, crashes} = this.trials.get(worker) ?? noTrials;
+    const {runs, crashes, isOpen} = this.trials.get(worker) ?? noTrials;
+    if (!task.crashes.isSuspect) return isOpen || crashes < minExclusiveCrashes;
     if (crashes >= minExclusiveCrashes) return false;
-    if (!task.crashes.isSuspect) return true;
     return runs < (task.crashes.count >= minExclusiveCrashes ? 1 : this.maxTrials);
   }
 
   /** Returns what a worker costs a task in addition. */
   getCost(worker: WorkerView, task: Task): number {
-    if (!task.crashes.isSuspect) return this.trials.has(worker) ? costs.besideSuspect : 0;
+    if (!task.crashes.isSuspect) {
+      const {isOpen} = this.trials.get(worker) ?? noTrials;
+      return isOpen ? 0 : costs.besideSuspect;
+    }
     const cost = worker.runs.size * costs.exposedRun;
     return hasNewRun(worker, task) ? cost + costs.besideNewRun : cost;
   }
--- a/packages/coordination/src/dispatch/supervision/crash-tracker.ts
+++ b/packages/coordination/src/dispatch/supervision/crash-tracker.ts
@@ -93,9 +93,11 @@
     const verdicts = blameCrash(active);
     for (const {task, timing} of verdicts) {
       task.crashes.add(life, timing);
+      const {isSuspect} = task.crashes;
       task.submission.areCrashesStored = false;
-      if (task.crashes.isSuspect) task.submission.suspects.add(task);
-      this.journal.markChanged(task.submission, at, true);
+      if (isSuspect) task.submission.suspects.add(task);
+      // A suspect waits until its crashes are stored.
+      this.journal.markChanged(task.submission, at, isSuspect);
     }
     this.remember(
       life,
--- a/packages/coordination/src/dispatch/task.ts
+++ b/packages/coordination/src/dispatch/task.ts
@@ -90,7 +90,7 @@
   isWaiting(at: number): boolean {
     if (this.isFinished || this.isInDoubt || this.runs.length > 0) return false;
     // A crash that the next owner does not know of would not count.
-    if (this.crashes.count > 0 && !this.submission.areCrashesStored) return false;
+    if (this.crashes.isSuspect && !this.submission.areCrashesStored) return false;
     return at >= this.notBefore;
   }
 
