--- a/packages/coordination/src/dispatch/supervision/crash-blame.ts
+++ b/packages/coordination/src/dispatch/supervision/crash-blame.ts
@@ -40,18 +40,19 @@
   const possibleCauses = [...suspects, ...others.filter(({timing}) => timing === 'early')];
   const isDecisive = new Set(possibleCauses.map(({task}) => task.submission)).size === 1;
   const limit = isDecisive ? maxDecisiveCrashes : maxCrashes;
-  return [
-    ...suspects.map(({task, timing}) => ({
-      task,
-      timing,
-      isGivenUp:
-        task.crashes.count + 1 >=
-        (timing === 'early' || task.crashes.hasEarly ? limit : maxLateCrashes),
-    })),
-    ...others.map(({task, timing}) => ({
-      task,
-      timing: suspects.length > 0 ? ('late' as const) : timing,
-      isGivenUp: false,
-    })),
-  ];
+  const verdicts: CrashVerdict[] = suspects.map(({task, timing}) => ({
+    task,
+    timing,
+    isGivenUp:
+      task.crashes.count + 1 >=
+      (timing === 'early' || task.crashes.hasEarly ? limit : maxLateCrashes),
+  }));
+  // A crash that is explained says nothing of the other tasks.
+  if (verdicts.some(({timing, isGivenUp}) => isGivenUp && timing === 'early')) {
+    return verdicts.filter(({isGivenUp, timing}) => isGivenUp && timing === 'early');
+  }
+  for (const {task, timing} of others) {
+    verdicts.push({task, timing: suspects.length > 0 ? 'late' : timing, isGivenUp: false});
+  }
+  return verdicts;
 }
