Ignore odd items of the list of entries in the product's own daemon

An item such as null in the list made the registration throw in a call that nothing awaits, which ends an entry.

--- a/packages/runtime/src/daemon/entry-registration.ts
+++ b/packages/runtime/src/daemon/entry-registration.ts
@@ -1,4 +1,5 @@
-import type {RegisteredEntry} from '@chervilbeam/coordination';
+import {isRecord, type RegisteredEntry} from '@chervilbeam/coordination';
+import {isProcessAddress} from '../addresses/index.js';
 import type {StoreClient} from '../store/index.js';
 
 /** Store key of the list of registered entries. */
@@ -41,7 +42,7 @@
   private async readAndRegister(): Promise<boolean> {
     const answer = await this.client.read(entriesKey);
     if (answer.result !== 'ok') return false;
-    const entries = Array.isArray(answer.value) ? (answer.value as RegisteredEntry[]) : [];
+    const entries = Array.isArray(answer.value) ? answer.value.filter(isRegisteredEntry) : [];
     const {name, incarnation} = this.ownEntry;
     if (entries.some(entry => entry.name === name && entry.incarnation === incarnation)) {
       this.report(entries);
@@ -53,3 +54,14 @@
     return written.result === 'ok';
   }
 }
+
+/** Whether an item of the stored list is an entry; items of other writers name no process. */
+function isRegisteredEntry(item: unknown): item is RegisteredEntry {
+  return (
+    isRecord(item) &&
+    typeof item.name === 'string' &&
+    typeof item.dataCentre === 'string' &&
+    Number.isSafeInteger(item.incarnation) &&
+    isProcessAddress(item.address)
+  );
+}
