--- a/packages/runtime/src/worker/worker-client.ts
+++ b/packages/runtime/src/worker/worker-client.ts
@@ -1,4 +1,5 @@
 import {
+  isRecord,
   type AgentProcessEvent,
   type AgentTasksEffect,
   type Resources,
@@ -38,7 +39,7 @@
     this.pool = new Pool(url, {connections, pipelining: 1});
   }
 
-  /** Returns the capacity and the tasks of the worker, or undefined when it does not answer with status 200. */
+  /** Returns the capacity and the tasks of the worker, or undefined when it does not answer with status 200 and an object. */
   async getState(): Promise<WorkerState | undefined> {
     const answer = await this.exchange('GET', '/v1/worker');
     return answer?.status === 200 ? (answer.body as unknown as WorkerState) : undefined;
@@ -120,8 +121,8 @@
         body: body === undefined ? null : JSON.stringify(body),
       });
       const text = await response.body.text();
-      const content = text === '' ? {} : (JSON.parse(text) as WorkerAnswer['body']);
-      return {status: response.statusCode, body: content};
+      const content = text === '' ? {} : (JSON.parse(text) as unknown);
+      return isRecord(content) ? {status: response.statusCode, body: content} : undefined;
     } catch {
       return undefined;
     }
