--- a/packages/coordination/src/dispatch/active-submission.ts
+++ b/packages/coordination/src/dispatch/active-submission.ts
@@ -14,7 +14,7 @@
   type Submission,
   type SubmissionStatus,
 } from '../submissions/index.js';
-import {CrashHistory} from './crash-history.js';
+import {CrashHistory} from './supervision/crash-history.js';
 import {Task} from './task.js';
 
 /** The tasks of one step of one occurrence. */
--- a/packages/coordination/src/dispatch/supervision/crash-blame.ts
+++ b/packages/coordination/src/dispatch/supervision/crash-blame.ts
@@ -1,4 +1,4 @@
-import {getCrashTiming, type CrashTiming} from '../crash-history.js';
+import {getCrashTiming, type CrashTiming} from './crash-history.js';
 import type {Run, Task} from '../task.js';
 
 /** Number of crashes from which a suspect is given up although other tasks may have caused the latest one. */
--- a/packages/coordination/src/dispatch/task.ts
+++ b/packages/coordination/src/dispatch/task.ts
@@ -1,6 +1,6 @@
 import type {Step} from '../submissions/index.js';
 import type {ActiveSubmission} from './active-submission.js';
-import {CrashHistory} from './crash-history.js';
+import {CrashHistory} from './supervision/crash-history.js';
 import type {WorkerView} from './worker-view.js';
 
 /**
--- a/packages/coordination/test/dispatch/supervision/crash-blame.test.ts
+++ b/packages/coordination/test/dispatch/supervision/crash-blame.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 import {ActiveSubmission} from '../../../src/dispatch/active-submission.js';
-import {CrashHistory} from '../../../src/dispatch/crash-history.js';
+import {CrashHistory} from '../../../src/dispatch/supervision/crash-history.js';
 import {blameCrash} from '../../../src/dispatch/supervision/crash-blame.js';
 import {Run, type Task} from '../../../src/dispatch/task.js';
 import {WorkerView} from '../../../src/dispatch/worker-view.js';
--- a/packages/coordination/test/dispatch/crash-history.test.ts
+++ b/packages/coordination/test/dispatch/supervision/crash-history.test.ts
@@ -1,5 +1,5 @@
 import t from 'tap';
-import {CrashHistory, getCrashTiming} from '../../src/dispatch/crash-history.js';
+import {CrashHistory, getCrashTiming} from '../../../src/dispatch/supervision/crash-history.js';
 
 const timings = [
   {ageMs: 0, expected: 'early'},
