--- a/packages/coordination/src/dispatch/run-ends.ts
+++ b/packages/coordination/src/dispatch/run-ends.ts
@@ -119,9 +119,6 @@
 
   /** Finishes all tasks of a gang, because one finished member finishes the gang. */
   private finishGang(task: Task, submission: ActiveSubmission): void {
-    const occurrence = submission.occurrences.find(
-      candidate => candidate.index === task.occurrence,
-    );
-    for (const member of occurrence?.steps[task.stepIndex]?.tasks ?? []) submission.finish(member);
+    for (const member of submission.getStepTasks(task)?.tasks ?? []) submission.finish(member);
   }
 }
--- a/packages/runtime/test/dispatch/ownership/late-writes.test.ts
+++ b/packages/runtime/test/dispatch/ownership/late-writes.test.ts
@@ -1,16 +1,11 @@
-import type {
-  AgentMessage,
-  OwnerMessage,
-  QueueConfiguration,
-  Submission,
-} from '@chervilbeam/coordination';
+import type {AgentMessage, OwnerMessage, Submission} from '@chervilbeam/coordination';
 import t, {type Test} from 'tap';
 import type {Link} from '../../../src/dispatch/index.js';
 import {OwnerProcess} from '../../../src/dispatch/ownership/owner-process.js';
 import {SystemClock} from '../../../src/loop/index.js';
 import {Metrics} from '../../../src/metrics/index.js';
 import {LateStore} from '../records/late-store.js';
-import {queue, submit} from '../submissions/submission-fixture.js';
+import {configuration, queue, submit} from '../submissions/submission-fixture.js';
 import {createTestLog} from '../test-log.js';
 import {waitUntil} from '../wait-until.js';
 
@@ -24,15 +19,6 @@
   ...(submit.kind === 'submit' && submit.draft),
   acceptedAtMs: Date.now(),
 } as Submission;
-const configuration: QueueConfiguration = {
-  version: 1,
-  queues: new Map([[queue.key, queue]]),
-  services: new Map(),
-  maxBodyBytes: 1,
-  maxHeaderBytes: 1,
-  headerTimeoutMs: 1,
-  idleTimeoutMs: 1,
-};
 
 /** Time in milliseconds in which an owner that has recovered places all tasks. */
 const placementMs = 300;
--- a/packages/runtime/test/dispatch/submissions/submission-fixture.ts
+++ b/packages/runtime/test/dispatch/submissions/submission-fixture.ts
@@ -32,7 +32,8 @@
   targetLatencyMs: 1_000,
   timeoutMs: 3_000,
 };
-const configuration: QueueConfiguration = {
+/** Configuration with the queue of the tests. */
+export const configuration: QueueConfiguration = {
   version: 1,
   queues: new Map([[queue.key, queue]]),
   services: new Map(),
