Review case 5: a task is started without end after its route was removed

The owner is killed after the operator has removed the route of a submission that can never be done. The next owner does not know the queue's max_attempts and starts the task again without a limit: BUDGET.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec node "$(dirname "$0")/run.mjs"
