Adopt another worker incarnation only after the worker itself has confirmed it

Callers saw a task run twice at the same time: one heartbeat of another writer, with an id of its own, a later start and a service that is not configured, made the owner start eight running tasks again elsewhere, and kept the sound worker out of use.

Cause: a heartbeat with a later start time counted as proof that the present incarnation had ended, whatever its id and service.

Change: the agent asks the worker at its address, naming the expected id, and adopts the incarnation only if the lists come from it. An incarnation keeps its service. Sequence numbers are compared within one incarnation and service only.

--- a/packages/runtime/src/dispatch/agent/agent-node.ts
+++ b/packages/runtime/src/dispatch/agent/agent-node.ts
@@ -1,10 +1,8 @@
 import {
   type AgentMessage,
   type Clock,
-  type RunEndRow,
   getWorkerIncarnation,
   type OwnerMessage,
-  type RunRow,
   type WorkerDescription,
 } from '@chervilbeam/coordination';
 import type {Metrics} from '../../metrics/index.js';
@@ -13,13 +11,13 @@
 import {TrafficMeter} from '../links/traffic-meter.js';
 import type {RecordStore} from '../records/record-store.js';
 import {OwnerSearch} from './owner-search.js';
+import {RunReports} from './run-reports.js';
 import {WorkerCommands} from './worker-commands.js';
-import type {LeaseRenewalReply, WorkerPort} from './worker-port.js';
+import {WorkerConfirmation} from './worker-confirmation.js';
+import {isFromIncarnation, type LeaseRenewalReply, type WorkerPort} from './worker-port.js';
 
 /** Long-poll time in milliseconds of a renewal that waits for a run to end; also the longest report interval. */
 const renewalWaitMs = 800;
-/** Interval in milliseconds at which reports include the full list of running runs. */
-const runListIntervalMs = 500;
 /** Delay in milliseconds before a renewal that failed is retried. */
 const renewalRetryDelayMs = 250;
 /** Consecutive refused connections after which the worker counts as gone; fewer may be a restarting listener. */
@@ -60,6 +58,7 @@
 export class AgentNode {
   private readonly search: OwnerSearch;
   private readonly commands: WorkerCommands;
+  private readonly confirmation: WorkerConfirmation;
   private readonly traffic: TrafficMeter;
   private link: OwnerLink | undefined;
   private linkAddress = '';
@@ -74,10 +73,7 @@
   private deadlineMs: number | undefined;
   /** Highest sequence number up to which the owner has stored the ends of runs. */
   private acknowledged = 0;
-  /** Highest sequence number of an end that was sent on the current link. */
-  private lastSentEnd = 0;
-  private runListSentAt = Number.NEGATIVE_INFINITY;
-  private isRunListDue = true;
+  private readonly reports = new RunReports();
   /** Consecutive renewals that failed with a refused connection. */
   private refusedConnections = 0;
   /** Time of the first of the consecutive renewals that failed; undefined after a successful one. */
@@ -105,6 +101,11 @@
       }),
       sendResult: (order, outcome) => this.send({kind: 'result', order, outcome}),
     });
+    this.confirmation = new WorkerConfirmation({
+      ...options,
+      getTerm: () => this.term,
+      onConfirmed: worker => this.adoptWorker(worker),
+    });
   }
 
   /** Starts the search for the owner. */
@@ -123,35 +124,53 @@
   }
 
   /**
-   * Handles the worker's description from a heartbeat. A new incarnation resets the lease deadline and the
-   * acknowledged ends.
+   * Handles the worker's description from a heartbeat. Another incarnation than the present one is adopted only after
+   * the worker on this host has confirmed it.
    */
   updateWorker(worker: WorkerDescription): void {
     const former = this.worker;
-    this.worker = worker;
-    if (former?.life !== worker.life) {
-      this.isWorkerReplaced = false;
-      this.deadlineMs = undefined;
-      this.acknowledged = 0;
-      this.lastSentEnd = 0;
-      this.isRunListDue = true;
-      this.refusedConnections = 0;
-      this.silentSince = undefined;
-      this.options.log.log('worker-up', {worker: worker.life, former: former?.life});
-      this.startRenewalLoop();
-    } else if (JSON.stringify(former) === JSON.stringify(worker)) return;
-    if (worker.state === 'draining' && former?.state !== 'draining') {
-      this.options.log.log('worker-draining', {
-        worker: worker.life,
-        remainingMs: worker.remainingMs,
-      });
+    if (former?.life !== worker.life) return this.confirmation.add(worker);
+    if (former.service !== worker.service) {
+      // An incarnation belongs to one service for all its life, so another writer has sent this.
+      this.options.log.log('worker-unconfirmed', {worker: worker.life, service: worker.service});
+      return;
     }
+    this.worker = worker;
+    if (JSON.stringify(former) === JSON.stringify(worker)) return;
+    if (former.state !== 'draining') this.logDraining(worker);
+    this.send({kind: 'worker', worker});
+  }
+
+  /** Takes an incarnation for the worker on this host; resets the lease deadline and the acknowledged ends. */
+  private adoptWorker(worker: WorkerDescription): void {
+    const former = this.worker;
+    this.confirmation.clear();
+    this.worker = worker;
+    this.isWorkerReplaced = false;
+    this.deadlineMs = undefined;
+    this.acknowledged = 0;
+    this.reports.reset();
+    this.refusedConnections = 0;
+    this.silentSince = undefined;
+    this.options.log.log('worker-up', {worker: worker.life, former: former?.life});
+    this.logDraining(worker);
     this.send({kind: 'worker', worker});
+    this.startRenewalLoop();
   }
 
-  /** Handles the farewell of a worker that shuts down. */
-  handleFarewell(id: string): void {
-    if (this.worker?.id !== id) return;
+  private logDraining({life, state, remainingMs}: WorkerDescription): void {
+    if (state !== 'draining') return;
+    this.options.log.log('worker-draining', {worker: life, remainingMs});
+  }
+
+  /**
+   * Handles the farewell of a worker that shuts down. That of an earlier incarnation is ignored; one without a start
+   * time, in Unix milliseconds, is taken as that of the present incarnation.
+   */
+  handleFarewell(id: string, startedAtMs?: number): void {
+    const {worker} = this;
+    if (worker?.id !== id) return;
+    if (startedAtMs !== undefined && getWorkerIncarnation(id, startedAtMs) !== worker.life) return;
     this.dropWorker('farewell');
   }
 
@@ -252,8 +271,8 @@
     this.term = term;
     this.search.confirmReached();
     this.search.setEntries(entries);
-    this.lastSentEnd = 0;
-    this.isRunListDue = true;
+    this.reports.reset();
+    this.confirmation.resume();
     if (this.worker) {
       this.send({kind: 'worker', worker: this.worker});
       this.startRenewalLoop();
@@ -295,7 +314,9 @@
       if (this.renewalGeneration !== generation || this.worker?.life !== worker.life) return;
       if (reply.kind === 'listed' && isFromIncarnation(reply, worker)) {
         isFirst = false;
-        this.reportLists(worker, term, reply);
+        this.refusedConnections = 0;
+        this.silentSince = undefined;
+        this.send(this.reports.create(worker, term, reply, this.options.clock.now()));
         if (reply.ends.some(end => end[0] > this.acknowledged)) await this.waitForAcknowledgement();
       } else {
         const failure = reply.kind === 'listed' ? this.markWorkerReplaced() : reply;
@@ -354,45 +375,6 @@
     await delay(renewalRetryDelayMs);
     return true;
   }
-
-  /** Sends new ends to the owner, and at intervals the full list of running runs. */
-  private reportLists(
-    worker: WorkerDescription,
-    term: number,
-    reply: Extract<LeaseRenewalReply, {kind: 'listed'}>,
-  ): void {
-    this.refusedConnections = 0;
-    this.silentSince = undefined;
-    const now = this.options.clock.now();
-    const ends: RunEndRow[] = [];
-    for (const end of reply.ends) if (end[0] > this.lastSentEnd) ends.push(end);
-    for (const end of ends) this.lastSentEnd = Math.max(this.lastSentEnd, end[0]);
-    const includesRunList = this.isRunListDue || now - this.runListSentAt >= runListIntervalMs;
-    if (includesRunList) this.runListSentAt = now;
-    this.isRunListDue = false;
-    const running: {running?: readonly RunRow[]} = includesRunList ? {running: reply.running} : {};
-    this.send({
-      kind: 'report',
-      life: worker.life,
-      term,
-      clockMs: reply.clockMs,
-      ends,
-      ...(reply.hasMoreEnds && {hasMoreEnds: true}),
-      ...running,
-    });
-  }
-}
-
-/**
- * Whether the lists come from the given incarnation of the worker. Older worker versions do not send their start
- * time; their lists are assumed to match.
- */
-function isFromIncarnation(
-  reply: Extract<LeaseRenewalReply, {kind: 'listed'}>,
-  worker: WorkerDescription,
-): boolean {
-  const {startedAtMs} = reply;
-  return startedAtMs === undefined || getWorkerIncarnation(worker.id, startedAtMs) === worker.life;
 }
 
 function delay(ms: number): Promise<void> {
--- a/packages/runtime/src/dispatch/agent/worker-port.ts
+++ b/packages/runtime/src/dispatch/agent/worker-port.ts
@@ -1,4 +1,10 @@
-import type {RunEndRow, CommandOutcome, RunRow} from '@chervilbeam/coordination';
+import {
+  type CommandOutcome,
+  getWorkerIncarnation,
+  type RunEndRow,
+  type RunRow,
+  type WorkerDescription,
+} from '@chervilbeam/coordination';
 
 /** Parameters of a command to start a run. `deadlineMs` is on the worker's clock; `token` is the fencing token. */
 export interface StartCommand {
@@ -64,3 +70,15 @@
     },
   ): Promise<LeaseRenewalReply>;
 }
+
+/**
+ * Whether the lists come from the given incarnation of the worker. Older worker versions do not send their start
+ * time; their lists are assumed to match.
+ */
+export function isFromIncarnation(
+  reply: Extract<LeaseRenewalReply, {kind: 'listed'}>,
+  worker: WorkerDescription,
+): boolean {
+  const {startedAtMs} = reply;
+  return startedAtMs === undefined || getWorkerIncarnation(worker.id, startedAtMs) === worker.life;
+}
--- a/packages/runtime/test/dispatch/agent/agent-node.test.ts
+++ b/packages/runtime/test/dispatch/agent/agent-node.test.ts
@@ -4,9 +4,10 @@
   OwnerMessage,
   WorkerDescription,
 } from '@chervilbeam/coordination';
-import t from 'tap';
+import t, {type Test} from 'tap';
 import {
   AgentNode,
+  type LeaseRenewalReply,
   type Link,
   type LinkHandlers,
   ownerKey,
@@ -161,7 +162,8 @@
       hold: async () => {
         renewals += 1;
         await new Promise(resolve => setTimeout(resolve, 5));
-        const startedAtMs = renewals <= 2 ? 1_000 : 2_000;
+        // The first call confirms the incarnation.
+        const startedAtMs = renewals <= 3 ? 1_000 : 2_000;
         return {kind: 'listed', startedAtMs, clockMs: renewals, running: [], ends: []} as const;
       },
     } as unknown as WorkerPort;
@@ -173,7 +175,7 @@
     const [link] = links;
     if (link) link.send = message => void sent.push(message);
     link?.handlers.message({kind: 'owner', term: store.revision, entries: []});
-    await waitUntil(() => renewals >= 4);
+    await waitUntil(() => renewals >= 5);
     const reports = sent.filter(message => message.kind === 'report');
     t.equal(reports.length, 2, 'only the lists of the known incarnation are reported');
     agent.stop();
@@ -210,6 +212,154 @@
   agent.stop();
 });
 
+/** Time in milliseconds in which a worker answers. */
+const answerMs = 5;
+
+/** A worker on the agent's host that answers as incarnation `w@1000`, or as the one that `life` is set to. */
+class AnsweringWorker {
+  life = 'w@1000';
+  isSilent = false;
+
+  readonly port = {
+    hold: async (id: string): Promise<LeaseRenewalReply> => {
+      await new Promise(resolve => setTimeout(resolve, answerMs));
+      if (this.isSilent) return {kind: 'no-answer', detail: 'timeout'};
+      const [presentId = '', startedAt] = this.life.split('@');
+      if (id !== presentId) return {kind: 'other-life'};
+      return {
+        kind: 'listed',
+        startedAtMs: Number(startedAt),
+        clockMs: performance.now(),
+        running: [],
+        ends: [],
+      };
+    },
+  } as unknown as WorkerPort;
+}
+
+/** Returns an agent with an owner, and the messages that it sends to it. */
+async function createOwnedAgent(t: Test, worker: AnsweringWorker) {
+  const store = new MemoryStore();
+  claim(store, '10.0.0.1:1');
+  const {agent, links} = createAgent(store, [], worker.port);
+  t.teardown(() => agent.stop());
+  agent.start();
+  await waitUntil(() => links.length === 1);
+  const sent: AgentMessage[] = [];
+  const [link] = links;
+  if (link) link.send = message => void sent.push(message);
+  link?.handlers.message({kind: 'owner', term: store.revision, entries: []});
+  const getWorkers = () => sent.flatMap(message => (message.kind === 'worker' ? [message] : []));
+  const countReports = () => sent.filter(message => message.kind === 'report').length;
+  return {agent, sent, getWorkers, countReports};
+}
+
+// A heartbeat of another writer replaced a sound worker, and the owner started its running tasks again elsewhere.
+const strangeHeartbeats: ReadonlyArray<{
+  readonly name: string;
+  readonly worker: WorkerDescription;
+}> = [
+  {
+    name: 'for another service, with an id of its own and a later start',
+    worker: {...createDescription('other@5000'), service: 'unknown'},
+  },
+  {
+    name: 'for the same service, with an id of its own and a later start',
+    worker: createDescription('other@5000'),
+  },
+  {name: 'with an earlier start', worker: createDescription('other@500')},
+  {name: 'with the id of the worker and a later start', worker: createDescription('w@5000')},
+  {name: 'with the id of the worker and no start', worker: createDescription('w@0')},
+  {
+    name: 'of the same incarnation for another service',
+    worker: {...createDescription('w@1000'), service: 'unknown', state: 'draining'},
+  },
+];
+
+for (const {name, worker: strange} of strangeHeartbeats) {
+  void t.test(`a heartbeat ${name} does not replace the worker that answers`, async t => {
+    const worker = new AnsweringWorker();
+    const {agent, sent, getWorkers, countReports} = await createOwnedAgent(t, worker);
+    agent.updateWorker(createDescription('w@1000'));
+    await waitUntil(() => countReports() > 0);
+    agent.updateWorker(strange);
+    await new Promise(resolve => setTimeout(resolve, answerMs * 10));
+    agent.updateWorker({...createDescription('w@1000'), state: 'draining'});
+    t.same(
+      getWorkers().map(message => [
+        message.worker.life,
+        message.worker.service,
+        message.worker.state,
+      ]),
+      [
+        ['w@1000', 'service', 'ready'],
+        ['w@1000', 'service', 'draining'],
+      ],
+    );
+    t.notOk(sent.some(message => message.kind === 'worker-gone'));
+  });
+
+  if (strange.life === 'w@1000') continue;
+  void t.test(`a heartbeat ${name} that comes first does not keep the worker out`, async t => {
+    const worker = new AnsweringWorker();
+    const {agent, getWorkers, countReports} = await createOwnedAgent(t, worker);
+    agent.updateWorker(strange);
+    agent.updateWorker(createDescription('w@1000'));
+    await new Promise(resolve => setTimeout(resolve, answerMs * 10));
+    t.ok(countReports() > 0);
+    t.same(
+      getWorkers().map(message => message.worker.life),
+      ['w@1000'],
+    );
+  });
+}
+
+void t.test('a restarted worker replaces its previous incarnation once it answers', async t => {
+  const worker = new AnsweringWorker();
+  const {agent, getWorkers, countReports} = await createOwnedAgent(t, worker);
+  agent.updateWorker(createDescription('w@1000'));
+  await waitUntil(() => countReports() > 0);
+  worker.life = 'next@2000';
+  worker.isSilent = true;
+  agent.updateWorker(createDescription('next@2000'));
+  await new Promise(resolve => setTimeout(resolve, 50));
+  t.same(
+    getWorkers().map(message => message.worker.life),
+    ['w@1000'],
+  );
+  worker.isSilent = false;
+  await waitUntil(() => getWorkers().length === 2);
+  t.equal(getWorkers().at(-1)?.worker.life, 'next@2000');
+  agent.updateWorker(createDescription('w@1000'));
+  await new Promise(resolve => setTimeout(resolve, 50));
+  t.equal(getWorkers().length, 2, 'a late heartbeat of the previous incarnation changes nothing');
+});
+
+const farewells: ReadonlyArray<{
+  readonly name: string;
+  readonly id: string;
+  readonly startedAtMs?: number;
+  readonly isHeard: boolean;
+}> = [
+  {name: 'of the present incarnation', id: 'w', startedAtMs: 1_000, isHeard: true},
+  {name: 'without a start time', id: 'w', isHeard: true},
+  {name: 'of an earlier incarnation', id: 'w', startedAtMs: 500, isHeard: false},
+  {name: 'of another worker', id: 'other', isHeard: false},
+];
+
+for (const {name, id, startedAtMs, isHeard} of farewells) {
+  void t.test(`a farewell ${name} ${isHeard ? 'ends the worker' : 'is ignored'}`, async t => {
+    const {agent, sent, countReports} = await createOwnedAgent(t, new AnsweringWorker());
+    agent.updateWorker(createDescription('w@1000'));
+    await waitUntil(() => countReports() > 0);
+    agent.handleFarewell(id, startedAtMs);
+    t.equal(
+      sent.some(message => message.kind === 'worker-gone'),
+      isHeard,
+    );
+  });
+}
+
 // The address was dialled again at intervals, outside of the watch that had read it.
 for (const address of oddAddresses) {
   void t.test(`an agent waits for the owner after one at "${address.slice(0, 20)}"`, async t => {
