Match the result of a command by the term of its owner as well

Callers saw a task run twice at the same time after an entry was terminated: a worker refused a start of the former owner late, and the refusal made the next owner drop a running run and start the task again elsewhere.

Cause: results carried only the number of the command, each owner numbers its commands from 1, and an agent sends results over its present link.

Change: a result names the term of its command, and an owner ignores the results of other terms. An older agent sends no term; its results are ignored too, and its commands are resolved by the lists or by a stop.

--- a/packages/coordination/src/dispatch/agent-messages.ts
+++ b/packages/coordination/src/dispatch/agent-messages.ts
@@ -70,7 +70,7 @@
   /** Another incarnation of the worker is running. */
   | 'other-life';
 
-/** Result of a command; messages carry the command's number as `order`. */
+/** Result of a command; messages carry the command's number as `order`, and the term of its owner. */
 export type CommandOutcome =
   | {readonly kind: 'accepted'}
   | {readonly kind: 'refused'; readonly reason: StartRefusal}
@@ -112,8 +112,14 @@
       /** Whether the worker has more ends, which it lists once these are acknowledged. */
       readonly hasMoreEnds?: boolean;
     }
-  /** Result of the command with the number `order`. */
-  | {readonly kind: 'result'; readonly order: number; readonly outcome: CommandOutcome};
+  /** Result of the command with the number `order` of the owner with the fencing token `term`. */
+  | {
+      readonly kind: 'result';
+      readonly order: number;
+      /** Each owner numbers its own commands; absent from older agents. */
+      readonly term?: number;
+      readonly outcome: CommandOutcome;
+    };
 
 /** Messages from the dispatching entry to an agent. */
 export type OwnerMessage =
--- a/packages/coordination/src/dispatch/command-results.ts
+++ b/packages/coordination/src/dispatch/command-results.ts
@@ -1,4 +1,4 @@
-import type {CommandOutcome, StartRefusal} from './agent-messages.js';
+import type {AgentMessage, StartRefusal} from './agent-messages.js';
 import type {DispatchState} from './dispatch-state.js';
 import type {AdviceTickets} from './placement/advice-tickets.js';
 import type {RunCommands} from './run-commands.js';
@@ -20,8 +20,19 @@
     private readonly tickets: AdviceTickets,
   ) {}
 
-  /** Handles the result of a command; ignores results of superseded commands and of pace commands. */
-  handleResult(worker: WorkerView, order: number, outcome: CommandOutcome, at: number): void {
+  /**
+   * Handles the result of a command; ignores results of superseded commands, of pace commands and of the commands of
+   * other owners, whose numbers are not those of this one.
+   */
+  handleResult(
+    worker: WorkerView,
+    {order, term, outcome}: Extract<AgentMessage, {kind: 'result'}>,
+    at: number,
+  ): void {
+    if (term !== this.state.term) {
+      this.state.count('results_of_other_terms');
+      return;
+    }
     const run = [...worker.runs.values()].find(candidate => candidate.order === order);
     if (run === undefined) return;
     if (outcome.kind !== 'unknown') worker.lastContactAt = at;
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -61,7 +61,7 @@
         if (worker?.life === message.life) this.report(worker, message, at);
         return;
       case 'result':
-        if (worker) this.commandResults.handleResult(worker, message.order, message.outcome, at);
+        if (worker) this.commandResults.handleResult(worker, message, at);
         return;
     }
   }
--- a/packages/coordination/test/dispatch/dispatcher.test.ts
+++ b/packages/coordination/test/dispatch/dispatcher.test.ts
@@ -312,7 +312,12 @@
     const {agent, order} = sent;
     const outcome = {kind: 'accepted'} as const;
     // The worker keeps its id, so its next incarnation executes commands meant for the previous one.
-    fleet.post({kind: 'message', agent, message: {kind: 'result', order: order.order, outcome}});
+    const {term} = order;
+    fleet.post({
+      kind: 'message',
+      agent,
+      message: {kind: 'result', order: order.order, term, outcome},
+    });
     for (const worker of fleet.workers.values()) worker.isUnresponsive = false;
     fleet.replace(agent, 'next-life', next => next.start(order, fleet.now));
     fleet.run(5_000);
--- a/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
@@ -1,4 +1,5 @@
 import {
+  type CommandOutcome,
   Dispatcher,
   type DispatchEffect,
   type DispatchEvent,
@@ -309,10 +310,10 @@
       const reason =
         this.needsTicket(message.task) && !hasTicket ? 'ticket' : worker.start(message, this.now);
       const outcome = reason ? ({kind: 'refused', reason} as const) : ({kind: 'accepted'} as const);
-      this.schedule(() => this.result(agent, message.order, outcome));
+      this.schedule(() => this.result(agent, message, outcome));
     } else if (message.kind === 'stop') {
       const listed = worker.stop(message.task, message.run);
-      this.schedule(() => this.result(agent, message.order, {kind: 'stopped', listed}));
+      this.schedule(() => this.result(agent, message, {kind: 'stopped', listed}));
     } else if (message.kind === 'pace') {
       worker.pace(message.task, message.run, message.percent);
     }
@@ -320,22 +321,16 @@
 
   private result(
     agent: string,
-    order: number,
-    outcome: Extract<
-      Parameters<VirtualFleet['post']>[0],
-      {kind: 'message'}
-    >['message'] extends infer M
-      ? M extends {kind: 'result'; outcome: infer O}
-        ? O
-        : never
-      : never,
+    command: Extract<OwnerMessage, {kind: 'start' | 'stop'}>,
+    outcome: CommandOutcome,
   ): void {
     const silence = this.silences.get(agent);
     if (silence !== undefined && silence !== 'to-agent') {
-      this.schedule(() => this.result(agent, order, outcome));
+      this.schedule(() => this.result(agent, command, outcome));
       return;
     }
-    this.post({kind: 'message', agent, message: {kind: 'result', order, outcome}});
+    const {order, term} = command;
+    this.post({kind: 'message', agent, message: {kind: 'result', order, term, outcome}});
   }
 
   private write(sequence: number, write: ProgressWrite): void {
--- a/packages/lab/src/capacity/experiments/dispatch.ts
+++ b/packages/lab/src/capacity/experiments/dispatch.ts
@@ -185,7 +185,7 @@
       this.starts += 1;
       worker.runs.set(message.task, {run: message.run, endsAt: this.now + runTimeMs});
       const outcome = {kind: 'accepted'} as const;
-      const result = {kind: 'result', order: message.order, outcome} as const;
+      const result = {kind: 'result', order: message.order, term: message.term, outcome} as const;
       this.outstanding.push({kind: 'message', agent, message: result});
     } else if (message.kind === 'lease') {
       const index = worker.ends.findIndex(([end]) => end > message.acknowledged);
--- a/packages/runtime/src/dispatch/agent/agent-node.ts
+++ b/packages/runtime/src/dispatch/agent/agent-node.ts
@@ -99,7 +99,7 @@
         term: this.term,
         acknowledged: this.acknowledged,
       }),
-      sendResult: (order, outcome) => this.send({kind: 'result', order, outcome}),
+      sendResult: ({order, term}, outcome) => this.send({kind: 'result', order, term, outcome}),
     });
     this.confirmation = new WorkerConfirmation({
       ...options,
--- a/packages/runtime/src/dispatch/agent/worker-commands.ts
+++ b/packages/runtime/src/dispatch/agent/worker-commands.ts
@@ -26,6 +26,9 @@
   readonly acknowledged: number;
 }
 
+/** Number of a command and the fencing token of the owner that has sent it. */
+export type CommandIdentity = Pick<Extract<OwnerMessage, {kind: 'start'}>, 'order' | 'term'>;
+
 /** Options of `WorkerCommands`. */
 export interface WorkerCommandsOptions {
   readonly worker: WorkerPort;
@@ -33,8 +36,8 @@
   readonly log: DecisionLogger;
   readonly metrics: Metrics;
   readonly getContext: () => CommandContext;
-  /** Sends the outcome of a command to the owner; `order` is the number of the command. */
-  readonly sendResult: (order: number, outcome: CommandOutcome) => void;
+  /** Sends the outcome of a command to the owner, which may be another one than the command came from. */
+  readonly sendResult: (order: CommandIdentity, outcome: CommandOutcome) => void;
 }
 
 /** Executes the owner's commands on the worker. On the wire and in logs, a command is called an order. */
@@ -48,9 +51,9 @@
     const spec = this.specs.resolve(getSubmissionId(order.task), order.spec);
     const state = this.options.getContext();
     const refusal = getStartRefusal(state, order.life, order.term);
-    if (refusal !== undefined) return this.options.sendResult(order.order, refusal);
+    if (refusal !== undefined) return this.options.sendResult(order, refusal);
     if (spec === undefined) {
-      return this.options.sendResult(order.order, {kind: 'refused', reason: 'spec-unknown'});
+      return this.options.sendResult(order, {kind: 'refused', reason: 'spec-unknown'});
     }
     const {outcome} = await this.options.worker.start(getWorkerId(state), {
       task: order.task,
@@ -62,7 +65,7 @@
       ...(order.ticket !== undefined && {ticket: order.ticket}),
     });
     this.logCommandOutcome('start', order.task, order.run, outcome);
-    this.options.sendResult(order.order, outcome);
+    this.options.sendResult(order, outcome);
   }
 
   /** Stops a run, retrying while the outcome is unknown, and reports whether the worker still lists the run. */
@@ -70,7 +73,7 @@
     const {clock, worker, getContext, sendResult} = this.options;
     const state = getContext();
     const refusal = getRefusal(state, order.life, order.term);
-    if (refusal !== undefined) return sendResult(order.order, refusal);
+    if (refusal !== undefined) return sendResult(order, refusal);
     const {task, run, term} = order;
     const id = getWorkerId(state);
     const startedAt = clock.now();
@@ -81,7 +84,7 @@
     }
     if (outcome.kind === 'accepted') outcome = await this.checkRunListed(id, task, run, term);
     this.logCommandOutcome('stop', task, run, outcome);
-    sendResult(order.order, outcome);
+    sendResult(order, outcome);
   }
 
   /** Sets the pace of a run, in percent of full pace. The outcome is logged but not sent to the owner. */
--- a/packages/runtime/src/dispatch/links/link-message-checks.ts
+++ b/packages/runtime/src/dispatch/links/link-message-checks.ts
@@ -21,7 +21,11 @@
     ends: rows => isRows(rows, isEndRow),
     running: rows => rows === undefined || isRows(rows, isRunRow),
   },
-  result: {order: 'number', outcome: isOutcome},
+  result: {
+    order: 'number',
+    term: value => value === undefined || Number.isFinite(value),
+    outcome: isOutcome,
+  },
   owner: {term: 'number', entries: isTexts},
   elsewhere: {entries: isTexts},
   lease: {life: 'string', term: 'number', deadlineMs: 'number', acknowledged: 'number'},
--- a/packages/runtime/test/dispatch/agent/agent-node.test.ts
+++ b/packages/runtime/test/dispatch/agent/agent-node.test.ts
@@ -1,93 +1,19 @@
-import type {
-  AgentMessage,
-  RunEndRow,
-  OwnerMessage,
-  WorkerDescription,
-} from '@chervilbeam/coordination';
-import t, {type Test} from 'tap';
+import type {AgentMessage, RunEndRow} from '@chervilbeam/coordination';
+import t from 'tap';
 import {
-  AgentNode,
-  type LeaseRenewalReply,
-  type Link,
-  type LinkHandlers,
+  type CommandReply,
   ownerKey,
   unacknowledgedEndsPauseMs,
   type WorkerPort,
 } from '../../../src/dispatch/index.js';
-import {SystemClock} from '../../../src/loop/index.js';
-import {Metrics} from '../../../src/metrics/index.js';
-import {MemoryStore} from '../records/memory-store.js';
 import {oddAddresses} from '../odd-addresses.js';
-import {createTestLog} from '../test-log.js';
+import {MemoryStore} from '../records/memory-store.js';
 import {waitUntil} from '../wait-until.js';
-
-/** A link to a host that never replies; tests deliver messages through its handlers. */
-class UnresponsiveLink {
-  isEnded = false;
-
-  constructor(
-    readonly address: string,
-    readonly handlers: LinkHandlers<OwnerMessage>,
-  ) {}
-
-  send: (message: AgentMessage) => void = () => {};
-
-  end(): void {
-    this.isEnded = true;
-  }
-
-  destroy(): void {
-    this.isEnded = true;
-  }
-}
+import {AnsweringWorker, claim, createAgent, createDescription} from './agent-fixture.js';
 
 /** Interval in milliseconds at which an agent tries to reach a known owner. */
 const attemptIntervalMs = 300;
 
-const unusedWorker = {} as WorkerPort;
-
-function createDescription(life: string): WorkerDescription {
-  return {
-    life,
-    id: life.slice(0, life.indexOf('@')),
-    service: 'service',
-    dataCentre: 'dc',
-    rack: 'r',
-    labels: [],
-    capacity: {processors: 1, memoryMb: 1, accelerators: 0, slots: 0},
-    state: 'ready',
-  };
-}
-
-function createAgent(
-  store: MemoryStore,
-  seeds: readonly string[] = [],
-  worker: WorkerPort = unusedWorker,
-) {
-  const links: UnresponsiveLink[] = [];
-  const agent = new AgentNode({
-    name: 'agent',
-    dataCentre: 'dc',
-    incarnation: 1,
-    store,
-    worker,
-    clock: new SystemClock(),
-    log: createTestLog().log,
-    metrics: new Metrics(),
-    seeds,
-    dial: (address, handlers) => {
-      const link = new UnresponsiveLink(address, handlers);
-      links.push(link);
-      return link as unknown as Link<OwnerMessage, AgentMessage>;
-    },
-  });
-  return {agent, links};
-}
-
-function claim(store: MemoryStore, address: string): void {
-  store.put(ownerKey, JSON.stringify({name: address, address, nonce: address}));
-}
-
 void t.test(
   'a connection that is still being opened to a host that is down does not delay the link to a new owner',
   async t => {
@@ -212,153 +138,50 @@
   agent.stop();
 });
 
-/** Time in milliseconds in which a worker answers. */
-const answerMs = 5;
-
-/** A worker on the agent's host that answers as incarnation `w@1000`, or as the one that `life` is set to. */
-class AnsweringWorker {
-  life = 'w@1000';
-  isSilent = false;
-
-  readonly port = {
-    hold: async (id: string): Promise<LeaseRenewalReply> => {
-      await new Promise(resolve => setTimeout(resolve, answerMs));
-      if (this.isSilent) return {kind: 'no-answer', detail: 'timeout'};
-      const [presentId = '', startedAt] = this.life.split('@');
-      if (id !== presentId) return {kind: 'other-life'};
-      return {
-        kind: 'listed',
-        startedAtMs: Number(startedAt),
-        clockMs: performance.now(),
-        running: [],
-        ends: [],
-      };
-    },
-  } as unknown as WorkerPort;
-}
-
-/** Returns an agent with an owner, and the messages that it sends to it. */
-async function createOwnedAgent(t: Test, worker: AnsweringWorker) {
-  const store = new MemoryStore();
-  claim(store, '10.0.0.1:1');
-  const {agent, links} = createAgent(store, [], worker.port);
-  t.teardown(() => agent.stop());
-  agent.start();
-  await waitUntil(() => links.length === 1);
-  const sent: AgentMessage[] = [];
-  const [link] = links;
-  if (link) link.send = message => void sent.push(message);
-  link?.handlers.message({kind: 'owner', term: store.revision, entries: []});
-  const getWorkers = () => sent.flatMap(message => (message.kind === 'worker' ? [message] : []));
-  const countReports = () => sent.filter(message => message.kind === 'report').length;
-  return {agent, sent, getWorkers, countReports};
-}
-
-// A heartbeat of another writer replaced a sound worker, and the owner started its running tasks again elsewhere.
-const strangeHeartbeats: ReadonlyArray<{
-  readonly name: string;
-  readonly worker: WorkerDescription;
-}> = [
-  {
-    name: 'for another service, with an id of its own and a later start',
-    worker: {...createDescription('other@5000'), service: 'unknown'},
-  },
-  {
-    name: 'for the same service, with an id of its own and a later start',
-    worker: createDescription('other@5000'),
-  },
-  {name: 'with an earlier start', worker: createDescription('other@500')},
-  {name: 'with the id of the worker and a later start', worker: createDescription('w@5000')},
-  {name: 'with the id of the worker and no start', worker: createDescription('w@0')},
-  {
-    name: 'of the same incarnation for another service',
-    worker: {...createDescription('w@1000'), service: 'unknown', state: 'draining'},
-  },
-];
-
-for (const {name, worker: strange} of strangeHeartbeats) {
-  void t.test(`a heartbeat ${name} does not replace the worker that answers`, async t => {
-    const worker = new AnsweringWorker();
-    const {agent, sent, getWorkers, countReports} = await createOwnedAgent(t, worker);
-    agent.updateWorker(createDescription('w@1000'));
-    await waitUntil(() => countReports() > 0);
-    agent.updateWorker(strange);
-    await new Promise(resolve => setTimeout(resolve, answerMs * 10));
-    agent.updateWorker({...createDescription('w@1000'), state: 'draining'});
-    t.same(
-      getWorkers().map(message => [
-        message.worker.life,
-        message.worker.service,
-        message.worker.state,
-      ]),
-      [
-        ['w@1000', 'service', 'ready'],
-        ['w@1000', 'service', 'draining'],
-      ],
-    );
-    t.notOk(sent.some(message => message.kind === 'worker-gone'));
-  });
-
-  if (strange.life === 'w@1000') continue;
-  void t.test(`a heartbeat ${name} that comes first does not keep the worker out`, async t => {
+// Without the term, the next owner takes the outcome for that of its own command with the same number.
+void t.test(
+  'an outcome that comes after a change of owner names the term of its command',
+  async t => {
+    const store = new MemoryStore();
+    claim(store, '10.0.0.1:1');
     const worker = new AnsweringWorker();
-    const {agent, getWorkers, countReports} = await createOwnedAgent(t, worker);
-    agent.updateWorker(strange);
+    let answer: (reply: CommandReply) => void = () => {};
+    const start = () => new Promise<CommandReply>(resolve => (answer = resolve));
+    const {agent, links} = createAgent(store, [], {...worker.port, start} as WorkerPort);
+    t.teardown(() => agent.stop());
+    agent.start();
+    await waitUntil(() => links.length === 1);
+    const [former] = links;
+    const formerTerm = store.revision;
+    former?.handlers.message({kind: 'owner', term: formerTerm, entries: []});
+    const sent: AgentMessage[] = [];
+    if (former) former.send = message => void sent.push(message);
     agent.updateWorker(createDescription('w@1000'));
-    await new Promise(resolve => setTimeout(resolve, answerMs * 10));
-    t.ok(countReports() > 0);
+    await waitUntil(() => sent.length > 0);
+    former?.handlers.message({
+      kind: 'start',
+      order: 1,
+      life: 'w@1000',
+      term: formerTerm,
+      task: 'a.0.0.0',
+      run: 1,
+      spec: '',
+      deadlineMs: 5_000,
+    });
+    claim(store, '10.0.0.2:1');
+    await waitUntil(() => links.length === 2);
+    const [, next] = links;
+    if (next) next.send = message => void sent.push(message);
+    next?.handlers.message({kind: 'owner', term: store.revision, entries: []});
+    const outcome = {kind: 'refused', reason: 'busy'} as const;
+    answer({outcome});
+    await waitUntil(() => sent.some(message => message.kind === 'result'));
     t.same(
-      getWorkers().map(message => message.worker.life),
-      ['w@1000'],
-    );
-  });
-}
-
-void t.test('a restarted worker replaces its previous incarnation once it answers', async t => {
-  const worker = new AnsweringWorker();
-  const {agent, getWorkers, countReports} = await createOwnedAgent(t, worker);
-  agent.updateWorker(createDescription('w@1000'));
-  await waitUntil(() => countReports() > 0);
-  worker.life = 'next@2000';
-  worker.isSilent = true;
-  agent.updateWorker(createDescription('next@2000'));
-  await new Promise(resolve => setTimeout(resolve, 50));
-  t.same(
-    getWorkers().map(message => message.worker.life),
-    ['w@1000'],
-  );
-  worker.isSilent = false;
-  await waitUntil(() => getWorkers().length === 2);
-  t.equal(getWorkers().at(-1)?.worker.life, 'next@2000');
-  agent.updateWorker(createDescription('w@1000'));
-  await new Promise(resolve => setTimeout(resolve, 50));
-  t.equal(getWorkers().length, 2, 'a late heartbeat of the previous incarnation changes nothing');
-});
-
-const farewells: ReadonlyArray<{
-  readonly name: string;
-  readonly id: string;
-  readonly startedAtMs?: number;
-  readonly isHeard: boolean;
-}> = [
-  {name: 'of the present incarnation', id: 'w', startedAtMs: 1_000, isHeard: true},
-  {name: 'without a start time', id: 'w', isHeard: true},
-  {name: 'of an earlier incarnation', id: 'w', startedAtMs: 500, isHeard: false},
-  {name: 'of another worker', id: 'other', isHeard: false},
-];
-
-for (const {name, id, startedAtMs, isHeard} of farewells) {
-  void t.test(`a farewell ${name} ${isHeard ? 'ends the worker' : 'is ignored'}`, async t => {
-    const {agent, sent, countReports} = await createOwnedAgent(t, new AnsweringWorker());
-    agent.updateWorker(createDescription('w@1000'));
-    await waitUntil(() => countReports() > 0);
-    agent.handleFarewell(id, startedAtMs);
-    t.equal(
-      sent.some(message => message.kind === 'worker-gone'),
-      isHeard,
+      sent.filter(message => message.kind === 'result'),
+      [{kind: 'result', order: 1, term: formerTerm, outcome}],
     );
-  });
-}
+  },
+);
 
 // The address was dialled again at intervals, outside of the watch that had read it.
 for (const address of oddAddresses) {
--- a/packages/runtime/test/dispatch/links/malformed-messages.test.ts
+++ b/packages/runtime/test/dispatch/links/malformed-messages.test.ts
@@ -34,7 +34,7 @@
     running: [[task, 1, '', 10, 5]],
     ends: [[1, task, 1, 'done', '']],
   },
-  {kind: 'result', order: 1, outcome: {kind: 'refused', reason: 'room'}},
+  {kind: 'result', order: 1, term: 2, outcome: {kind: 'refused', reason: 'room'}},
   {kind: 'worker-gone', life, reason: 'farewell'},
 ];
 const otherMessages: ReadonlyArray<Readonly<Record<string, unknown>>> = [
--- a/packages/runtime/test/dispatch/ownership/late-writes.test.ts
+++ b/packages/runtime/test/dispatch/ownership/late-writes.test.ts
@@ -114,7 +114,8 @@
     if (message.kind !== 'start') return;
     this.running.set(message.task, message.run);
     setImmediate(() => {
-      this.receive({kind: 'result', order: message.order, outcome: {kind: 'accepted'}});
+      const {order, term} = message;
+      this.receive({kind: 'result', order, term, outcome: {kind: 'accepted'}});
       this.report();
     });
   }
