Store the settings of its queue with each submission

Callers saw a hopeless submission started without end: the operators had removed its queue, the owner was killed, and the next owner started the task 5 times more after two failed runs, its limit, and never showed it as failed.

Cause: an owner took the settings of a queue from the configuration only; those of a removed queue lived in the memory of the former owner. Without them, a task had no limit of attempts, its submission the highest priority, and its starts no tickets.

Change: the settings are stored with the submission, and with its progress when a configuration changes them. A task that has reached its limit already fails its submission as soon as the limit is known. Records of older versions without a configured queue have a limit of one failed run.

--- a/packages/coordination/src/dispatch/active-submission.ts
+++ b/packages/coordination/src/dispatch/active-submission.ts
@@ -3,13 +3,15 @@
   getDueMs,
   getOccurrenceCount,
   getTaskName,
+  getQueuePolicy,
   isLasting,
+  isSamePolicy,
   isTimed,
   type CheckpointRow,
   type CrashRow,
   type FailureRow,
   type ProgressRecord,
-  type Queue,
+  type QueuePolicy,
   type Step,
   type Submission,
   type SubmissionStatus,
@@ -83,7 +85,8 @@
 /** Options of `ActiveSubmission`. */
 export interface ActiveSubmissionOptions {
   readonly submission: Submission;
-  readonly queue: Queue | undefined;
+  /** Settings of the queue in the present configuration; undefined when it is not configured. */
+  readonly queue: QueuePolicy | undefined;
   readonly progress?: ProgressRecord;
   /** Time at which the submission was accepted. */
   readonly arrivedAt: number;
@@ -96,8 +99,8 @@
 /** A submission that is being processed, or whose final state is still kept for callers. */
 export class ActiveSubmission {
   readonly submission: Submission;
-  /** Settings of the queue, from the latest configuration that contained it. */
-  queue: Queue | undefined;
+  /** Settings of the queue, from the latest configuration that contained it; undefined when they are not known. */
+  queue: QueuePolicy | undefined;
   /** Time from which the age of the submission is measured. */
   readonly arrivedAt: number;
   /** Whether it has serving tasks, which run until it is cancelled. */
@@ -131,7 +134,7 @@
   constructor(options: ActiveSubmissionOptions) {
     const {submission, progress} = options;
     this.submission = submission;
-    this.queue = options.queue;
+    this.queue = options.queue ?? progress?.policy ?? submission.policy;
     this.arrivedAt = options.arrivedAt;
     this.isLasting = isLasting(submission);
     this.baseRunNumber = options.baseRunNumber ?? 0;
@@ -169,6 +172,22 @@
     return this.hasStarted ? 'running' : 'queued';
   }
 
+  /** Sets the settings of the queue; returns whether tasks are processed in another way because of that. */
+  setQueue(queue: QueuePolicy): boolean {
+    const former = this.queue;
+    this.queue = queue;
+    return former === undefined || !isSamePolicy(former, queue);
+  }
+
+  /** Whether a task has failed too often to be started again. */
+  hasExhaustedTask(maxAttempts: number): boolean {
+    for (const task of this.getTasks()) {
+      const {isFinished, failedRuns, step} = task;
+      if (!isFinished && !step.lasting && failedRuns.size >= maxAttempts) return true;
+    }
+    return false;
+  }
+
   /** Opens the occurrences that have become due; returns whether tasks may start because of that. */
   openDueOccurrences(at: number, wallMs: number): boolean {
     let hasOpened = this.releaseDueOccurrences(wallMs);
@@ -325,12 +344,23 @@
       failures,
       checkpoints,
       ...(crashes.length > 0 && {crashes}),
+      ...this.getChangedPolicy(),
     };
   }
 
+  /** Returns the settings of the queue for the record, unless the submission's own record has them. */
+  private getChangedPolicy(): Pick<ProgressRecord, 'policy'> {
+    const {queue, submission} = this;
+    if (queue === undefined || this.final !== undefined) return {};
+    if (submission.policy !== undefined && isSamePolicy(queue, submission.policy)) return {};
+    return {policy: getQueuePolicy(queue)};
+  }
+
   /** Returns the submission without what only its tasks need. */
   toFinishedSubmission(): Submission {
-    return {...this.submission, spec: '', steps: []};
+    const {id, queue, service, repetitions, startAtMs, intervalMs, acceptedAtMs} = this.submission;
+    const identity = {id, queue, service, acceptedAtMs};
+    return {...identity, repetitions, startAtMs, intervalMs, spec: '', steps: []};
   }
 
   private createOccurrence(index: number, dueAt: number): Occurrence {
@@ -360,16 +390,3 @@
     return task;
   }
 }
-
-/** Describes steps in one line for the log: number of tasks, cores, estimate, flags and spread limit. */
-export function describeSteps(steps: readonly Step[]): string {
-  return steps
-    .map(step => {
-      const flags = (['lasting', 'fills', 'gang', 'checkpoints', 'speculative'] as const)
-        .filter(flag => step[flag])
-        .join(',');
-      const limit = step.spreadLimit === undefined ? '' : `,spread ${step.spreadLimit}`;
-      return `${step.count}x${step.need.processors}c/${step.estimatedMs}ms ${flags}${limit}`;
-    })
-    .join('; ');
-}
--- a/packages/coordination/src/dispatch/dispatch-state.ts
+++ b/packages/coordination/src/dispatch/dispatch-state.ts
@@ -1,4 +1,4 @@
-import {getTaskName, type Queue, type QueueConfiguration} from '../submissions/index.js';
+import {getTaskName, type QueueConfiguration, type QueuePolicy} from '../submissions/index.js';
 import {RunTimeEstimates} from '../tasks/round/run-time-estimates.js';
 import type {ActiveSubmission} from './active-submission.js';
 import type {OwnerMessage} from './agent-messages.js';
@@ -49,12 +49,12 @@
   }
 
   /** Returns the learned correction factor for a queue's estimated run times; 1 without a queue. */
-  getRunTimeFactor(queue: Queue | undefined): number {
+  getRunTimeFactor(queue: QueuePolicy | undefined): number {
     return queue === undefined ? 1 : this.runTimes.getFactor(queue.key, allWorkloads, 0);
   }
 
   /** Records the estimated and actual run time of a finished task in milliseconds. */
-  observeRunTime(queue: Queue | undefined, estimatedMs: number, actualMs: number): void {
+  observeRunTime(queue: QueuePolicy | undefined, estimatedMs: number, actualMs: number): void {
     if (queue !== undefined) {
       this.learnedQueues.add(queue.key);
       this.runTimes.observe(queue.key, allWorkloads, estimatedMs / 1000, actualMs / 1000);
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -1,16 +1,17 @@
 import type {Reducer} from '../reducer.js';
 import {
   getSubmissionId,
-  type Queue,
+  type QueuePolicy,
   type Submission,
   type SubmissionStatus,
 } from '../submissions/index.js';
-import {ActiveSubmission, describeSteps} from './active-submission.js';
+import {ActiveSubmission} from './active-submission.js';
 import {
   countPendingSubmissions,
   getQueueBacklogs,
   type QueueBacklogs,
 } from './admission/queue-backlogs.js';
+import {describeSteps} from './describe-steps.js';
 import type {DispatchEffect, DispatchEvent, StoredSubmission} from './dispatch-events.js';
 import {DispatchState} from './dispatch-state.js';
 import {defaultDispatchTiming, type DispatchTiming} from './dispatch-timing.js';
@@ -137,7 +138,7 @@
       case 'predecessors-ended':
         return this.limitRecovery(event.agoMs, at);
       case 'configuration':
-        return this.configure(event.configuration);
+        return this.configure(event.configuration, at);
       case 'submitted':
         this.add({submission: event.submission, cancelled: false}, at, false);
         return;
@@ -213,17 +214,22 @@
 
   private configure(
     configuration: Extract<DispatchEvent, {kind: 'configuration'}>['configuration'],
-  ) {
+    at: number,
+  ): void {
     const {state} = this;
     state.configuration = configuration;
     for (const submission of state.submissions.values()) {
-      submission.queue = this.getQueue(submission.submission) ?? submission.queue;
+      const queue = this.getQueue(submission.submission);
+      if (queue !== undefined && submission.setQueue(queue) && submission.isActive) {
+        this.journal.markChanged(submission, at);
+      }
+      this.ends.failIfExhausted(submission, at);
     }
     state.isPlacementDue = true;
     state.log({event: 'configuration-used', version: configuration.version});
   }
 
-  private getQueue(submission: Submission): Queue | undefined {
+  private getQueue(submission: Submission): QueuePolicy | undefined {
     return this.state.configuration?.queues.get(submission.queue);
   }
 
@@ -258,6 +264,7 @@
     const wasCancelled = this.ends.takeEarlyCancel(submission.id);
     if (stored.cancelled || wasCancelled) this.ends.cancel(submission.id, at);
     else if (active.isActive && active.isFinished) this.ends.completeIfFinished(active, at);
+    else this.ends.failIfExhausted(active, at);
   }
 
   private tick(wallMs: number, at: number): void {
@@ -267,7 +274,10 @@
     this.supervisor.check(at);
     for (const submission of state.submissions.values()) {
       if (submission.isActive) {
-        if (submission.openDueOccurrences(at, wallMs)) state.isPlacementDue = true;
+        if (submission.openDueOccurrences(at, wallMs)) {
+          this.ends.failIfExhausted(submission, at);
+          state.isPlacementDue = true;
+        }
         if (submission.isFinished) this.ends.completeIfFinished(submission, at);
         submission.dropFinishedOccurrences();
       } else this.ends.removeExpired(submission, at);
--- a/packages/coordination/src/dispatch/placement/submission-order.ts
+++ b/packages/coordination/src/dispatch/placement/submission-order.ts
@@ -2,7 +2,7 @@
   getCriticalPathMs,
   getObjectiveMs,
   getWorkCoreMs,
-  type Queue,
+  type QueuePolicy,
 } from '../../submissions/index.js';
 import type {ActiveSubmission, Occurrence, StepTasks} from '../active-submission.js';
 import type {DispatchState} from '../dispatch-state.js';
@@ -41,8 +41,8 @@
  */
 export function sortCandidates(state: DispatchState, at: number): Candidate[] {
   const candidates: Candidate[] = [];
-  const factors = new Map<Queue | undefined, number>();
-  const getFactor = (queue: Queue | undefined) => {
+  const factors = new Map<QueuePolicy | undefined, number>();
+  const getFactor = (queue: QueuePolicy | undefined) => {
     const factor = factors.get(queue) ?? state.getRunTimeFactor(queue);
     factors.set(queue, factor);
     return factor;
--- a/packages/coordination/src/dispatch/submission-ends.ts
+++ b/packages/coordination/src/dispatch/submission-ends.ts
@@ -4,6 +4,9 @@
 import type {RunCommands} from './run-commands.js';
 import type {Task} from './task.js';
 
+/** Number of attempts of a task whose queue is not configured any more and was not stored by an older version. */
+const defaultMaxAttempts = 1;
+
 /** Moves submissions to their final states, and removes them after their retention time. */
 export class SubmissionEnds {
   /** Arrival times of cancels whose submissions are not known yet, by submission. */
@@ -47,8 +50,21 @@
     const {submission} = task;
     task.failedRuns.add(run);
     if (task.step.lasting || !submission.isActive) return;
-    const limit = submission.queue?.maxAttempts ?? Number.POSITIVE_INFINITY;
-    if (task.failedRuns.size >= limit) this.end(submission, 'failed', at);
+    if (task.failedRuns.size >= this.getMaxAttempts(submission)) this.end(submission, 'failed', at);
+  }
+
+  /** Fails a submission with a task that has used all its attempts, by settings that were not known when it failed. */
+  failIfExhausted(submission: ActiveSubmission, at: number): void {
+    if (!submission.isActive) return;
+    if (submission.hasExhaustedTask(this.getMaxAttempts(submission))) {
+      this.end(submission, 'failed', at);
+    }
+  }
+
+  private getMaxAttempts({queue}: ActiveSubmission): number {
+    if (queue !== undefined) return queue.maxAttempts;
+    // The queue may be in a configuration that has not been read yet.
+    return this.state.configuration === undefined ? Number.POSITIVE_INFINITY : defaultMaxAttempts;
   }
 
   /** Fails a submission with a task that must not be started again. */
--- a/packages/coordination/src/submissions/objective.ts
+++ b/packages/coordination/src/submissions/objective.ts
@@ -1,4 +1,4 @@
-import {getOccurrenceCount, type Queue, type Step, type Submission} from './submission.js';
+import {getOccurrenceCount, type QueuePolicy, type Step, type Submission} from './submission.js';
 
 /** Assumed run time in milliseconds of a task without an estimate. */
 export const defaultEstimateMs = 1_000;
@@ -53,7 +53,7 @@
 }
 
 /** Returns the time in milliseconds, from its due time, within which one occurrence should be finished. */
-export function getObjectiveMs(queue: Queue, steps: readonly Step[], factor = 1): number {
+export function getObjectiveMs(queue: QueuePolicy, steps: readonly Step[], factor = 1): number {
   return queue.stretchFactor * getCriticalPathMs(steps, factor) + queue.targetLatencyMs;
 }
 
--- a/packages/coordination/src/submissions/progress.ts
+++ b/packages/coordination/src/submissions/progress.ts
@@ -1,4 +1,5 @@
 import {ItemSet} from '../tasks/ledger/item-set.js';
+import type {QueuePolicy} from './submission.js';
 
 /** Failed runs of one task: occurrence, step, index and their run numbers. */
 export type FailureRow = readonly [number, number, number, readonly number[]];
@@ -24,6 +25,8 @@
   readonly checkpoints: readonly CheckpointRow[];
   /** Absent without crashes, and in records of older versions. */
   readonly crashes?: readonly CrashRow[];
+  /** Settings of the queue, if they have changed since the submission was accepted. */
+  readonly policy?: QueuePolicy;
 }
 
 /** Finished tasks of one submission. */
--- a/packages/coordination/src/submissions/submission.ts
+++ b/packages/coordination/src/submissions/submission.ts
@@ -55,18 +55,21 @@
   readonly intervalMs: number;
   /** Unix time in milliseconds at which the submission was accepted. */
   readonly acceptedAtMs: number;
+  /**
+   * Settings of the queue when the submission was accepted: the operators may remove the queue, and the next owner then
+   * finds them nowhere else. Absent from finished submissions and from records of older versions.
+   */
+  readonly policy?: QueuePolicy;
 }
 
 /** State of a submission as callers see it. */
 export type SubmissionStatus = 'queued' | 'running' | 'completed' | 'failed' | 'cancelled';
 
-/** Settings of a queue in the operators' configuration. */
-export interface Queue {
+/** Settings of a queue by which its submissions are processed. */
+export interface QueuePolicy {
   /** Host and path prefix of the callers' requests. */
   readonly key: string;
   readonly name: string;
-  readonly host: string;
-  readonly prefix: string;
   /** Service whose workers run the tasks. */
   readonly service: string;
   /** Urgency; 0 is the most urgent. */
@@ -77,12 +80,38 @@
   readonly stretchFactor: number;
   /** Time in milliseconds that is added to that multiple. */
   readonly targetLatencyMs: number;
-  /** Timeout in milliseconds of a caller's request. */
-  readonly timeoutMs: number;
   /** Present when an external advisor decides which workers may run a step. */
   readonly advice?: QueueAdvice;
 }
 
+/** Settings of a queue in the operators' configuration. */
+export interface Queue extends QueuePolicy {
+  readonly host: string;
+  readonly prefix: string;
+  /** Timeout in milliseconds of a caller's request. */
+  readonly timeoutMs: number;
+}
+
+/** Returns the settings of a queue that its submissions keep. */
+export function getQueuePolicy(queue: QueuePolicy): QueuePolicy {
+  const {key, name, service, priority, maxAttempts, stretchFactor, targetLatencyMs, advice} = queue;
+  return {
+    key,
+    name,
+    service,
+    priority,
+    maxAttempts,
+    stretchFactor,
+    targetLatencyMs,
+    ...(advice && {advice}),
+  };
+}
+
+/** Whether two queues process their submissions in the same way. */
+export function isSamePolicy(a: QueuePolicy, b: QueuePolicy): boolean {
+  return JSON.stringify(getQueuePolicy(a)) === JSON.stringify(getQueuePolicy(b));
+}
+
 /** How long the advisor of a queue takes to answer. */
 export interface QueueAdvice {
   /** Time in milliseconds for one request. */
--- a/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
@@ -107,6 +107,8 @@
   /** Time in milliseconds by which the owner's wall clock is ahead. */
   wallClockOffsetMs = 0;
   roster: readonly RosterEntry[] = [];
+  /** Queues of the present configuration. */
+  queues: readonly Queue[];
   private readonly heldEvents: DispatchEvent[] = [];
   /** Time at which each final state was stored. */
   readonly endedAt = new Map<string, number>();
@@ -122,6 +124,7 @@
 
   constructor(readonly options: VirtualFleetOptions) {
     this.random = new SeededRandom(options.seed);
+    this.queues = options.queues;
     const world: SimulatedWorld = {
       random: this.random,
       getBehaviour: task => this.getBehaviour(task),
@@ -139,7 +142,7 @@
   startOwner(): void {
     this.dispatcher = new Dispatcher();
     this.generation += 1;
-    this.post({kind: 'configuration', configuration: createConfiguration(this.options.queues)});
+    this.post({kind: 'configuration', configuration: createConfiguration(this.queues)});
     const submissions: StoredSubmission[] = [...this.submissions.values()].map(submission => {
       const progress = this.progress.get(submission.id);
       return {
@@ -159,6 +162,12 @@
     for (const worker of this.workers.values()) this.connect(worker);
   }
 
+  /** Puts a configuration with the given queues into force, also for later owners. */
+  configure(queues: readonly Queue[]): void {
+    this.queues = queues;
+    this.post({kind: 'configuration', configuration: createConfiguration(queues)});
+  }
+
   /** Connects the agent of a worker, which describes the worker and then lists its runs. */
   connect(worker: VirtualWorker): void {
     const {agent, life, cores, rack} = worker.options;
--- a/packages/runtime/src/dispatch/records/record-parsers.ts
+++ b/packages/runtime/src/dispatch/records/record-parsers.ts
@@ -1,8 +1,11 @@
 import {
   checkDraft,
+  getQueuePolicy,
   isRecord,
   type OwnerRecord,
   type ProgressRecord,
+  type QueueAdvice,
+  type QueuePolicy,
   type RosterEntry,
   type Submission,
 } from '@chervilbeam/coordination';
@@ -54,7 +57,24 @@
     };
   }
   const {draft} = checkDraft(record);
-  return draft && {...identity, ...draft};
+  if (draft === undefined) return undefined;
+  // Records of older versions have no policy.
+  if (record.policy === undefined) return {...identity, ...draft};
+  const policy = parsePolicy(record.policy);
+  return policy && {...identity, ...draft, policy};
+}
+
+function parsePolicy(value: unknown): QueuePolicy | undefined {
+  if (!isRecord(value)) return undefined;
+  const {key, name, service, priority, maxAttempts, stretchFactor, targetLatencyMs, advice} = value;
+  const areTexts = [key, name, service].every(text => typeof text === 'string');
+  const areNumbers = [priority, maxAttempts, stretchFactor, targetLatencyMs].every(Number.isFinite);
+  if (!areTexts || !areNumbers) return undefined;
+  const policy = getQueuePolicy({...value, advice: undefined} as unknown as QueuePolicy);
+  if (advice === undefined) return policy;
+  const {decisionMs, perWorkerMs} = isRecord(advice) ? advice : {};
+  if (!Number.isFinite(decisionMs) || !Number.isFinite(perWorkerMs)) return undefined;
+  return {...policy, advice: {decisionMs, perWorkerMs} as QueueAdvice};
 }
 
 /** Returns the queue of a stored submission; undefined when it cannot be read. */
@@ -75,6 +95,8 @@
   if (!isFinalValid || !areRowsValid || !areFinishedTasksValid(finished)) return undefined;
   // Records of older versions have no crashes.
   if (crashes !== undefined && !areCrashesValid(crashes)) return undefined;
+  const policy = record.policy === undefined ? undefined : parsePolicy(record.policy);
+  if (record.policy !== undefined && policy === undefined) return undefined;
   return {
     ...(final !== undefined && {final}),
     ...(Number.isFinite(endedAtMs) && {endedAtMs}),
@@ -82,6 +104,7 @@
     failures,
     checkpoints,
     ...(crashes !== undefined && {crashes}),
+    ...(policy && {policy}),
   } as ProgressRecord;
 }
 
--- a/packages/runtime/src/dispatch/submissions/submission-writer.ts
+++ b/packages/runtime/src/dispatch/submissions/submission-writer.ts
@@ -1,4 +1,5 @@
 import {
+  getQueuePolicy,
   RecentSet,
   type ValidDraft,
   type Clock,
@@ -71,6 +72,7 @@
         service: queue.service,
         ...draft,
         acceptedAtMs: this.options.clock.wallTime(),
+        policy: getQueuePolicy(queue),
       };
       write = this.commitUntilResolved(submission).finally(() => {
         this.unresolvedWrites.delete(id);
--- a/packages/runtime/test/dispatch/records/malformed-records.test.ts
+++ b/packages/runtime/test/dispatch/records/malformed-records.test.ts
@@ -29,12 +29,23 @@
   startAtMs: 1,
   intervalMs: 5,
   acceptedAtMs: 7,
+  policy: {
+    key: 'a.example/proofs/',
+    name: 'proofs',
+    service: 'press',
+    priority: 2,
+    maxAttempts: 2,
+    stretchFactor: 2,
+    targetLatencyMs: 1_000,
+    advice: {decisionMs: 50, perWorkerMs: 5},
+  },
 };
 const progress = {
   finished: {'0.0': '3'},
   failures: [[0, 0, 1, [1, 2]]],
   checkpoints: [[0, 0, 1, 'abc']],
   crashes: [[0, 0, 1, ['a@1'], ['b@2']]],
+  policy: submission.policy,
 };
 const roster = [{agent: 'a', life: 'a@1'}];
 const owner = {name: 'entry', address: '10.0.0.1:1', nonce: 'n-1'};
@@ -53,7 +64,7 @@
 
 for (const {name, valid, parse} of parsers) {
   void t.test(`the record of ${name} is parsed, and a malformed one never throws`, async t => {
-    t.ok(parse(JSON.stringify(valid)));
+    t.match(parse(JSON.stringify(valid)), 'policy' in valid ? {policy: valid.policy} : {});
     fc.assert(
       fc.property(fc.oneof(mutate(valid).map(stringify), fc.string()), text => {
         parse(text);
