Take a worker for gone only with proof that its runs have ended

Cause: three refused connections within 0.5 s counted as the end of a worker, while its heartbeats went on. A farewell counted as the end of the runs as well, although the process ends only after its acknowledgement, or seconds later without one.

Change: WorkerPresence holds the evidence: refused connections and missing heartbeats together, a refused connection after a farewell, or another incarnation at the address. Without proof the runs are lost only when the lease has expired.

The farewell cases now expect a draining worker until it no longer listens, instead of its end at once.

--- a/packages/runtime/src/dispatch/agent/agent-node.ts
+++ b/packages/runtime/src/dispatch/agent/agent-node.ts
@@ -14,14 +14,17 @@
 import {RunReports} from './run-reports.js';
 import {WorkerCommands} from './worker-commands.js';
 import {WorkerConfirmation} from './worker-confirmation.js';
+import {type WorkerEndReason, WorkerPresence} from './worker-presence.js';
 import {isFromIncarnation, type LeaseRenewalReply, type WorkerPort} from './worker-port.js';
 
 /** Long-poll time in milliseconds of a renewal that waits for a run to end; also the longest report interval. */
 const renewalWaitMs = 800;
 /** Delay in milliseconds before a renewal that failed is retried. */
 const renewalRetryDelayMs = 250;
-/** Consecutive refused connections after which the worker counts as gone; fewer may be a restarting listener. */
-const maxRefusedConnections = 3;
+/** The same while a worker is leaving, whose tasks wait for its end. */
+const leavingRetryDelayMs = 50;
+/** Interval of the heartbeats in milliseconds when the options state none. */
+const defaultHeartbeatIntervalMs = 1_500;
 /** Time in milliseconds within which an entry must name the owner before the next entry is dialled. */
 const entryAnswerTimeoutMs = 700;
 /** Redirections followed without a delay; entries that disagree on the owner may redirect an agent in a loop. */
@@ -45,6 +48,8 @@
   readonly metrics: Metrics;
   /** Addresses of entries to try while the store does not answer; they need not be up. */
   readonly seeds: readonly string[];
+  /** Interval of the worker's heartbeats in milliseconds. */
+  readonly heartbeatIntervalMs?: number;
   /** Opens links; by default over TCP. */
   readonly dial?: LinkDialer<OwnerMessage, AgentMessage>;
 }
@@ -74,10 +79,7 @@
   /** Highest sequence number up to which the owner has stored the ends of runs. */
   private acknowledged = 0;
   private readonly reports = new RunReports();
-  /** Consecutive renewals that failed with a refused connection. */
-  private refusedConnections = 0;
-  /** Time of the first of the consecutive renewals that failed; undefined after a successful one. */
-  private silentSince: number | undefined;
+  private presence: WorkerPresence;
   /** Generation of the current renewal loop; a loop ends once this number has changed. */
   private renewalGeneration = 0;
   /** Ends the pause in `waitForAcknowledgement`. */
@@ -85,6 +87,7 @@
   private isStopped = false;
 
   constructor(private readonly options: AgentNodeOptions) {
+    this.presence = this.createPresence();
     this.search = new OwnerSearch({
       ...options,
       onOwner: (address, term) => this.connectToOwner(address, term),
@@ -136,6 +139,7 @@
       return;
     }
     this.worker = worker;
+    this.presence.recordHeartbeat(this.options.clock.now());
     if (JSON.stringify(former) === JSON.stringify(worker)) return;
     if (former.state !== 'draining') this.logDraining(worker);
     this.send({kind: 'worker', worker});
@@ -150,8 +154,7 @@
     this.deadlineMs = undefined;
     this.acknowledged = 0;
     this.reports.reset();
-    this.refusedConnections = 0;
-    this.silentSince = undefined;
+    this.presence = this.createPresence();
     this.options.log.log('worker-up', {worker: worker.life, former: former?.life});
     this.logDraining(worker);
     this.send({kind: 'worker', worker});
@@ -171,15 +174,23 @@
     const {worker} = this;
     if (worker?.id !== id) return;
     if (startedAtMs !== undefined && getWorkerIncarnation(id, startedAtMs) !== worker.life) return;
-    this.dropWorker('farewell');
+    // Its runs end with its process, which may go on for a while; until then it gets no more of them.
+    this.presence.recordFarewell();
+    this.worker = {...worker, state: 'draining', remainingMs: 0};
+    this.send({kind: 'worker', worker: this.worker});
+  }
+
+  private createPresence(): WorkerPresence {
+    const {clock, heartbeatIntervalMs = defaultHeartbeatIntervalMs} = this.options;
+    return new WorkerPresence(heartbeatIntervalMs, clock.now());
   }
 
   /** Reports the worker as gone and ends its renewals. */
-  private dropWorker(reason: 'farewell' | 'refused-connection'): void {
+  private dropWorker(reason: WorkerEndReason): void {
     const {worker} = this;
     if (worker === undefined) return;
     const {clock, log} = this.options;
-    const silentMs = this.silentSince === undefined ? 0 : clock.now() - this.silentSince;
+    const silentMs = this.presence.getSilentMs(clock.now());
     log.log('worker-gone', {worker: worker.life, reason, silentMs: Math.round(silentMs)});
     this.send({kind: 'worker-gone', life: worker.life, reason, silentMs});
     this.worker = undefined;
@@ -314,8 +325,7 @@
       if (this.renewalGeneration !== generation || this.worker?.life !== worker.life) return;
       if (reply.kind === 'listed' && isFromIncarnation(reply, worker)) {
         isFirst = false;
-        this.refusedConnections = 0;
-        this.silentSince = undefined;
+        this.presence.recordAnswer();
         this.send(this.reports.create(worker, term, reply, this.options.clock.now()));
         if (reply.ends.some(end => end[0] > this.acknowledged)) await this.waitForAcknowledgement();
       } else {
@@ -359,20 +369,22 @@
       this.link?.destroy('fenced');
       return false;
     }
-    this.silentSince ??= this.options.clock.now();
-    this.refusedConnections = reply.kind === 'absent' ? this.refusedConnections + 1 : 0;
-    if (this.refusedConnections >= maxRefusedConnections) {
-      this.dropWorker('refused-connection');
+    const {presence} = this;
+    const now = this.options.clock.now();
+    presence.recordFailure(reply.kind === 'absent', now);
+    const endReason = presence.getEndReason(now);
+    if (endReason !== undefined) {
+      this.dropWorker(endReason);
       return false;
     }
-    if (this.refusedConnections <= 1) {
+    if (presence.isFirstRefusal) {
       log.log('worker-silent', {
         worker: this.worker?.life,
         reason: reply.kind,
         ...(reply.kind === 'no-answer' && {detail: reply.detail}),
       });
     }
-    await delay(renewalRetryDelayMs);
+    await delay(presence.isLeaving ? leavingRetryDelayMs : renewalRetryDelayMs);
     return true;
   }
 }
--- a/packages/runtime/src/dispatch/agent/index.ts
+++ b/packages/runtime/src/dispatch/agent/index.ts
@@ -2,3 +2,4 @@
 export * from './owner-search.js';
 export * from './worker-commands.js';
 export * from './worker-port.js';
+export * from './worker-presence.js';
--- a/packages/runtime/test/dispatch/agent/agent-fixture.ts
+++ b/packages/runtime/test/dispatch/agent/agent-fixture.ts
@@ -65,6 +65,7 @@
     log: createTestLog().log,
     metrics: new Metrics(),
     seeds,
+    heartbeatIntervalMs,
     dial: (address, handlers) => {
       const link = new UnresponsiveLink(address, handlers);
       links.push(link);
@@ -80,15 +81,19 @@
 
 /** Time in milliseconds in which a worker answers. */
 export const answerMs = 5;
+/** Interval of the heartbeats in milliseconds. */
+export const heartbeatIntervalMs = 200;
 
 /** A worker on the agent's host that answers as incarnation `w@1000`, or as the one that `life` is set to. */
 export class AnsweringWorker {
   life = 'w@1000';
   isSilent = false;
+  isRefusing = false;
 
   readonly port = {
     hold: async (id: string): Promise<LeaseRenewalReply> => {
       await new Promise(resolve => setTimeout(resolve, answerMs));
+      if (this.isRefusing) return {kind: 'absent'};
       if (this.isSilent) return {kind: 'no-answer', detail: 'timeout'};
       const [presentId = '', startedAt] = this.life.split('@');
       if (id !== presentId) return {kind: 'other-life'};
--- a/packages/runtime/test/dispatch/agent/worker-confirmation.test.ts
+++ b/packages/runtime/test/dispatch/agent/worker-confirmation.test.ts
@@ -1,7 +1,18 @@
 import type {WorkerDescription} from '@chervilbeam/coordination';
 import t from 'tap';
 import {waitUntil} from '../wait-until.js';
-import {AnsweringWorker, answerMs, createDescription, createOwnedAgent} from './agent-fixture.js';
+import {
+  AnsweringWorker,
+  answerMs,
+  createDescription,
+  createOwnedAgent,
+  heartbeatIntervalMs,
+} from './agent-fixture.js';
+
+/** Time in milliseconds in which the end of a worker that has said farewell is noticed. */
+const farewellRetryMs = 150;
+/** Time in milliseconds for which a worker refuses connections; it covers the time after which it counts as gone. */
+const refusalMs = 1_500;
 
 // A heartbeat of another writer replaced a sound worker, and the owner started its running tasks again elsewhere.
 const strangeHeartbeats: ReadonlyArray<{
@@ -97,14 +108,53 @@
 ];
 
 for (const {name, id, startedAtMs, isHeard} of farewells) {
-  void t.test(`a farewell ${name} ${isHeard ? 'ends the worker' : 'is ignored'}`, async t => {
-    const {agent, sent, countReports} = await createOwnedAgent(t, new AnsweringWorker());
+  // The runs of a worker that had said farewell were started elsewhere while it was still up.
+  void t.test(`a farewell ${name} ${isHeard ? 'announces the end' : 'is ignored'}`, async t => {
+    const worker = new AnsweringWorker();
+    const {agent, sent, getWorkers, countReports} = await createOwnedAgent(t, worker);
+    const isGone = () => sent.some(message => message.kind === 'worker-gone');
     agent.updateWorker(createDescription('w@1000'));
     await waitUntil(() => countReports() > 0);
     agent.handleFarewell(id, startedAtMs);
+    await new Promise(resolve => setTimeout(resolve, answerMs * 10));
+    t.equal(getWorkers().at(-1)?.worker.state, isHeard ? 'draining' : 'ready');
+    t.notOk(isGone(), 'its runs go on while it answers');
+    worker.isRefusing = true;
+    await new Promise(resolve => setTimeout(resolve, farewellRetryMs));
+    t.equal(isGone(), isHeard);
+  });
+}
+
+// Runs of a worker that refused connections for less than a second were started elsewhere, while they went on.
+const silences: ReadonlyArray<{
+  readonly name: string;
+  readonly hasHeartbeats: boolean;
+  readonly isGone: boolean;
+}> = [
+  {name: 'whose heartbeats go on', hasHeartbeats: true, isGone: false},
+  {name: 'whose heartbeats have stopped', hasHeartbeats: false, isGone: true},
+];
+
+for (const {name, hasHeartbeats, isGone} of silences) {
+  const outcome = isGone ? 'counts as gone' : 'does not count as gone';
+  void t.test(`a worker that refuses connections and ${name} ${outcome}`, async t => {
+    const worker = new AnsweringWorker();
+    const {agent, sent, countReports} = await createOwnedAgent(t, worker);
+    const description = createDescription('w@1000');
+    agent.updateWorker(description);
+    await waitUntil(() => countReports() > 0);
+    worker.isRefusing = true;
+    const timer = setInterval(() => {
+      if (hasHeartbeats) agent.updateWorker(description);
+    }, heartbeatIntervalMs);
+    t.teardown(() => clearInterval(timer));
+    await new Promise(resolve => setTimeout(resolve, refusalMs));
     t.equal(
       sent.some(message => message.kind === 'worker-gone'),
-      isHeard,
+      isGone,
     );
+    worker.isRefusing = false;
+    const reports = countReports();
+    if (!isGone) await waitUntil(() => countReports() > reports);
   });
 }
