--- a/packages/coordination/src/dispatch/submission-ends.ts
+++ b/packages/coordination/src/dispatch/submission-ends.ts
@@ -4,7 +4,7 @@
 import type {RunCommands} from './run-commands.js';
 import type {Task} from './task.js';
 
-/** Number of attempts of a task whose queue is not configured any more and was not stored by an older version. */
+/** Number of failed runs after which a task fails when the settings of its queue are neither configured nor stored. */
 const defaultMaxAttempts = 1;
 
 /** Moves submissions to their final states, and removes them after their retention time. */
--- a/packages/coordination/test/dispatch/command-results.test.ts
+++ b/packages/coordination/test/dispatch/command-results.test.ts
@@ -2,6 +2,7 @@
 import type {CommandOutcome} from '../../src/dispatch/index.js';
 import {createStep, createSubmission, sharedQueues} from './fleet/shared-load.js';
 import {VirtualFleet} from './fleet/virtual-fleet.js';
+import {createWorkers} from './fleet/virtual-worker.js';
 
 const id = '00000000000000a1';
 
@@ -35,12 +36,7 @@
     const fleet = new VirtualFleet({
       seed: 1,
       queues: Object.values(sharedQueues),
-      workers: [0, 1].map(index => ({
-        agent: `w${index}`,
-        life: `life-${index}`,
-        cores: 16,
-        rack: 'r0',
-      })),
+      workers: createWorkers(2),
     });
     for (const worker of fleet.workers.values()) worker.isUnresponsive = true;
     fleet.submit(createSubmission(id, sharedQueues.quick.key, [createStep({count: 1})]));
--- a/packages/coordination/test/dispatch/fleet/virtual-worker.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-worker.ts
@@ -252,3 +252,13 @@
 function getPacedCores(run: VirtualRun): number {
   return (run.behaviour.step.need.processors * run.pace) / 100;
 }
+
+/** Creates the options of equal workers `w0`, `w1` and so on, with the incarnations `life-0`, `life-1` and so on. */
+export function createWorkers(count: number): VirtualWorkerOptions[] {
+  return Array.from({length: count}, (_, index) => ({
+    agent: `w${index}`,
+    life: `life-${index}`,
+    cores: 16,
+    rack: 'r0',
+  }));
+}
--- a/packages/coordination/test/dispatch/queue-policies.test.ts
+++ b/packages/coordination/test/dispatch/queue-policies.test.ts
@@ -3,6 +3,7 @@
 import {getQueuePolicy, type Queue, type QueuePolicy} from '../../src/submissions/index.js';
 import {createStep, createSubmission} from './fleet/shared-load.js';
 import {createQueue, VirtualFleet} from './fleet/virtual-fleet.js';
+import {createWorkers} from './fleet/virtual-worker.js';
 
 const id = '00000000000000a1';
 const queue = createQueue({name: 'proofs', priority: 2, maxAttempts: 2});
@@ -46,12 +47,7 @@
     const fleet = new VirtualFleet({
       seed: 1,
       queues: [stored ?? queue],
-      workers: [0, 1, 2].map(index => ({
-        agent: `w${index}`,
-        life: `life-${index}`,
-        cores: 16,
-        rack: 'r0',
-      })),
+      workers: createWorkers(3),
       getBehaviour: () => ({faultyRuns: Number.POSITIVE_INFINITY}),
     });
     const policy = stored && getQueuePolicy(stored);
@@ -75,7 +71,7 @@
   const fleet = new VirtualFleet({
     seed: 1,
     queues: [{...queue, maxAttempts: 9}],
-    workers: [{agent: 'w0', life: 'life-0', cores: 16, rack: 'r0'}],
+    workers: createWorkers(1),
     getBehaviour: () => ({faultyRuns: Number.POSITIVE_INFINITY}),
   });
   fleet.submit(createSubmission(id, queue.key, [hopeless]));
--- a/packages/coordination/test/dispatch/recovery.test.ts
+++ b/packages/coordination/test/dispatch/recovery.test.ts
@@ -2,6 +2,7 @@
 import {defaultDispatchTiming} from '../../src/dispatch/index.js';
 import {createStep, createSubmission, sharedQueues} from './fleet/shared-load.js';
 import {VirtualFleet} from './fleet/virtual-fleet.js';
+import {createWorkers} from './fleet/virtual-worker.js';
 
 const {leaseMs, clockDrift, previousOwnerMaxMs} = defaultDispatchTiming;
 const id = '00000000000000a1';
@@ -32,12 +33,7 @@
     const fleet = new VirtualFleet({
       seed: 1,
       queues: Object.values(sharedQueues),
-      workers: [0, 1].map(index => ({
-        agent: `w${index}`,
-        life: `life-${index}`,
-        cores: 16,
-        rack: 'r0',
-      })),
+      workers: createWorkers(2),
     });
     const step = createStep({count: tasks, cores: 2, lasting: true, spreadLimit: 2});
     const wide = {...step, spreadLimit: tasks};
