Create a task's object only when the task is started

Cause: the owner built an object for each task of each step of each due occurrence when it accepted a submission or read it after a takeover, and aborted at its memory limit. The next owner read the same submissions and aborted too.

Change: a step holds its finished tasks as bits and objects only for tasks that have been started or of which something is stored. They are dropped once the task is finished and has no runs. Occurrences that are due at once open in a window of 1,000 steps. A gang now finishes as a whole also when its new owner has adopted only some of the members.

Two tests iterated over the objects of all tasks. They ask for the tasks by index, or for the waiting ones, and assert the same.

--- a/packages/coordination/src/dispatch/active-submission.ts
+++ b/packages/coordination/src/dispatch/active-submission.ts
@@ -2,7 +2,6 @@
   FinishedTasks,
   getDueMs,
   getOccurrenceCount,
-  getTaskName,
   getQueuePolicy,
   isLasting,
   isSamePolicy,
@@ -12,75 +11,18 @@
   type FailureRow,
   type ProgressRecord,
   type QueuePolicy,
-  type Step,
   type Submission,
   type SubmissionStatus,
 } from '../submissions/index.js';
+import {Occurrence} from './occurrence.js';
 import {CrashHistory} from './supervision/crash-history.js';
-import {Task} from './task.js';
+import type {Task} from './task.js';
 
-/** The tasks of one step of one occurrence. */
-export class StepTasks {
-  /** Number of finished tasks. */
-  finished = 0;
-  /** Whether a run has worked for longer than one that crashes its worker. */
-  hasSurvivor = false;
-
-  constructor(
-    readonly occurrence: number,
-    readonly index: number,
-    readonly step: Step,
-    readonly tasks: readonly Task[],
-  ) {}
-
-  /** Whether all tasks are finished. */
-  get isFinished(): boolean {
-    return this.finished >= this.tasks.length;
-  }
-
-  /** Whether any of the tasks may crash workers, so that they start one by one until one of them works. */
-  get isOnTrial(): boolean {
-    if (this.hasSurvivor || this.finished > 0 || this.step.gang) return false;
-    return this.tasks.some(task => task.crashes.isSuspect);
-  }
-}
-
-/** One occurrence of a submission; an unscheduled submission has exactly one. */
-export class Occurrence {
-  /** Whether it has been seen running. */
-  hasRun = false;
-  /** Time since which it has not been seen running. */
-  idleSince: number;
-
-  constructor(
-    readonly index: number,
-    /** Time from which its objective is measured. */
-    readonly dueAt: number,
-    readonly steps: readonly StepTasks[],
-  ) {
-    this.idleSince = dueAt;
-  }
-
-  /** Records the number of its runs. */
-  recordRuns(runs: number, at: number): void {
-    if (runs > 0) {
-      this.hasRun = true;
-      this.idleSince = at;
-    }
-  }
-
-  /** Whether all tasks of all steps are finished. */
-  get isFinished(): boolean {
-    return this.steps.every(step => step.isFinished);
-  }
-
-  /** Returns the unfinished steps whose predecessors are all finished. */
-  getReadySteps(): StepTasks[] {
-    return this.steps.filter(
-      step => !step.isFinished && step.step.after.every(before => this.steps[before]?.isFinished),
-    );
-  }
-}
+/**
+ * Largest number of steps of unfinished occurrences of a submission that are open at a time; at least one occurrence is.
+ * Occurrences that have all become due at once are opened as earlier ones end.
+ */
+const maxOpenSteps = 1_000;
 
 /** Options of `ActiveSubmission`. */
 export interface ActiveSubmissionOptions {
@@ -118,10 +60,12 @@
   hasStarted = false;
   /** Numbers of ended and of failed runs, by worker incarnation. */
   private readonly runEndCounts = new Map<string, {ends: number; failures: number}>();
-  private isInDoubt: boolean;
+  /** Whether a previous owner may have started tasks on workers that have not reported yet. */
+  isInDoubt: boolean;
   private nextOccurrence = 0;
-  private readonly baseRunNumber: number;
-  private readonly finished: FinishedTasks;
+  /** Highest run number that previous owners may have used. */
+  readonly baseRunNumber: number;
+  readonly finished: FinishedTasks;
   /** Stored failures and checkpoints, which tasks get when their occurrence opens. */
   private readonly failures: readonly FailureRow[];
   private readonly checkpoints: readonly CheckpointRow[];
@@ -181,7 +125,7 @@
 
   /** Whether a task has failed too often to be started again. */
   hasExhaustedTask(maxAttempts: number): boolean {
-    for (const task of this.getTasks()) {
+    for (const task of this.getKnownTasks()) {
       const {isFinished, failedRuns, step} = task;
       if (!isFinished && !step.lasting && failedRuns.size >= maxAttempts) return true;
     }
@@ -192,7 +136,7 @@
   openDueOccurrences(at: number, wallMs: number): boolean {
     let hasOpened = this.releaseDueOccurrences(wallMs);
     while (this.nextOccurrence < getOccurrenceCount(this.submission)) {
-      if (getDueMs(this.submission, this.nextOccurrence) > wallMs) break;
+      if (getDueMs(this.submission, this.nextOccurrence) > wallMs || this.isWindowFull) break;
       this.openNextOccurrence(at, wallMs);
       hasOpened = true;
     }
@@ -216,7 +160,7 @@
     let hasReleased = false;
     for (const occurrence of this.earlyOccurrences) {
       if (getDueMs(this.submission, occurrence.index) > wallMs) continue;
-      for (const {tasks} of occurrence.steps) for (const task of tasks) task.isDue = true;
+      occurrence.isDue = true;
       this.earlyOccurrences.delete(occurrence);
       hasReleased = true;
     }
@@ -226,13 +170,22 @@
   private openNextOccurrence(at: number, wallMs: number): void {
     const dueMs = getDueMs(this.submission, this.nextOccurrence);
     const dueAt = isTimed(this.submission) ? at - (wallMs - dueMs) : this.arrivedAt;
-    const occurrence = this.createOccurrence(this.nextOccurrence, dueAt);
+    const occurrence = new Occurrence(this, this.nextOccurrence, dueAt, dueMs <= wallMs);
     if (!occurrence.isFinished) this.occurrences.push(occurrence);
-    if (dueMs > wallMs) this.earlyOccurrences.add(occurrence);
-    for (const {tasks} of occurrence.steps) for (const task of tasks) task.isDue = dueMs <= wallMs;
+    if (!occurrence.isDue) this.earlyOccurrences.add(occurrence);
+    this.restoreTasks(occurrence);
     this.nextOccurrence += 1;
   }
 
+  /** Whether no further occurrence is opened until one is finished. */
+  private get isWindowFull(): boolean {
+    // Serving tasks do not end, so later occurrences would never be opened.
+    if (this.isLasting) return false;
+    const {length: stepCount} = this.submission.steps;
+    const openCount = this.occurrences.filter(occurrence => !occurrence.isFinished).length;
+    return openCount > 0 && (openCount + 1) * stepCount > maxOpenSteps;
+  }
+
   /** Number of finished tasks of all occurrences. */
   get finishedCount(): number {
     return this.finished.count;
@@ -246,14 +199,11 @@
     );
   }
 
-  /** Returns a task by its position, or undefined when its occurrence is not open. */
+  /** Returns a task by its position, or undefined when its occurrence is not open or the step has no such task. */
   getTask(occurrence: number, step: number, index: number): Task | undefined {
-    return this.getOccurrence(occurrence)?.steps[step]?.tasks[index];
-  }
-
-  /** Returns the tasks of the step to which a task belongs, or undefined when its occurrence is not open. */
-  getStepTasks(task: Task): StepTasks | undefined {
-    return this.getOccurrence(task.occurrence)?.steps[task.stepIndex];
+    const group = this.getOccurrence(occurrence)?.steps[step];
+    const isTask = group !== undefined && index >= 0 && index < group.count;
+    return isTask ? group.getTask(index) : undefined;
   }
 
   /** Returns an occurrence, or undefined when it is not open. */
@@ -261,15 +211,6 @@
     return this.occurrences.find(occurrence => occurrence.index === index);
   }
 
-  /** Marks a task as finished; returns false when it already was. */
-  finish(task: Task): boolean {
-    if (!this.finished.add(task.occurrence, task.stepIndex, task.index)) return false;
-    task.isFinished = true;
-    const step = this.getOccurrence(task.occurrence)?.steps[task.stepIndex];
-    if (step) step.finished += 1;
-    return true;
-  }
-
   /** Counts the end of a run on a worker incarnation. */
   recordRunEnd(life: string, isFailure: boolean): void {
     const counts = this.runEndCounts.get(life) ?? {ends: 0, failures: 0};
@@ -295,22 +236,24 @@
     for (let i = this.occurrences.length - 1; i >= 0; i -= 1) {
       const occurrence = this.occurrences[i];
       if (!occurrence?.isFinished) continue;
-      const busy = occurrence.steps.some(step => step.tasks.some(task => task.runs.length > 0));
-      if (!busy && this.occurrences.length > 1) this.occurrences.splice(i, 1);
+      const isBusy = occurrence.steps.some(({knownTasks}) =>
+        [...knownTasks].some(task => task.runs.length > 0),
+      );
+      if (!isBusy && this.occurrences.length > 1) this.occurrences.splice(i, 1);
     }
   }
 
-  /** Yields all tasks of the open occurrences. */
-  *getTasks(): Generator<Task> {
+  /** Yields the tasks of the open occurrences that have objects: those with runs, and others of which something is known. */
+  *getKnownTasks(): Generator<Task> {
     for (const occurrence of this.occurrences) {
-      for (const step of occurrence.steps) yield* step.tasks;
+      for (const {knownTasks} of occurrence.steps) yield* knownTasks;
     }
   }
 
   /** Allows all tasks to start: the workers have listed all remaining runs of previous owners. */
   clearInDoubt(): void {
     this.isInDoubt = false;
-    for (const task of this.getTasks()) task.isInDoubt = false;
+    for (const task of this.getKnownTasks()) task.isInDoubt = false;
   }
 
   /** Returns the record to be stored. */
@@ -319,7 +262,7 @@
     const checkpoints: CheckpointRow[] = [];
     const crashes: CrashRow[] = [];
     if (this.final === undefined) {
-      for (const task of this.getTasks()) {
+      for (const task of this.getKnownTasks()) {
         if (task.isFinished) continue;
         const {occurrence, stepIndex, index} = task;
         if (task.failedRuns.size > 0) {
@@ -363,30 +306,30 @@
     return {...identity, repetitions, startAtMs, intervalMs, spec: '', steps: []};
   }
 
-  private createOccurrence(index: number, dueAt: number): Occurrence {
-    const steps = this.submission.steps.map((step, stepIndex) => {
-      const tasks = Array.from({length: step.count}, (_, taskIndex) =>
-        this.createTask(index, stepIndex, taskIndex, step),
-      );
-      const group = new StepTasks(index, stepIndex, step, tasks);
-      group.finished = tasks.filter(task => task.isFinished).length;
-      return group;
-    });
-    return new Occurrence(index, dueAt, steps);
+  /** Applies what is stored of the tasks of an occurrence. */
+  private restoreTasks(occurrence: Occurrence): void {
+    for (const [task, runs] of this.selectRows(occurrence, this.failures)) {
+      for (const run of runs) task.failedRuns.add(run);
+    }
+    for (const [task, checkpoint] of this.selectRows(occurrence, this.checkpoints)) {
+      task.checkpoint = checkpoint;
+    }
+    for (const [task, early, late] of this.selectRows(occurrence, this.crashes)) {
+      task.crashes = new CrashHistory(early, late);
+      if (task.crashes.isSuspect) this.suspects.add(task);
+    }
   }
 
-  private createTask(occurrence: number, stepIndex: number, index: number, step: Step): Task {
-    const name = getTaskName(this.id, occurrence, stepIndex, index);
-    const task = new Task(this, name, occurrence, stepIndex, index, step, this.baseRunNumber);
-    task.isFinished = this.finished.has(occurrence, stepIndex, index);
-    task.isInDoubt = this.isInDoubt;
-    const isTaskRow = (row: readonly [number, number, number, ...unknown[]]) =>
-      row[0] === occurrence && row[1] === stepIndex && row[2] === index;
-    for (const run of this.failures.find(isTaskRow)?.[3] ?? []) task.failedRuns.add(run);
-    task.checkpoint = this.checkpoints.find(isTaskRow)?.[3] ?? '';
-    const [, , , early, late] = this.crashes.find(isTaskRow) ?? [];
-    task.crashes = new CrashHistory(early, late);
-    if (task.crashes.isSuspect) this.suspects.add(task);
-    return task;
+  /** Yields the values of the stored rows of an occurrence's unfinished tasks, each with its task. */
+  private *selectRows<Values extends readonly unknown[]>(
+    {index, steps}: Occurrence,
+    rows: ReadonlyArray<readonly [number, number, number, ...Values]>,
+  ): Generator<[Task, ...Values]> {
+    for (const [occurrence, step, taskIndex, ...values] of rows) {
+      const group = occurrence === index ? steps[step] : undefined;
+      if (group === undefined || taskIndex < 0 || taskIndex >= group.count) continue;
+      const task = group.getTask(taskIndex);
+      if (!task.isFinished) yield [task, ...values];
+    }
   }
 }
--- a/packages/coordination/src/dispatch/admission/queue-backlogs.ts
+++ b/packages/coordination/src/dispatch/admission/queue-backlogs.ts
@@ -173,11 +173,8 @@
 
 function addWaitingWork(level: WaitingLevel, submission: ActiveSubmission, factor: number): void {
   for (const occurrence of submission.occurrences) {
-    for (const {step, tasks, isFinished} of occurrence.steps) {
-      if (step.lasting || isFinished) continue;
-      let count = 0;
-      for (const task of tasks) if (!task.isFinished && task.runs.length === 0) count += 1;
-      if (count === 0) continue;
+    for (const {step, isFinished, idleCount: count} of occurrence.steps) {
+      if (step.lasting || isFinished || count === 0) continue;
       const coreMs = getWorkCoreMs([{...step, count}], factor);
       if (step.fills) level.fillWorkCoreMs += coreMs;
       else level.workCoreMs += coreMs;
--- a/packages/coordination/src/dispatch/placement/advice-tickets.ts
+++ b/packages/coordination/src/dispatch/placement/advice-tickets.ts
@@ -1,5 +1,5 @@
 import {getSubmissionId} from '../../submissions/index.js';
-import type {StepTasks} from '../active-submission.js';
+import type {StepTasks} from '../step-tasks.js';
 import type {DispatchState} from '../dispatch-state.js';
 import type {Task} from '../task.js';
 import type {WorkerView} from '../worker-view.js';
@@ -81,9 +81,9 @@
    * its tasks would fit if they were empty.
    */
   request(group: StepTasks, candidates: readonly WorkerView[], at: number): void {
-    const [task] = group.tasks;
-    const settings = task?.submission.queue?.advice;
-    if (task === undefined || settings === undefined || this.isWaiting(at)) return;
+    const task = group.getTask(0);
+    const settings = task.submission.queue?.advice;
+    if (settings === undefined || this.isWaiting(at)) return;
     const step = getStepName(task);
     const advice = this.getStep(step);
     if (at < advice.notBefore) return;
--- a/packages/coordination/src/dispatch/placement/filler-preemption.ts
+++ b/packages/coordination/src/dispatch/placement/filler-preemption.ts
@@ -1,6 +1,6 @@
-import type {Occurrence} from '../active-submission.js';
 import type {DispatchState} from '../dispatch-state.js';
 import type {WorkerHeadroomCache} from '../interference/worker-headroom.js';
+import type {Occurrence} from '../occurrence.js';
 import type {RunCommands} from '../run-commands.js';
 import type {Run, Task} from '../task.js';
 import {type Candidate, countRuns, getRemainingCoreMs} from './submission-order.js';
--- a/packages/coordination/src/dispatch/placement/placement-round.ts
+++ b/packages/coordination/src/dispatch/placement/placement-round.ts
@@ -1,4 +1,4 @@
-import type {StepTasks} from '../active-submission.js';
+import type {StepTasks} from '../step-tasks.js';
 import type {DispatchState} from '../dispatch-state.js';
 import type {RunCommands} from '../run-commands.js';
 import type {Task} from '../task.js';
@@ -52,7 +52,7 @@
   if (group === undefined || !state.startBudget.isOpen(at)) return;
   if (group.step.gang) return startGang(candidate, group, options, at);
   if (group.isOnTrial) return startSuspect(candidate, group, options, at);
-  const task = group.tasks.find(candidate => candidate.isWaiting(at));
+  const [task] = group.getWaiting(at);
   const worker = task && selector.selectWorker(task, group, candidate.priority);
   if (task === undefined || worker === undefined) return;
   state.count('runs_started_starving');
@@ -67,8 +67,7 @@
   at: number,
 ): void {
   const {state, commands, selector} = options;
-  for (const task of group.tasks) {
-    if (!task.isWaiting(at)) continue;
+  for (const task of group.getWaiting(at)) {
     if (!state.startBudget.isOpen(at)) return;
     const worker = selector.selectWorker(task, group, candidate.priority);
     // The tasks of a step need the same resources, so the others do not fit either; only `avoidedWorkers` differs.
@@ -106,8 +105,9 @@
   at: number,
 ): void {
   const {commands, selector} = options;
-  if (group.tasks.some(task => task.runs.length > 0)) return;
-  const task = group.tasks.find(task => task.crashes.isSuspect && task.isWaiting(at));
+  const tasks = [...group.knownTasks];
+  if (tasks.some(task => task.runs.length > 0)) return;
+  const task = tasks.find(task => task.crashes.isSuspect && task.isWaiting(at));
   const worker = task && selector.selectWorker(task, group, candidate.priority);
   if (task === undefined) return;
   if (worker === undefined) return makeRoom(task, candidate, group, options, at);
@@ -123,25 +123,22 @@
   at: number,
 ): void {
   const {selector, commands} = options;
-  const {tasks} = group;
-  if (!tasks.every(task => task.isWaiting(at))) return;
-  const placements: WorkerView[] = [];
-  for (const task of tasks) {
+  if (!group.areAllWaiting(at)) return;
+  const placements: Array<{readonly task: Task; readonly worker: WorkerView}> = [];
+  for (let index = 0; index < group.count; index += 1) {
+    const task = group.getTask(index);
     const worker = selector.selectWorker(task, group, candidate.priority);
     if (worker === undefined) break;
-    placements.push(worker);
+    placements.push({task, worker});
     worker.reserve(task.step, 1);
   }
-  for (const worker of placements) worker.reserve(group.step, -1);
-  if (placements.length < tasks.length) {
+  for (const {worker} of placements) worker.reserve(group.step, -1);
+  if (placements.length < group.count) {
     requestTickets(group, options, at);
     return;
   }
-  const runNumber = Math.max(...tasks.map(task => task.lastRunNumber)) + 1;
-  tasks.forEach((task, index) => {
-    const worker = placements[index];
-    if (worker) commands.start(task, worker, at, runNumber);
-  });
+  const runNumber = placements.reduce((max, {task}) => Math.max(max, task.lastRunNumber), 0) + 1;
+  for (const {task, worker} of placements) commands.start(task, worker, at, runNumber);
 }
 
 /** Requests tickets for a step that has a task without a worker, if its queue needs them. */
@@ -150,7 +147,7 @@
   {selector, tickets}: PlacementRoundOptions,
   at: number,
 ): void {
-  const [task] = group.tasks;
-  if (task === undefined || !tickets.isNeeded(task)) return;
+  const task = group.getTask(0);
+  if (!tickets.isNeeded(task)) return;
   tickets.request(group, selector.getCandidates(task, group), at);
 }
--- a/packages/coordination/src/dispatch/placement/submission-order.ts
+++ b/packages/coordination/src/dispatch/placement/submission-order.ts
@@ -4,8 +4,10 @@
   getWorkCoreMs,
   type QueuePolicy,
 } from '../../submissions/index.js';
-import type {ActiveSubmission, Occurrence, StepTasks} from '../active-submission.js';
+import type {ActiveSubmission} from '../active-submission.js';
 import type {DispatchState} from '../dispatch-state.js';
+import type {Occurrence} from '../occurrence.js';
+import type {StepTasks} from '../step-tasks.js';
 import type {RunState} from '../task.js';
 
 /** Priority of submissions whose queue is not configured; they go last. */
@@ -50,9 +52,7 @@
   for (const submission of state.submissions.values()) {
     if (!submission.isActive) continue;
     for (const occurrence of submission.occurrences) {
-      const steps = occurrence
-        .getReadySteps()
-        .filter(step => step.tasks.some(task => task.isWaiting(at)));
+      const steps = occurrence.getReadySteps().filter(step => step.hasWaiting(at));
       if (steps.length === 0) continue;
       candidates.push(
         createCandidate({submission, occurrence, steps, factor: getFactor(submission.queue), at}),
@@ -111,8 +111,8 @@
 /** Returns the number of runs of an occurrence's tasks, all of them or those in one state. */
 export function countRuns(occurrence: Occurrence, state?: RunState): number {
   let count = 0;
-  for (const {tasks} of occurrence.steps) {
-    for (const {runs} of tasks) {
+  for (const {knownTasks} of occurrence.steps) {
+    for (const {runs} of knownTasks) {
       for (const run of runs) if (state === undefined || run.state === state) count += 1;
     }
   }
@@ -121,9 +121,9 @@
 
 /** Returns the processor time in core-milliseconds of the unfinished tasks; serving tasks are not counted. */
 export function getRemainingCoreMs(occurrence: Occurrence, factor: number): number {
-  const remaining = occurrence.steps.map(({step, tasks, finished}) => ({
+  const remaining = occurrence.steps.map(({step, unfinishedCount}) => ({
     ...step,
-    count: tasks.length - finished,
+    count: unfinishedCount,
   }));
   return getWorkCoreMs(remaining, factor);
 }
--- a/packages/coordination/src/dispatch/placement/worker-selector.ts
+++ b/packages/coordination/src/dispatch/placement/worker-selector.ts
@@ -1,5 +1,5 @@
 import type {Step} from '../../submissions/index.js';
-import type {StepTasks} from '../active-submission.js';
+import type {StepTasks} from '../step-tasks.js';
 import type {DispatchState} from '../dispatch-state.js';
 import type {InterferenceModel} from '../interference/interference-model.js';
 import {
@@ -281,15 +281,15 @@
   let count = 0;
   for (const run of worker.runs.values()) {
     const {task} = run;
-    const isSameStep = task.stepIndex === group.index && task.occurrence === group.occurrence;
-    if (isSameStep && task.submission === group.tasks[0]?.submission) count += 1;
+    const isSameStep = task.stepIndex === group.index && task.occurrence === group.occurrence.index;
+    if (isSameStep && task.submission === group.occurrence.submission) count += 1;
   }
   return count;
 }
 
 /** Whether the first running task of the step is on the worker's rack; true when none runs. */
 function isOnGroupRack(worker: WorkerView, group: StepTasks): boolean {
-  for (const task of group.tasks) {
+  for (const task of group.knownTasks) {
     const [run] = task.runs;
     if (run) return run.worker.description.rack === worker.description.rack;
   }
--- a/packages/coordination/src/dispatch/run-commands.ts
+++ b/packages/coordination/src/dispatch/run-commands.ts
@@ -19,7 +19,7 @@
     const run = new Run(task, number, worker, at);
     task.lastRunNumber = number;
     task.hasStarted = true;
-    task.runs.push(run);
+    task.add(run);
     worker.add(run);
     run.order = state.takeCommandNumber();
     run.checkpoint = task.checkpoint;
--- a/packages/coordination/src/dispatch/run-ends.ts
+++ b/packages/coordination/src/dispatch/run-ends.ts
@@ -1,5 +1,4 @@
 import {getSubmissionId} from '../submissions/index.js';
-import type {ActiveSubmission} from './active-submission.js';
 import type {RunEndRow} from './agent-messages.js';
 import type {DispatchState} from './dispatch-state.js';
 import type {RoomReservations} from './placement/room-reservations.js';
@@ -97,8 +96,9 @@
         submission.recordRunEnd(worker.life, false);
       }
       this.components.crashes.recordDone(task, at);
-      if (step.gang) this.finishGang(task, submission);
-      else submission.finish(task);
+      // One finished member finishes the gang.
+      if (step.gang) task.group.finishAll();
+      else task.group.finish(task);
       commands.stopRuns(task, 'finished-elsewhere', at);
       return true;
     }
@@ -116,9 +116,4 @@
     ends.recordFailedRun(task, end[2], at);
     return !step.lasting;
   }
-
-  /** Finishes all tasks of a gang, because one finished member finishes the gang. */
-  private finishGang(task: Task, submission: ActiveSubmission): void {
-    for (const member of submission.getStepTasks(task)?.tasks ?? []) submission.finish(member);
-  }
 }
--- a/packages/coordination/src/dispatch/submission-ends.ts
+++ b/packages/coordination/src/dispatch/submission-ends.ts
@@ -82,7 +82,7 @@
     if (!submission.isFinalStored) return;
     const ageMs = this.state.getUnixMs(at) - submission.endedAtMs;
     if (ageMs < this.state.timing.keepFinalMs) return;
-    for (const task of submission.getTasks()) if (task.runs.length > 0) return;
+    for (const task of submission.getKnownTasks()) if (task.runs.length > 0) return;
     this.state.submissions.delete(submission.id);
     this.journal.markForgotten(submission.id);
   }
@@ -94,7 +94,7 @@
   ): void {
     submission.final = final;
     submission.endedAtMs = Math.round(this.state.getUnixMs(at));
-    for (const task of submission.getTasks()) this.commands.stopRuns(task, final, at);
+    for (const task of submission.getKnownTasks()) this.commands.stopRuns(task, final, at);
     this.journal.markChanged(submission, at, true);
     this.state.count(`submissions_${final}`);
   }
--- a/packages/coordination/src/dispatch/supervision/crash-tracker.ts
+++ b/packages/coordination/src/dispatch/supervision/crash-tracker.ts
@@ -76,14 +76,14 @@
     run.confirmedAt ??= at;
     const {task} = run;
     const ageMs = at - run.confirmedAt;
-    if (task.crashes.isOutlived(ageMs)) markSurvivor(task);
+    if (task.crashes.isOutlived(ageMs)) task.group.hasSurvivor = true;
     if (task.crashes.count === 0 || !task.crashes.clearOutlived(ageMs)) return;
     this.markCleared(task, at);
   }
 
   /** Clears a task of suspicion because it has ended as done. */
   recordDone(task: Task, at: number): void {
-    markSurvivor(task);
+    task.group.hasSurvivor = true;
     if (task.crashes.clear()) this.markCleared(task, at);
   }
 
@@ -160,8 +160,3 @@
     return {run, ageMs};
   });
 }
-
-function markSurvivor(task: Task): void {
-  const group = task.submission.getStepTasks(task);
-  if (group !== undefined) group.hasSurvivor = true;
-}
--- a/packages/coordination/src/dispatch/supervision/run-supervisor.ts
+++ b/packages/coordination/src/dispatch/supervision/run-supervisor.ts
@@ -145,9 +145,7 @@
     const {task} = run;
     if (task.runs.length > 1) return;
     const priority = task.submission.queue?.priority ?? 0;
-    const group = task.submission.getStepTasks(task);
-    if (group === undefined) return;
-    const newWorker = selector.selectWorker(task, group, priority);
+    const newWorker = selector.selectWorker(task, task.group, priority);
     if (newWorker === undefined || newWorker === worker || newWorker.slowness >= worker.slowness)
       return;
     task.avoidedWorkers.add(worker.life);
--- a/packages/coordination/src/dispatch/task.ts
+++ b/packages/coordination/src/dispatch/task.ts
@@ -1,5 +1,6 @@
-import type {Step} from '../submissions/index.js';
+import {getTaskName, type Step} from '../submissions/index.js';
 import type {ActiveSubmission} from './active-submission.js';
+import type {StepTasks} from './step-tasks.js';
 import {CrashHistory} from './supervision/crash-history.js';
 import type {WorkerView} from './worker-view.js';
 
@@ -56,9 +57,8 @@
 /** One task of an occurrence of a submission. */
 export class Task {
   readonly runs: Run[] = [];
-  isFinished = false;
   /** Whether a previous owner may have started the task on a worker that has not reported yet. */
-  isInDoubt = false;
+  isInDoubt: boolean;
   /** Numbers of the failed runs; a set, because a worker lists the same end again to a new owner. */
   readonly failedRuns = new Set<number>();
   /** Worker incarnations that have crashed under the task. */
@@ -71,34 +71,61 @@
   hasStarted = false;
   /** Time before which the task is not started again. */
   notBefore = Number.NEGATIVE_INFINITY;
-  /** Whether its occurrence is due. */
-  isDue = true;
   /** Worker incarnations on which a run of the task has failed, stalled or been too slow. */
   readonly avoidedWorkers = new Set<string>();
+  /** Name that identifies the task to the workers. */
+  readonly name: string;
 
   constructor(
-    readonly submission: ActiveSubmission,
-    readonly name: string,
-    readonly occurrence: number,
-    readonly stepIndex: number,
+    readonly group: StepTasks,
     readonly index: number,
-    readonly step: Step,
-    baseRunNumber: number,
+    public isFinished = false,
   ) {
-    this.lastRunNumber = baseRunNumber;
+    const {submission} = this;
+    this.name = getTaskName(submission.id, this.occurrence, this.stepIndex, index);
+    this.lastRunNumber = submission.baseRunNumber;
+    this.isInDoubt = submission.isInDoubt;
+  }
+
+  /** Submission to which the task belongs. */
+  get submission(): ActiveSubmission {
+    return this.group.occurrence.submission;
+  }
+
+  /** Index of its occurrence. */
+  get occurrence(): number {
+    return this.group.occurrence.index;
+  }
+
+  /** Index of its step. */
+  get stepIndex(): number {
+    return this.group.index;
+  }
+
+  /** Its step. */
+  get step(): Step {
+    return this.group.step;
   }
 
   /** Whether the task's next run may be started. */
   isWaiting(at: number): boolean {
-    if (this.isFinished || this.isInDoubt || !this.isDue || this.runs.length > 0) return false;
+    const {isDue} = this.group.occurrence;
+    if (this.isFinished || this.isInDoubt || !isDue || this.runs.length > 0) return false;
     // A crash that the next owner does not know of would not count.
     if (this.crashes.isSuspect && !this.submission.areCrashesStored) return false;
     return at >= this.notBefore;
   }
 
+  /** Adds a run. */
+  add(run: Run): void {
+    this.runs.push(run);
+    this.group.keep(this);
+  }
+
   /** Removes a run. */
   remove(run: Run): void {
     const index = this.runs.indexOf(run);
     if (index >= 0) this.runs.splice(index, 1);
+    this.group.forgetIfFinished(this);
   }
 }
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -116,7 +116,7 @@
    */
   private carryOverRun(run: Run, worker: WorkerView, at: number): void {
     const carriedRun = new Run(run.task, run.number, worker, at);
-    run.task.runs.push(carriedRun);
+    run.task.add(carriedRun);
     worker.add(carriedRun);
   }
 
@@ -221,7 +221,7 @@
     task.lastRunNumber = Math.max(task.lastRunNumber, number);
     task.hasStarted = true;
     task.isInDoubt = false;
-    task.runs.push(run);
+    task.add(run);
     worker.add(run);
     state.log({event: 'run-adopted', ...log});
     state.count('runs_adopted');
--- a/packages/coordination/src/submissions/progress.ts
+++ b/packages/coordination/src/submissions/progress.ts
@@ -47,10 +47,15 @@
 
   /** Adds a task; returns false when it was already in the set. */
   add(occurrence: number, step: number, index: number): boolean {
+    return this.getSet(occurrence, step).add(index);
+  }
+
+  /** Returns the set of a step of an occurrence, to which finished tasks may be added. */
+  getSet(occurrence: number, step: number): ItemSet {
     const key = `${occurrence}.${step}`;
     let set = this.sets.get(key);
     if (set === undefined) this.sets.set(key, (set = new ItemSet()));
-    return set.add(index);
+    return set;
   }
 
   /** Number of finished tasks of a step of an occurrence. */
@@ -65,8 +70,9 @@
     return count;
   }
 
-  /** Returns the stored form. */
+  /** Returns the stored form, without empty sets. */
   toRecord(): Record<string, string> {
-    return Object.fromEntries([...this.sets].map(([key, set]) => [key, set.toText()]));
+    const sets = [...this.sets].filter(([, set]) => set.size > 0);
+    return Object.fromEntries(sets.map(([key, set]) => [key, set.toText()]));
   }
 }
--- a/packages/coordination/test/dispatch/placement/worker-selector.test.ts
+++ b/packages/coordination/test/dispatch/placement/worker-selector.test.ts
@@ -76,7 +76,7 @@
     let placed = 0;
     for (const {steps, priority} of sortCandidates(this.state, 2)) {
       for (const group of steps) {
-        for (const task of group.tasks) {
+        for (const task of group.getWaiting(2)) {
           const worker = selector.selectWorker(task, group, priority);
           check(worker, other => other.selectWorker(task, group, priority));
           if (worker === undefined) break;
--- a/packages/coordination/test/dispatch/supervision/crash-blame.test.ts
+++ b/packages/coordination/test/dispatch/supervision/crash-blame.test.ts
@@ -21,6 +21,9 @@
   0,
 );
 
+/** Number of tasks of each submission. */
+const taskCount = 2;
+
 /** One run on the crashed worker: submission, age in milliseconds, and earlier crashes of its task. */
 type RunCase = readonly [submission: string, ageMs: number, early?: number, late?: number];
 
@@ -145,7 +148,7 @@
 }
 
 function createActiveSubmission(id: string): ActiveSubmission {
-  const submission = createSubmission(id, 'queue', [createStep({count: 2})]);
+  const submission = createSubmission(id, 'queue', [createStep({count: taskCount})]);
   const active = new ActiveSubmission({submission, queue: undefined, arrivedAt: 0});
   active.openDueOccurrences(0, 0);
   return active;
@@ -153,6 +156,9 @@
 
 /** Returns a task without crashes. */
 function takeTask(submission: ActiveSubmission): Task {
-  for (const task of submission.getTasks()) if (task.crashes.count === 0) return task;
+  for (let index = 0; index < taskCount; index += 1) {
+    const task = submission.getTask(0, 0, index);
+    if (task?.crashes.count === 0) return task;
+  }
   throw new RangeError('no task left');
 }
