--- a/packages/coordination/src/dispatch/active-submission.ts
+++ b/packages/coordination/src/dispatch/active-submission.ts
@@ -6,6 +6,9 @@
   isLasting,
   isSamePolicy,
   isTimed,
+  endedSubmissionBytes,
+  getSubmissionBytes,
+  maxOpenSteps,
   type CheckpointRow,
   type CrashRow,
   type FailureRow,
@@ -14,16 +17,11 @@
   type Submission,
   type SubmissionStatus,
 } from '../submissions/index.js';
+import {toIdentity} from './deferred-submissions.js';
 import {Occurrence} from './occurrence.js';
 import {CrashHistory} from './supervision/crash-history.js';
 import type {Task} from './task.js';
 
-/**
- * Largest number of steps of unfinished occurrences of a submission that are open at a time; at least one occurrence is.
- * Occurrences that have all become due at once are opened as earlier ones end.
- */
-const maxOpenSteps = 1_000;
-
 /** Options of `ActiveSubmission`. */
 export interface ActiveSubmissionOptions {
   readonly submission: Submission;
@@ -40,7 +38,9 @@
 
 /** A submission that is being processed, or whose final state is still kept for callers. */
 export class ActiveSubmission {
-  readonly submission: Submission;
+  submission: Submission;
+  /** Memory in bytes that it may need without its runs. */
+  bytes: number;
   /** Settings of the queue, from the latest configuration that contained it; undefined when they are not known. */
   queue: QueuePolicy | undefined;
   /** Time from which the age of the submission is measured. */
@@ -65,7 +65,7 @@
   private nextOccurrence = 0;
   /** Highest run number that previous owners may have used. */
   readonly baseRunNumber: number;
-  readonly finished: FinishedTasks;
+  finished: FinishedTasks;
   /** Stored failures and checkpoints, which tasks get when their occurrence opens. */
   private readonly failures: readonly FailureRow[];
   private readonly checkpoints: readonly CheckpointRow[];
@@ -78,6 +78,7 @@
   constructor(options: ActiveSubmissionOptions) {
     const {submission, progress} = options;
     this.submission = submission;
+    this.bytes = getSubmissionBytes(submission);
     this.queue = options.queue ?? progress?.policy ?? submission.policy;
     this.arrivedAt = options.arrivedAt;
     this.isLasting = isLasting(submission);
@@ -110,6 +111,13 @@
     return this.final === undefined;
   }
 
+  /** Whether nothing is known of its tasks that the store does not have. */
+  get isUntouched(): boolean {
+    if (!this.isActive || this.hasStarted) return false;
+    for (const task of this.getKnownTasks()) if (task.hasStarted) return false;
+    return true;
+  }
+
   /** State shown to callers: a final state only after it has been stored. */
   get status(): SubmissionStatus {
     if (this.final !== undefined && this.isFinalStored) return this.final;
@@ -299,11 +307,14 @@
     return {policy: getQueuePolicy(queue)};
   }
 
-  /** Returns the submission without what only its tasks need. */
-  toFinishedSubmission(): Submission {
-    const {id, queue, service, repetitions, startAtMs, intervalMs, acceptedAtMs} = this.submission;
-    const identity = {id, queue, service, acceptedAtMs};
-    return {...identity, repetitions, startAtMs, intervalMs, spec: '', steps: []};
+  /** Drops what only its tasks need; its final state is stored and it has no runs left. */
+  release(): void {
+    this.submission = toIdentity(this.submission);
+    this.bytes = endedSubmissionBytes;
+    this.occurrences.length = 0;
+    this.earlyOccurrences.clear();
+    this.suspects.clear();
+    this.finished = new FinishedTasks();
   }
 
   /** Applies what is stored of the tasks of an occurrence. */
--- a/packages/coordination/src/dispatch/admission/queue-backlogs.ts
+++ b/packages/coordination/src/dispatch/admission/queue-backlogs.ts
@@ -1,4 +1,10 @@
-import {getWorkCoreMs, type Queue} from '../../submissions/index.js';
+import {
+  getSubmissionSize,
+  getStepWorkCoreMs,
+  isTimed,
+  type Queue,
+  type SubmissionSize,
+} from '../../submissions/index.js';
 import type {ActiveSubmission} from '../active-submission.js';
 import type {DispatchState} from '../dispatch-state.js';
 import {urgentReserveShare} from '../placement/worker-selector.js';
@@ -37,6 +43,25 @@
 /** Backlog ahead of new submissions to one queue. */
 export type QueueBacklog = Omit<GroupBacklog, 'group'> & Omit<QueueState, 'queue'>;
 
+/** Memory of the owner for accepted submissions of one size. */
+export interface MemoryUse {
+  /** Memory in bytes that all of them need, also those that are not loaded. */
+  readonly usedBytes: number;
+  /** Memory in bytes beyond which no more are accepted. */
+  readonly maxBytes: number;
+}
+
+/** Memory of the owner for accepted submissions, by size. */
+export type AcceptedMemory = Readonly<Record<SubmissionSize, MemoryUse>>;
+
+/** Share of the memory that all large submissions together get. */
+const largeShare = 0.5;
+
+/** Returns the memory for submissions of each size when there are `maxBytes` for accepted submissions. */
+export function getMemoryLimits(maxBytes: number): Readonly<Record<SubmissionSize, number>> {
+  return {small: maxBytes, large: maxBytes * largeShare};
+}
+
 /** Learned ratio of a queue none of whose tasks has ended. */
 const unlearnedFactor = 1;
 
@@ -61,6 +86,8 @@
   constructor(
     readonly groups: readonly GroupBacklog[],
     readonly queues: readonly QueueState[],
+    /** Absent from backlogs of owners of older versions. */
+    readonly memory?: AcceptedMemory,
   ) {
     this.groupsByName = new Map(groups.map(group => [group.group, group]));
     this.queuesByName = new Map(queues.map(queue => [queue.queue, queue]));
@@ -79,7 +106,8 @@
 /** Returns the backlogs, in one pass over the submissions and one over the workers. */
 export function getQueueBacklogs(state: DispatchState, at: number): QueueBacklogs {
   const {configuration} = state;
-  if (configuration === undefined) return new QueueBacklogs([], []);
+  const memory = getAcceptedMemory(state);
+  if (configuration === undefined) return new QueueBacklogs([], [], memory);
   const waiting = collectWaitingWork(state);
   const capacities = collectCapacities(state, at);
   const groups = new Map<string, GroupBacklog>();
@@ -101,9 +129,21 @@
       pending: waiting.pending.get(queue) ?? 0,
       runTimeFactor: state.getRunTimeFactor(configuration.queues.get(queue)),
     })),
+    memory,
   );
 }
 
+function getAcceptedMemory({submissions, deferred, timing}: DispatchState): AcceptedMemory {
+  const used: Record<SubmissionSize, number> = {small: 0, large: 0};
+  for (const {bytes} of submissions.values()) used[getSubmissionSize(bytes)] += bytes;
+  for (const {bytes} of deferred.values()) used[getSubmissionSize(bytes)] += bytes;
+  const limits = getMemoryLimits(timing.maxAcceptedBytes);
+  return {
+    small: {usedBytes: used.small, maxBytes: limits.small},
+    large: {usedBytes: used.large, maxBytes: limits.large},
+  };
+}
+
 function getWaits(
   {priority}: Queue,
   levels: ReadonlyMap<number, WaitingLevel> | undefined,
@@ -133,11 +173,14 @@
   for (const submission of state.submissions.values()) {
     if (submission.submission.queue === queue && isPending(submission)) pending += 1;
   }
+  for (const {submission, hasStarted} of state.deferred.values()) {
+    if (submission.queue === queue && !hasStarted && !isTimed(submission)) pending += 1;
+  }
   return pending;
 }
 
-function isPending(submission: ActiveSubmission): boolean {
-  return submission.isActive && !submission.hasStarted && submission.submission.repetitions === 0;
+function isPending({isActive, hasStarted, submission}: ActiveSubmission): boolean {
+  return isActive && !hasStarted && !isTimed(submission);
 }
 
 /** Processor time, in core-milliseconds, of the tasks of one priority that have no run yet. */
@@ -168,6 +211,10 @@
     serviceLevels.set(priority, level);
     addWaitingWork(level, submission, state.getRunTimeFactor(submission.queue));
   }
+  for (const {submission, hasStarted} of state.deferred.values()) {
+    if (hasStarted || isTimed(submission)) continue;
+    pending.set(submission.queue, (pending.get(submission.queue) ?? 0) + 1);
+  }
   return {levels, pending};
 }
 
@@ -175,7 +222,7 @@
   for (const occurrence of submission.occurrences) {
     for (const {step, isFinished, idleCount: count} of occurrence.steps) {
       if (step.lasting || isFinished || count === 0) continue;
-      const coreMs = getWorkCoreMs([{...step, count}], factor);
+      const coreMs = getStepWorkCoreMs(step, count, factor);
       if (step.fills) level.fillWorkCoreMs += coreMs;
       else level.workCoreMs += coreMs;
     }
--- a/packages/coordination/src/dispatch/decision-log.ts
+++ b/packages/coordination/src/dispatch/decision-log.ts
@@ -6,6 +6,7 @@
   | 'recovery-finished'
   | 'submission-accepted'
   | 'submission-restored'
+  | 'submission-deferred'
   | 'submission-ended'
   | 'submission-cancelled'
   | 'cancel-early'
--- a/packages/coordination/src/dispatch/dispatch-events.ts
+++ b/packages/coordination/src/dispatch/dispatch-events.ts
@@ -2,6 +2,7 @@
 import type {CountEffect, ObserveEffect} from '../tasks/events.js';
 import type {AgentMessage, OwnerMessage, WorkerIncarnation} from './agent-messages.js';
 import type {LoggedDecision} from './decision-log.js';
+import type {DeferredSubmission} from './deferred-submissions.js';
 import type {AdviceReply} from './placement/advice-tickets.js';
 
 /** A submission with its stored progress. */
@@ -29,6 +30,8 @@
       /** Number of owners so far, including this one; it determines the range of run numbers of each owner. */
       readonly generation: number;
       readonly submissions: readonly StoredSubmission[];
+      /** Submissions that are to be loaded once there is memory for them. */
+      readonly deferred?: readonly DeferredSubmission[];
       readonly roster: readonly RosterEntry[];
       /** Unix time in milliseconds. */
       readonly wallMs: number;
@@ -39,6 +42,8 @@
   | {readonly kind: 'configuration'; readonly configuration: QueueConfiguration}
   /** A new submission has been stored. */
   | {readonly kind: 'submitted'; readonly submission: Submission}
+  /** Reply to a `load` effect; `stored` is absent when the store has no readable record of the submission. */
+  | {readonly kind: 'loaded'; readonly id: string; readonly stored?: StoredSubmission}
   /** A request to cancel a submission has been stored. */
   | {readonly kind: 'cancelled'; readonly id: string}
   | {readonly kind: 'agent-up'; readonly agent: string}
@@ -89,6 +94,8 @@
 export type DispatchEffect =
   | {readonly kind: 'send'; readonly agent: string; readonly message: OwnerMessage}
   | {readonly kind: 'write'; readonly sequence: number; readonly write: ProgressWrite}
+  /** Reads a deferred submission. */
+  | {readonly kind: 'load'; readonly id: string}
   /** Asks the advisor which of the workers, given by id, may run a step. */
   | {
       readonly kind: 'advise';
--- a/packages/coordination/src/dispatch/dispatch-state.ts
+++ b/packages/coordination/src/dispatch/dispatch-state.ts
@@ -3,6 +3,7 @@
 import type {ActiveSubmission} from './active-submission.js';
 import type {OwnerMessage} from './agent-messages.js';
 import type {LoggedDecision} from './decision-log.js';
+import {DeferredSubmissions} from './deferred-submissions.js';
 import type {DispatchEffect} from './dispatch-events.js';
 import type {DispatchTiming} from './dispatch-timing.js';
 import {StartBudget} from './placement/start-budget.js';
@@ -20,6 +21,8 @@
   generation = 0;
   configuration: QueueConfiguration | undefined;
   readonly submissions = new Map<string, ActiveSubmission>();
+  /** Accepted submissions that are left in the store until there is memory for them. */
+  readonly deferred = new DeferredSubmissions();
   /** Workers by agent name. */
   readonly workers = new Map<string, WorkerView>();
   /** Learned ratio of actual to estimated run times, for each queue. */
@@ -61,6 +64,13 @@
     }
   }
 
+  /** Memory in bytes of all loaded submissions without their runs. */
+  get loadedBytes(): number {
+    let sum = 0;
+    for (const {bytes} of this.submissions.values()) sum += bytes;
+    return sum;
+  }
+
   /** Returns the number of a new command, which messages carry as `order`. */
   takeCommandNumber(): number {
     return this.nextCommandNumber++;
--- a/packages/coordination/src/dispatch/dispatch-timing.ts
+++ b/packages/coordination/src/dispatch/dispatch-timing.ts
@@ -1,4 +1,4 @@
-/** Times of the dispatcher in milliseconds, the ratio `clockDrift` and the rate `startBytesPerSecond`. */
+/** Times of the dispatcher in milliseconds, and its other limits, whose units are in their names. */
 export interface DispatchTiming {
   /** Length of a worker's lease, which covers all its runs; the worker ends them when the lease expires. */
   readonly leaseMs: number;
@@ -26,6 +26,12 @@
   readonly clockDrift: number;
   /** Bytes of start commands that may be sent in a second, so that other messages do not wait behind them. */
   readonly startBytesPerSecond: number;
+  /** Memory in bytes for accepted submissions from which entries refuse new ones. */
+  readonly maxAcceptedBytes: number;
+  /** Memory in bytes for loaded submissions beyond which others stay in the store. */
+  readonly maxLoadedBytes: number;
+  /** Largest number of runs at a time, which tasks that need no resources would exceed. */
+  readonly maxRuns: number;
 }
 
 /** Defaults of `DispatchTiming`; a deployment's settings override the values that its platform bounds. */
@@ -46,4 +52,7 @@
   restoreMs: 250,
   clockDrift: 0.02,
   startBytesPerSecond: Number.POSITIVE_INFINITY,
+  maxAcceptedBytes: Number.POSITIVE_INFINITY,
+  maxLoadedBytes: Number.POSITIVE_INFINITY,
+  maxRuns: Number.POSITIVE_INFINITY,
 };
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -29,6 +29,7 @@
 import {RecoveryBarrier} from './recovery-barrier.js';
 import {RunCommands} from './run-commands.js';
 import {SubmissionEnds} from './submission-ends.js';
+import {SubmissionIntake} from './submission-intake.js';
 import {CrashTracker} from './supervision/crash-tracker.js';
 import {RunSupervisor} from './supervision/run-supervisor.js';
 import {WorkerReports} from './worker-reports.js';
@@ -54,6 +55,7 @@
   private readonly supervisor: RunSupervisor;
   private readonly ends: SubmissionEnds;
   private readonly crashes: CrashTracker;
+  private readonly intake: SubmissionIntake;
   private readonly workerReports: WorkerReports;
   private hasUnknownRuns = false;
 
@@ -66,6 +68,9 @@
     this.starvation = new StarvationGuard(this.state);
     this.supervisor = new RunSupervisor(this.state, this.commands, at => this.createSelector(at));
     this.ends = new SubmissionEnds(this.state, this.commands, this.journal);
+    this.intake = new SubmissionIntake(this.state, this.ends, (stored, isRestored, at) =>
+      this.add(stored, at, isRestored),
+    );
     this.crashes = new CrashTracker(this.state, this.journal, this.ends);
     this.workerReports = new WorkerReports({
       state: this.state,
@@ -111,12 +116,13 @@
 
   /** Returns the state of a submission, or undefined when this dispatcher does not know it. */
   getStatus(id: string): SubmissionStatus | undefined {
-    return this.state.submissions.get(id)?.status;
+    return this.state.submissions.get(id)?.status ?? this.state.deferred.getStatus(id);
   }
 
   /** Returns the key of a submission's queue, or undefined when the submission is unknown. */
   getQueueOf(id: string): string | undefined {
-    return this.state.submissions.get(id)?.submission.queue;
+    const {submissions, deferred} = this.state;
+    return (submissions.get(id) ?? deferred.get(id))?.submission.queue;
   }
 
   /** Returns the backlogs of all queues, or undefined when this process is not the owner. */
@@ -140,8 +146,9 @@
       case 'configuration':
         return this.configure(event.configuration, at);
       case 'submitted':
-        this.add({submission: event.submission, cancelled: false}, at, false);
-        return;
+        return this.intake.accept(event.submission, at);
+      case 'loaded':
+        return this.intake.load(event, at);
       case 'cancelled':
         return this.ends.cancel(event.id, at);
       case 'agent-up':
@@ -174,6 +181,7 @@
     this.barrier.begin(event.roster, this.getLeaseEnd(previousEndAt));
     this.hasUnknownRuns = true;
     for (const stored of event.submissions) this.add(stored, at, true);
+    for (const deferred of event.deferred ?? []) this.intake.defer(deferred, at);
     state.log({
       event: 'ownership-begun',
       term: event.term,
@@ -204,6 +212,7 @@
 
   private clear(): void {
     this.state.submissions.clear();
+    this.intake.clear();
     this.state.workers.clear();
     this.reservations.clear();
     this.tickets.clear();
@@ -271,6 +280,7 @@
     const {state} = this;
     state.setWallClock(wallMs, at);
     this.workerReports.tick(at);
+    this.intake.tick(this.isRecovering, at);
     this.supervisor.check(at);
     for (const submission of state.submissions.values()) {
       if (submission.isActive) {
@@ -322,7 +332,7 @@
   private finishRecovery(at: number): void {
     const {state} = this;
     this.hasUnknownRuns = false;
-    for (const submission of state.submissions.values()) submission.clearInDoubt();
+    this.intake.clearInDoubt();
     this.journal.markRosterChanged();
     state.isPlacementDue = true;
     state.emit({kind: 'recovered'});
--- a/packages/coordination/src/dispatch/placement/submission-order.ts
+++ b/packages/coordination/src/dispatch/placement/submission-order.ts
@@ -1,7 +1,7 @@
 import {
   getCriticalPathMs,
   getObjectiveMs,
-  getWorkCoreMs,
+  getStepWorkCoreMs,
   type QueuePolicy,
 } from '../../submissions/index.js';
 import type {ActiveSubmission} from '../active-submission.js';
@@ -121,9 +121,9 @@
 
 /** Returns the processor time in core-milliseconds of the unfinished tasks; serving tasks are not counted. */
 export function getRemainingCoreMs(occurrence: Occurrence, factor: number): number {
-  const remaining = occurrence.steps.map(({step, unfinishedCount}) => ({
-    ...step,
-    count: unfinishedCount,
-  }));
-  return getWorkCoreMs(remaining, factor);
+  let sum = 0;
+  for (const {step, unfinishedCount} of occurrence.steps) {
+    sum += getStepWorkCoreMs(step, unfinishedCount, factor);
+  }
+  return sum;
 }
--- a/packages/coordination/src/dispatch/placement/worker-selector.ts
+++ b/packages/coordination/src/dispatch/placement/worker-selector.ts
@@ -18,6 +18,9 @@
 /** Tolerance for rounding errors in sums of cores. */
 const coreTolerance = 1e-6;
 
+/** Largest number of runs on a worker, which lists all of them in each report; only tasks that need next to nothing reach it. */
+const maxWorkerRuns = 500;
+
 /** Share of a worker's cores reserved for finite work of priority 0, so that it starts immediately under overload. */
 export const urgentReserveShare = 0.05;
 
@@ -77,6 +80,8 @@
   private readonly isolation: SuspectIsolation;
   private readonly unplaceableNeeds = new UnplaceableNeeds();
   private stepRanking: StepRanking | undefined;
+  /** Number of runs on all workers. */
+  private runCount = 0;
   /** Unmeasured pairs of images that run together on some worker; collected when the first filling task is placed. */
   private probedPairs: Set<string> | undefined;
 
@@ -96,6 +101,7 @@
     this.at = options.at;
     this.isolation = new SuspectIsolation(this.state);
     for (const worker of this.state.workers.values()) {
+      this.runCount += worker.runs.size;
       if (!this.isOpen(worker)) continue;
       const {service} = worker.description;
       const workers = this.openWorkers.get(service);
@@ -111,6 +117,7 @@
 
   /** Records that a task was placed on a worker. */
   recordPlacement(worker: WorkerView): void {
+    this.runCount += 1;
     this.isolation.update(worker);
     if (this.probedPairs) this.collectProbes(worker, this.probedPairs);
     this.stepRanking?.ranking.markChanged(worker);
@@ -119,6 +126,7 @@
   /** Returns the worker with the lowest cost, or undefined when none is eligible. */
   selectWorker(task: Task, group: StepTasks, priority: number): WorkerView | undefined {
     const {service} = task.submission;
+    if (this.runCount >= this.state.timing.maxRuns) return undefined;
     // Which workers have tickets differs from step to step.
     if (this.tickets.isNeeded(task)) return this.findBest(task, group, priority);
     if (this.unplaceableNeeds.has(service, task.step, priority)) return undefined;
@@ -182,6 +190,7 @@
   private isEligible(worker: WorkerView, task: Task, group: StepTasks, priority: number): boolean {
     const {description, capacity, used} = worker;
     const {step} = task;
+    if (worker.runs.size >= maxWorkerRuns) return false;
     if (step.label !== undefined && !description.labels.includes(step.label)) return false;
     if (task.runs.some(run => run.worker === worker)) return false;
     if (!this.hasTicket(task, worker) || !this.isolation.isAllowed(worker, task)) return false;
--- a/packages/coordination/src/dispatch/progress-journal.ts
+++ b/packages/coordination/src/dispatch/progress-journal.ts
@@ -1,4 +1,5 @@
 import type {ActiveSubmission} from './active-submission.js';
+import {toIdentity} from './deferred-submissions.js';
 import type {DispatchEvent, ProgressWrite, RosterEntry, StoredProgress} from './dispatch-events.js';
 import type {DispatchState} from './dispatch-state.js';
 import type {WorkerView} from './worker-view.js';
@@ -245,7 +246,7 @@
   const record = submission.toRecord();
   const {id} = submission;
   if (record.final === undefined) return {id, record};
-  return {id, record, finished: submission.toFinishedSubmission()};
+  return {id, record, finished: toIdentity(submission.submission)};
 }
 
 /** Returns the number of records to be written: a final submission replaces its stored submission as well. */
--- a/packages/coordination/src/dispatch/submission-ends.ts
+++ b/packages/coordination/src/dispatch/submission-ends.ts
@@ -1,4 +1,4 @@
-import type {ActiveSubmission} from './active-submission.js';
+import {ActiveSubmission} from './active-submission.js';
 import type {DispatchState} from './dispatch-state.js';
 import type {ProgressJournal} from './progress-journal.js';
 import type {RunCommands} from './run-commands.js';
@@ -20,7 +20,7 @@
 
   /** Cancels a submission: stops its runs and starts no more. */
   cancel(id: string, at: number): void {
-    const submission = this.state.submissions.get(id);
+    const submission = this.state.submissions.get(id) ?? this.takeDeferred(id, at);
     if (submission === undefined) {
       // Entries also announce a cancel over their links, which can arrive before the submission's store event.
       this.earlyCancels.set(id, at);
@@ -48,8 +48,10 @@
   /** Records a failed run; fails the submission once the task has used all its attempts. */
   recordFailedRun(task: Task, run: number, at: number): void {
     const {submission} = task;
+    // Serving tasks have no limit of attempts, and may fail without end.
+    if (task.step.lasting) return;
     task.failedRuns.add(run);
-    if (task.step.lasting || !submission.isActive) return;
+    if (!submission.isActive) return;
     if (task.failedRuns.size >= this.getMaxAttempts(submission)) this.end(submission, 'failed', at);
   }
 
@@ -61,6 +63,19 @@
     }
   }
 
+  /** Returns a deferred submission, without its tasks, which are not needed any more; undefined when it is not deferred. */
+  private takeDeferred(id: string, at: number): ActiveSubmission | undefined {
+    const {deferred, submissions, configuration} = this.state;
+    const stored = deferred.get(id);
+    if (stored === undefined) return undefined;
+    deferred.delete(id);
+    const {submission} = stored;
+    const queue = configuration?.queues.get(submission.queue);
+    const active = new ActiveSubmission({submission, queue, arrivedAt: at});
+    submissions.set(id, active);
+    return active;
+  }
+
   private getMaxAttempts({queue}: ActiveSubmission): number {
     if (queue !== undefined) return queue.maxAttempts;
     // The queue may be in a configuration that has not been read yet.
@@ -77,12 +92,16 @@
     if (submission.isActive && submission.isFinished) this.end(submission, 'completed', at);
   }
 
-  /** Removes a submission whose final state is stored and older than `keepFinalMs`, once it has no runs left. */
+  /**
+   * Releases the memory of a submission whose final state is stored, once it has no runs left, and removes it when that state
+   * is older than `keepFinalMs`.
+   */
   removeExpired(submission: ActiveSubmission, at: number): void {
     if (!submission.isFinalStored) return;
+    for (const task of submission.getKnownTasks()) if (task.runs.length > 0) return;
+    if (submission.submission.steps.length > 0) submission.release();
     const ageMs = this.state.getUnixMs(at) - submission.endedAtMs;
     if (ageMs < this.state.timing.keepFinalMs) return;
-    for (const task of submission.getKnownTasks()) if (task.runs.length > 0) return;
     this.state.submissions.delete(submission.id);
     this.journal.markForgotten(submission.id);
   }
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -155,15 +155,20 @@
     worker.lastContactAt = at;
     worker.lastReportAt = at;
     worker.recordClock(message.clockMs, at);
-    for (const end of message.ends) this.runEnds.apply(worker, end, at);
+    for (const end of message.ends) {
+      // The ends are acknowledged in order, so those after it must wait for the submission as well.
+      if (this.isDeferred(end[1])) return;
+      this.runEnds.apply(worker, end, at);
+    }
     if (message.running === undefined) return;
     const listed = new Set<Run>();
     for (const row of message.running) {
-      const run = this.applyRunRow(worker, row, at);
+      const run = this.isDeferred(row[0]) ? undefined : this.applyRunRow(worker, row, at);
       if (run) listed.add(run);
     }
     // Without all ends, a run that has ended would pass for one that never started.
     if (message.hasMoreEnds) return;
+    worker.listedAt = at;
     if (!worker.isReconciled) this.fence(worker, listed, at);
     barrier.markAccounted(worker.life);
     worker.changes += 1;
@@ -182,6 +187,14 @@
     this.renew(worker, at);
   }
 
+  /** Whether the submission of a task has not been loaded; it is then loaded as soon as possible. */
+  private isDeferred(task: string): boolean {
+    const {deferred} = this.components.state;
+    const id = getSubmissionId(task);
+    deferred.want(id);
+    return deferred.has(id);
+  }
+
   private applyRunRow(worker: WorkerView, row: RunRow, at: number): Run | undefined {
     const [name, number, checkpoint, percent, measurement] = row;
     const run = worker.getRun(name, number) ?? this.adoptRun(worker, name, number, at);
--- a/packages/coordination/src/dispatch/worker-view.ts
+++ b/packages/coordination/src/dispatch/worker-view.ts
@@ -36,6 +36,8 @@
   lastContactAt: number;
   /** Time of the worker's latest report about its runs. */
   lastReportAt = Number.NEGATIVE_INFINITY;
+  /** Time of the latest complete list of its runs and ends. */
+  listedAt = Number.NEGATIVE_INFINITY;
   /** Whether the worker has listed its runs under this owner's fencing token since it connected. */
   isReconciled = false;
   /** Whether the stored roster contains this incarnation. */
--- a/packages/coordination/src/submissions/check-submission.ts
+++ b/packages/coordination/src/submissions/check-submission.ts
@@ -1,6 +1,6 @@
 import {isRecord, renderValue, type Finding} from '../findings/index.js';
 import type {Resources} from '../messages/identity.js';
-import type {Step, Submission} from './submission.js';
+import {getOccurrenceCount, type Step, type Submission} from './submission.js';
 
 /** Maximum length of `spec` in bytes; the check counts UTF-16 code units, which is exact for ASCII. */
 const maxSpecBytes = 4_000;
@@ -8,6 +8,12 @@
 const maxSteps = 1_000;
 const maxTasks = 20_000;
 const maxOccurrences = 10_000;
+/**
+ * Maximum number of tasks, and of steps, of all occurrences of a submission together. A record of its finished tasks, with a
+ * quarter of a byte for each task and some bytes for each step, has to fit into the store.
+ */
+const maxTotalTasks = 1_000_000;
+const maxTotalSteps = 20_000;
 
 /** Unvalidated fields of a caller's submission. */
 export interface SubmissionDraft {
@@ -69,6 +75,39 @@
 /** Validates a caller's submission; missing fields read as 0, false or empty. */
 export function checkDraft(fields: SubmissionDraft): DraftCheckResult {
   const reader = new DraftReader();
+  const draft = readDraft(reader, fields);
+  checkTotals(reader, draft);
+  return reader.findings.length > 0 ? {findings: reader.findings} : {draft};
+}
+
+/** Validates a stored submission: like `checkDraft`, but without the limits of totals, which earlier versions did not have. */
+export function checkStoredDraft(fields: SubmissionDraft): DraftCheckResult {
+  const reader = new DraftReader();
+  const draft = readDraft(reader, fields);
+  return reader.findings.length > 0 ? {findings: reader.findings} : {draft};
+}
+
+function checkTotals(reader: DraftReader, {steps, repetitions}: ValidDraft): void {
+  const occurrences = getOccurrenceCount({repetitions});
+  const totalSteps = occurrences * steps.length;
+  const totalTasks = occurrences * steps.reduce((sum, {count}) => sum + count, 0);
+  if (totalSteps > maxTotalSteps) {
+    reader.reject(
+      'steps',
+      totalSteps,
+      `at most ${maxTotalSteps} steps of all occurrences together`,
+    );
+  }
+  if (totalTasks > maxTotalTasks) {
+    reader.reject(
+      'steps',
+      totalTasks,
+      `at most ${maxTotalTasks} tasks of all occurrences together`,
+    );
+  }
+}
+
+function readDraft(reader: DraftReader, fields: SubmissionDraft): ValidDraft {
   const spec = typeof fields.spec === 'string' ? fields.spec : '';
   if (typeof fields.spec !== 'string' && fields.spec !== undefined) {
     reader.reject('spec', fields.spec, 'text');
@@ -82,14 +121,13 @@
   } else {
     fields.steps.forEach((value: unknown, index) => steps.push(readStep(reader, value, index)));
   }
-  const draft: ValidDraft = {
+  return {
     spec,
     steps,
     repetitions: reader.readInteger('repetitions', fields.repetitions, maxOccurrences),
     startAtMs: reader.readNumber('startAtMs', fields.startAtMs, Number.MAX_SAFE_INTEGER),
     intervalMs: reader.readNumber('intervalMs', fields.intervalMs, Number.MAX_SAFE_INTEGER),
   };
-  return reader.findings.length > 0 ? {findings: reader.findings} : {draft};
 }
 
 function readStep(reader: DraftReader, value: unknown, index: number): Step {
--- a/packages/coordination/src/submissions/objective.ts
+++ b/packages/coordination/src/submissions/objective.ts
@@ -36,12 +36,15 @@
 /** Returns the total processor time of one occurrence in core-milliseconds; serving tasks are not counted. */
 export function getWorkCoreMs(steps: readonly Step[], factor = 1): number {
   let sum = 0;
-  for (const step of steps) {
-    if (!step.lasting) sum += step.count * step.need.processors * getEstimateMs(step) * factor;
-  }
+  for (const step of steps) sum += getStepWorkCoreMs(step, step.count, factor);
   return sum;
 }
 
+/** Returns the processor time of `count` tasks of a step in core-milliseconds; 0 for serving tasks. */
+export function getStepWorkCoreMs(step: Step, count: number, factor: number): number {
+  return step.lasting ? 0 : count * step.need.processors * getEstimateMs(step) * factor;
+}
+
 /** Whether a submission has serving tasks, which run until it is cancelled. */
 export function isLasting(submission: Pick<Submission, 'steps'>): boolean {
   return submission.steps.some(step => step.lasting);
--- a/packages/coordination/src/submissions/submission.ts
+++ b/packages/coordination/src/submissions/submission.ts
@@ -145,7 +145,7 @@
 }
 
 /** Returns the number of occurrences of a submission, at least one. */
-export function getOccurrenceCount(submission: Submission): number {
+export function getOccurrenceCount(submission: Pick<Submission, 'repetitions'>): number {
   return Math.max(1, submission.repetitions);
 }
 
--- a/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
@@ -3,20 +3,17 @@
   Dispatcher,
   type DispatchEffect,
   type DispatchEvent,
+  type DispatchTiming,
   type LoggedDecision,
   type OwnerMessage,
   type ProgressWrite,
   type RosterEntry,
+  SubmissionLoad,
   type StoredSubmission,
 } from '../../../src/dispatch/index.js';
 import {SeededRandom} from '../../../src/routing/seeded-random.js';
-import {
-  getQueueKey,
-  type ProgressRecord,
-  type Queue,
-  type QueueConfiguration,
-  type Submission,
-} from '../../../src/submissions/index.js';
+import {type ProgressRecord, type Queue, type Submission} from '../../../src/submissions/index.js';
+import {createConfiguration} from './queues.js';
 import {VirtualAdvisor} from './virtual-advisor.js';
 import {
   type TaskBehaviour,
@@ -25,6 +22,8 @@
   type SimulatedWorld,
 } from './virtual-worker.js';
 
+export {createConfiguration, createQueue} from './queues.js';
+
 /** Times in milliseconds between simulation steps, reports of a worker, and ticks of the dispatcher. */
 const stepMs = 25;
 const reportIntervalMs = 500;
@@ -40,37 +39,6 @@
   readonly action: () => void;
 }
 
-/** Creates the settings of a queue for tests. */
-export function createQueue(fields: Partial<Queue> & {readonly name: string}): Queue {
-  const host = 'queues.example';
-  const prefix = `/${fields.name}/`;
-  return {
-    key: getQueueKey(host, prefix),
-    host,
-    prefix,
-    service: 'service',
-    priority: 0,
-    maxAttempts: 2,
-    stretchFactor: 2,
-    targetLatencyMs: 1_000,
-    timeoutMs: 3_000,
-    ...fields,
-  };
-}
-
-/** Creates a configuration for tests. */
-export function createConfiguration(queues: readonly Queue[]): QueueConfiguration {
-  return {
-    version: 1,
-    queues: new Map(queues.map(queue => [queue.key, queue])),
-    services: new Map([['service', {name: 'service', enforcesCapacity: true, standby: false}]]),
-    maxBodyBytes: 262_144,
-    maxHeaderBytes: 16_384,
-    headerTimeoutMs: 3_000,
-    idleTimeoutMs: 15_000,
-  };
-}
-
 /** Options of `VirtualFleet`. */
 export interface VirtualFleetOptions {
   readonly seed: number;
@@ -79,6 +47,7 @@
   readonly getBehaviour?: (task: string, submission: Submission) => Partial<TaskBehaviour>;
   readonly getLoad?: (submission: Submission, at: number) => number;
   readonly getPressure?: (serving: string, filling: string) => number;
+  readonly timing?: Partial<DispatchTiming>;
 }
 
 /** Simulates a dispatcher, its workers and the store in virtual time, without a network. */
@@ -106,6 +75,8 @@
   maxListedEnds = Number.POSITIVE_INFINITY;
   /** Time in milliseconds by which the owner's wall clock is ahead. */
   wallClockOffsetMs = 0;
+  /** Timing and limits of the next owner. */
+  timing: Partial<DispatchTiming>;
   roster: readonly RosterEntry[] = [];
   /** Queues of the present configuration. */
   queues: readonly Queue[];
@@ -125,6 +96,7 @@
   constructor(readonly options: VirtualFleetOptions) {
     this.random = new SeededRandom(options.seed);
     this.queues = options.queues;
+    this.timing = options.timing ?? {};
     const world: SimulatedWorld = {
       random: this.random,
       getBehaviour: task => this.getBehaviour(task),
@@ -140,28 +112,34 @@
 
   /** Starts a new owner, which recovers from the stored state and the lists of the workers. */
   startOwner(): void {
-    this.dispatcher = new Dispatcher();
+    const {timing} = this;
+    this.dispatcher = new Dispatcher(timing);
     this.generation += 1;
     this.post({kind: 'configuration', configuration: createConfiguration(this.queues)});
-    const submissions: StoredSubmission[] = [...this.submissions.values()].map(submission => {
-      const progress = this.progress.get(submission.id);
-      return {
-        submission,
-        cancelled: this.cancelled.has(submission.id),
-        ...(progress && {progress}),
-      };
-    });
+    const load = new SubmissionLoad(timing.maxLoadedBytes ?? Number.POSITIVE_INFINITY);
+    for (const submission of this.submissions.values()) load.add(submission);
     this.post({
       kind: 'begin',
       term: 10 * this.generation,
       generation: this.generation,
-      submissions,
+      submissions: load.submissions.map(submission => this.readSubmission(submission)),
+      deferred: load.deferred.map(deferred => ({
+        ...deferred,
+        hasStarted: this.progress.has(deferred.submission.id),
+        cancelled: this.cancelled.has(deferred.submission.id),
+      })),
       roster: this.roster,
       wallMs: this.now + this.wallClockOffsetMs,
     });
     for (const worker of this.workers.values()) this.connect(worker);
   }
 
+  private readSubmission(submission: Submission): StoredSubmission {
+    const progress = this.progress.get(submission.id);
+    const cancelled = this.cancelled.has(submission.id);
+    return {submission, cancelled, ...(progress && {progress})};
+  }
+
   /** Puts a configuration with the given queues into force, also for later owners. */
   configure(queues: readonly Queue[]): void {
     this.queues = queues;
@@ -288,6 +266,13 @@
     else if (effect.kind === 'send')
       this.schedule(() => this.deliver(effect.agent, effect.message));
     else if (effect.kind === 'advise') this.advise(effect);
+    else if (effect.kind === 'load') this.schedule(() => this.load(effect.id));
+  }
+
+  private load(id: string): void {
+    const submission = this.submissions.get(id);
+    const stored = submission && this.readSubmission(submission);
+    this.post({kind: 'loaded', id, ...(stored && {stored})});
   }
 
   private advise({step, workers}: Extract<DispatchEffect, {kind: 'advise'}>): void {
--- a/packages/coordination/test/dispatch/step-tasks.test.ts
+++ b/packages/coordination/test/dispatch/step-tasks.test.ts
@@ -1,6 +1,12 @@
 import t from 'tap';
 import {ActiveSubmission} from '../../src/dispatch/active-submission.js';
+import {DispatchState} from '../../src/dispatch/dispatch-state.js';
+import {defaultDispatchTiming} from '../../src/dispatch/dispatch-timing.js';
+import {AdviceTickets} from '../../src/dispatch/placement/advice-tickets.js';
+import {ProgressJournal} from '../../src/dispatch/progress-journal.js';
+import {RunCommands} from '../../src/dispatch/run-commands.js';
 import type {StepTasks} from '../../src/dispatch/step-tasks.js';
+import {SubmissionEnds} from '../../src/dispatch/submission-ends.js';
 import {Run, type Task} from '../../src/dispatch/task.js';
 import {WorkerView} from '../../src/dispatch/worker-view.js';
 import type {ProgressRecord, Step} from '../../src/submissions/index.js';
@@ -199,3 +205,21 @@
   task.add(run);
   return run;
 }
+
+void t.test(
+  'the failed runs of a serving task are not kept: there may be any number of them',
+  async t => {
+    const state = new DispatchState(defaultDispatchTiming);
+    const journal = new ProgressJournal(state);
+    const ends = new SubmissionEnds(
+      state,
+      new RunCommands(state, new AdviceTickets(state)),
+      journal,
+    );
+    for (const lasting of [true, false]) {
+      const task = createGroup({step: {lasting}}).getTask(0);
+      ends.recordFailedRun(task, 1, 0);
+      t.equal(task.failedRuns.size, lasting ? 0 : 1);
+    }
+  },
+);
--- a/packages/coordination/test/submissions/check-submission.test.ts
+++ b/packages/coordination/test/submissions/check-submission.test.ts
@@ -1,5 +1,5 @@
 import t from 'tap';
-import {checkDraft, type SubmissionDraft} from '../../src/submissions/index.js';
+import {checkDraft, checkStoredDraft, type SubmissionDraft} from '../../src/submissions/index.js';
 
 const step = {count: 2, need: {processors: 0.5, memoryMb: 100}, estimatedMs: 900};
 
@@ -31,9 +31,27 @@
     draft: {spec: 'x'.repeat(4_001), steps: [step]},
     places: ['spec'],
   },
+  {
+    name: 'more tasks of all occurrences together than a record of them can hold are refused',
+    draft: {steps: [{...step, count: 20_000}], repetitions: 51},
+    places: ['steps'],
+  },
+  {
+    name: 'more steps of all occurrences together than a record of them can hold are refused',
+    draft: {steps: [step, step, step], repetitions: 7_000},
+    places: ['steps'],
+  },
   {name: 'a step that is not an object is refused', draft: {steps: ['x']}, places: ['steps[0]']},
 ];
 
+void t.test(
+  'the limits of totals do not make what an earlier version has accepted unreadable',
+  async t => {
+    const draft = {steps: [{...step, count: 20_000}], repetitions: 51};
+    t.equal(checkStoredDraft(draft).findings, undefined);
+  },
+);
+
 for (const {name, draft, places} of cases) {
   void t.test(name, async t => {
     const {findings = []} = checkDraft(draft);
--- a/packages/runtime/src/dispatch/entry/entry-node.ts
+++ b/packages/runtime/src/dispatch/entry/entry-node.ts
@@ -14,6 +14,7 @@
 } from '../links/entry-messages.js';
 import {Link, type LinkHandlers, listenForLinks} from '../links/link.js';
 import {TrafficMeter} from '../links/traffic-meter.js';
+import {getOwnerLimits} from '../ownership/owner-limits.js';
 import {OwnerProcess, type OwnerProcessOptions} from '../ownership/owner-process.js';
 import {ObservedStore} from '../records/observed-store.js';
 import {StoreHealth} from '../records/store-health.js';
@@ -56,7 +57,7 @@
   private backlogTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: EntryNodeOptions) {
-    const {clock, log, metrics} = options;
+    const {clock, log, metrics, heapBytes = Number.POSITIVE_INFINITY} = options;
     const health = new StoreHealth(clock);
     const store = new ObservedStore(options.store, health);
     this.traffic = new TrafficMeter(metrics, log);
@@ -80,6 +81,7 @@
       clock,
       log,
       metrics,
+      maxAcceptedBytes: getOwnerLimits(heapBytes).maxAcceptedBytes,
       peers: {
         askOwner: id => this.askOwner(id),
         countPending: queue => this.countPending(queue),
--- a/packages/runtime/src/dispatch/links/backlog-messages.ts
+++ b/packages/runtime/src/dispatch/links/backlog-messages.ts
@@ -1,4 +1,5 @@
 import {
+  type AcceptedMemory,
   type GroupBacklog,
   isUnusedQueue,
   QueueBacklogs,
@@ -19,6 +20,11 @@
   readonly kind: 'queue-backlogs';
   readonly groups: readonly BacklogGroupRow[];
   readonly queues: readonly BacklogQueueRow[];
+  /**
+   * Used and largest memory in bytes for accepted submissions, first for small and then for large ones; absent from messages
+   * of older versions.
+   */
+  readonly memory?: readonly [number, number, number, number];
 }
 
 /**
@@ -28,16 +34,20 @@
 export class BacklogEncoder {
   private groups = new Map<string, BacklogGroupRow>();
   private queues = new Map<string, BacklogQueueRow>();
+  private memory: BacklogMessage['memory'];
 
   /** Returns the message for the links that have got all previous ones. */
   update(backlogs: QueueBacklogs): BacklogMessage {
     const groups = new Map(backlogs.groups.map(group => [group.group, toGroupRow(group)]));
     const queues = new Map(backlogs.queues.map(queue => [queue.queue, toQueueRow(queue)]));
+    const memory = toMemoryRow(backlogs.memory);
     const message: BacklogMessage = {
       kind: 'queue-backlogs',
       groups: getChanges(this.groups, groups, group => [group]),
       queues: getChanges(this.queues, queues, queue => [queue, 0, factorUnitsPerOne]),
+      ...(memory && {memory}),
     };
+    this.memory = memory;
     this.groups = groups;
     this.queues = queues;
     return message;
@@ -49,6 +59,7 @@
       kind: 'queue-backlogs',
       groups: [...this.groups.values()],
       queues: [...this.queues.values()],
+      ...(this.memory && {memory: this.memory}),
     };
   }
 }
@@ -70,7 +81,8 @@
       if (isUnusedQueue(state)) this.queues.delete(queue);
       else this.queues.set(queue, state);
     }
-    return new QueueBacklogs([...this.groups.values()], [...this.queues.values()]);
+    const memory = message.memory && fromMemoryRow(message.memory);
+    return new QueueBacklogs([...this.groups.values()], [...this.queues.values()], memory);
   }
 }
 
@@ -78,6 +90,21 @@
   return [group, Math.round(waitMs), Math.round(fillWaitMs), cores];
 }
 
+/** Without a limit there is nothing to tell. */
+function toMemoryRow(memory: AcceptedMemory | undefined): BacklogMessage['memory'] {
+  if (memory === undefined || !Number.isFinite(memory.small.maxBytes)) return undefined;
+  const {small, large} = memory;
+  return [small.usedBytes, Math.floor(small.maxBytes), large.usedBytes, Math.floor(large.maxBytes)];
+}
+
+function fromMemoryRow(row: NonNullable<BacklogMessage['memory']>): AcceptedMemory {
+  const [smallBytes, maxSmallBytes, largeBytes, maxLargeBytes] = row;
+  return {
+    small: {usedBytes: smallBytes, maxBytes: maxSmallBytes},
+    large: {usedBytes: largeBytes, maxBytes: maxLargeBytes},
+  };
+}
+
 function toQueueRow({queue, pending, runTimeFactor}: QueueState): BacklogQueueRow {
   return [queue, pending, Math.round(runTimeFactor * factorUnitsPerOne)];
 }
--- a/packages/runtime/src/dispatch/links/link-message-checks.ts
+++ b/packages/runtime/src/dispatch/links/link-message-checks.ts
@@ -57,6 +57,8 @@
   'queue-backlogs': {
     groups: rows => isRows(rows, row => isNamedRow(row, 4) || isNamedRow(row, 1)),
     queues: rows => isRows(rows, row => isNamedRow(row, 3)),
+    memory: row =>
+      row === undefined || (isRows([row], isNumbers) && (row as unknown[]).length === 4),
   },
 };
 
@@ -126,6 +128,10 @@
   );
 }
 
+function isNumbers(row: readonly unknown[]): boolean {
+  return row.every(Number.isFinite);
+}
+
 function isRows(rows: unknown, check: (row: readonly unknown[]) => boolean): boolean {
   return Array.isArray(rows) && rows.every(row => Array.isArray(row) && check(row));
 }
--- a/packages/runtime/src/dispatch/ownership/owner-process.ts
+++ b/packages/runtime/src/dispatch/ownership/owner-process.ts
@@ -25,10 +25,11 @@
 import type {RecordChange, RecordStore, StoredRecord} from '../records/record-store.js';
 import {RecordWatch} from '../records/record-watch.js';
 import {ownerKey} from '../records/store-keys.js';
-import {readStoredState, toWriteResult} from '../records/stored-state.js';
+import {readStoredState, readSubmission, toWriteResult} from '../records/stored-state.js';
 import type {AdvisorPort} from './advisor-port.js';
 import {ElectionCalls} from './election-calls.js';
 import {LeaseClock} from './lease-clock.js';
+import {getOwnerLimits, type OwnerLimits} from './owner-limits.js';
 import {OwnershipHistory} from './ownership-history.js';
 import {RoundScheduler} from './round-scheduler.js';
 import {WorkWatch} from './work-watch.js';
@@ -52,6 +53,8 @@
   readonly address: string;
   /** Number of processors that this process can use as the owner. */
   readonly processors: number;
+  /** Largest size of the heap in bytes; by default without limit. */
+  readonly heapBytes?: number;
   /** Speed of the host's network link in megabits per second; by default without limit. */
   readonly linkMegabits?: number;
   /** Identifies this incarnation of the process; a restart gets a new one. */
@@ -93,14 +96,17 @@
   private electionTerm = 0;
   private readonly rounds: RoundScheduler;
   private readonly history: OwnershipHistory;
+  private readonly limits: OwnerLimits;
   private tickTimer: NodeJS.Timeout | undefined;
   private isStopped = false;
 
   constructor(private readonly options: OwnerProcessOptions) {
     const {clock, store, log, timing, electionTiming, incarnation, address} = options;
+    const {heapBytes = Number.POSITIVE_INFINITY} = options;
     const {linkMegabits = Number.POSITIVE_INFINITY} = options;
     const startBytesPerSecond = linkMegabits * bytesPerMegabit * startLinkShare;
-    this.dispatcher = new Dispatcher({...timing, startBytesPerSecond});
+    this.limits = getOwnerLimits(heapBytes);
+    this.dispatcher = new Dispatcher({...timing, ...this.limits, startBytesPerSecond});
     this.loop = new Loop(this.dispatcher, clock, effect => this.executeEffect(effect));
     this.election = new OwnerElection({
       incarnation,
@@ -259,6 +265,8 @@
         return void this.writeProgress(effect.sequence, effect.write);
       case 'recovered':
         return void this.history.forgetPredecessors(this.dispatcher.term);
+      case 'load':
+        return void this.load(effect.id);
       case 'advise':
         return void this.advise(effect);
       case 'deposed':
@@ -272,6 +280,14 @@
     }
   }
 
+  private async load(id: string): Promise<void> {
+    const {store, log} = this.options;
+    const {term} = this.dispatcher;
+    const shouldContinue = () => this.electionTerm === term;
+    const stored = await readSubmission(id, {store, log, shouldContinue});
+    if (shouldContinue()) this.post({kind: 'loaded', id, ...(stored && {stored})});
+  }
+
   private async advise({
     step,
     workers,
@@ -328,12 +344,15 @@
     this.electionTerm = term;
     log.log('ownership-claimed', {term, generation});
     const startedAt = clock.now();
-    const stored = await readStoredState(store, log, () => this.electionTerm === term);
+    const shouldContinue = () => this.electionTerm === term;
+    const {maxLoadedBytes: maxBytes} = this.limits;
+    const stored = await readStoredState({store, log, maxBytes, shouldContinue});
     this.electionLoop.post({kind: 'look'});
     if (stored === undefined || this.electionTerm !== term) return;
     log.log('submissions-read', {
       term,
       submissions: stored.submissions.length,
+      deferred: stored.deferred.length,
       ageMs: Math.round(clock.now() - startedAt),
     });
     this.loop.post({
@@ -341,6 +360,7 @@
       term,
       generation,
       submissions: stored.submissions,
+      deferred: stored.deferred,
       roster: stored.roster,
       wallMs: clock.wallTime(),
     });
--- a/packages/runtime/src/dispatch/ownership/work-watch.ts
+++ b/packages/runtime/src/dispatch/ownership/work-watch.ts
@@ -23,7 +23,9 @@
     this.watch = new RecordWatch({
       ...options,
       prefix: workPrefix,
-      onList: records => this.handleRecords(records),
+      onList: () => {},
+      // The records of all submissions together may not fit into the memory.
+      onPage: records => this.handleRecords(records),
       onChanges: changes => this.handleChanges(changes),
     });
   }
--- a/packages/runtime/src/dispatch/records/observed-store.ts
+++ b/packages/runtime/src/dispatch/records/observed-store.ts
@@ -1,6 +1,7 @@
 import type {
   CommitResult,
   LeaseResult,
+  ListOptions,
   ListResult,
   ReadResult,
   RecordCommit,
@@ -22,7 +23,7 @@
   }
 
   /** @inheritdoc */
-  list(prefix: string, options?: {readonly stale?: boolean}): Promise<ListResult> {
+  list(prefix: string, options?: ListOptions): Promise<ListResult> {
     return this.observe(this.store.list(prefix, options));
   }
 
--- a/packages/runtime/src/dispatch/records/record-parsers.ts
+++ b/packages/runtime/src/dispatch/records/record-parsers.ts
@@ -1,5 +1,5 @@
 import {
-  checkDraft,
+  checkStoredDraft,
   getQueuePolicy,
   isRecord,
   type OwnerRecord,
@@ -56,7 +56,7 @@
       intervalMs: toNumber(intervalMs),
     };
   }
-  const {draft} = checkDraft(record);
+  const {draft} = checkStoredDraft(record);
   if (draft === undefined) return undefined;
   // Records of older versions have no policy.
   if (record.policy === undefined) return {...identity, ...draft};
--- a/packages/runtime/src/dispatch/records/record-store.ts
+++ b/packages/runtime/src/dispatch/records/record-store.ts
@@ -38,6 +38,17 @@
   | {readonly kind: 'no-lease'}
   | StoreFailure;
 
+/** Options of a list. */
+export interface ListOptions {
+  /** Whether the result may be seconds old; the read is then cheaper. */
+  readonly stale?: boolean;
+  /**
+   * Called with the records of each page as it arrives. The result then has no records, so that not all of them are in
+   * memory at the same time.
+   */
+  readonly onPage?: (records: readonly StoredRecord[]) => void;
+}
+
 /** Result of a list: all records with a prefix, and the revision from which a watch can continue. */
 export type ListResult =
   | {readonly kind: 'ok'; readonly records: readonly StoredRecord[]; readonly revision: number}
@@ -64,8 +75,8 @@
 export interface RecordStore {
   /** Reads a key. */
   read(key: string): Promise<ReadResult>;
-  /** Reads all keys with a prefix; with `stale`, the result may be seconds old but the read is cheaper. */
-  list(prefix: string, options?: {readonly stale?: boolean}): Promise<ListResult>;
+  /** Reads all keys with a prefix. */
+  list(prefix: string, options?: ListOptions): Promise<ListResult>;
   /** Waits for changes after a revision to keys with a prefix, at most `waitMs` milliseconds. */
   watch(prefix: string, after: number, waitMs: number): Promise<WatchResult>;
   /** Changes several keys atomically. */
--- a/packages/runtime/src/dispatch/records/record-watch.ts
+++ b/packages/runtime/src/dispatch/records/record-watch.ts
@@ -11,8 +11,10 @@
   readonly prefix: string;
   /** Returns the long-poll time in milliseconds of the next call. */
   readonly getWaitMs?: () => number;
-  /** Called with all records after each full list. */
+  /** Called with all records after each full list; without records if there is an `onPage`. */
   readonly onList: (records: readonly StoredRecord[], revision: number) => void;
+  /** Called with the records of each page of a list, also of one that fails later. */
+  readonly onPage?: (records: readonly StoredRecord[]) => void;
   /** Called with changes in the order of their revisions. */
   readonly onChanges: (changes: readonly RecordChange[], revision: number) => void;
 }
@@ -55,9 +57,12 @@
   }
 
   private async list(): Promise<boolean> {
-    const {store, prefix, clock} = this.options;
+    const {store, prefix, clock, onPage} = this.options;
     const sentAt = clock.now();
-    const result = await store.list(prefix);
+    const handlePage = (records: readonly StoredRecord[]) => {
+      if (!this.isStopped) this.handle(() => onPage?.(records));
+    };
+    const result = await store.list(prefix, onPage && {onPage: handlePage});
     if (this.isStopped || result.kind !== 'ok') return this.checkResult(result);
     this.confirmedAt = sentAt;
     this.revision = result.revision;
--- a/packages/runtime/src/dispatch/records/stored-state.ts
+++ b/packages/runtime/src/dispatch/records/stored-state.ts
@@ -1,11 +1,11 @@
-import type {
-  ProgressRecord,
-  RosterEntry,
-  StoredSubmission,
-  WriteResult,
+import {
+  type DeferredSubmission,
+  type RosterEntry,
+  type StoredSubmission,
+  type WriteResult,
 } from '@chervilbeam/coordination';
 import type {DecisionLogger} from '../decision-logger.js';
-import {parseProgress, parseRoster, parseSubmission} from './record-parsers.js';
+import {parseRoster} from './record-parsers.js';
 import type {CommitResult, RecordStore, StoredRecord} from './record-store.js';
 import {
   cancelPrefix,
@@ -14,21 +14,18 @@
   submissionPrefix,
   workPrefix,
 } from './store-keys.js';
+import {StoredSubmissions} from './stored-submissions.js';
 
 /** State that a new owner loads from the store before it starts to dispatch. */
 export interface StoredState {
   readonly submissions: readonly StoredSubmission[];
+  /** Submissions for which there is no memory. */
+  readonly deferred: readonly DeferredSubmission[];
   readonly roster: readonly RosterEntry[];
   /** Revision from which a watch on the submissions can continue. */
   readonly revision: number;
 }
 
-interface ReadProgress {
-  /** Undefined when the record is unreadable. */
-  readonly progress: ProgressRecord | undefined;
-  readonly revision: number;
-}
-
 /** Delay in milliseconds before a load with a failed read is retried. */
 const readRetryDelayMs = 200;
 
@@ -38,24 +35,36 @@
  */
 const unknownWorker: RosterEntry = {agent: '', life: 'unreadable-roster'};
 
+/** Options of `readStoredState`. */
+export interface StoredStateOptions {
+  readonly store: RecordStore;
+  readonly log: DecisionLogger;
+  /** Memory in bytes for submissions; beyond it, the largest are deferred. */
+  readonly maxBytes: number;
+  /** Whether the state is still needed. */
+  readonly shouldContinue: () => boolean;
+}
+
 /**
- * Loads all submissions with their progress, retrying on failure; undefined once `shouldContinue` returns false. A
+ * Loads the submissions with their progress, retrying on failure; undefined once `shouldContinue` returns false. A
  * submission with an unreadable record is left out and logged: without its progress, finished tasks would run again.
  */
 export async function readStoredState(
-  store: RecordStore,
-  log: DecisionLogger,
-  shouldContinue: () => boolean,
+  options: StoredStateOptions,
 ): Promise<StoredState | undefined> {
+  const {store, log, shouldContinue} = options;
   while (shouldContinue()) {
+    const stored = new StoredSubmissions(log, options.maxBytes);
+    const onPage = (records: readonly StoredRecord[]) => stored.add(records);
     const [work, progress, roster] = await Promise.all([
-      store.list(workPrefix),
-      store.list(progressPrefix),
+      store.list(workPrefix, {onPage}),
+      store.list(progressPrefix, {onPage}),
       store.read(rosterKey),
     ]);
     if (work.kind === 'ok' && progress.kind === 'ok' && roster.kind === 'ok') {
       return {
-        submissions: joinRecords(work.records, progress.records, log),
+        submissions: stored.getLoaded(),
+        deferred: stored.getDeferred(),
         roster: readRoster(roster.record, log),
         revision: work.revision,
       };
@@ -65,54 +74,35 @@
   return undefined;
 }
 
+/**
+ * Reads one submission with its progress and its cancel request, retrying on failure; undefined when it has no readable
+ * record, or once `shouldContinue` returns false.
+ */
+export async function readSubmission(
+  id: string,
+  {store, log, shouldContinue}: Omit<StoredStateOptions, 'maxBytes'>,
+): Promise<StoredSubmission | undefined> {
+  while (shouldContinue()) {
+    const results = await Promise.all(
+      [submissionPrefix, progressPrefix, cancelPrefix].map(prefix => store.read(prefix + id)),
+    );
+    const stored = new StoredSubmissions(log);
+    for (const result of results)
+      if (result.kind === 'ok' && result.record) stored.add([result.record]);
+    if (results.every(({kind}) => kind === 'ok')) return stored.getLoaded()[0];
+    await new Promise(resolve => setTimeout(resolve, readRetryDelayMs));
+  }
+  return undefined;
+}
+
 function readRoster(record: StoredRecord | undefined, log: DecisionLogger): readonly RosterEntry[] {
   if (record === undefined) return [];
   const roster = parseRoster(record.value);
-  if (roster === undefined) logUnreadable(record, log);
+  const {key, revision} = record;
+  if (roster === undefined) log.warn('record-unreadable', {key, revision});
   return roster ?? [unknownWorker];
 }
 
-function logUnreadable({key, revision}: StoredRecord, log: DecisionLogger): void {
-  log.warn('record-unreadable', {key, revision});
-}
-
-function joinRecords(
-  work: readonly StoredRecord[],
-  progress: readonly StoredRecord[],
-  log: DecisionLogger,
-): StoredSubmission[] {
-  const progressById = new Map<string, ReadProgress>();
-  for (const record of progress) {
-    const parsed = parseProgress(record.value);
-    if (parsed === undefined) logUnreadable(record, log);
-    const {revision} = record;
-    progressById.set(record.key.slice(progressPrefix.length), {progress: parsed, revision});
-  }
-  const cancelled = new Set(
-    work
-      .filter(record => record.key.startsWith(cancelPrefix))
-      .map(record => record.key.slice(cancelPrefix.length)),
-  );
-  const stored: StoredSubmission[] = [];
-  for (const record of work) {
-    if (!record.key.startsWith(submissionPrefix)) continue;
-    const id = record.key.slice(submissionPrefix.length);
-    const submission = parseSubmission(record.value);
-    if (submission?.id !== id) {
-      logUnreadable(record, log);
-      continue;
-    }
-    const read = progressById.get(id);
-    if (read && read.progress === undefined) continue;
-    stored.push({
-      submission,
-      cancelled: cancelled.has(submission.id),
-      ...(read?.progress && {progress: read.progress, progressRevision: read.revision}),
-    });
-  }
-  return stored;
-}
-
 /** Converts the result of a commit for the dispatcher; `unavailable` means that the write had no effect. */
 export function toWriteResult(result: CommitResult): WriteResult {
   switch (result.kind) {
--- a/packages/runtime/src/dispatch/submissions/call-relays.ts
+++ b/packages/runtime/src/dispatch/submissions/call-relays.ts
@@ -3,7 +3,7 @@
 import type {RecordStore} from '../records/record-store.js';
 import type {StoreHealth} from '../records/store-health.js';
 import {ownerKey} from '../records/store-keys.js';
-import type {SubmissionCall, SubmissionReply} from './submission-calls.js';
+import type {RefusalReason, SubmissionCall, SubmissionReply} from './submission-calls.js';
 import type {CallContext, SubmissionPeers} from './submission-service.js';
 
 /** Delay in milliseconds before a call is hedged to another entry; a slow but healthy store replies within it. */
@@ -110,7 +110,7 @@
       const isRefused: boolean = reply?.kind === 'refused' && lastReply.kind === 'refused';
       lastReply = isRefused && reply !== undefined ? reply : {kind: 'unknown'};
       // This entry has found in the store that no earlier attempt was stored, and all entries have the same backlog.
-      if (lastReply.kind === 'refused' && lastReply.reason === 'backlog') return lastReply;
+      if (lastReply.kind === 'refused' && isReadRefusal(lastReply.reason)) return lastReply;
     }
     return lastReply;
   }
@@ -123,6 +123,11 @@
   reason: 'store-unreachable',
 });
 
+/** Whether an entry that refuses for a reason has read in the store that no earlier attempt was stored. */
+export function isReadRefusal(reason: RefusalReason): boolean {
+  return reason === 'backlog' || reason === 'memory';
+}
+
 /** Whether a reply is final. `no-queue` is not: the replying entry may have an older configuration. */
 function isConclusive(reply: SubmissionReply): boolean {
   return reply.kind !== 'unknown' && reply.kind !== 'refused' && reply.kind !== 'no-queue';
--- a/packages/runtime/src/dispatch/submissions/submission-calls.ts
+++ b/packages/runtime/src/dispatch/submissions/submission-calls.ts
@@ -31,6 +31,8 @@
 export type RefusalReason =
   /** The submission would not finish in time, given the work already accepted. */
   | 'backlog'
+  /** The owner has no memory for further submissions until some of the accepted ones have ended. */
+  | 'memory'
   /** The entry cannot reach the store. */
   | 'store-unreachable'
   /** The owner, which knows how many submissions are pending, did not reply. */
--- a/packages/runtime/src/dispatch/submissions/submission-service.ts
+++ b/packages/runtime/src/dispatch/submissions/submission-service.ts
@@ -11,11 +11,12 @@
 import type {DecisionLogger} from '../decision-logger.js';
 import type {AttemptState, SubmissionLookup} from '../links/entry-messages.js';
 import {LeaseClock} from '../ownership/lease-clock.js';
-import {parseProgress, parseQueueOf} from '../records/record-parsers.js';
-import type {ReadResult, RecordStore} from '../records/record-store.js';
+import {readStatus} from '../records/stored-status.js';
+import type {RecordStore} from '../records/record-store.js';
 import type {StoreHealth} from '../records/store-health.js';
 import {cancelPrefix, progressPrefix, submissionPrefix} from '../records/store-keys.js';
-import {CallRelays, getExecutionMs} from './call-relays.js';
+import {CallRelays, getExecutionMs, isReadRefusal} from './call-relays.js';
+import {MemoryAdmission} from './memory-admission.js';
 import type {SubmissionCall, SubmissionReply} from './submission-calls.js';
 import {SubmissionWriter} from './submission-writer.js';
 
@@ -28,13 +29,15 @@
 
 /** Age in milliseconds up to which the number of pending submissions is taken from the backlogs; callers allow 2 s. */
 const maxPendingAgeMs = 1_200;
+/** Retry-After in seconds while the owner has no memory for further submissions; large ones take some seconds to end. */
+const memoryRetrySeconds = 5;
 /** Retry-After in seconds while the number of pending submissions cannot be told; an owner is elected within seconds. */
 const unknownPendingRetrySeconds = 1;
 
-/** Refusal because of the backlog, and the expected wait in milliseconds behind it. */
-interface BacklogRefusal {
+/** Refusal because of what has been accepted before, and the expected wait in milliseconds if that is the reason. */
+interface SubmissionRefusal {
   readonly reply: Extract<SubmissionReply, {kind: 'refused'}>;
-  readonly waitMs: number;
+  readonly waitMs?: number;
 }
 
 /** Requests that a `SubmissionService` makes to other processes. */
@@ -62,6 +65,8 @@
   readonly clock: Clock;
   readonly log: DecisionLogger;
   readonly metrics: Metrics;
+  /** Memory in bytes of an owner for accepted submissions; by default without limit. */
+  readonly maxAcceptedBytes?: number;
 }
 
 /** Timeout and origin of a call. */
@@ -80,6 +85,7 @@
   private backlogsReceivedAt = Number.NEGATIVE_INFINITY;
   /** Work in core-milliseconds that this entry has accepted since it received the latest backlogs, by queue key. */
   private readonly acceptedCoreMs = new Map<string, number>();
+  private readonly memory: MemoryAdmission;
   private readonly writer: SubmissionWriter;
   private readonly relays: CallRelays;
 
@@ -88,6 +94,10 @@
 
   constructor(private readonly options: SubmissionServiceOptions) {
     this.clock = new LeaseClock(options.clock);
+    this.memory = new MemoryAdmission({
+      maxBytes: options.maxAcceptedBytes ?? Number.POSITIVE_INFINITY,
+      getEntryCount: () => options.peers.getEntryCount() + 1,
+    });
     this.writer = new SubmissionWriter(options);
     this.relays = new CallRelays(options);
   }
@@ -102,6 +112,7 @@
     this.backlogs = backlogs;
     this.backlogsReceivedAt = this.clock.now();
     this.acceptedCoreMs.clear();
+    if (backlogs.memory) this.memory.update(backlogs.memory);
   }
 
   /** Executes a call and returns its reply; store failures are returned as replies, not thrown. */
@@ -163,7 +174,7 @@
     context: CallContext,
   ): Promise<SubmissionReply> {
     const {id, draft} = call;
-    const refusal = this.checkBacklog(queue, draft);
+    const refusal = this.checkBacklog(queue, draft) ?? this.checkMemory(draft);
     if (refusal !== undefined && !this.writer.isUnresolved(id)) {
       // A retry of a submission that any entry has already accepted must not be refused.
       const existence = await this.checkExistence(id);
@@ -197,7 +208,7 @@
     if (reply.kind !== 'refused') return reply;
     if (this.writer.isUnresolved(id)) return {kind: 'unknown'};
     // The entry that relayed the call asks itself, and only an entry that refuses for the backlog has read the store.
-    if (isRelayed || reply.reason === 'backlog') {
+    if (isRelayed || isReadRefusal(reply.reason)) {
       this.recordRefusal(id, reply);
       return reply;
     }
@@ -244,7 +255,7 @@
    * Returns a refusal when the submission would not finish in time behind the backlog, otherwise undefined; undefined
    * also when no recent backlog is known.
    */
-  private checkBacklog(queue: Queue, draft: ValidDraft): BacklogRefusal | undefined {
+  private checkBacklog(queue: Queue, draft: ValidDraft): SubmissionRefusal | undefined {
     const isFresh = this.clock.now() - this.backlogsReceivedAt < maxBacklogAgeMs;
     const level = isFresh ? this.backlogs?.get(queue) : undefined;
     const addedCoreMs = this.acceptedCoreMs.get(queue.key) ?? 0;
@@ -260,6 +271,13 @@
     return {reply: {kind: 'refused', retryAfterSeconds, reason: 'backlog'}, waitMs};
   }
 
+  /** Reserves memory of the owner for the submission; returns a refusal when there is none. */
+  private checkMemory(draft: ValidDraft): SubmissionRefusal | undefined {
+    if (this.memory.reserve(draft)) return undefined;
+    const retryAfterSeconds = memoryRetrySeconds;
+    return {reply: {kind: 'refused', retryAfterSeconds, reason: 'memory'}};
+  }
+
   private acknowledgeSubmission(
     queue: Queue,
     id: string,
@@ -302,7 +320,7 @@
         this.options.store.read(progressPrefix + call.id),
       ]);
       const isRead = submission.kind === 'ok' && progress.kind === 'ok';
-      return isRead ? parseState(call.queue, submission, progress) : this.createUnreachableReply();
+      return isRead ? readStatus(call.queue, submission, progress) : this.createUnreachableReply();
     });
   }
 
@@ -372,13 +390,3 @@
     });
   }
 }
-
-function parseState(queue: string, submission: ReadResult, progress: ReadResult): SubmissionReply {
-  if (submission.kind !== 'ok' || submission.record === undefined) return {kind: 'absent'};
-  // A submission whose record is unreadable exists, so it is not reported as absent.
-  if ((parseQueueOf(submission.record.value) ?? queue) !== queue) return {kind: 'absent'};
-  if (progress.kind !== 'ok' || progress.record === undefined) {
-    return {kind: 'state', status: 'queued'};
-  }
-  return {kind: 'state', status: parseProgress(progress.record.value)?.final ?? 'running'};
-}
--- a/packages/runtime/test/dispatch/links/backlog-messages.test.ts
+++ b/packages/runtime/test/dispatch/links/backlog-messages.test.ts
@@ -1,4 +1,5 @@
 import {
+  type AcceptedMemory,
   type GroupBacklog,
   isUnusedQueue,
   QueueBacklogs,
@@ -35,6 +36,28 @@
   t.end();
 });
 
+function createMemory(maxBytes: number): AcceptedMemory {
+  return {
+    small: {usedBytes: 12_345, maxBytes},
+    large: {usedBytes: 54_321, maxBytes: maxBytes / 2},
+  };
+}
+
+const memories = [
+  {name: 'limited', memory: createMemory(40_000_000), decoded: true},
+  {name: 'without limit', memory: createMemory(Infinity), decoded: false},
+  {name: 'unknown, as from an older version', memory: undefined, decoded: false},
+];
+for (const {name, memory, decoded} of memories) {
+  void t.test(`memory of the owner: ${name}`, async t => {
+    const encoder = new BacklogEncoder();
+    const message = encoder.update(new QueueBacklogs([group], [], memory));
+    for (const received of [message, encoder.getSnapshot()]) {
+      t.same(new BacklogDecoder().decode(received).memory, decoded ? memory : undefined);
+    }
+  });
+}
+
 /** Largest message in bytes that a new owner sends to each of the other entries. */
 const maxFirstMessageBytes = 5_000;
 
--- a/packages/runtime/test/dispatch/records/malformed-records.test.ts
+++ b/packages/runtime/test/dispatch/records/malformed-records.test.ts
@@ -179,7 +179,12 @@
       store.put(`work/job/${other}`, JSON.stringify({...submission, id: other}));
       store.put(`work/job/${id}`, text);
       const {log, lines} = createTestLog();
-      const stored = await readStoredState(store, log, () => true);
+      const stored = await readStoredState({
+        store,
+        log,
+        maxBytes: Number.POSITIVE_INFINITY,
+        shouldContinue: () => true,
+      });
       t.ok(stored?.submissions.some(each => each.submission.id === other));
       t.ok(JSON.stringify(lines).length < maxLogCharacters);
     },
@@ -197,7 +202,12 @@
         store.put(`work/job/${id}`, submissionText);
         store.put(`progress/${id}`, progressText);
         store.put('roster', rosterText);
-        const stored = await readStoredState(store, createTestLog().log, () => true);
+        const stored = await readStoredState({
+          store,
+          log: createTestLog().log,
+          maxBytes: Number.POSITIVE_INFINITY,
+          shouldContinue: () => true,
+        });
         const dispatcher = new Dispatcher();
         const events: DispatchEvent[] = [
           {
@@ -240,7 +250,12 @@
       store.put('roster', JSON.stringify(roster));
       store.put(key, text);
       const {log, lines} = createTestLog();
-      const stored = await readStoredState(store, log, () => true);
+      const stored = await readStoredState({
+        store,
+        log,
+        maxBytes: Number.POSITIVE_INFINITY,
+        shouldContinue: () => true,
+      });
       t.same(
         stored?.submissions.map(each => each.submission.id),
         expected,
--- a/packages/runtime/test/dispatch/records/memory-store.ts
+++ b/packages/runtime/test/dispatch/records/memory-store.ts
@@ -1,6 +1,7 @@
 import type {
   CommitResult,
   LeaseResult,
+  ListOptions,
   ListResult,
   ReadResult,
   RecordChange,
@@ -57,11 +58,13 @@
     return {kind: 'ok', record: this.records.get(key), revision: this.revision};
   }
 
-  async list(prefix: string): Promise<ListResult> {
+  async list(prefix: string, {onPage}: ListOptions = {}): Promise<ListResult> {
     const fault = this.faults.shift();
     if (fault) return fail(fault);
     const records = [...this.records.values()].filter(record => record.key.startsWith(prefix));
-    return {kind: 'ok', records, revision: this.revision};
+    if (onPage === undefined) return {kind: 'ok', records, revision: this.revision};
+    for (const record of records) onPage([record]);
+    return {kind: 'ok', records: [], revision: this.revision};
   }
 
   async watch(prefix: string, after: number, waitMs: number): Promise<WatchResult> {
--- a/packages/runtime/test/dispatch/submissions/submission-fixture.ts
+++ b/packages/runtime/test/dispatch/submissions/submission-fixture.ts
@@ -74,6 +74,12 @@
   [{queue: queue.key, pending: 7, runTimeFactor: 1}],
 );
 
+/** Backlogs of an owner without memory for further submissions. */
+export const withoutMemory = new QueueBacklogs([], [], {
+  small: {usedBytes: 1_000, maxBytes: 1_000},
+  large: {usedBytes: 0, maxBytes: 1_000_000},
+});
+
 /** State of the store and of the other entries, and the call's timeout. */
 export interface Fixture {
   readonly isConfigured?: boolean;
--- a/packages/runtime/test/dispatch/submissions/submission-service.test.ts
+++ b/packages/runtime/test/dispatch/submissions/submission-service.test.ts
@@ -1,7 +1,16 @@
 import {getQueueGroup, QueueBacklogs} from '@chervilbeam/coordination';
 import t from 'tap';
 import type {SubmissionCall, SubmissionReply} from '../../../src/dispatch/index.js';
-import {execute, type Fixture, full, id, queue, submit, waits} from './submission-fixture.js';
+import {
+  execute,
+  type Fixture,
+  full,
+  id,
+  queue,
+  submit,
+  waits,
+  withoutMemory,
+} from './submission-fixture.js';
 
 const cases: ReadonlyArray<{
   readonly name: string;
@@ -98,6 +107,17 @@
     reply: {kind: 'refused', reason: 'backlog'},
     stored: false,
   },
+  {
+    name: 'work for which the owner has no memory is refused at once',
+    fixture: {backlogs: withoutMemory},
+    reply: {kind: 'refused', reason: 'memory'},
+    stored: false,
+  },
+  {
+    name: 'a retry of a submission that only the store has is accepted although the owner has no memory',
+    fixture: {backlogs: withoutMemory, storedKeys: [`work/job/${id}`]},
+    reply: {kind: 'accepted'},
+  },
   {
     name: 'a retry of a submission that the owner knows is accepted despite the backlog',
     fixture: {backlogs: full, ownerStatus: 'running'},
