Keep the ends of deferred submissions until these are loaded

Ends that the owner skipped because their submission was not loaded were not reported again, so the tasks would have run twice or never ended.

Change: the owner keeps such ends, and those after them, and applies them with the next report. The virtual fleet reported all ends again and again, which hid the fault; it now reports each end once on a connection, as an agent does.

--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -1,5 +1,5 @@
 import {getSubmissionId} from '../submissions/index.js';
-import type {AgentMessage, RunRow, WorkerDescription} from './agent-messages.js';
+import type {AgentMessage, RunEndRow, RunRow, WorkerDescription} from './agent-messages.js';
 import {CommandResults} from './command-results.js';
 import type {FillerPacer} from './interference/filler-pacer.js';
 import type {AdviceTickets} from './placement/advice-tickets.js';
@@ -155,11 +155,7 @@
     worker.lastContactAt = at;
     worker.lastReportAt = at;
     worker.recordClock(message.clockMs, at);
-    for (const end of message.ends) {
-      // The ends are acknowledged in order, so those after it must wait for the submission as well.
-      if (this.isDeferred(end[1])) return;
-      this.runEnds.apply(worker, end, at);
-    }
+    if (!this.applyEnds(worker, message.ends, at)) return;
     if (message.running === undefined) return;
     const listed = new Set<Run>();
     for (const row of message.running) {
@@ -187,6 +183,17 @@
     this.renew(worker, at);
   }
 
+  /** Applies ends in order; returns false when one, and so those after it, must wait for a submission to be loaded. */
+  private applyEnds(worker: WorkerView, ends: readonly RunEndRow[], at: number): boolean {
+    const listed = [...worker.heldEnds, ...ends];
+    const firstHeld = listed.findIndex(([, task]) => this.isDeferred(task));
+    worker.heldEnds = firstHeld < 0 ? [] : listed.slice(firstHeld);
+    for (const end of firstHeld < 0 ? listed : listed.slice(0, firstHeld)) {
+      this.runEnds.apply(worker, end, at);
+    }
+    return firstHeld < 0;
+  }
+
   /** Whether the submission of a task has not been loaded; it is then loaded as soon as possible. */
   private isDeferred(task: string): boolean {
     const {deferred} = this.components.state;
--- a/packages/coordination/src/dispatch/worker-view.ts
+++ b/packages/coordination/src/dispatch/worker-view.ts
@@ -1,7 +1,7 @@
 import type {Resources} from '../messages/identity.js';
 import type {Step} from '../submissions/index.js';
 import {addAmounts, createAmounts, type Amounts} from '../tasks/amounts.js';
-import type {WorkerDescription} from './agent-messages.js';
+import type {RunEndRow, WorkerDescription} from './agent-messages.js';
 import {EndCursor} from './end-cursor.js';
 import {RecentSet} from './recent-set.js';
 import {WorkerEvidence} from './supervision/worker-evidence.js';
@@ -36,6 +36,8 @@
   lastContactAt: number;
   /** Time of the worker's latest report about its runs. */
   lastReportAt = Number.NEGATIVE_INFINITY;
+  /** Ends that wait for their submissions to be loaded; the agent reports them only once. */
+  heldEnds: readonly RunEndRow[] = [];
   /** Time of the latest complete list of its runs and ends. */
   listedAt = Number.NEGATIVE_INFINITY;
   /** Whether the worker has listed its runs under this owner's fencing token since it connected. */
--- a/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
@@ -169,6 +169,7 @@
     });
     // The first list is a separate message, so the dispatcher can make decisions before it arrives.
     this.settle();
+    worker.lastReportedEnd = 0;
     this.report(worker);
   }
 
@@ -244,6 +245,11 @@
     const silence = this.silences.get(agent);
     if (silence !== undefined && silence !== 'to-agent') return;
     worker.fencingToken = Math.max(worker.fencingToken, 10 * this.generation);
+    const {lastReportedEnd} = worker;
+    worker.lastReportedEnd = Math.max(
+      lastReportedEnd,
+      ...worker.ends.slice(0, this.maxListedEnds).map(([end]) => end),
+    );
     this.post({
       kind: 'message',
       agent,
@@ -253,7 +259,7 @@
         term: worker.fencingToken,
         clockMs: this.now,
         running: worker.list(),
-        ends: worker.ends.slice(0, this.maxListedEnds),
+        ends: worker.ends.slice(0, this.maxListedEnds).filter(([end]) => end > lastReportedEnd),
         ...(worker.ends.length > this.maxListedEnds && {hasMoreEnds: true}),
       },
     });
--- a/packages/coordination/test/dispatch/fleet/virtual-worker.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-worker.ts
@@ -63,6 +63,8 @@
 export class VirtualWorker {
   readonly runs = new Map<string, VirtualRun>();
   readonly ends: RunEndRow[] = [];
+  /** Highest end that its agent has reported on the present connection; an agent repeats none. */
+  lastReportedEnd = 0;
   /** Highest run number that was started or stopped, by task; lower or equal ones are refused. */
   private readonly highestRuns = new Map<string, number>();
   private nextEnd = 1;
