Fence off calls that were meant for a worker's former life

Cause: a call names the worker's id, which its next life may keep. After a failed renewal the agent went on with the deadline and the acknowledged end of the former life, and calls executed late did the same: the next life held its runs for its longest lease, up to 10 s instead of 6, dropped ends of its own as acknowledged, and started runs that had been stopped.

Change: after a call without an answer the agent sends neither deadline nor acknowledgement nor starts until the worker has answered as the incarnation that it knows. Each life gets a fencing token of its own, the revision of the roster write that adds it, and tasks only after it has listed its runs under that token. The owner and the next one wait for the longest lease of a life that may have got one. Old and new versions work together: a message without a token means the term.

--- a/packages/coordination/src/dispatch/agent-messages.ts
+++ b/packages/coordination/src/dispatch/agent-messages.ts
@@ -102,8 +102,10 @@
   | {
       readonly kind: 'report';
       readonly life: WorkerIncarnation;
-      /** Latest fencing token that the worker had seen when it made the list. */
+      /** Term of the owner that the report is for. */
       readonly term: number;
+      /** Latest fencing token that the worker had seen when it made the list; absent from older agents. */
+      readonly token?: number;
       /** Time in milliseconds on the worker's clock when it answered. */
       readonly clockMs: number;
       /** All current runs; absent when the report contains only ends. */
@@ -123,8 +125,14 @@
 
 /** Messages from the dispatching entry to an agent. */
 export type OwnerMessage =
-  /** This process is the owner, with the fencing token `term`; `entries` are the addresses of the other entries. */
-  | {readonly kind: 'owner'; readonly term: number; readonly entries: readonly string[]}
+  /** This process is the owner since `term`; `entries` are the addresses of the other entries. */
+  | {
+      readonly kind: 'owner';
+      readonly term: number;
+      /** Highest fencing token that the owner has given out; absent from older owners, whose token is the term. */
+      readonly token?: number;
+      readonly entries: readonly string[];
+    }
   /** This process is not the owner; `address` is the owner's address, when known. */
   | {readonly kind: 'elsewhere'; readonly address?: string; readonly entries: readonly string[]}
   /** Grants or renews the worker's lease. */
@@ -132,6 +140,8 @@
       readonly kind: 'lease';
       readonly life: WorkerIncarnation;
       readonly term: number;
+      /** Fencing token for all later calls to the incarnation; absent from older owners, whose token is the term. */
+      readonly token?: number;
       /** Time in milliseconds on the worker's clock until which its runs may continue. */
       readonly deadlineMs: number;
       /** Ends up to this number are stored, so the worker may discard them. */
--- a/packages/coordination/src/dispatch/dispatch-events.ts
+++ b/packages/coordination/src/dispatch/dispatch-events.ts
@@ -18,6 +18,8 @@
 export interface RosterEntry {
   readonly agent: string;
   readonly life: WorkerIncarnation;
+  /** Whether its lease may be as long as the worker accepts, whatever the owner has granted; absent if not. */
+  readonly hasLongLease?: boolean;
 }
 
 /** Input of `Dispatcher`. */
--- a/packages/coordination/src/dispatch/dispatch-state.ts
+++ b/packages/coordination/src/dispatch/dispatch-state.ts
@@ -17,6 +17,11 @@
 export class DispatchState {
   /** Fencing token of the current ownership; 0 when this process is not the owner. */
   term = 0;
+  /**
+   * Highest fencing token that has been given out: the term, or the revision of a later write of the roster. The term of
+   * the next owner is the revision of its claim, and so higher than all of them.
+   */
+  token = 0;
   /** Number of owners so far, including this one. */
   generation = 0;
   configuration: QueueConfiguration | undefined;
--- a/packages/coordination/src/dispatch/dispatch-timing.ts
+++ b/packages/coordination/src/dispatch/dispatch-timing.ts
@@ -2,6 +2,11 @@
 export interface DispatchTiming {
   /** Length of a worker's lease, which covers all its runs; the worker ends them when the lease expires. */
   readonly leaseMs: number;
+  /**
+   * Longest lease that a worker accepts. A worker that has started again under its id may get a deadline of its former
+   * incarnation, far ahead on its clock, and then holds its runs for that long.
+   */
+  readonly maxLeaseMs: number;
   /** Time between two renewals of a worker's lease. */
   readonly renewMs: number;
   /** Time without a message about a worker after which it gets no new tasks. */
@@ -38,6 +43,7 @@
 export const defaultDispatchTiming: DispatchTiming = {
   // A takeover takes up to 3 s, and the latest renewal may be 1 s old by then.
   leaseMs: 6_000,
+  maxLeaseMs: 6_000,
   renewMs: 1_000,
   // Agents report at least once a second; two reports may be late.
   unreachableMs: 2_500,
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -26,7 +26,7 @@
 import {sortCandidates} from './placement/submission-order.js';
 import {WorkerSelector} from './placement/worker-selector.js';
 import {ProgressJournal} from './progress-journal.js';
-import {RecoveryBarrier} from './recovery-barrier.js';
+import {type LeaseEnds, RecoveryBarrier} from './recovery-barrier.js';
 import {RunCommands} from './run-commands.js';
 import {SubmissionEnds} from './submission-ends.js';
 import {SubmissionIntake} from './submission-intake.js';
@@ -101,6 +101,11 @@
     return this.state.term;
   }
 
+  /** Highest fencing token that has been given out. */
+  get token(): number {
+    return this.state.token;
+  }
+
   /** Whether tasks may have become placeable since the last placement round. */
   get isPlacementDue(): boolean {
     return this.isOwner && this.state.isPlacementDue;
@@ -173,12 +178,13 @@
     const {state} = this;
     this.clear();
     state.term = event.term;
+    state.token = event.term;
     state.generation = event.generation;
     state.setWallClock(event.wallMs, at);
     this.journal.reset(event.roster);
     // The previous owner may grant leases until it stops.
     const previousEndAt = at + state.timing.previousOwnerMaxMs;
-    this.barrier.begin(event.roster, this.getLeaseEnd(previousEndAt));
+    this.barrier.begin(event.roster, this.getLeaseEnds(previousEndAt));
     this.hasUnknownRuns = true;
     for (const stored of event.submissions) this.add(stored, at, true);
     for (const deferred of event.deferred ?? []) this.intake.defer(deferred, at);
@@ -194,14 +200,15 @@
 
   private limitRecovery(agoMs: number, at: number): void {
     if (!this.isRecovering) return;
-    this.barrier.limit(this.getLeaseEnd(at - agoMs));
+    this.barrier.limit(this.getLeaseEnds(at - agoMs));
     this.state.log({event: 'predecessors-ended', ageMs: Math.round(agoMs)});
   }
 
-  /** Returns the time at which all leases that were granted until `grantedAt` have expired, also on a slow clock. */
-  private getLeaseEnd(grantedAt: number): number {
-    const {leaseMs, clockDrift} = this.state.timing;
-    return grantedAt + leaseMs / (1 - clockDrift);
+  /** Returns the times at which all leases that were granted until `grantedAt` have expired, also on a slow clock. */
+  private getLeaseEnds(grantedAt: number): LeaseEnds {
+    const {leaseMs, maxLeaseMs, clockDrift} = this.state.timing;
+    const long = grantedAt + Math.max(leaseMs, maxLeaseMs) / (1 - clockDrift);
+    return {granted: grantedAt + leaseMs / (1 - clockDrift), long};
   }
 
   private end(reason: string): void {
@@ -218,6 +225,7 @@
     this.tickets.clear();
     this.starvation.clear();
     this.crashes.clear();
+    this.workerReports.clear();
     this.journal.reset([]);
   }
 
--- a/packages/coordination/src/dispatch/progress-journal.ts
+++ b/packages/coordination/src/dispatch/progress-journal.ts
@@ -104,7 +104,7 @@
       0,
       Math.floor((maxRecords - countRecords(submissions)) / 3),
     );
-    const roster = this.isRosterChanged ? this.getRoster() : undefined;
+    const roster = this.isRosterChanged ? this.getRoster(at) : undefined;
     this.isRosterChanged = false;
     const included = new Set(submissions);
     const write: ProgressWrite = {
@@ -160,7 +160,7 @@
       submissions: pending.contents,
       ends: pending.ends.map(({worker, end}) => `${worker.life}:${end}`).join(' '),
     });
-    this.applyWritten(pending, at);
+    this.applyWritten(pending, revision ?? 0, at);
   }
 
   /** Repeats a failed write, unchanged and with the same sequence number, when its retry is due. */
@@ -178,7 +178,7 @@
     this.state.emit({kind: 'write', sequence: pending.sequence, write: pending.write});
   }
 
-  private applyWritten(pending: PendingWrite, at: number): void {
+  private applyWritten(pending: PendingWrite, revision: number, at: number): void {
     const {state} = this;
     state.observe('progress_write', at - pending.sentAt);
     for (const {worker, end} of pending.ends) worker.ends.store(end);
@@ -201,9 +201,11 @@
     }
     if (pending.rosterLives) {
       this.storedRoster = new Set(pending.rosterLives);
+      state.token = Math.max(state.token, revision);
       for (const worker of state.workers.values()) {
         if (this.storedRoster.has(worker.life) && !worker.isInRoster) {
           worker.isInRoster = true;
+          if (worker.isReborn) worker.requireToken(state.token);
           state.isPlacementDue = true;
         }
       }
@@ -232,8 +234,14 @@
     return taken;
   }
 
-  private getRoster(): RosterEntry[] {
-    const present = [...this.state.workers.values()].map(({agent, life}) => ({agent, life}));
+  private getRoster(at: number): RosterEntry[] {
+    const {workers, timing} = this.state;
+    const present = [...workers.values()].map(worker => ({
+      agent: worker.agent,
+      life: worker.life,
+      // The mark stays until the roster changes again, which at worst delays a recovery.
+      ...(worker.hasLongLease(at, timing) && {hasLongLease: true}),
+    }));
     const presentIncarnations = new Set(present.map(entry => entry.life));
     return [
       ...present,
--- a/packages/coordination/src/dispatch/recovery-barrier.ts
+++ b/packages/coordination/src/dispatch/recovery-barrier.ts
@@ -1,5 +1,13 @@
 import type {RosterEntry} from './dispatch-events.js';
 
+/** Times at which the leases of a previous owner's workers have expired. */
+export interface LeaseEnds {
+  /** For leases as the owner grants them. */
+  readonly granted: number;
+  /** For leases as long as a worker accepts. */
+  readonly long: number;
+}
+
 /**
  * Prevents a new owner from starting tasks that a previous owner may already have started. It opens once every
  * worker of the previous owner has listed its runs under the new fencing token, is known to be gone, or has an
@@ -7,18 +15,21 @@
  */
 export class RecoveryBarrier {
   private readonly unaccounted = new Map<string, RosterEntry>();
-  private openAt = Number.NEGATIVE_INFINITY;
+  private ends: LeaseEnds = {granted: Number.NEGATIVE_INFINITY, long: Number.NEGATIVE_INFINITY};
 
-  /** Starts with the previous owner's workers, whose leases have all expired at `openAt`. */
-  begin(roster: readonly RosterEntry[], openAt: number): void {
+  /** Starts with the previous owner's workers and the times at which their leases have expired. */
+  begin(roster: readonly RosterEntry[], ends: LeaseEnds): void {
     this.unaccounted.clear();
     for (const entry of roster) this.unaccounted.set(entry.life, entry);
-    this.openAt = openAt;
+    this.ends = ends;
   }
 
-  /** Opens the barrier at `openAt` if it would open later: the leases are known to expire earlier. */
-  limit(openAt: number): void {
-    this.openAt = Math.min(this.openAt, openAt);
+  /** Opens the barrier earlier: the leases are known to expire earlier. */
+  limit({granted, long}: LeaseEnds): void {
+    this.ends = {
+      granted: Math.min(this.ends.granted, granted),
+      long: Math.min(this.ends.long, long),
+    };
   }
 
   /** Marks a worker incarnation as accounted for: it has listed its runs or has ended. */
@@ -40,7 +51,10 @@
 
   /** Whether tasks that no worker has listed may be started. */
   isOpen(at: number): boolean {
-    if (at >= this.openAt) this.unaccounted.clear();
+    const {granted, long} = this.ends;
+    for (const {life, hasLongLease} of this.entries) {
+      if (at >= (hasLongLease ? long : granted)) this.unaccounted.delete(life);
+    }
     return this.unaccounted.size === 0;
   }
 }
--- a/packages/coordination/src/dispatch/task.ts
+++ b/packages/coordination/src/dispatch/task.ts
@@ -29,6 +29,8 @@
   commandSentAt: number;
   /** Whether this incarnation of the worker has listed the run. */
   isListed = false;
+  /** Whether it was meant for the worker's former incarnation and is only looked for on this one. */
+  isCarriedOver = false;
   /** Time at which the worker confirmed the start, by its answer or a list. */
   confirmedAt?: number;
 
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -19,6 +19,8 @@
 export class WorkerReports {
   private readonly commandResults: CommandResults;
   private readonly runEnds: RunEnds;
+  /** Agents that have had a worker under this owner. */
+  private readonly usedAgents = new Set<string>();
 
   constructor(private readonly components: WorkerReportsOptions) {
     this.runEnds = new RunEnds(components);
@@ -29,6 +31,11 @@
     );
   }
 
+  /** Forgets what is known of the agents, as another ownership begins. */
+  clear(): void {
+    this.usedAgents.clear();
+  }
+
   /** Records whether an agent is connected. */
   setConnected(agent: string, isConnected: boolean, at: number): void {
     const worker = this.components.state.workers.get(agent);
@@ -72,7 +79,7 @@
     for (const worker of [...state.workers.values()]) {
       this.updateReachability(worker, at);
       if (!worker.isConnected || at - worker.lastContactAt >= state.timing.unreachableMs) {
-        if (at > worker.getLeaseEnd(state.timing.clockDrift)) this.expireLease(worker, at);
+        if (at > worker.getLeaseEnd(state.timing)) this.expireLease(worker, at);
         continue;
       }
       this.renew(worker, at);
@@ -95,6 +102,9 @@
     barrier.markReplaced(agent, description.life);
     const worker = new WorkerView(agent, description, at);
     worker.isInRoster = journal.isInStoredRoster(description.life);
+    worker.isReborn = this.usedAgents.has(agent);
+    worker.token = worker.isReborn ? state.token : state.term;
+    this.usedAgents.add(agent);
     state.workers.set(agent, worker);
     this.updateLeavingTime(worker, description, at);
     for (const run of unlisted) this.carryOverRun(run, worker, at);
@@ -116,6 +126,7 @@
    */
   private carryOverRun(run: Run, worker: WorkerView, at: number): void {
     const carriedRun = new Run(run.task, run.number, worker, at);
+    carriedRun.isCarriedOver = true;
     run.task.add(carriedRun);
     worker.add(carriedRun);
   }
@@ -164,7 +175,10 @@
     }
     // Without all ends, a run that has ended would pass for one that never started.
     if (message.hasMoreEnds) return;
+    // Until it has seen its token, the worker may execute calls that were meant for its former incarnation.
+    if (message.token !== undefined && message.token < worker.token) return;
     worker.listedAt = at;
+    worker.recordToken(at);
     if (!worker.isReconciled) this.fence(worker, listed, at);
     barrier.markAccounted(worker.life);
     worker.changes += 1;
@@ -270,6 +284,7 @@
       kind: 'lease',
       life: worker.life,
       term: state.term,
+      token: worker.token,
       deadlineMs: worker.grantDeadline(state.timing.leaseMs, at),
       acknowledged,
     });
--- a/packages/coordination/src/dispatch/worker-view.ts
+++ b/packages/coordination/src/dispatch/worker-view.ts
@@ -2,6 +2,7 @@
 import type {Step} from '../submissions/index.js';
 import {addAmounts, createAmounts, type Amounts} from '../tasks/amounts.js';
 import type {RunEndRow, WorkerDescription} from './agent-messages.js';
+import type {DispatchTiming} from './dispatch-timing.js';
 import {EndCursor} from './end-cursor.js';
 import {RecentSet} from './recent-set.js';
 import {WorkerEvidence} from './supervision/worker-evidence.js';
@@ -44,6 +45,14 @@
   isReconciled = false;
   /** Whether the stored roster contains this incarnation. */
   isInRoster = false;
+  /** Whether an earlier incarnation of the agent's worker has been used by this owner. */
+  isReborn = false;
+  /** Latest token that it has seen. */
+  private seenToken = 0;
+  /** Latest time at which the incarnation may have executed a call that was meant for its former one. */
+  private tokenSeenAt: number;
+  /** Fencing token that the incarnation must have seen, so that it executes no earlier call any more. */
+  token = 0;
   /** Whether the worker has been logged as unreachable. */
   isLoggedUnreachable = false;
   /** Incremented when the runs, their pace or their measurements change. */
@@ -69,6 +78,7 @@
     readonly firstContactAt: number,
   ) {
     this.lastContactAt = firstContactAt;
+    this.tokenSeenAt = firstContactAt;
   }
 
   /** Identifier of the worker incarnation. */
@@ -105,12 +115,35 @@
   }
 
   /**
-   * Returns the time by which every granted lease has expired. When the clock reading arrived, the worker's clock
+   * Returns the time by which every lease has expired. When the clock reading arrived, the worker's clock
    * showed at least that value; `clockDrift` allows for a clock that runs slow from then on.
    */
-  getLeaseEnd(clockDrift: number): number {
-    if (!this.hasClock) return this.firstContactAt;
-    return this.clockReadAt + Math.max(0, this.latestDeadlineMs - this.clockMs) / (1 - clockDrift);
+  getLeaseEnd({clockDrift, maxLeaseMs}: Pick<DispatchTiming, 'clockDrift' | 'maxLeaseMs'>): number {
+    const longLeaseEnd = this.isReborn
+      ? this.tokenSeenAt + maxLeaseMs / (1 - clockDrift)
+      : Number.NEGATIVE_INFINITY;
+    if (!this.hasClock) return Math.max(this.firstContactAt, longLeaseEnd);
+    const grantedMs = Math.max(0, this.latestDeadlineMs - this.clockMs);
+    return Math.max(this.clockReadAt + grantedMs / (1 - clockDrift), longLeaseEnd);
+  }
+
+  /** Requires a list of runs that the worker makes after it has seen a fencing token; it gets no tasks until then. */
+  requireToken(token: number): void {
+    this.token = token;
+    this.isReconciled = false;
+    this.leaseSentAt = Number.NEGATIVE_INFINITY;
+  }
+
+  /** Records a list that the worker has made after it had seen its token. */
+  recordToken(at: number): void {
+    if (this.token <= this.seenToken) return;
+    this.seenToken = this.token;
+    this.tokenSeenAt = at;
+  }
+
+  /** Whether its lease may be longer than the owner has granted. */
+  hasLongLease(at: number, {leaseMs, maxLeaseMs}: DispatchTiming): boolean {
+    return this.isReborn && maxLeaseMs > leaseMs && at - this.tokenSeenAt < maxLeaseMs;
   }
 
   /** Whether new tasks may be sent to the worker. */
--- a/packages/runtime/src/dispatch/agent/agent-node.ts
+++ b/packages/runtime/src/dispatch/agent/agent-node.ts
@@ -1,21 +1,18 @@
 import {
   type AgentMessage,
-  type Clock,
   getWorkerIncarnation,
   type OwnerMessage,
   type WorkerDescription,
 } from '@chervilbeam/coordination';
-import type {Metrics} from '../../metrics/index.js';
-import type {DecisionLogger} from '../decision-logger.js';
-import {dialLink, type Link, type LinkDialer, type LinkHandlers} from '../links/link.js';
+import {dialLink, type Link, type LinkHandlers} from '../links/link.js';
 import {TrafficMeter} from '../links/traffic-meter.js';
-import type {RecordStore} from '../records/record-store.js';
+import type {AgentNodeOptions} from './agent-node-options.js';
 import {OwnerSearch} from './owner-search.js';
 import {RunReports} from './run-reports.js';
 import {WorkerCommands} from './worker-commands.js';
 import {WorkerConfirmation} from './worker-confirmation.js';
 import {type WorkerEndReason, WorkerPresence} from './worker-presence.js';
-import {isFromIncarnation, type LeaseRenewalReply, type WorkerPort} from './worker-port.js';
+import {isFromIncarnation, type LeaseRenewalReply} from './worker-port.js';
 
 /** Long-poll time in milliseconds of a renewal that waits for a run to end; also the longest report interval. */
 const renewalWaitMs = 800;
@@ -36,23 +33,7 @@
  */
 export const unacknowledgedEndsPauseMs = 80;
 
-/** Options of `AgentNode`. */
-export interface AgentNodeOptions {
-  readonly name: string;
-  readonly dataCentre: string;
-  readonly incarnation: number;
-  readonly store: RecordStore;
-  readonly worker: WorkerPort;
-  readonly clock: Clock;
-  readonly log: DecisionLogger;
-  readonly metrics: Metrics;
-  /** Addresses of entries to try while the store does not answer; they need not be up. */
-  readonly seeds: readonly string[];
-  /** Interval of the worker's heartbeats in milliseconds. */
-  readonly heartbeatIntervalMs?: number;
-  /** Opens links; by default over TCP. */
-  readonly dial?: LinkDialer<OwnerMessage, AgentMessage>;
-}
+type OwnerAcceptance = Extract<OwnerMessage, {kind: 'owner'}>;
 
 type OwnerLink = Link<OwnerMessage, AgentMessage>;
 
@@ -71,6 +52,10 @@
   private redirections = 0;
   private isAcceptedByOwner = false;
   private term = 0;
+  /** Fencing token of all calls to the worker: the highest that an owner has stated. */
+  private token = 0;
+  /** Whether the worker has answered as the known incarnation since the latest call that failed. */
+  private isIncarnationSure = false;
   private worker: WorkerDescription | undefined;
   /** Whether the worker has restarted under the same id and the new incarnation has not sent a heartbeat yet. */
   private isWorkerReplaced = false;
@@ -98,15 +83,16 @@
       ...options,
       getContext: () => ({
         worker: this.worker,
-        isWorkerReplaced: this.isWorkerReplaced,
+        isIncarnationSure: this.isIncarnationSure && !this.isWorkerReplaced,
         term: this.term,
-        acknowledged: this.acknowledged,
+        token: this.token,
       }),
+      onUnanswered: () => (this.isIncarnationSure = false),
       sendResult: ({order, term}, outcome) => this.send({kind: 'result', order, term, outcome}),
     });
     this.confirmation = new WorkerConfirmation({
       ...options,
-      getTerm: () => this.term,
+      getToken: () => this.token,
       onConfirmed: worker => this.adoptWorker(worker),
     });
   }
@@ -151,6 +137,7 @@
     this.confirmation.clear();
     this.worker = worker;
     this.isWorkerReplaced = false;
+    this.isIncarnationSure = true;
     this.deadlineMs = undefined;
     this.acknowledged = 0;
     this.reports.reset();
@@ -251,13 +238,14 @@
     if (this.link !== link) return;
     switch (message.kind) {
       case 'owner':
-        return this.handleAccepted(message.term, message.entries);
+        return this.handleAccepted(message);
       case 'elsewhere':
         return this.handleRedirection(link, message.address, message.entries);
       case 'lease':
         if (message.life !== this.worker?.life || message.term !== this.term) return;
         if (this.isWorkerReplaced) return;
         this.deadlineMs = Math.max(this.deadlineMs ?? 0, message.deadlineMs);
+        this.raiseToken(message.token);
         if (message.acknowledged <= this.acknowledged) return;
         this.acknowledged = message.acknowledged;
         this.onAcknowledged?.();
@@ -271,7 +259,15 @@
     }
   }
 
-  private handleAccepted(term: number, entries: readonly string[]): void {
+  /** Uses a higher token from now on; the worker sees it at once, so that no earlier call is executed after it. */
+  private raiseToken(token = 0): void {
+    if (token <= this.token) return;
+    this.token = token;
+    this.reports.reset();
+    this.startRenewalLoop();
+  }
+
+  private handleAccepted({term, token = term, entries}: OwnerAcceptance): void {
     this.options.log.log('owner-found', {term});
     if (term < this.term) {
       // A previous owner that has not noticed its replacement; the worker would refuse its commands by their term.
@@ -280,6 +276,7 @@
     }
     this.isAcceptedByOwner = true;
     this.term = term;
+    this.token = Math.max(this.token, token);
     this.search.confirmReached();
     this.search.setEntries(entries);
     this.reports.reset();
@@ -315,18 +312,23 @@
     // The first renewal returns at once, so that the owner gets the lists of a worker without delay.
     let isFirst = true;
     while (this.renewalGeneration === generation && this.worker !== undefined && !this.isStopped) {
-      const {worker, term, deadlineMs} = this;
+      const {worker, term, token, deadlineMs, isIncarnationSure} = this;
+      // Another incarnation may answer under the same id. It would take a deadline on the clock of the former one for a far
+      // later one, and drop ends of its own that have the numbers of acknowledged ones.
+      const lease = isIncarnationSure && deadlineMs !== undefined ? {deadlineMs} : {};
       const reply = await this.options.worker.hold(worker.id, {
-        token: term,
-        acknowledged: this.acknowledged,
-        ...(deadlineMs !== undefined && {deadlineMs}),
-        ...(!isFirst && {waitMs: renewalWaitMs}),
+        token,
+        acknowledged: isIncarnationSure ? this.acknowledged : 0,
+        ...lease,
+        ...(!isFirst && isIncarnationSure && {waitMs: renewalWaitMs}),
       });
       if (this.renewalGeneration !== generation || this.worker?.life !== worker.life) return;
       if (reply.kind === 'listed' && isFromIncarnation(reply, worker)) {
         isFirst = false;
+        this.isIncarnationSure = true;
         this.presence.recordAnswer();
-        this.send(this.reports.create(worker, term, reply, this.options.clock.now()));
+        const report = this.reports.create(worker, {term, token}, reply, this.options.clock.now());
+        this.send(report);
         if (reply.ends.some(end => end[0] > this.acknowledged)) await this.waitForAcknowledgement();
       } else {
         const failure = reply.kind === 'listed' ? this.markWorkerReplaced() : reply;
@@ -363,6 +365,7 @@
     reply: Exclude<LeaseRenewalReply, {kind: 'listed'}>,
   ): Promise<boolean> {
     const {log, metrics} = this.options;
+    this.isIncarnationSure = false;
     metrics.count(`holds_${reply.kind}`);
     if (reply.kind === 'fenced') {
       log.warn('worker-fenced', {worker: this.worker?.life, term: this.term});
--- a/packages/runtime/src/dispatch/agent/run-reports.ts
+++ b/packages/runtime/src/dispatch/agent/run-reports.ts
@@ -20,7 +20,7 @@
   /** Creates the report of the new ends and, at intervals, of all running runs. */
   create(
     worker: WorkerDescription,
-    term: number,
+    {term, token}: {readonly term: number; readonly token: number},
     reply: Extract<LeaseRenewalReply, {kind: 'listed'}>,
     now: number,
   ): AgentMessage {
@@ -34,6 +34,7 @@
       kind: 'report',
       life: worker.life,
       term,
+      token,
       clockMs: reply.clockMs,
       ends,
       ...(reply.hasMoreEnds && {hasMoreEnds: true}),
--- a/packages/runtime/src/dispatch/agent/worker-commands.ts
+++ b/packages/runtime/src/dispatch/agent/worker-commands.ts
@@ -8,7 +8,7 @@
 import type {Metrics} from '../../metrics/index.js';
 import type {DecisionLogger} from '../decision-logger.js';
 import {SpecCache} from './spec-cache.js';
-import type {WorkerPort} from './worker-port.js';
+import {isFromIncarnation, type WorkerPort} from './worker-port.js';
 
 /** Delay in milliseconds before a stop whose outcome is unknown is retried. */
 const stopRetryDelayMs = 250;
@@ -18,12 +18,12 @@
 /** State of the agent when a command arrives. */
 export interface CommandContext {
   readonly worker: WorkerDescription | undefined;
-  /** Whether the worker has restarted under the same id and the new incarnation has not sent a heartbeat yet. */
-  readonly isWorkerReplaced: boolean;
-  /** Highest term of an owner that this agent has been connected to; also the fencing token. */
+  /** Whether the worker has answered as the known incarnation since the latest call that failed. */
+  readonly isIncarnationSure: boolean;
+  /** Highest term of an owner that this agent has been connected to. */
   readonly term: number;
-  /** Highest sequence number up to which the owner has stored the ends of runs. */
-  readonly acknowledged: number;
+  /** Fencing token of calls to the worker. */
+  readonly token: number;
 }
 
 /** Number of a command and the fencing token of the owner that has sent it. */
@@ -36,6 +36,8 @@
   readonly log: DecisionLogger;
   readonly metrics: Metrics;
   readonly getContext: () => CommandContext;
+  /** Called when a command got no answer: the worker may have restarted. */
+  readonly onUnanswered: () => void;
   /** Sends the outcome of a command to the owner, which may be another one than the command came from. */
   readonly sendResult: (order: CommandIdentity, outcome: CommandOutcome) => void;
 }
@@ -60,10 +62,11 @@
       run: order.run,
       spec,
       deadlineMs: order.deadlineMs,
-      token: order.term,
+      token: state.token,
       ...(order.checkpoint !== undefined && {checkpoint: order.checkpoint}),
       ...(order.ticket !== undefined && {ticket: order.ticket}),
     });
+    if (outcome.kind === 'unknown') this.options.onUnanswered();
     this.logCommandOutcome('start', order.task, order.run, outcome);
     this.options.sendResult(order, outcome);
   }
@@ -74,15 +77,17 @@
     const state = getContext();
     const refusal = getRefusal(state, order.life, order.term);
     if (refusal !== undefined) return sendResult(order, refusal);
-    const {task, run, term} = order;
+    const {task, run} = order;
+    const {token} = state;
     const id = getWorkerId(state);
     const startedAt = clock.now();
     let outcome: CommandOutcome = {kind: 'unknown'};
     while (outcome.kind === 'unknown' && clock.now() - startedAt < stopTimeoutMs) {
-      outcome = (await worker.stop(id, task, run, term)).outcome;
+      outcome = (await worker.stop(id, task, run, token)).outcome;
+      if (outcome.kind === 'unknown') this.options.onUnanswered();
       if (outcome.kind === 'unknown') await delay(stopRetryDelayMs);
     }
-    if (outcome.kind === 'accepted') outcome = await this.checkRunListed(id, task, run, term);
+    if (outcome.kind === 'accepted') outcome = await this.checkRunListed(state, task, run);
     this.logCommandOutcome('stop', task, run, outcome);
     sendResult(order, outcome);
   }
@@ -91,20 +96,24 @@
   async pace(order: Extract<OwnerMessage, {kind: 'pace'}>): Promise<void> {
     const state = this.options.getContext();
     if (getRefusal(state, order.life, order.term) !== undefined) return;
-    const {task, run, percent, term} = order;
-    const {outcome} = await this.options.worker.pace(getWorkerId(state), task, run, percent, term);
+    const {task, run, percent} = order;
+    const id = getWorkerId(state);
+    const {outcome} = await this.options.worker.pace(id, task, run, percent, state.token);
+    if (outcome.kind === 'unknown') this.options.onUnanswered();
     this.logCommandOutcome('pace', task, run, outcome);
   }
 
   private async checkRunListed(
-    id: string,
+    state: CommandContext,
     task: string,
     run: number,
-    token: number,
   ): Promise<CommandOutcome> {
-    const {acknowledged} = this.options.getContext();
-    const reply = await this.options.worker.hold(id, {token, acknowledged});
+    // Another incarnation would drop ends of its own that have the numbers of acknowledged ones.
+    const options = {token: state.token, acknowledged: 0};
+    const reply = await this.options.worker.hold(getWorkerId(state), options);
     if (reply.kind !== 'listed') return {kind: 'unknown'};
+    if (state.worker !== undefined && !isFromIncarnation(reply, state.worker))
+      return {kind: 'unknown'};
     const isRunning = reply.running.some(row => row[0] === task && row[1] === run);
     const isEnded = reply.ends.some(end => end[1] === task && end[2] === run);
     if (!isRunning && !isEnded && reply.hasMoreEnds) return {kind: 'unknown'};
@@ -140,9 +149,9 @@
   life: string,
   term: number,
 ): CommandOutcome | undefined {
-  if (state.isWorkerReplaced) return {kind: 'refused', reason: 'other-life'};
   const refusal = getRefusal(state, life, term);
   if (refusal !== undefined) return refusal;
+  if (!state.isIncarnationSure) return {kind: 'refused', reason: 'other-life'};
   return state.worker?.state === 'draining' ? {kind: 'refused', reason: 'draining'} : undefined;
 }
 
--- a/packages/runtime/src/dispatch/agent/worker-confirmation.ts
+++ b/packages/runtime/src/dispatch/agent/worker-confirmation.ts
@@ -13,8 +13,8 @@
 export interface WorkerConfirmationOptions {
   readonly worker: WorkerPort;
   readonly log: DecisionLogger;
-  /** Returns the term of the owner, with which the worker is asked; 0 before there is one. */
-  readonly getTerm: () => number;
+  /** Returns the fencing token with which the worker is asked; 0 before there is an owner. */
+  readonly getToken: () => number;
   /** Called with the latest description of an incarnation once the worker on this host has answered as it. */
   readonly onConfirmed: (worker: WorkerDescription) => void;
 }
@@ -53,13 +53,13 @@
   }
 
   private async ask(life: WorkerIncarnation): Promise<void> {
-    const {getTerm, worker: port, log, onConfirmed} = this.options;
-    if (getTerm() === 0 || this.asked.has(life)) return;
+    const {getToken, worker: port, log, onConfirmed} = this.options;
+    if (getToken() === 0 || this.asked.has(life)) return;
     this.asked.add(life);
     for (let attempt = 0; attempt < maxAttempts; attempt += 1) {
       const worker = this.pending.get(life);
       if (worker === undefined) break;
-      const reply = await port.hold(worker.id, {token: getTerm(), acknowledged: 0});
+      const reply = await port.hold(worker.id, {token: getToken(), acknowledged: 0});
       const latest = this.pending.get(life);
       if (latest === undefined) break;
       if (reply.kind === 'listed' && isFromIncarnation(reply, latest)) {
--- a/packages/runtime/src/dispatch/links/link-message-checks.ts
+++ b/packages/runtime/src/dispatch/links/link-message-checks.ts
@@ -12,23 +12,30 @@
   'worker-gone': {
     life: 'string',
     reason: 'string',
-    silentMs: value => value === undefined || Number.isFinite(value),
+    silentMs: isOptionalNumber,
   },
   report: {
     life: 'string',
     term: 'number',
+    token: isOptionalNumber,
     clockMs: 'number',
     ends: rows => isRows(rows, isEndRow),
     running: rows => rows === undefined || isRows(rows, isRunRow),
   },
   result: {
     order: 'number',
-    term: value => value === undefined || Number.isFinite(value),
+    term: isOptionalNumber,
     outcome: isOutcome,
   },
-  owner: {term: 'number', entries: isTexts},
+  owner: {term: 'number', token: isOptionalNumber, entries: isTexts},
   elsewhere: {entries: isTexts},
-  lease: {life: 'string', term: 'number', deadlineMs: 'number', acknowledged: 'number'},
+  lease: {
+    life: 'string',
+    term: 'number',
+    token: isOptionalNumber,
+    deadlineMs: 'number',
+    acknowledged: 'number',
+  },
   start: {
     order: 'number',
     life: 'string',
@@ -51,7 +58,7 @@
   call: {request: 'number', call: isCall},
   status: {request: 'number', isOwner: 'boolean'},
   'attempt-state': {request: 'number', state: state => attemptStates.has(state)},
-  'ownership-ended': {request: 'number', agoMs: ms => ms === undefined || Number.isFinite(ms)},
+  'ownership-ended': {request: 'number', agoMs: isOptionalNumber},
   pending: {request: 'number'},
   reply: {request: 'number', reply: isReply},
   'queue-backlogs': {
@@ -140,6 +147,10 @@
   return Array.isArray(value) && value.every(text => typeof text === 'string');
 }
 
+function isOptionalNumber(value: unknown): boolean {
+  return value === undefined || Number.isFinite(value);
+}
+
 function isOptionalText(value: unknown): boolean {
   return value === undefined || typeof value === 'string';
 }
--- a/packages/runtime/src/dispatch/ownership/owner-process.ts
+++ b/packages/runtime/src/dispatch/ownership/owner-process.ts
@@ -102,8 +102,7 @@
 
   constructor(private readonly options: OwnerProcessOptions) {
     const {clock, store, log, timing, electionTiming, incarnation, address} = options;
-    const {heapBytes = Number.POSITIVE_INFINITY} = options;
-    const {linkMegabits = Number.POSITIVE_INFINITY} = options;
+    const {linkMegabits = Number.POSITIVE_INFINITY, heapBytes = Number.POSITIVE_INFINITY} = options;
     const startBytesPerSecond = linkMegabits * bytesPerMegabit * startLinkShare;
     this.limits = getOwnerLimits(heapBytes);
     this.dispatcher = new Dispatcher({...timing, ...this.limits, startBytesPerSecond});
@@ -181,7 +180,8 @@
     const previousLink = this.agents.get(agent);
     this.agents.set(agent, link);
     previousLink?.destroy('replaced');
-    link.send({kind: 'owner', term: this.dispatcher.term, entries});
+    const {term, token} = this.dispatcher;
+    link.send({kind: 'owner', term, token, entries});
     this.post({kind: 'agent-up', agent});
     return true;
   }
@@ -345,7 +345,7 @@
     log.log('ownership-claimed', {term, generation});
     const startedAt = clock.now();
     const shouldContinue = () => this.electionTerm === term;
-    const {maxLoadedBytes: maxBytes} = this.limits;
+    const maxBytes = this.limits.maxLoadedBytes;
     const stored = await readStoredState({store, log, maxBytes, shouldContinue});
     this.electionLoop.post({kind: 'look'});
     if (stored === undefined || this.electionTerm !== term) return;
--- a/packages/runtime/src/dispatch/records/record-parsers.ts
+++ b/packages/runtime/src/dispatch/records/record-parsers.ts
@@ -148,8 +148,9 @@
 export function parseRoster(value: string): readonly RosterEntry[] | undefined {
   return parseAll(parseJson(value), entry => {
     if (!isRecord(entry)) return undefined;
-    const {agent, life} = entry;
-    return typeof agent === 'string' && typeof life === 'string' ? {agent, life} : undefined;
+    const {agent, life, hasLongLease} = entry;
+    if (typeof agent !== 'string' || typeof life !== 'string') return undefined;
+    return {agent, life, ...(hasLongLease === true && {hasLongLease})};
   });
 }
 
--- a/packages/runtime/test/dispatch/agent/agent-node.test.ts
+++ b/packages/runtime/test/dispatch/agent/agent-node.test.ts
@@ -9,7 +9,14 @@
 import {oddAddresses} from '../odd-addresses.js';
 import {MemoryStore} from '../records/memory-store.js';
 import {waitUntil} from '../wait-until.js';
-import {AnsweringWorker, claim, createAgent, createDescription} from './agent-fixture.js';
+import {
+  AnsweringWorker,
+  claim,
+  createAgent,
+  createDescription,
+  createOwnedAgent,
+  term,
+} from './agent-fixture.js';
 
 /** Interval in milliseconds at which an agent tries to reach a known owner. */
 const attemptIntervalMs = 300;
@@ -215,3 +222,79 @@
   await new Promise(resolve => setTimeout(resolve, attemptIntervalMs));
   t.same(new Set(links.map(link => link.address)), new Set(['10.0.0.1:1']));
 });
+
+const failures: ReadonlyArray<{
+  readonly name: string;
+  readonly fail: (worker: AnsweringWorker, isFailing: boolean) => void;
+}> = [
+  {name: 'refuses connections', fail: (worker, isFailing) => (worker.isRefusing = isFailing)},
+  {name: 'does not answer', fail: (worker, isFailing) => (worker.isSilent = isFailing)},
+];
+for (const {name, fail} of failures) {
+  // The next incarnation under the same id would take the deadline for a later one, and lose ends of its own.
+  void t.test(
+    `a worker that ${name} gets neither deadline nor acknowledgement nor starts until it has answered again`,
+    async t => {
+      const worker = new AnsweringWorker();
+      const {agent, sent, receive} = await createOwnedAgent(t, worker);
+      agent.updateWorker(createDescription('w@1000'));
+      await waitUntil(() => sent.some(message => message.kind === 'report'));
+      const lease = {
+        kind: 'lease',
+        life: 'w@1000',
+        term,
+        deadlineMs: 9_000,
+        acknowledged: 7,
+      } as const;
+      receive({...lease, token: term + 5});
+      await waitUntil(() => worker.holds.some(({acknowledged}) => acknowledged === 7));
+      t.match(worker.holds.at(-1), {deadlineMs: 9_000, token: term + 5});
+      fail(worker, true);
+      const count = worker.holds.length;
+      await waitUntil(() => worker.holds.length >= count + 2);
+      receive({
+        kind: 'start',
+        order: 1,
+        life: 'w@1000',
+        term,
+        task: 'a.0.0.0',
+        run: 1,
+        spec: '',
+        deadlineMs: 9_000,
+      });
+      t.match(sent.at(-1), {kind: 'result', outcome: {kind: 'refused', reason: 'other-life'}});
+      worker.life = 'w@2000';
+      const first = worker.holds.length;
+      fail(worker, false);
+      await waitUntil(() => worker.holds.length > first + 1);
+      for (const {acknowledged, deadlineMs} of worker.holds.slice(first)) {
+        t.equal(acknowledged, 0);
+        t.equal(deadlineMs, undefined);
+      }
+    },
+  );
+}
+
+void t.test(
+  'a report names the token that the worker had seen, and a higher one is sent at once',
+  async t => {
+    const worker = new AnsweringWorker();
+    const {agent, sent, receive} = await createOwnedAgent(t, worker);
+    agent.updateWorker(createDescription('w@1000'));
+    const getTokens = () =>
+      sent.flatMap(message => (message.kind === 'report' ? [message.token] : []));
+    await waitUntil(() => getTokens().length > 0);
+    t.same(new Set(getTokens()), new Set([term]));
+    receive({
+      kind: 'lease',
+      life: 'w@1000',
+      term,
+      token: term + 9,
+      deadlineMs: 9_000,
+      acknowledged: 0,
+    });
+    await waitUntil(() => getTokens().includes(term + 9));
+    const report = sent.find(message => message.kind === 'report' && message.token === term + 9);
+    t.match(report, {running: []}, 'the first list with it is complete');
+  },
+);
