Hold a crash only against tasks that can have caused it

Cause: the number of crashes near a task counted, not whether it can have caused them: starts without an answer on workers that went on reporting, runs that were only looked for on the next life of a worker, and crashes long after the start beside other tasks.

Change: such starts do not count; late crashes count by themselves, and only if no other submission can have caused the latest one. Serving tasks are never given up, and do not wait for a sibling that may crash its workers.

Tests: crash-blame.test.ts and crashing-tasks.test.ts. "and serves" left the table of tasks that are given up, since serving tasks have no limit of attempts; a test of its own checks that it is started again, that its siblings run and that nothing else is harmed. Without the filter of unanswered starts, the new test of them fails.

--- a/packages/coordination/src/dispatch/step-tasks.ts
+++ b/packages/coordination/src/dispatch/step-tasks.ts
@@ -46,7 +46,9 @@
 
   /** Whether any of the tasks may crash workers, so that they start one by one until one of them works. */
   get isOnTrial(): boolean {
-    if (this.hasSurvivor || this.finishedCount > 0 || this.step.gang) return false;
+    const {gang, lasting} = this.step;
+    // Each serving task is to be started again soon, whatever becomes of the others.
+    if (this.hasSurvivor || this.finishedCount > 0 || gang || lasting) return false;
     for (const task of this.known.values()) if (task.crashes.isSuspect) return true;
     return false;
   }
--- a/packages/coordination/src/dispatch/supervision/crash-blame.ts
+++ b/packages/coordination/src/dispatch/supervision/crash-blame.ts
@@ -5,7 +5,10 @@
 const maxCrashes = 3;
 /** The same when no other task can have caused the latest one. */
 const maxDecisiveCrashes = 2;
-/** The same when none of them came soon after the start of the run, as crashes with other causes do. */
+/**
+ * Number of crashes from which a suspect is given up when the latest one did not come soon after the start of the run, as
+ * crashes with other causes do; and only if it came while no other task can have caused it.
+ */
 const maxLateCrashes = 4;
 
 /** What the crash of a worker says of one task. */
@@ -40,12 +43,16 @@
   const possibleCauses = [...suspects, ...others.filter(({timing}) => timing === 'early')];
   const isDecisive = new Set(possibleCauses.map(({task}) => task.submission)).size === 1;
   const limit = isDecisive ? maxDecisiveCrashes : maxCrashes;
+  const isAlone = new Set(candidates.map(({task}) => task.submission)).size === 1;
+  const hasCausedAll = ({crashes}: Task, timing: CrashTiming) =>
+    timing === 'early'
+      ? crashes.earlyCount + 1 >= limit
+      : isAlone && crashes.count + 1 >= maxLateCrashes;
   const verdicts: CrashVerdict[] = suspects.map(({task, timing}) => ({
     task,
     timing,
-    isGivenUp:
-      task.crashes.count + 1 >=
-      (timing === 'early' || task.crashes.hasEarly ? limit : maxLateCrashes),
+    // Serving tasks are started again however they end.
+    isGivenUp: !task.step.lasting && hasCausedAll(task, timing),
   }));
   // A crash that is explained says nothing of the other tasks.
   if (verdicts.some(({timing, isGivenUp}) => isGivenUp && timing === 'early')) {
--- a/packages/coordination/src/dispatch/supervision/crash-history.ts
+++ b/packages/coordination/src/dispatch/supervision/crash-history.ts
@@ -33,6 +33,11 @@
     return this.early.size + this.late.size;
   }
 
+  /** Number of incarnations that crashed soon after the start of the run. */
+  get earlyCount(): number {
+    return this.early.size;
+  }
+
   /** Whether any of them crashed soon after the start of the run. */
   get hasEarly(): boolean {
     return this.early.size > 0;
--- a/packages/coordination/src/dispatch/supervision/crash-tracker.ts
+++ b/packages/coordination/src/dispatch/supervision/crash-tracker.ts
@@ -8,6 +8,9 @@
 /** Largest number of incarnations whose crashes can be retracted. */
 const maxRetractableCrashes = 64;
 
+/** Time in milliseconds from a start command after which a report of the worker would list the run. */
+const unlistedStartMs = 500;
+
 /** The runs of a worker that fell silent until its lease ended. */
 interface SilentWorker {
   readonly life: string;
@@ -148,9 +151,18 @@
   }
 }
 
+/**
+ * Whether a run may have been on its worker when that crashed. One without an answer, on a worker that went on to report
+ * without it, was not; nor was one that is only looked for on the next incarnation.
+ */
+function mayHaveRun({confirmedAt, isCarriedOver, startedAt, worker}: Run): boolean {
+  if (confirmedAt !== undefined) return true;
+  return !isCarriedOver && worker.lastReportAt - startedAt < unlistedStartMs;
+}
+
 /** Returns the runs of a worker with their ages at its crash, or at its latest report when that time is not known. */
 function getCrashedRuns(worker: WorkerView, crashedAt?: number): CrashedRun[] {
-  return [...worker.runs.values()].map(run => {
+  return [...worker.runs.values()].filter(mayHaveRun).map(run => {
     const {confirmedAt, confirmedAgeMs} = run;
     // An unconfirmed run may just have begun.
     const ageMs =
