Place tasks that reserve processors between the rounds of all tasks

Callers of small submissions got late results after each change of the owner. Cause: a new owner executes cold code on a third of a processor. Its placement rounds take 80 ms and more, nearly all of it for the headroom of filling tasks, and each is followed by a pause of up to 250 ms.

Rounds now have a scope. Tasks that reserve processors, which need no headroom, get rounds of their own before and between those of all tasks; both are spaced by their own cost.

Evidence: round-plan.test.ts plays rounds of 80 ms; with one scope an urgent event waits 310 ms (bound 100 ms), now 78 ms.

--- a/packages/coordination/src/dispatch/dispatch-events.ts
+++ b/packages/coordination/src/dispatch/dispatch-events.ts
@@ -4,6 +4,7 @@
 import type {LoggedDecision} from './decision-log.js';
 import type {DeferredSubmission} from './deferred-submissions.js';
 import type {AdviceReply} from './placement/advice-tickets.js';
+import type {PlacementScope} from './placement/round-plan.js';
 
 /** A submission with its stored progress. */
 export interface StoredSubmission {
@@ -64,8 +65,8 @@
   | {readonly kind: 'tick'; readonly wallMs: number}
   /** All events of one iteration of the event loop have been applied. */
   | {readonly kind: 'settle'}
-  /** Tasks may be placed; callers space these events by the cost of the rounds. */
-  | {readonly kind: 'place'};
+  /** Tasks of a scope, by default all, may be placed; callers space these events by the cost of the rounds. */
+  | {readonly kind: 'place'; readonly scope?: PlacementScope};
 
 /**
  * Result of a write to the store. `conflict`: another process has become the owner. `unavailable`: the write had no
--- a/packages/coordination/src/dispatch/dispatch-state.ts
+++ b/packages/coordination/src/dispatch/dispatch-state.ts
@@ -6,6 +6,7 @@
 import {DeferredSubmissions} from './deferred-submissions.js';
 import type {DispatchEffect} from './dispatch-events.js';
 import type {DispatchTiming} from './dispatch-timing.js';
+import {type PlacementScope, placementScopes} from './placement/round-plan.js';
 import {StartBudget} from './placement/start-budget.js';
 import type {Task} from './task.js';
 import type {WorkerView} from './worker-view.js';
@@ -34,8 +35,8 @@
   readonly runTimes = new RunTimeEstimates();
   /** Keys of the queues with a learned ratio. */
   readonly learnedQueues = new Set<string>();
-  /** Whether tasks may have become placeable since the last placement round. */
-  isPlacementDue = false;
+  /** Scopes in which tasks may have become placeable since the last placement round of that scope. */
+  private readonly duePlacements = new Set<PlacementScope>();
   /** Limits the bytes of start commands. */
   readonly startBudget: StartBudget;
   private wallOffsetMs = 0;
@@ -46,6 +47,31 @@
     this.startBudget = new StartBudget(timing.startBytesPerSecond);
   }
 
+  /** Whether tasks may have become placeable since the last placement round. */
+  get isPlacementDue(): boolean {
+    return this.duePlacements.size > 0;
+  }
+
+  /** Makes rounds of all scopes due; a scope is cleared by `takePlacement`. */
+  set isPlacementDue(isDue: boolean) {
+    for (const scope of placementScopes) {
+      if (isDue) this.duePlacements.add(scope);
+      else this.duePlacements.delete(scope);
+    }
+  }
+
+  /** Whether tasks may have become placeable since the last round of a scope. */
+  isPlacementDueIn(scope: PlacementScope): boolean {
+    return this.duePlacements.has(scope);
+  }
+
+  /** Records the start of a round; returns whether it was due. A round of all tasks includes that of a smaller scope. */
+  takePlacement(scope: PlacementScope): boolean {
+    const isDue = this.duePlacements.delete(scope);
+    if (scope === 'all') this.duePlacements.clear();
+    return isDue;
+  }
+
   /** Sets the wall clock: Unix time `wallMs` at dispatcher time `at`, both in milliseconds. */
   setWallClock(wallMs: number, at: number): void {
     this.wallOffsetMs = wallMs - at;
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -21,6 +21,7 @@
 import {AdviceTickets} from './placement/advice-tickets.js';
 import {FillerPreemption} from './placement/filler-preemption.js';
 import {runPlacementRound} from './placement/placement-round.js';
+import type {PlacementScope} from './placement/round-plan.js';
 import {RoomReservations} from './placement/room-reservations.js';
 import {StarvationGuard} from './placement/starvation-guard.js';
 import {sortCandidates} from './placement/submission-order.js';
@@ -106,9 +107,9 @@
     return this.state.token;
   }
 
-  /** Whether tasks may have become placeable since the last placement round. */
-  get isPlacementDue(): boolean {
-    return this.isOwner && this.state.isPlacementDue;
+  /** Whether tasks of a scope may have become placeable since its last placement round. */
+  isPlacementDue(scope: PlacementScope): boolean {
+    return this.isOwner && this.state.isPlacementDueIn(scope);
   }
 
   /** @inheritdoc */
@@ -170,7 +171,7 @@
       case 'settle':
         return this.settle(at);
       case 'place':
-        return this.place(at);
+        return this.place(event.scope ?? 'all', at);
     }
   }
 
@@ -314,12 +315,11 @@
     this.journal.flush(at);
   }
 
-  private place(at: number): void {
+  private place(scope: PlacementScope, at: number): void {
     const {state} = this;
-    if (!state.isPlacementDue) return;
-    state.isPlacementDue = false;
+    if (!state.takePlacement(scope)) return;
     this.reservations.update(at);
-    const candidates = sortCandidates(state, at);
+    const candidates = sortCandidates(state, at, scope);
     if (candidates.length === 0) return;
     const selector = this.createSelector(at);
     const {commands, reservations, headrooms, tickets} = this;
--- a/packages/coordination/src/dispatch/placement/index.ts
+++ b/packages/coordination/src/dispatch/placement/index.ts
@@ -1,2 +1,3 @@
 export type {AdviceReply} from './advice-tickets.js';
+export {type PlacementScope, type PlannedRound, RoundPlan} from './round-plan.js';
 export {RoundThrottle} from './round-throttle.js';
--- a/packages/coordination/src/dispatch/placement/submission-order.ts
+++ b/packages/coordination/src/dispatch/placement/submission-order.ts
@@ -9,6 +9,7 @@
 import type {Occurrence} from '../occurrence.js';
 import type {StepTasks} from '../step-tasks.js';
 import type {RunState} from '../task.js';
+import type {PlacementScope} from './round-plan.js';
 
 /** Priority of submissions whose queue is not configured; they go last. */
 const unknownQueuePriority = 1_000;
@@ -41,7 +42,11 @@
  * does not make everything late; then the work that is closest to its end goes first, so that a few submissions that
  * take minutes do not delay the many that take seconds, and started work is finished.
  */
-export function sortCandidates(state: DispatchState, at: number): Candidate[] {
+export function sortCandidates(
+  state: DispatchState,
+  at: number,
+  scope: PlacementScope = 'all',
+): Candidate[] {
   const candidates: Candidate[] = [];
   const factors = new Map<QueuePolicy | undefined, number>();
   const getFactor = (queue: QueuePolicy | undefined) => {
@@ -52,7 +57,9 @@
   for (const submission of state.submissions.values()) {
     if (!submission.isActive) continue;
     for (const occurrence of submission.occurrences) {
-      const steps = occurrence.getReadySteps().filter(step => step.hasWaiting(at));
+      const steps = occurrence
+        .getReadySteps()
+        .filter(step => isInScope(step, scope) && step.hasWaiting(at));
       if (steps.length === 0) continue;
       candidates.push(
         createCandidate({submission, occurrence, steps, factor: getFactor(submission.queue), at}),
@@ -68,6 +75,10 @@
   );
 }
 
+function isInScope({step}: StepTasks, scope: PlacementScope): boolean {
+  return scope === 'all' || !step.fills;
+}
+
 function createCandidate(options: {
   readonly submission: ActiveSubmission;
   readonly occurrence: Occurrence;
--- a/packages/runtime/src/dispatch/ownership/owner-process.ts
+++ b/packages/runtime/src/dispatch/ownership/owner-process.ts
@@ -128,9 +128,9 @@
     this.rounds = new RoundScheduler({
       clock,
       settle: () => this.loop.post({kind: 'settle'}),
-      isRoundDue: () => this.dispatcher.isPlacementDue,
-      runRound: () => {
-        if (this.checkOwnership()) this.loop.post({kind: 'place'});
+      isRoundDue: scope => this.dispatcher.isPlacementDue(scope),
+      runRound: scope => {
+        if (this.checkOwnership()) this.loop.post({kind: 'place', scope});
       },
     });
     this.ownerWatch = new RecordWatch({
--- a/packages/runtime/src/dispatch/ownership/round-scheduler.ts
+++ b/packages/runtime/src/dispatch/ownership/round-scheduler.ts
@@ -1,20 +1,22 @@
-import {type Clock, RoundThrottle} from '@chervilbeam/coordination';
+import {type Clock, type PlacementScope, RoundPlan} from '@chervilbeam/coordination';
 
 /** Options of `RoundScheduler`. */
 export interface RoundSchedulerOptions {
   readonly clock: Clock;
   /** Called once after all events of one event-loop turn. */
   readonly settle: () => void;
-  /** Whether a placement round is due. */
-  readonly isRoundDue: () => boolean;
-  readonly runRound: () => void;
+  /** Whether a placement round of a scope is due. */
+  readonly isRoundDue: (scope: PlacementScope) => boolean;
+  readonly runRound: (scope: PlacementScope) => void;
 }
 
 /** Settles the dispatcher after each event-loop turn with events, and spaces its placement rounds by their cost. */
 export class RoundScheduler {
-  private readonly throttle = new RoundThrottle();
+  private readonly plan = new RoundPlan();
   private isSettleScheduled = false;
-  private isRoundScheduled = false;
+  private timer: NodeJS.Timeout | undefined;
+  /** Time in milliseconds at which `timer` fires. */
+  private timerAt = Number.POSITIVE_INFINITY;
 
   constructor(private readonly options: RoundSchedulerOptions) {}
 
@@ -29,21 +31,34 @@
     });
   }
 
+  /** Runs the next round at once, or when it may start. */
   private scheduleRound(): void {
-    if (this.isRoundScheduled || !this.options.isRoundDue()) return;
-    const delayMs = this.throttle.getDelayMs(this.options.clock.now());
-    if (delayMs === 0) return this.runRound();
-    this.isRoundScheduled = true;
-    setTimeout(() => {
-      this.isRoundScheduled = false;
-      this.runRound();
+    const {clock, isRoundDue} = this.options;
+    const now = clock.now();
+    const round = this.plan.getNext(now, isRoundDue);
+    if (round === undefined) return;
+    if (round.delayMs === 0) this.runRound(round.scope);
+    else this.setTimer(now + round.delayMs, round.delayMs);
+  }
+
+  private setTimer(at: number, delayMs: number): void {
+    if (this.timerAt <= at) return;
+    clearTimeout(this.timer);
+    this.timerAt = at;
+    this.timer = setTimeout(() => {
+      this.timerAt = Number.POSITIVE_INFINITY;
+      this.scheduleRound();
     }, delayMs);
   }
 
-  private runRound(): void {
-    const {clock, runRound} = this.options;
+  private runRound(scope: PlacementScope): void {
+    const {clock, runRound, isRoundDue} = this.options;
     const startedAt = clock.now();
-    runRound();
-    this.throttle.recordRound(startedAt, clock.now());
+    runRound(scope);
+    const endedAt = clock.now();
+    this.plan.recordRound(scope, startedAt, endedAt);
+    // No event may follow that would schedule the round of the other tasks.
+    const next = this.plan.getNext(endedAt, isRoundDue);
+    if (next !== undefined) this.setTimer(endedAt + next.delayMs, next.delayMs);
   }
 }
