Start nothing in an evacuated data centre

Cause: operators had no way to keep work away from a data centre. With the setting bounds.evacuationMs, a key op/evacuate/<data centre> in the store now does so until it is removed.

Change: * EvacuationSet and EvacuationView keep the set with the highest revision of the store, from whatever source it comes. * Entries watch op/ instead of op/config, with the same calls. A full list replaces the set, changes are applied one by one. * Each entry sends newer sets to the owner, and again on each new link to an owner, so an owner that the store refuses hears of them. The owner sends them to every agent, and in the message that accepts an agent. * The agent refuses a start as evacuated before it calls its worker.

Processes of the previous version ignore the new kind of message and the new field. Without the setting, the watch, the messages and the decisions are as before; tests compare them.

Evidence: without the condition in WorkerSelector, 13 of the 16 tests of test/dispatch/evacuation/no-starts fail (the other three test the agent, the view and the backlogs). Measured after the change: 2474 assertions of coordination dispatch, runtime dispatch and platform pass, none fails; build, lint and format are clean. No run of processes yet.

--- a/packages/coordination/src/dispatch/admission/queue-backlogs.ts
+++ b/packages/coordination/src/dispatch/admission/queue-backlogs.ts
@@ -243,6 +243,7 @@
   for (const worker of state.workers.values()) {
     const isReachable = at - worker.lastContactAt < state.timing.unreachableMs;
     if (worker.isDraining || !isReachable || worker.health.isSuspended(at)) continue;
+    if (state.isEvacuated(worker)) continue;
     const {service} = worker.description;
     const capacity = capacities.get(service) ?? {cores: 0, servingCores: 0};
     capacities.set(service, capacity);
--- a/packages/coordination/src/dispatch/agent-messages.ts
+++ b/packages/coordination/src/dispatch/agent-messages.ts
@@ -1,3 +1,4 @@
+import type {EvacuationSet} from '../evacuation/index.js';
 import type {Resources} from '../messages/identity.js';
 
 /** One incarnation (`life`) of a worker, identified by id and start time; a restarted worker may keep its id. */
@@ -61,6 +62,8 @@
   | 'ticket'
   /** The worker is draining. */
   | 'draining'
+  /** The data centre is evacuated; nothing was sent to the worker. */
+  | 'evacuated'
   /** The start has no spec and the agent does not know the submission's; nothing was sent to the worker. */
   | 'spec-unknown'
   /** The worker is overloaded or unhealthy and has not executed the command. */
@@ -132,7 +135,11 @@
       /** Highest fencing token that the owner has given out; absent from older owners, whose token is the term. */
       readonly token?: number;
       readonly entries: readonly string[];
+      /** Absent when the owner knows of none, and from older owners. */
+      readonly evacuations?: EvacuationSet;
     }
+  /** Replaces the evacuated data centres that the agent knows, if its revision is higher. */
+  | ({readonly kind: 'evacuations'} & EvacuationSet)
   /** This process is not the owner; `address` is the owner's address, when known. */
   | {readonly kind: 'elsewhere'; readonly address?: string; readonly entries: readonly string[]}
   /** Grants or renews the worker's lease. */
--- a/packages/coordination/src/dispatch/command-results.ts
+++ b/packages/coordination/src/dispatch/command-results.ts
@@ -7,7 +7,7 @@
 
 /** Time in milliseconds for which a worker gets no tasks after it refused one for lack of resources. */
 const noResourcesBlockMs = 250;
-/** The same after a refusal because the worker was busy, draining or replaced. */
+/** The same after a refusal because the worker was busy, draining, replaced or evacuated. */
 const busyBlockMs = 1_000;
 /** Delay in milliseconds before a task is restarted after a worker could not parse its start command. */
 const invalidDelayMs = 2_000;
@@ -83,6 +83,8 @@
         break;
       case 'draining':
       case 'other-life':
+      case 'evacuated':
+        // An agent may know of an evacuation or a new incarnation before this process does.
         worker.blockedUntil = at + busyBlockMs;
         break;
       case 'ticket':
--- a/packages/coordination/src/dispatch/decision-log.ts
+++ b/packages/coordination/src/dispatch/decision-log.ts
@@ -33,7 +33,8 @@
   | 'task-given-up'
   | 'progress-stored'
   | 'progress-not-stored'
-  | 'configuration-used';
+  | 'configuration-used'
+  | 'evacuation-changed';
 
 /** One logged decision or observation with the inputs on which it was based. */
 export interface LoggedDecision {
--- a/packages/coordination/src/dispatch/dispatch-events.ts
+++ b/packages/coordination/src/dispatch/dispatch-events.ts
@@ -1,3 +1,4 @@
+import type {EvacuationSet} from '../evacuation/index.js';
 import type {ProgressRecord, QueueConfiguration, Submission} from '../submissions/index.js';
 import type {CountEffect, ObserveEffect} from '../tasks/events.js';
 import type {AgentMessage, OwnerMessage, WorkerIncarnation} from './agent-messages.js';
@@ -42,6 +43,8 @@
   /** All previous owners have stopped granting leases, the last one `agoMs` milliseconds ago. */
   | {readonly kind: 'predecessors-ended'; readonly agoMs: number}
   | {readonly kind: 'configuration'; readonly configuration: QueueConfiguration}
+  /** Evacuated data centres, from any source; used when the revision is higher than that of the present set. */
+  | {readonly kind: 'evacuations'; readonly set: EvacuationSet}
   /** A new submission has been stored. */
   | {readonly kind: 'submitted'; readonly submission: Submission}
   /** Reply to a `load` effect; `stored` is absent when the store has no readable record of the submission. */
@@ -95,6 +98,8 @@
 /** Output of `Dispatcher`. */
 export type DispatchEffect =
   | {readonly kind: 'send'; readonly agent: string; readonly message: OwnerMessage}
+  /** Sends a message to every agent that is connected, also to those without a worker. */
+  | {readonly kind: 'broadcast'; readonly message: OwnerMessage}
   | {readonly kind: 'write'; readonly sequence: number; readonly write: ProgressWrite}
   /** Reads a deferred submission. */
   | {readonly kind: 'load'; readonly id: string}
--- a/packages/coordination/src/dispatch/dispatch-state.ts
+++ b/packages/coordination/src/dispatch/dispatch-state.ts
@@ -1,3 +1,4 @@
+import {EvacuationView} from '../evacuation/index.js';
 import {getTaskName, type QueueConfiguration, type QueuePolicy} from '../submissions/index.js';
 import {RunTimeEstimates} from '../tasks/round/run-time-estimates.js';
 import type {ActiveSubmission} from './active-submission.js';
@@ -30,6 +31,8 @@
   readonly deferred = new DeferredSubmissions();
   /** Workers by agent name. */
   readonly workers = new Map<string, WorkerView>();
+  /** Evacuated data centres; kept when an ownership ends, as they are a fact about the store. */
+  readonly evacuations = new EvacuationView();
   /** Learned ratio of actual to estimated run times, for each queue. */
   readonly runTimes = new RunTimeEstimates();
   /** Keys of the queues with a learned ratio. */
@@ -76,6 +79,11 @@
     return sum;
   }
 
+  /** Whether nothing may be started on a worker because its data centre is evacuated. */
+  isEvacuated({description}: WorkerView): boolean {
+    return this.evacuations.has(description.dataCentre);
+  }
+
   /** Returns the number of a new command, which messages carry as `order`. */
   takeCommandNumber(): number {
     return this.nextCommandNumber++;
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -1,3 +1,4 @@
+import type {EvacuationSet} from '../evacuation/index.js';
 import type {Reducer} from '../reducer.js';
 import {
   getSubmissionId,
@@ -15,6 +16,7 @@
 import type {DispatchEffect, DispatchEvent, StoredSubmission} from './dispatch-events.js';
 import {DispatchState} from './dispatch-state.js';
 import {defaultDispatchTiming, type DispatchTiming} from './dispatch-timing.js';
+import {updateEvacuations} from './evacuation/evacuation-updates.js';
 import {FillerPacer} from './interference/filler-pacer.js';
 import {InterferenceModel} from './interference/interference-model.js';
 import {WorkerHeadroomCache} from './interference/worker-headroom.js';
@@ -106,6 +108,11 @@
     return this.state.token;
   }
 
+  /** Evacuated data centres; the revision is 0 when none have been received. */
+  get evacuations(): EvacuationSet {
+    return this.state.evacuations.current;
+  }
+
   /** Whether tasks may have become placeable since the last placement round. */
   get isPlacementDue(): boolean {
     return this.isOwner && this.state.isPlacementDue;
@@ -113,9 +120,7 @@
 
   /** @inheritdoc */
   reduce(event: DispatchEvent, at: number): readonly DispatchEffect[] {
-    if (this.isOwner || event.kind === 'begin' || event.kind === 'configuration') {
-      this.apply(event, at);
-    }
+    if (this.isOwner || isKeptWithoutOwnership(event)) this.apply(event, at);
     return this.state.takeEffects();
   }
 
@@ -150,6 +155,8 @@
         return this.limitRecovery(event.agoMs, at);
       case 'configuration':
         return this.configure(event.configuration, at);
+      case 'evacuations':
+        return updateEvacuations(this.state, event.set);
       case 'submitted':
         return this.intake.accept(event.submission, at);
       case 'loaded':
@@ -347,3 +354,8 @@
     state.log({event: 'recovery-finished', term: state.term, workers: state.workers.size, at});
   }
 }
+
+/** Whether an event changes what a process knows also while it is not the owner. */
+function isKeptWithoutOwnership({kind}: DispatchEvent): boolean {
+  return kind === 'begin' || kind === 'configuration' || kind === 'evacuations';
+}
--- a/packages/coordination/src/dispatch/placement/filler-preemption.ts
+++ b/packages/coordination/src/dispatch/placement/filler-preemption.ts
@@ -74,6 +74,8 @@
     const remainingWork = new Map<Occurrence, number>();
     let stopping = 0;
     for (const worker of state.workers.values()) {
+      // The end of a run makes no room where nothing may be started.
+      if (state.isEvacuated(worker)) continue;
       const isOpen = worker.canAcceptTasks(at, state.timing.unreachableMs);
       for (const run of worker.runs.values()) {
         if (!run.task.step.fills) continue;
--- a/packages/coordination/src/dispatch/placement/room-reservations.ts
+++ b/packages/coordination/src/dispatch/placement/room-reservations.ts
@@ -39,6 +39,7 @@
   /** Keeps the room of a run that has ended on a sound worker for the next run of its task. */
   keepRoom(task: Task, worker: WorkerView, at: number): void {
     if (!this.canReserve(task) || !this.hasCapacity() || worker.health.isSuspended(at)) return;
+    if (this.state.isEvacuated(worker)) return;
     this.add(task, worker, at, 'room-kept');
   }
 
@@ -117,6 +118,7 @@
     const {unreachableMs} = this.state.timing;
     const isReachable = worker.isConnected && at - worker.lastContactAt < unreachableMs;
     const isCurrent = this.state.workers.get(worker.agent) === worker;
+    if (this.state.isEvacuated(worker)) return false;
     return isCurrent && isReachable && !worker.isDraining && !worker.health.isSuspended(at);
   }
 
--- a/packages/coordination/src/dispatch/placement/worker-selector.ts
+++ b/packages/coordination/src/dispatch/placement/worker-selector.ts
@@ -155,6 +155,7 @@
   private isOpen(worker: WorkerView): boolean {
     const {at, state} = this;
     if (!worker.canAcceptTasks(at, state.timing.unreachableMs)) return false;
+    if (state.isEvacuated(worker)) return false;
     if (worker.health.isSuspended(at)) return false;
     return !worker.health.isOnProbation(at) || !hasFiniteRuns(worker);
   }
--- /dev/null
+++ b/packages/coordination/src/evacuation/index.ts
@@ -0,0 +1,2 @@
+export * from './evacuation-set.js';
+export * from './evacuation-view.js';
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -4,6 +4,7 @@
 export * from './configuration/index.js';
 export * from './dispatch/index.js';
 export * from './entry/index.js';
+export * from './evacuation/index.js';
 export * from './findings/index.js';
 export * from './membership/index.js';
 export * from './messages/index.js';
--- a/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
@@ -14,12 +14,12 @@
 import {SeededRandom} from '../../../src/routing/seeded-random.js';
 import {type ProgressRecord, type Queue, type Submission} from '../../../src/submissions/index.js';
 import {createConfiguration} from './queues.js';
-import type {VirtualFleetOptions} from './virtual-fleet-options.js';
+import type {Silence, VirtualFleetOptions} from './virtual-fleet-options.js';
 import {VirtualAdvisor} from './virtual-advisor.js';
 import {type TaskBehaviour, VirtualWorker, type SimulatedWorld} from './virtual-worker.js';
 
 export {createConfiguration, createQueue} from './queues.js';
-export {type VirtualFleetOptions} from './virtual-fleet-options.js';
+export {type Silence, type VirtualFleetOptions} from './virtual-fleet-options.js';
 
 /** Times in milliseconds between simulation steps, reports of a worker, and ticks of the dispatcher. */
 const stepMs = 25;
@@ -28,9 +28,6 @@
 /** Delay in milliseconds of a message between dispatcher and worker, and of a write to the store. */
 const deliveryDelayMs = 5;
 
-/** Messages that a silent link holds back; those of an agent are replaced by its next list. */
-export type Silence = 'from-agent' | 'to-agent' | 'both';
-
 interface ScheduledAction {
   readonly at: number;
   readonly action: () => void;
@@ -145,6 +142,7 @@
   connect(worker: VirtualWorker): void {
     const {agent, life, cores, rack} = worker.options;
     this.post({kind: 'agent-up', agent});
+    worker.evacuations.update(this.dispatcher.evacuations);
     this.post({
       kind: 'message',
       agent,
@@ -154,7 +152,7 @@
           life,
           id: life,
           service: 'service',
-          dataCentre: 'dc',
+          dataCentre: worker.dataCentre,
           rack,
           labels: ['a', rack],
           capacity: {processors: cores, memoryMb: 64_000, accelerators: 0, slots: 0},
@@ -268,6 +266,9 @@
       this.schedule(() => this.write(effect.sequence, effect.write));
     else if (effect.kind === 'send')
       this.schedule(() => this.deliver(effect.agent, effect.message));
+    else if (effect.kind === 'broadcast')
+      for (const agent of this.workers.keys())
+        this.schedule(() => this.deliver(agent, effect.message));
     else if (effect.kind === 'advise') this.advise(effect);
     else if (effect.kind === 'load') this.schedule(() => this.load(effect.id));
   }
@@ -293,7 +294,8 @@
       this.schedule(() => this.deliver(agent, message));
       return;
     }
-    if (message.kind === 'lease') {
+    if (message.kind === 'evacuations') worker.evacuations.update(message);
+    else if (message.kind === 'lease') {
       this.raiseToken(worker, message.token ?? 0);
       worker.extendLease(message.deadlineMs);
       if (worker.hasLostAcknowledgements) return;
--- a/packages/coordination/test/dispatch/fleet/virtual-worker.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-worker.ts
@@ -1,4 +1,11 @@
-import type {RunEndRow, OwnerMessage, RunOutcome, RunRow} from '../../../src/dispatch/index.js';
+import type {
+  OwnerMessage,
+  RunEndRow,
+  RunOutcome,
+  RunRow,
+  StartRefusal,
+} from '../../../src/dispatch/index.js';
+import {EvacuationView} from '../../../src/evacuation/index.js';
 import type {SeededRandom} from '../../../src/routing/seeded-random.js';
 import type {Step} from '../../../src/submissions/index.js';
 
@@ -41,6 +48,8 @@
   readonly life: string;
   readonly cores: number;
   readonly rack: string;
+  /** `dc` by default. */
+  readonly dataCentre?: string;
   /** Factor by which run times are multiplied. */
   readonly slowness?: number;
   /** Whether every run fails. */
@@ -69,6 +78,8 @@
   private readonly highestRuns = new Map<string, number>();
   private nextEnd = 1;
   fencingToken = 0;
+  /** Evacuated data centres that its agent knows. */
+  readonly evacuations = new EvacuationView();
   /** Time at which the lease of all runs expires. */
   leaseEndsAt = 0;
   /** Whether start commands are neither answered nor executed. */
@@ -88,6 +99,11 @@
     this.isHung = options.isHung ?? false;
   }
 
+  /** Its data centre. */
+  get dataCentre(): string {
+    return this.options.dataCentre ?? 'dc';
+  }
+
   /** Cores reserved by the runs. */
   get reservedCores(): number {
     let sum = 0;
@@ -102,7 +118,8 @@
     order: Extract<OwnerMessage, {kind: 'start'}>,
     at: number,
     token: number,
-  ): 'room' | 'old-run' | 'fenced' | 'late' | undefined {
+  ): StartRefusal | undefined {
+    if (this.evacuations.has(this.dataCentre)) return 'evacuated';
     if (token < this.fencingToken) return 'fenced';
     this.fencingToken = token;
     if (order.deadlineMs < at) return 'late';
--- a/packages/runtime/src/dispatch/agent/agent-node.ts
+++ b/packages/runtime/src/dispatch/agent/agent-node.ts
@@ -250,6 +250,8 @@
         this.acknowledged = message.acknowledged;
         this.onAcknowledged?.();
         return;
+      case 'evacuations':
+        return this.commands.updateEvacuations(message);
       case 'start':
         return void this.commands.start(message);
       case 'stop':
@@ -267,13 +269,14 @@
     this.startRenewalLoop();
   }
 
-  private handleAccepted({term, token = term, entries}: OwnerAcceptance): void {
+  private handleAccepted({term, token = term, entries, evacuations}: OwnerAcceptance): void {
     this.options.log.log('owner-found', {term});
     if (term < this.term) {
       // A previous owner that has not noticed its replacement; the worker would refuse its commands by their term.
       this.link?.destroy('former-owner');
       return;
     }
+    if (evacuations) this.commands.updateEvacuations(evacuations);
     this.isAcceptedByOwner = true;
     this.term = term;
     this.token = Math.max(this.token, token);
--- a/packages/runtime/src/dispatch/agent/worker-commands.ts
+++ b/packages/runtime/src/dispatch/agent/worker-commands.ts
@@ -1,6 +1,8 @@
 import {
   type Clock,
   type CommandOutcome,
+  type EvacuationSet,
+  EvacuationView,
   getSubmissionId,
   type OwnerMessage,
   type WorkerDescription,
@@ -31,6 +33,8 @@
 
 /** Options of `WorkerCommands`. */
 export interface WorkerCommandsOptions {
+  /** Data centre of the agent. */
+  readonly dataCentre: string;
   readonly worker: WorkerPort;
   readonly clock: Clock;
   readonly log: DecisionLogger;
@@ -45,15 +49,32 @@
 /** Executes the owner's commands on the worker. On the wire and in logs, a command is called an order. */
 export class WorkerCommands {
   private readonly specs = new SpecCache();
+  /** Outlives the links to owners: a new owner may know less than the previous one. */
+  private readonly evacuations = new EvacuationView();
 
   constructor(private readonly options: WorkerCommandsOptions) {}
 
-  /** Starts a run; refused without a call when the term or the worker's incarnation is outdated. */
+  /** Uses a newer set of evacuated data centres; starts are refused from then on while the agent's is among them. */
+  updateEvacuations({revision, dataCentres}: EvacuationSet): void {
+    if (this.evacuations.update({revision, dataCentres}) !== 'changed') return;
+    this.options.log.log('evacuation-changed', {revision, dataCentres});
+  }
+
+  /**
+   * Starts a run; refused without a call when the term or the worker's incarnation is outdated, or the data centre is
+   * evacuated.
+   */
   async start(order: Extract<OwnerMessage, {kind: 'start'}>): Promise<void> {
     const spec = this.specs.resolve(getSubmissionId(order.task), order.spec);
     const state = this.options.getContext();
     const refusal = getStartRefusal(state, order.life, order.term);
     if (refusal !== undefined) return this.options.sendResult(order, refusal);
+    if (this.isEvacuated(state)) {
+      const outcome = {kind: 'refused', reason: 'evacuated'} as const;
+      this.options.metrics.count('starts_refused_evacuated');
+      this.logCommandOutcome('start', order.task, order.run, outcome);
+      return this.options.sendResult(order, outcome);
+    }
     if (spec === undefined) {
       return this.options.sendResult(order, {kind: 'refused', reason: 'spec-unknown'});
     }
@@ -103,6 +124,15 @@
     this.logCommandOutcome('pace', task, run, outcome);
   }
 
+  /** The worker names its data centre itself; the owner places by that name. */
+  private isEvacuated({worker}: CommandContext): boolean {
+    const {evacuations} = this;
+    return (
+      evacuations.has(this.options.dataCentre) ||
+      (worker !== undefined && evacuations.has(worker.dataCentre))
+    );
+  }
+
   private async checkRunListed(
     state: CommandContext,
     task: string,
--- a/packages/runtime/src/dispatch/entry/entry-node.ts
+++ b/packages/runtime/src/dispatch/entry/entry-node.ts
@@ -1,9 +1,11 @@
 import type {Server, Socket} from 'node:net';
-import type {
-  AgentMessage,
-  OwnerMessage,
-  OwnerRecord,
-  QueueConfiguration,
+import {
+  type AgentMessage,
+  type EvacuationSet,
+  EvacuationView,
+  type OwnerMessage,
+  type OwnerRecord,
+  type QueueConfiguration,
 } from '@chervilbeam/coordination';
 import {BacklogEncoder} from '../links/backlog-messages.js';
 import type {
@@ -15,7 +17,8 @@
 import {Link, type LinkHandlers, listenForLinks} from '../links/link.js';
 import {TrafficMeter} from '../links/traffic-meter.js';
 import {getOwnerLimits} from '../ownership/owner-limits.js';
-import {OwnerProcess, type OwnerProcessOptions} from '../ownership/owner-process.js';
+import type {OwnerProcessOptions} from '../ownership/owner-process-options.js';
+import {OwnerProcess} from '../ownership/owner-process.js';
 import {ObservedStore} from '../records/observed-store.js';
 import {StoreHealth} from '../records/store-health.js';
 import type {SubmissionCall, SubmissionReply} from '../submissions/submission-calls.js';
@@ -52,6 +55,7 @@
   private readonly entryLinks = new Map<PeerLink, boolean>();
   private readonly backlogEncoder = new BacklogEncoder();
   private readonly links = new Set<PeerLink>();
+  private readonly evacuations = new EvacuationView();
   private ownerAddress: string | undefined;
   private server: Server | undefined;
   private backlogTimer: NodeJS.Timeout | undefined;
@@ -73,6 +77,7 @@
       ...options,
       store,
       traffic: this.traffic,
+      getEvacuations: () => this.evacuations.current,
       onQueueBacklogs: backlogs => this.service.setQueueBacklogs(backlogs),
     });
     this.service = new SubmissionService({
@@ -117,6 +122,14 @@
     this.owner.configure(configuration);
   }
 
+  /** Uses a set of evacuated data centres, and passes it on to the owner if it is newer than all before. */
+  updateEvacuations(set: EvacuationSet): void {
+    if (this.options.evacuations === undefined) return;
+    if (this.evacuations.update(set) === 'older') return;
+    this.owner.updateEvacuations(set);
+    this.peers.sendEvacuations();
+  }
+
   /** Executes a caller's call. */
   execute(call: SubmissionCall, context: CallContext): Promise<SubmissionReply> {
     return this.service.execute(call, context);
@@ -203,6 +216,10 @@
       case 'cancelled':
         this.owner.cancel(message.id);
         return;
+      case 'evacuations': {
+        const {revision, dataCentres} = message;
+        return this.updateEvacuations({revision, dataCentres});
+      }
       case 'call':
         void this.service
           .execute(message.call, {timeoutMs: relayedCallTimeoutMs, isRelayed: true})
--- a/packages/runtime/src/dispatch/entry/entry-peers.ts
+++ b/packages/runtime/src/dispatch/entry/entry-peers.ts
@@ -1,4 +1,4 @@
-import type {Clock, OwnerRecord, QueueBacklogs} from '@chervilbeam/coordination';
+import type {Clock, EvacuationSet, OwnerRecord, QueueBacklogs} from '@chervilbeam/coordination';
 import type {DecisionLogger} from '../decision-logger.js';
 import {BacklogDecoder} from '../links/backlog-messages.js';
 import type {
@@ -31,6 +31,8 @@
   readonly clock: Clock;
   readonly log: DecisionLogger;
   readonly traffic: TrafficMeter;
+  /** Returns the newest evacuated data centres that this entry knows; revision 0 when it knows none. */
+  readonly getEvacuations: () => EvacuationSet;
   readonly onQueueBacklogs: (backlogs: QueueBacklogs) => void;
 }
 
@@ -148,6 +150,13 @@
     }
   }
 
+  /** Notifies the owner of the evacuated data centres; repeated on each new link to an owner. */
+  sendEvacuations(): void {
+    const set = this.options.getEvacuations();
+    if (this.ownerAddress === undefined || set.revision === 0) return;
+    this.getLink(this.ownerAddress).send({kind: 'evacuations', ...set});
+  }
+
   /**
    * Relays a call to the next entry in round-robin order. Returns undefined when it does not reply within `timeoutMs`,
    * and a refusal when the link never opened, since the call was then not sent.
@@ -224,7 +233,9 @@
 
   private dialOwner(): void {
     clearTimeout(this.redialTimer);
-    if (this.ownerAddress !== undefined && !this.isStopped) this.getLink(this.ownerAddress);
+    if (this.ownerAddress === undefined || this.isStopped) return;
+    this.getLink(this.ownerAddress);
+    this.sendEvacuations();
   }
 
   private getLink(address: string): EntryLink {
--- a/packages/runtime/src/dispatch/links/entry-messages.ts
+++ b/packages/runtime/src/dispatch/links/entry-messages.ts
@@ -1,4 +1,4 @@
-import type {OwnerMessage, SubmissionStatus} from '@chervilbeam/coordination';
+import type {EvacuationSet, OwnerMessage, SubmissionStatus} from '@chervilbeam/coordination';
 import type {SubmissionCall, SubmissionReply} from '../submissions/submission-calls.js';
 import type {BacklogMessage} from './backlog-messages.js';
 
@@ -15,6 +15,8 @@
   | {readonly kind: 'count'; readonly request: number; readonly queue: string}
   /** Notifies the owner that the store holds a cancel request for a submission. */
   | {readonly kind: 'cancelled'; readonly id: string}
+  /** Notifies the owner of the evacuated data centres as of a revision of the store. */
+  | ({readonly kind: 'evacuations'} & EvacuationSet)
   /** Relays a caller's call, because the store refuses the sender or does not answer it. */
   | {readonly kind: 'call'; readonly request: number; readonly call: SubmissionCall};
 
--- a/packages/runtime/src/dispatch/links/link-message-checks.ts
+++ b/packages/runtime/src/dispatch/links/link-message-checks.ts
@@ -27,7 +27,13 @@
     term: isOptionalNumber,
     outcome: isOutcome,
   },
-  owner: {term: 'number', token: isOptionalNumber, entries: isTexts},
+  owner: {
+    term: 'number',
+    token: isOptionalNumber,
+    entries: isTexts,
+    evacuations: set => set === undefined || isEvacuationSet(set),
+  },
+  evacuations: {revision: isRevision, dataCentres: isTexts},
   elsewhere: {entries: isTexts},
   lease: {
     life: 'string',
@@ -147,6 +153,15 @@
   return Array.isArray(value) && value.every(text => typeof text === 'string');
 }
 
+function isEvacuationSet(value: unknown): boolean {
+  return isRecord(value) && isRevision(value.revision) && isTexts(value.dataCentres);
+}
+
+/** A revision out of range would make all later sets look older. */
+function isRevision(value: unknown): boolean {
+  return Number.isSafeInteger(value) && (value as number) >= 0;
+}
+
 function isOptionalNumber(value: unknown): boolean {
   return value === undefined || Number.isFinite(value);
 }
--- a/packages/runtime/src/dispatch/ownership/owner-process.ts
+++ b/packages/runtime/src/dispatch/ownership/owner-process.ts
@@ -1,13 +1,11 @@
 import {
   type AgentMessage,
-  type Clock,
   type DispatchEffect,
   Dispatcher,
   type DispatchEvent,
-  type DispatchTiming,
   type ElectionEffect,
   type ElectionEvent,
-  type ElectionTiming,
+  type EvacuationSet,
   OwnerElection,
   type OwnerMessage,
   type OwnerRecord,
@@ -16,20 +14,18 @@
   type QueueConfiguration,
 } from '@chervilbeam/coordination';
 import {Loop} from '../../loop/index.js';
-import type {Metrics} from '../../metrics/index.js';
-import type {DecisionLogger} from '../decision-logger.js';
 import type {SubmissionLookup} from '../links/entry-messages.js';
 import type {Link} from '../links/link.js';
 import {ProgressWriter} from '../records/progress-writer.js';
 import {parseOwner} from '../records/record-parsers.js';
-import type {RecordChange, RecordStore, StoredRecord} from '../records/record-store.js';
+import type {RecordChange, StoredRecord} from '../records/record-store.js';
 import {RecordWatch} from '../records/record-watch.js';
 import {ownerKey} from '../records/store-keys.js';
 import {readStoredState, readSubmission, toWriteResult} from '../records/stored-state.js';
-import type {AdvisorPort} from './advisor-port.js';
 import {ElectionCalls} from './election-calls.js';
 import {LeaseClock} from './lease-clock.js';
 import {getOwnerLimits, type OwnerLimits} from './owner-limits.js';
+import type {OwnerProcessOptions} from './owner-process-options.js';
 import {OwnershipHistory} from './ownership-history.js';
 import {RoundScheduler} from './round-scheduler.js';
 import {WorkWatch} from './work-watch.js';
@@ -46,37 +42,6 @@
  */
 const startLinkShare = 0.4;
 
-/** Options of `OwnerProcess`. */
-export interface OwnerProcessOptions {
-  readonly name: string;
-  /** Address at which other processes reach this one. */
-  readonly address: string;
-  /** Number of processors that this process can use as the owner. */
-  readonly processors: number;
-  /** Largest size of the heap in bytes; by default without limit. */
-  readonly heapBytes?: number;
-  /** Speed of the host's network link in megabits per second; by default without limit. */
-  readonly linkMegabits?: number;
-  /** Identifies this incarnation of the process; a restart gets a new one. */
-  readonly incarnation: string;
-  readonly store: RecordStore;
-  /** Absent on a platform without an advisor. */
-  readonly advisor?: AdvisorPort;
-  readonly clock: Clock;
-  readonly log: DecisionLogger;
-  readonly metrics: Metrics;
-  readonly timing?: Partial<DispatchTiming>;
-  readonly electionTiming?: Partial<ElectionTiming>;
-  /** Returns the number of processors of each other entry; undefined until the entries have been listed. */
-  readonly getOtherProcessors: () => readonly number[] | undefined;
-  /** Asks another process how long ago in milliseconds an ownership ended; undefined when that is not known. */
-  readonly askOwnershipEnd: (owner: OwnerRecord) => Promise<number | undefined>;
-  /** Called with each owner record that is read from the store; undefined when there is no owner. */
-  readonly onOwner: (owner: OwnerRecord | undefined) => void;
-  /** Called when this process becomes or stops being the owner. */
-  readonly onOwnership: (isOwner: boolean) => void;
-}
-
 /**
  * Takes part in the leader election among the entries. The elected entry owns the submissions and runs the
  * dispatcher.
@@ -167,6 +132,11 @@
     this.post({kind: 'configuration', configuration});
   }
 
+  /** Passes on evacuated data centres, of which this process has learned from any source. */
+  updateEvacuations({revision, dataCentres}: EvacuationSet): void {
+    this.post({kind: 'evacuations', set: {revision, dataCentres}});
+  }
+
   /**
    * Registers the link of an agent, replacing an older one, and sends it the term and the addresses of other entries.
    * Returns false when this process is not the owner.
@@ -180,8 +150,14 @@
     const previousLink = this.agents.get(agent);
     this.agents.set(agent, link);
     previousLink?.destroy('replaced');
-    const {term, token} = this.dispatcher;
-    link.send({kind: 'owner', term, token, entries});
+    const {term, token, evacuations} = this.dispatcher;
+    link.send({
+      kind: 'owner',
+      term,
+      token,
+      entries,
+      ...(evacuations.revision > 0 && {evacuations}),
+    });
     this.post({kind: 'agent-up', agent});
     return true;
   }
@@ -261,6 +237,8 @@
     switch (effect.kind) {
       case 'send':
         return this.agents.get(effect.agent)?.send(effect.message);
+      case 'broadcast':
+        return this.agents.forEach(link => link.send(effect.message));
       case 'write':
         return void this.writeProgress(effect.sequence, effect.write);
       case 'recovered':
@@ -340,13 +318,13 @@
   }
 
   private async beginOwnership(term: number, generation: number): Promise<void> {
-    const {store, log, clock} = this.options;
+    const {store, log, clock, evacuations} = this.options;
     this.electionTerm = term;
     log.log('ownership-claimed', {term, generation});
     const startedAt = clock.now();
     const shouldContinue = () => this.electionTerm === term;
     const maxBytes = this.limits.maxLoadedBytes;
-    const stored = await readStoredState({store, log, maxBytes, shouldContinue});
+    const stored = await readStoredState({store, log, maxBytes, shouldContinue, evacuations});
     this.electionLoop.post({kind: 'look'});
     if (stored === undefined || this.electionTerm !== term) return;
     log.log('submissions-read', {
@@ -355,6 +333,7 @@
       deferred: stored.deferred.length,
       ageMs: Math.round(clock.now() - startedAt),
     });
+    if (stored.evacuations) this.loop.post({kind: 'evacuations', set: stored.evacuations});
     this.loop.post({
       kind: 'begin',
       term,
--- a/packages/runtime/src/dispatch/records/stored-state.ts
+++ b/packages/runtime/src/dispatch/records/stored-state.ts
@@ -1,10 +1,12 @@
 import {
   type DeferredSubmission,
+  type EvacuationSet,
   type RosterEntry,
   type StoredSubmission,
   type WriteResult,
 } from '@chervilbeam/coordination';
 import type {DecisionLogger} from '../decision-logger.js';
+import type {EvacuationSource} from './evacuation-source.js';
 import {parseRoster} from './record-parsers.js';
 import type {CommitResult, RecordStore, StoredRecord} from './record-store.js';
 import {
@@ -22,6 +24,8 @@
   /** Submissions for which there is no memory. */
   readonly deferred: readonly DeferredSubmission[];
   readonly roster: readonly RosterEntry[];
+  /** Evacuated data centres; absent on a platform without evacuations. */
+  readonly evacuations?: EvacuationSet;
   /** Revision from which a watch on the submissions can continue. */
   readonly revision: number;
 }
@@ -41,6 +45,8 @@
   readonly log: DecisionLogger;
   /** Memory in bytes for submissions; beyond it, the largest are deferred. */
   readonly maxBytes: number;
+  /** Absent on a platform without evacuations. */
+  readonly evacuations?: EvacuationSource | undefined;
   /** Whether the state is still needed. */
   readonly shouldContinue: () => boolean;
 }
@@ -52,20 +58,24 @@
 export async function readStoredState(
   options: StoredStateOptions,
 ): Promise<StoredState | undefined> {
-  const {store, log, shouldContinue} = options;
+  const {store, log, shouldContinue, evacuations: source} = options;
   while (shouldContinue()) {
     const stored = new StoredSubmissions(log, options.maxBytes);
     const onPage = (records: readonly StoredRecord[]) => stored.add(records);
-    const [work, progress, roster] = await Promise.all([
+    const [work, progress, roster, evacuations] = await Promise.all([
       store.list(workPrefix, {onPage}),
       store.list(progressPrefix, {onPage}),
       store.read(rosterKey),
+      source?.read(),
     ]);
-    if (work.kind === 'ok' && progress.kind === 'ok' && roster.kind === 'ok') {
+    const areEvacuationsRead = source === undefined || evacuations !== undefined;
+    const isRead = work.kind === 'ok' && progress.kind === 'ok' && roster.kind === 'ok';
+    if (isRead && areEvacuationsRead) {
       return {
         submissions: stored.getLoaded(),
         deferred: stored.getDeferred(),
         roster: readRoster(roster.record, log),
+        ...(evacuations && {evacuations}),
         revision: work.revision,
       };
     }
@@ -80,7 +90,7 @@
  */
 export async function readSubmission(
   id: string,
-  {store, log, shouldContinue}: Omit<StoredStateOptions, 'maxBytes'>,
+  {store, log, shouldContinue}: Omit<StoredStateOptions, 'maxBytes' | 'evacuations'>,
 ): Promise<StoredSubmission | undefined> {
   while (shouldContinue()) {
     const results = await Promise.all(
--- a/packages/runtime/test/dispatch/entry/entry-peers.test.ts
+++ b/packages/runtime/test/dispatch/entry/entry-peers.test.ts
@@ -1,6 +1,6 @@
 import {once} from 'node:events';
 import type {AddressInfo, Socket} from 'node:net';
-import type {Clock} from '@chervilbeam/coordination';
+import {type Clock, unknownEvacuations} from '@chervilbeam/coordination';
 import t from 'tap';
 import {
   type AttemptState,
@@ -60,6 +60,7 @@
     clock,
     log,
     traffic: new TrafficMeter(new Metrics(), log),
+    getEvacuations: () => unknownEvacuations,
     onQueueBacklogs: () => {},
   });
   peers.start();
--- a/packages/runtime/test/dispatch/links/malformed-messages.test.ts
+++ b/packages/runtime/test/dispatch/links/malformed-messages.test.ts
@@ -39,6 +39,8 @@
 ];
 const otherMessages: ReadonlyArray<Readonly<Record<string, unknown>>> = [
   {kind: 'owner', term: 2, entries: ['10.0.0.1:1']},
+  {kind: 'owner', term: 2, entries: [], evacuations: {revision: 3, dataCentres: ['north']}},
+  {kind: 'evacuations', revision: 3, dataCentres: ['north']},
   {kind: 'lease', life, term: 2, deadlineMs: 9, acknowledged: 0},
   {kind: 'start', order: 1, life, term: 2, task, run: 1, spec: 'x', deadlineMs: 9},
   {kind: 'query', request: 1, id: 'a'},
@@ -151,6 +153,25 @@
   });
 }
 
+const badEvacuations: readonly unknown[] = [
+  {dataCentres: ['north']},
+  {revision: '3', dataCentres: ['north']},
+  {revision: -1, dataCentres: []},
+  {revision: 1e300, dataCentres: []},
+  {revision: Number.NaN, dataCentres: []},
+  {revision: 3},
+  {revision: 3, dataCentres: 'north'},
+  {revision: 3, dataCentres: [7]},
+];
+
+for (const set of badEvacuations) {
+  void t.test(`evacuations that cannot be read are refused: ${JSON.stringify(set)}`, async t => {
+    const owner = {kind: 'owner', term: 2, entries: [], evacuations: set};
+    t.throws(() => checkLinkMessage({kind: 'evacuations', ...(set as object)}), FrameError);
+    t.throws(() => checkLinkMessage(owner), FrameError);
+  });
+}
+
 void t.test('a message of an unknown kind is ignored, as during an upgrade', async t => {
   t.notOk(checkLinkMessage({kind: 'invented', field: 1}));
   t.notOk(checkLinkMessage({kind: 'toString'}));
