Claim a vacant ownership by the smallest round trip and without waiting for a tick

Cause: the delay of a claim was 8 times the round trip of the latest call that opened a lease. At the start of a process that call is cold and slow, so claims came up to 500 ms late, plus 250 ms while the other entries were unknown, and were looked at only with the tick each 250 ms. Change: the smallest round trip of all store calls so far orders the claims, 4 times and at most 250 ms. The delay is computed again while a claim waits, each 20 ms and without a call, so that it ends when the entries are known. The state is read while the claim is under way, only by processes that claim. OwnerElection gets the events take-over and retire for a planned handover. The calls and the options of OwnerProcess move to files of their own. Evidence: the new cases in claim-delay, owner-election, election-calls and store-health tests fail without the change; the existing ones are unchanged. Not measured on the deployment yet.

--- a/packages/coordination/src/ownership/claim-delay.ts
+++ b/packages/coordination/src/ownership/claim-delay.ts
@@ -1,15 +1,18 @@
-/** Multiple of the round trip to the store by which a claim is delayed, so that the nearest entry claims first. */
-const roundTripFactor = 8;
 /**
- * Upper bound of the delay for the round trip, in milliseconds. The first call of a process can be slow wherever it
- * runs, so a long round trip does not prove a distant store.
+ * Multiple of the round trip to the store by which a claim is delayed, so that the nearest entry claims first. A claim
+ * takes two round trips; with twice as many, a claim has taken effect before an entry that is twice as far away begins its own.
  */
-const maxRoundTripDelayMs = 500;
+const roundTripFactor = 4;
+/**
+ * Upper bound of the delay for the round trip, in milliseconds: that of an entry 30 ms away in each direction. The first calls
+ * of a process can be slow wherever it runs, so a longer round trip does not prove a more distant store.
+ */
+const maxRoundTripDelayMs = 250;
 /** Ratio of processors at or above which another entry counts as stronger. */
 const strongerRatio = 1.5;
 /** Additional delay in milliseconds that gives a stronger entry time to notice the vacancy. */
 const strongerEntryDelayMs = 800;
-/** Additional delay in milliseconds while the other entries are not known yet. */
+/** Additional delay in milliseconds until the other entries are known, at most. */
 const unknownEntriesDelayMs = 250;
 
 /** Traffic in megabits per second that an owner causes for each processor that it uses. */
@@ -25,7 +28,7 @@
 
 /** Inputs of `getClaimDelayMs`. */
 export interface ClaimDelayInputs {
-  /** Measured round trip of a store call in milliseconds. */
+  /** Smallest measured round trip of a store call in milliseconds. */
   readonly roundTripMs: number;
   /** Processors that this entry can use as the owner, possibly a fraction. */
   readonly processors: number;
--- a/packages/coordination/src/ownership/owner-election.ts
+++ b/packages/coordination/src/ownership/owner-election.ts
@@ -66,6 +66,10 @@
   | {readonly kind: 'claimed'; readonly revision: number; readonly generation: number}
   | {readonly kind: 'deposed'; readonly reason: string}
   | {readonly kind: 'claim-delay'; readonly delayMs: number}
+  /** The owner offers its ownership; `revision` is that of its key, which this process may replace. */
+  | {readonly kind: 'take-over'; readonly revision: number}
+  /** This process claims no more, but keeps an ownership until another process has taken it over, or until `drain`. */
+  | {readonly kind: 'retire'}
   | {readonly kind: 'drain'};
 
 /** Output of `OwnerElection`. */
@@ -99,10 +103,13 @@
   private vacantSince: number | undefined;
   /** Revision of the owner key when this process may replace it without waiting for the end of its lease, otherwise 0. */
   private replaceableRevision = 0;
+  /** Revision of the owner key at which its owner has offered the ownership to this process, otherwise 0. */
+  private offeredRevision = 0;
   /** Nonces of the claims under the current lease. */
   private readonly leaseNonces = new Set<string>();
   private claimCount = 0;
   private claimDelayMs: number;
+  private isRetiring = false;
   private isDraining = false;
   private effects: ElectionEffect[] = [];
 
@@ -116,6 +123,14 @@
     return this.lease;
   }
 
+  /** Time in milliseconds until a claim is due; undefined when none is waiting. */
+  getClaimWaitMs(at: number): number | undefined {
+    if (this.isRetiring || this.term > 0 || this.pending === 'claim') return undefined;
+    if (this.lease === undefined || this.vacantSince === undefined) return undefined;
+    const dueAt = this.replaceableRevision > 0 ? at : this.vacantSince + this.claimDelayMs;
+    return Math.max(0, dueAt - at, this.retryAt - at);
+  }
+
   /** @inheritdoc */
   reduce(event: ElectionEvent, at: number): readonly ElectionEffect[] {
     this.effects = [];
@@ -161,7 +176,17 @@
       case 'claim-delay':
         this.claimDelayMs = event.delayMs;
         return;
+      case 'take-over':
+        this.offeredRevision = event.revision;
+        this.replaceableRevision = event.revision;
+        this.hasReadOwnerKey = true;
+        this.vacantSince ??= at;
+        return this.tick(at);
+      case 'retire':
+        this.isRetiring = true;
+        return;
       case 'drain':
+        this.isRetiring = true;
         this.isDraining = true;
         this.end('draining');
         this.releaseLease();
@@ -174,7 +199,8 @@
   }
 
   private tick(at: number): void {
-    if (this.isDraining || this.pending !== undefined || at < this.retryAt) return;
+    if (this.isDraining || (this.isRetiring && this.term === 0)) return;
+    if (this.pending !== undefined || at < this.retryAt) return;
     const {leaseTtlMs, renewIntervalMs} = this.timing;
     if (this.lease === undefined) {
       this.call('open-lease', {kind: 'open-lease', ttlMs: leaseTtlMs}, at);
@@ -204,7 +230,10 @@
 
   private observeOwner(owner: OwnerRecord | undefined, revision: number, at: number): void {
     this.hasReadOwnerKey = true;
-    const isReplaceable = this.isPreviousIncarnation(owner) || this.isAbandonedClaim(owner);
+    if (revision > this.offeredRevision) this.offeredRevision = 0;
+    const isOffered = owner !== undefined && revision === this.offeredRevision;
+    const isReplaceable =
+      isOffered || this.isPreviousIncarnation(owner) || this.isAbandonedClaim(owner);
     this.replaceableRevision = isReplaceable ? revision : 0;
     if (owner === undefined || isReplaceable) this.vacantSince ??= at;
     else this.vacantSince = undefined;
@@ -235,6 +264,7 @@
     this.term = term;
     this.vacantSince = undefined;
     this.replaceableRevision = 0;
+    this.offeredRevision = 0;
     this.effects.push({kind: 'begin', term, generation});
   }
 
--- a/packages/coordination/test/ownership/claim-delay.test.ts
+++ b/packages/coordination/test/ownership/claim-delay.test.ts
@@ -23,6 +23,16 @@
     first: near,
     second: {...near, otherProcessors: undefined},
   },
+  {
+    name: 'stronger, even when its round trip has not been measured well yet',
+    first: {...near, roundTripMs: 1_000},
+    second: {...near, processors: 0.3, otherProcessors: [1.35]},
+  },
+  {
+    name: 'done with its two round trips before one that is twice as far away begins',
+    first: {...near, roundTripMs: 4 + (2 * 4) / 4},
+    second: {...near, roundTripMs: 8},
+  },
   {
     name: 'weak but among entries of similar strength',
     first: {...near, processors: 0.3, otherProcessors: [0.3, 0.27]},
--- a/packages/coordination/test/ownership/owner-election.test.ts
+++ b/packages/coordination/test/ownership/owner-election.test.ts
@@ -137,6 +137,63 @@
     events: [...claimed, [30, {kind: 'drain'}]],
     last: ['end', 'end-lease'],
   },
+  {
+    name: 'a key whose owner offers it is replaced without waiting for its lease',
+    events: [
+      ...claimed.slice(0, 2),
+      [10, {kind: 'owner-seen', owner, revision: 4}],
+      [20, {kind: 'take-over', revision: 4}],
+    ],
+    last: ['claim'],
+  },
+  {
+    name: 'an offer outlasts a further observation of the same key',
+    events: [
+      ...claimed.slice(0, 2),
+      [20, {kind: 'take-over', revision: 4}],
+      [30, {kind: 'call-failed', call: 'claim'}],
+      [40, {kind: 'owner-seen', owner, revision: 4}],
+      [400, {kind: 'tick'}],
+    ],
+    last: ['claim'],
+  },
+  {
+    name: 'an offer ends when another process has taken the ownership over',
+    events: [
+      ...claimed.slice(0, 2),
+      [20, {kind: 'take-over', revision: 4}],
+      [30, {kind: 'call-failed', call: 'claim'}],
+      [40, {kind: 'owner-seen', owner, revision: 5}],
+      [400, {kind: 'tick'}],
+    ],
+    last: [],
+  },
+  {
+    name: 'a draining process does not take an offer',
+    events: [...claimed.slice(0, 2), [20, {kind: 'drain'}], [30, {kind: 'take-over', revision: 4}]],
+    last: [],
+  },
+  {
+    name: 'an owner that retires keeps its lease until it has been replaced',
+    events: [...claimed, [30, {kind: 'retire'}], [1_100, {kind: 'tick'}]],
+    last: ['keep-lease'],
+  },
+  {
+    name: 'an owner that retires ends when it is replaced, and opens no lease',
+    events: [...claimed, [30, {kind: 'retire'}], [40, {kind: 'owner-seen', owner, revision: 12}]],
+    last: ['end', 'end-lease'],
+  },
+  {
+    name: 'a process that has retired does not claim a vacant key',
+    events: [
+      ...claimed,
+      [30, {kind: 'retire'}],
+      [40, {kind: 'deposed', reason: 'handed-over'}],
+      [50, {...vacant, revision: 12}],
+      [400, {kind: 'tick'}],
+    ],
+    last: [],
+  },
 ];
 
 for (const {name, events, last} of cases) {
@@ -162,3 +219,21 @@
     t.match(election.reduce({kind: 'tick'}, 411), [{kind: 'claim', nonce: 'self-1'}]);
   },
 );
+
+void t.test(
+  'the wait of a claim is known, so that it is not made later than necessary',
+  async t => {
+    const election = new OwnerElection({incarnation: 'self', claimDelayMs: 40});
+    t.equal(election.getClaimWaitMs(0), undefined);
+    election.reduce({kind: 'tick'}, 0);
+    election.reduce({kind: 'lease-opened', lease: '7', sentAt: 0}, 5);
+    election.reduce(vacant, 10);
+    t.equal(election.getClaimWaitMs(20), 30);
+    election.reduce({kind: 'claim-delay', delayMs: 15}, 20);
+    t.equal(election.getClaimWaitMs(20), 5);
+    election.reduce({kind: 'tick'}, 25);
+    t.equal(election.getClaimWaitMs(25), undefined, 'the claim is under way');
+    election.reduce({kind: 'call-failed', call: 'claim'}, 30);
+    t.equal(election.getClaimWaitMs(30), 250, 'after a failed claim');
+  },
+);
--- a/packages/runtime/src/dispatch/entry/entry-node.ts
+++ b/packages/runtime/src/dispatch/entry/entry-node.ts
@@ -15,7 +15,8 @@
 import {Link, type LinkHandlers, listenForLinks} from '../links/link.js';
 import {TrafficMeter} from '../links/traffic-meter.js';
 import {getOwnerLimits} from '../ownership/owner-limits.js';
-import {OwnerProcess, type OwnerProcessOptions} from '../ownership/owner-process.js';
+import {OwnerProcess} from '../ownership/owner-process.js';
+import type {OwnerProcessOptions} from '../ownership/owner-process-options.js';
 import {ObservedStore} from '../records/observed-store.js';
 import {StoreHealth} from '../records/store-health.js';
 import type {SubmissionCall, SubmissionReply} from '../submissions/submission-calls.js';
@@ -34,7 +35,7 @@
 /** Options of `EntryNode`: those of its `OwnerProcess`, except the callbacks that the entry provides. */
 export interface EntryNodeOptions extends Omit<
   OwnerProcessOptions,
-  'getOtherProcessors' | 'askOwnershipEnd' | 'onOwner' | 'onOwnership'
+  'getOtherProcessors' | 'getRoundTripMs' | 'askOwnershipEnd' | 'onOwner' | 'onOwnership'
 > {
   /** Address to listen on when it differs from the address at which others reach this entry. */
   readonly listenAddress?: string;
@@ -65,6 +66,7 @@
       ...options,
       store,
       getOtherProcessors: () => this.peers.processors,
+      getRoundTripMs: () => health.smallestRoundTripMs,
       askOwnershipEnd: owner => this.peers.askOwnershipEnd(owner),
       onOwner: owner => this.setOwner(owner),
       onOwnership: isOwner => this.countOwnershipChange(isOwner),
--- a/packages/runtime/src/dispatch/ownership/election-calls.ts
+++ b/packages/runtime/src/dispatch/ownership/election-calls.ts
@@ -24,14 +24,16 @@
   readonly log: DecisionLogger;
   /** Returns the number of processors of each other entry; undefined until the entries have been listed. */
   readonly getOtherProcessors: () => readonly number[] | undefined;
+  /** Returns the smallest round trip in milliseconds of all store calls of this process; undefined before the first one. */
+  readonly getRoundTripMs?: () => number | undefined;
   /** Posts the outcome of a call to the election. */
   readonly post: (event: ElectionEvent) => void;
 }
 
 /** Store calls of the leader election: leases, entry registration and ownership claims. */
 export class ElectionCalls {
-  /** Round-trip time in milliseconds of the latest successful call that opened a lease. */
-  private roundTripMs = 0;
+  /** Smallest round-trip time in milliseconds of the calls that opened or renewed a lease. */
+  private leaseRoundTripMs = Number.POSITIVE_INFINITY;
   private latestNonce = '';
   private previousOwners: readonly OwnerRecord[] | undefined;
   /** Revision of an unreadable owner record that the latest claim has met, otherwise 0. */
@@ -52,6 +54,12 @@
     return this.latestNonce;
   }
 
+  /** Smallest round-trip time in milliseconds of a store call of this process; infinite before the first one. */
+  get roundTripMs(): number {
+    const {getRoundTripMs} = this.options;
+    return Math.min(this.leaseRoundTripMs, getRoundTripMs?.() ?? Number.POSITIVE_INFINITY);
+  }
+
   /** Opens a lease of `ttlMs` milliseconds and registers the entry under it. */
   async openLease(ttlMs: number): Promise<void> {
     const {store} = this.options;
@@ -61,7 +69,7 @@
       this.options.post({kind: 'call-failed', call: 'open-lease'});
       return;
     }
-    this.roundTripMs = this.options.clock.now() - sentAt;
+    this.recordRoundTrip(sentAt);
     this.updateClaimDelay();
     this.options.post({kind: 'lease-opened', lease: result.lease, sentAt});
     await this.registrar.register(result.lease);
@@ -70,9 +78,8 @@
   /** Updates the delay after which the election claims a vacant ownership. */
   updateClaimDelay(): void {
     const {processors, getOtherProcessors} = this.options;
-    const {roundTripMs} = this;
     const delayMs = getClaimDelayMs({
-      roundTripMs,
+      roundTripMs: this.roundTripMs,
       processors,
       otherProcessors: getOtherProcessors(),
     });
@@ -85,6 +92,7 @@
     const sentAt = this.options.clock.now();
     const result = await store.renewLease(lease);
     if (result.kind === 'ok') {
+      this.recordRoundTrip(sentAt);
       this.options.post({kind: 'lease-kept', sentAt});
       await this.registrar.register(lease);
     } else if (result.kind === 'no-lease') this.options.post({kind: 'lease-ended'});
@@ -133,6 +141,10 @@
     else this.postClaimFailure();
   }
 
+  private recordRoundTrip(sentAt: number): void {
+    this.leaseRoundTripMs = Math.min(this.leaseRoundTripMs, this.options.clock.now() - sentAt);
+  }
+
   /** Each claim changes the store, so the revision of an unreadable generation exceeds the number of claims before. */
   private getNextGeneration(record: StoredRecord | undefined): number {
     if (record === undefined) return 1;
--- a/packages/runtime/src/dispatch/ownership/owner-process.ts
+++ b/packages/runtime/src/dispatch/ownership/owner-process.ts
@@ -1,43 +1,39 @@
 import {
   type AgentMessage,
-  type Clock,
   type DispatchEffect,
   Dispatcher,
   type DispatchEvent,
-  type DispatchTiming,
   type ElectionEffect,
   type ElectionEvent,
-  type ElectionTiming,
   OwnerElection,
   type OwnerMessage,
   type OwnerRecord,
-  type ProgressWrite,
   type QueueBacklogs,
   type QueueConfiguration,
 } from '@chervilbeam/coordination';
 import {Loop} from '../../loop/index.js';
-import type {Metrics} from '../../metrics/index.js';
-import type {DecisionLogger} from '../decision-logger.js';
 import type {SubmissionLookup} from '../links/entry-messages.js';
 import type {Link} from '../links/link.js';
-import {ProgressWriter} from '../records/progress-writer.js';
 import {parseOwner} from '../records/record-parsers.js';
-import type {RecordChange, RecordStore, StoredRecord} from '../records/record-store.js';
+import type {RecordChange, StoredRecord} from '../records/record-store.js';
 import {RecordWatch} from '../records/record-watch.js';
 import {ownerKey} from '../records/store-keys.js';
-import {readStoredState, readSubmission, toWriteResult} from '../records/stored-state.js';
-import type {AdvisorPort} from './advisor-port.js';
+import {DispatchCalls} from './dispatch-calls.js';
 import {ElectionCalls} from './election-calls.js';
 import {LeaseClock} from './lease-clock.js';
 import {getOwnerLimits, type OwnerLimits} from './owner-limits.js';
 import {OwnershipHistory} from './ownership-history.js';
+import type {OwnerProcessOptions} from './owner-process-options.js';
 import {RoundScheduler} from './round-scheduler.js';
+import {StateLoader} from './state-loader.js';
 import {WorkWatch} from './work-watch.js';
 
 /** Tick interval in milliseconds of the owner. */
 const ownerTickMs = 100;
 /** Tick interval in milliseconds of a process that is not the owner. */
 const idleTickMs = 250;
+/** The same while a claim waits for its delay, which shorter round trips and the list of entries may shorten. */
+const claimTickMs = 20;
 
 const bytesPerMegabit = 125_000;
 /**
@@ -46,37 +42,6 @@
  */
 const startLinkShare = 0.4;
 
-/** Options of `OwnerProcess`. */
-export interface OwnerProcessOptions {
-  readonly name: string;
-  /** Address at which other processes reach this one. */
-  readonly address: string;
-  /** Number of processors that this process can use as the owner. */
-  readonly processors: number;
-  /** Largest size of the heap in bytes; by default without limit. */
-  readonly heapBytes?: number;
-  /** Speed of the host's network link in megabits per second; by default without limit. */
-  readonly linkMegabits?: number;
-  /** Identifies this incarnation of the process; a restart gets a new one. */
-  readonly incarnation: string;
-  readonly store: RecordStore;
-  /** Absent on a platform without an advisor. */
-  readonly advisor?: AdvisorPort;
-  readonly clock: Clock;
-  readonly log: DecisionLogger;
-  readonly metrics: Metrics;
-  readonly timing?: Partial<DispatchTiming>;
-  readonly electionTiming?: Partial<ElectionTiming>;
-  /** Returns the number of processors of each other entry; undefined until the entries have been listed. */
-  readonly getOtherProcessors: () => readonly number[] | undefined;
-  /** Asks another process how long ago in milliseconds an ownership ended; undefined when that is not known. */
-  readonly askOwnershipEnd: (owner: OwnerRecord) => Promise<number | undefined>;
-  /** Called with each owner record that is read from the store; undefined when there is no owner. */
-  readonly onOwner: (owner: OwnerRecord | undefined) => void;
-  /** Called when this process becomes or stops being the owner. */
-  readonly onOwnership: (isOwner: boolean) => void;
-}
-
 /**
  * Takes part in the leader election among the entries. The elected entry owns the submissions and runs the
  * dispatcher.
@@ -89,7 +54,7 @@
   private readonly leaseClock: LeaseClock;
   private readonly electionCalls: ElectionCalls;
   private readonly ownerWatch: RecordWatch;
-  private readonly progressWriter: ProgressWriter;
+  private readonly calls: DispatchCalls;
   private readonly agents = new Map<string, Link<AgentMessage, OwnerMessage>>();
   private workWatch: WorkWatch | undefined;
   /** Term of the current ownership, set before the stored state is loaded; 0 without ownership. */
@@ -97,6 +62,7 @@
   private readonly rounds: RoundScheduler;
   private readonly history: OwnershipHistory;
   private readonly limits: OwnerLimits;
+  private readonly loader: StateLoader;
   private tickTimer: NodeJS.Timeout | undefined;
   private isStopped = false;
 
@@ -105,6 +71,7 @@
     const {linkMegabits = Number.POSITIVE_INFINITY, heapBytes = Number.POSITIVE_INFINITY} = options;
     const startBytesPerSecond = linkMegabits * bytesPerMegabit * startLinkShare;
     this.limits = getOwnerLimits(heapBytes);
+    this.loader = new StateLoader({...options, maxBytes: this.limits.maxLoadedBytes});
     this.dispatcher = new Dispatcher({...timing, ...this.limits, startBytesPerSecond});
     this.loop = new Loop(this.dispatcher, clock, effect => this.executeEffect(effect));
     this.election = new OwnerElection({
@@ -123,7 +90,12 @@
       clock: this.leaseClock,
       post: event => this.electionLoop.post(event),
     });
-    this.progressWriter = new ProgressWriter(store);
+    this.calls = new DispatchCalls({
+      ...options,
+      getTerm: () => this.dispatcher.term,
+      isCurrent: term => this.electionTerm === term,
+      post: event => this.post(event),
+    });
     this.history = new OwnershipHistory({...options, electionCalls: this.electionCalls});
     this.rounds = new RoundScheduler({
       clock,
@@ -248,12 +220,27 @@
 
   private tick(): void {
     if (this.isStopped) return;
+    if (this.claimWaitMs !== undefined) this.electionCalls.updateClaimDelay();
     this.electionLoop.post({kind: 'tick'});
     if (this.isOwner) {
       this.loop.post({kind: 'tick', wallMs: this.options.clock.wallTime()});
       this.rounds.schedule();
     }
-    this.tickTimer = setTimeout(() => this.tick(), this.isOwner ? ownerTickMs : idleTickMs);
+    this.scheduleTick();
+  }
+
+  private get claimWaitMs(): number | undefined {
+    return this.election.getClaimWaitMs(this.leaseClock.now());
+  }
+
+  private scheduleTick(): void {
+    clearTimeout(this.tickTimer);
+    if (this.isStopped) return;
+    const {claimWaitMs} = this;
+    // A claim with a wait of 0 is delayed by another call.
+    const claimMs = Math.min(claimWaitMs || claimTickMs, claimTickMs);
+    const idleMs = claimWaitMs === undefined ? idleTickMs : claimMs;
+    this.tickTimer = setTimeout(() => this.tick(), this.isOwner ? ownerTickMs : idleMs);
   }
 
   private executeEffect(effect: DispatchEffect): void {
@@ -262,13 +249,13 @@
       case 'send':
         return this.agents.get(effect.agent)?.send(effect.message);
       case 'write':
-        return void this.writeProgress(effect.sequence, effect.write);
+        return void this.calls.writeProgress(effect.sequence, effect.write);
       case 'recovered':
         return void this.history.forgetPredecessors(this.dispatcher.term);
       case 'load':
-        return void this.load(effect.id);
+        return void this.calls.load(effect.id);
       case 'advise':
-        return void this.advise(effect);
+        return void this.calls.advise(effect);
       case 'deposed':
         return this.electionLoop.post({kind: 'deposed', reason: effect.reason});
       case 'log':
@@ -280,36 +267,6 @@
     }
   }
 
-  private async load(id: string): Promise<void> {
-    const {store, log} = this.options;
-    const {term} = this.dispatcher;
-    const shouldContinue = () => this.electionTerm === term;
-    const stored = await readSubmission(id, {store, log, shouldContinue});
-    if (shouldContinue()) this.post({kind: 'loaded', id, ...(stored && {stored})});
-  }
-
-  private async advise({
-    step,
-    workers,
-    timeoutMs,
-  }: Extract<DispatchEffect, {kind: 'advise'}>): Promise<void> {
-    const {advisor} = this.options;
-    const reply = advisor
-      ? await advisor.advise(step, workers, timeoutMs)
-      : ({kind: 'unavailable', reason: 'no-advisor'} as const);
-    this.post({kind: 'advised', step, reply});
-  }
-
-  private async writeProgress(sequence: number, write: ProgressWrite): Promise<void> {
-    const result = await this.progressWriter.write(this.dispatcher.term, sequence, write);
-    this.post({
-      kind: 'written',
-      sequence,
-      result: toWriteResult(result),
-      ...(result.kind === 'ok' && {revision: result.revision}),
-    });
-  }
-
   private executeElectionEffect(effect: ElectionEffect): void {
     switch (effect.kind) {
       case 'open-lease':
@@ -317,6 +274,8 @@
       case 'keep-lease':
         return void this.electionCalls.renewLease(effect.lease);
       case 'claim':
+        // Only few processes claim a vacant key, so the state is not read by all of them at once.
+        void this.loader.prepare();
         return void this.electionCalls.claim(effect);
       case 'end-lease':
         return void this.options.store.endLease(effect.lease);
@@ -330,8 +289,10 @@
   private handleOwnerRecord(record: StoredRecord | undefined, revision: number): void {
     const owner = record && parseOwner(record.value);
     if (owner === undefined) this.electionCalls.updateClaimDelay();
+    else if (owner.address !== this.options.address) this.loader.discard();
     this.options.onOwner(owner);
     this.electionLoop.post({kind: 'owner-seen', owner, revision: record?.revision ?? revision});
+    if (this.claimWaitMs !== undefined) this.scheduleTick();
   }
 
   private handleOwnerChange(change: RecordChange | undefined): void {
@@ -343,18 +304,9 @@
     const {store, log, clock} = this.options;
     this.electionTerm = term;
     log.log('ownership-claimed', {term, generation});
-    const startedAt = clock.now();
-    const shouldContinue = () => this.electionTerm === term;
-    const maxBytes = this.limits.maxLoadedBytes;
-    const stored = await readStoredState({store, log, maxBytes, shouldContinue});
+    const stored = await this.loader.load(term, () => this.electionTerm === term);
     this.electionLoop.post({kind: 'look'});
     if (stored === undefined || this.electionTerm !== term) return;
-    log.log('submissions-read', {
-      term,
-      submissions: stored.submissions.length,
-      deferred: stored.deferred.length,
-      ageMs: Math.round(clock.now() - startedAt),
-    });
     this.loop.post({
       kind: 'begin',
       term,
--- a/packages/runtime/src/dispatch/records/store-health.ts
+++ b/packages/runtime/src/dispatch/records/store-health.ts
@@ -20,6 +20,7 @@
   private succeededAt = Number.NEGATIVE_INFINITY;
   /** Start of the first call that has failed since the latest success. */
   private failingSince: number | undefined;
+  private smallestMs: number | undefined;
 
   constructor(private readonly clock: Clock) {}
 
@@ -32,6 +33,14 @@
     return this.clock.now() - since >= failingAfterMs;
   }
 
+  /**
+   * Smallest round trip of a successful call in milliseconds; undefined before the first one. Later calls say more of the
+   * distance to the store than the first ones, which also open connections and run code that is not compiled yet.
+   */
+  get smallestRoundTripMs(): number | undefined {
+    return this.smallestMs;
+  }
+
   /** Records the begin of a call. */
   begin(): ObservedCall {
     const call = {startedAt: this.clock.now()};
@@ -42,8 +51,11 @@
   /** Records the end of a call. */
   end(call: ObservedCall, isSuccess: boolean): void {
     this.pending.delete(call);
-    if (isSuccess) this.recordSuccess();
-    else this.recordFailure(call.startedAt);
+    if (isSuccess) {
+      const elapsedMs = this.clock.now() - call.startedAt;
+      this.smallestMs = Math.min(this.smallestMs ?? elapsedMs, elapsedMs);
+      this.recordSuccess();
+    } else this.recordFailure(call.startedAt);
   }
 
   /** Records a successful call. */
--- a/packages/runtime/test/dispatch/ownership/election-calls.test.ts
+++ b/packages/runtime/test/dispatch/ownership/election-calls.test.ts
@@ -1,4 +1,4 @@
-import type {ElectionEvent, OwnerRecord} from '@chervilbeam/coordination';
+import {type ElectionEvent, getClaimDelayMs, type OwnerRecord} from '@chervilbeam/coordination';
 import t from 'tap';
 import type {ReadResult} from '../../../src/dispatch/index.js';
 import {ElectionCalls} from '../../../src/dispatch/ownership/election-calls.js';
@@ -156,3 +156,40 @@
   t.match(await store.deliver(), [{kind: 'conflict'}]);
   t.equal(store.records.get('work/owner'), undefined);
 });
+
+/** Round trips in milliseconds of the calls that open and renew a lease, and the smallest of all calls. */
+const roundTripCases: ReadonlyArray<{
+  readonly name: string;
+  readonly lease: readonly number[];
+  readonly others?: number;
+  readonly expected: number;
+}> = [
+  {name: 'of the only call', lease: [40], expected: 40},
+  {name: 'of a later call than the first, cold one', lease: [90, 5, 30], expected: 5},
+  {name: 'of another store call', lease: [90], others: 4, expected: 4},
+];
+
+for (const {name, lease, others, expected} of roundTripCases) {
+  void t.test(`a claim is delayed by the smallest round trip: ${name}`, async t => {
+    const store = new LateStore();
+    const events: ElectionEvent[] = [];
+    let timeMs = 0;
+    const times = lease.flatMap(ms => [timeMs, (timeMs += ms)]);
+    const calls = new ElectionCalls({
+      name: 'entry-1',
+      address: '10.0.0.1:1',
+      processors: 2,
+      store,
+      clock: {now: () => times.shift() ?? timeMs, wallTime: () => 0},
+      log: createTestLog().log,
+      getOtherProcessors: () => [],
+      ...(others !== undefined && {getRoundTripMs: () => others}),
+      post: event => events.push(event),
+    });
+    await calls.openLease(ttlMs);
+    for (let call = 1; call < lease.length; call += 1) await calls.renewLease('1');
+    calls.updateClaimDelay();
+    const inputs = {roundTripMs: expected, processors: 2, otherProcessors: []};
+    t.same(events.at(-1), {kind: 'claim-delay', delayMs: getClaimDelayMs(inputs)});
+  });
+}
--- a/packages/runtime/test/dispatch/records/store-health.test.ts
+++ b/packages/runtime/test/dispatch/records/store-health.test.ts
@@ -92,3 +92,21 @@
     t.equal(health.isFailing, isFailing);
   });
 }
+
+void t.test('the smallest round trip is that of a call that was answered', async t => {
+  let now = 0;
+  const health = new StoreHealth({now: () => now, wallTime: () => now});
+  t.equal(health.smallestRoundTripMs, undefined);
+  const rows: ReadonlyArray<readonly [ms: number, isSuccess: boolean, expected: number]> = [
+    [90, true, 90],
+    [4, true, 4],
+    [1, false, 4],
+    [30, true, 4],
+  ];
+  for (const [ms, isSuccess, expected] of rows) {
+    const call = health.begin();
+    now += ms;
+    health.end(call, isSuccess);
+    t.equal(health.smallestRoundTripMs, expected);
+  }
+});
