Hand the ownership over to another entry before an owner ends

Cause: an owner that was told to end gave the ownership up at once. Measured: nothing was scheduled for 1.14 s, until another entry had seen the vacant key, claimed it, read the submissions and heard of the workers. Change: the owner goes on and asks the other entries which of them would take over (handover-query), offers the ownership to the best of them (handover-offer), and ends when that one has claimed it. The successor reads the state first, checks in the store that the sender is the owner, and replaces the owner key on condition of its revision. Agents get the address of the successor, which keeps their links until it has begun. Entries that are draining decline, and one that drains while it takes over says so. Not measured on the deployment yet.

--- a/packages/runtime/src/dispatch/agent/agent-node.ts
+++ b/packages/runtime/src/dispatch/agent/agent-node.ts
@@ -275,6 +275,7 @@
       return;
     }
     this.isAcceptedByOwner = true;
+    this.redirections = 0;
     this.term = term;
     this.token = Math.max(this.token, token);
     this.search.confirmReached();
--- a/packages/runtime/src/dispatch/entry/entry-node.ts
+++ b/packages/runtime/src/dispatch/entry/entry-node.ts
@@ -22,6 +22,7 @@
 import type {SubmissionCall, SubmissionReply} from '../submissions/submission-calls.js';
 import {type CallContext, SubmissionService} from '../submissions/submission-service.js';
 import {EntryPeers} from './entry-peers.js';
+import {PeerHandoverCalls} from './peer-handover-calls.js';
 
 /** Shortest and longest interval in milliseconds at which the owner publishes the queue backlogs to the other entries. */
 const minBacklogIntervalMs = 300;
@@ -35,7 +36,13 @@
 /** Options of `EntryNode`: those of its `OwnerProcess`, except the callbacks that the entry provides. */
 export interface EntryNodeOptions extends Omit<
   OwnerProcessOptions,
-  'getOtherProcessors' | 'getRoundTripMs' | 'askOwnershipEnd' | 'onOwner' | 'onOwnership'
+  | 'getOtherProcessors'
+  | 'getRoundTripMs'
+  | 'askOwnershipEnd'
+  | 'handoverCalls'
+  | 'isStoreFailing'
+  | 'onOwner'
+  | 'onOwnership'
 > {
   /** Address to listen on when it differs from the address at which others reach this entry. */
   readonly listenAddress?: string;
@@ -67,6 +74,11 @@
       store,
       getOtherProcessors: () => this.peers.processors,
       getRoundTripMs: () => health.smallestRoundTripMs,
+      isStoreFailing: () => health.isFailing,
+      handoverCalls: new PeerHandoverCalls({
+        getAddresses: () => this.peers.addresses,
+        ask: (address, timeoutMs, create) => this.peers.ask(address, timeoutMs, create),
+      }),
       askOwnershipEnd: owner => this.peers.askOwnershipEnd(owner),
       onOwner: owner => this.setOwner(owner),
       onOwnership: isOwner => this.countOwnershipChange(isOwner),
@@ -124,15 +136,19 @@
     return this.service.execute(call, context);
   }
 
-  /** Gives up the ownership; calls are still served. */
-  drain(): void {
-    this.owner.drain();
+  /**
+   * Hands an ownership over to another entry, for at most `limitMs` milliseconds, or else gives it up; calls are still
+   * served. Resolves when this is done.
+   */
+  drain(limitMs = 0): Promise<void> {
+    return this.owner.drain(limitMs);
   }
 
   /** Stops listening and closes all links. */
   stop(): void {
     clearTimeout(this.backlogTimer);
     this.traffic.stop();
+    this.owner.stop();
     this.peers.stop();
     this.server?.close();
     for (const link of this.links) link.end();
@@ -142,8 +158,11 @@
     let agent: string | undefined;
     const handlers: LinkHandlers<EntryRequest | AgentMessage> = {
       message: message => {
-        if (message.kind === 'agent') agent = this.acceptAgent(message.agent, link);
-        else if (agent !== undefined)
+        if (message.kind === 'agent') {
+          this.whenOwnershipSettled(() => {
+            if (this.links.has(link)) agent = this.acceptAgent(message.agent, link);
+          });
+        } else if (agent !== undefined)
           this.owner.receive(agent, asAgentLink(link), message as AgentMessage);
         else this.handleEntryRequest(link, message as EntryRequest);
       },
@@ -159,6 +178,13 @@
     this.links.add(link);
   }
 
+  /** An ownership that has been claimed begins within a few hundred milliseconds; until then an agent would come in vain. */
+  private whenOwnershipSettled(act: () => void): void {
+    const {begun} = this.owner;
+    if (begun === undefined) act();
+    else void begun.then(act);
+  }
+
   private acceptAgent(agent: string, link: PeerLink): string | undefined {
     if (this.owner.addAgent(agent, asAgentLink(link), this.peers.addresses)) {
       this.options.log.log('agent-link-opened', {agent});
@@ -205,6 +231,18 @@
       case 'cancelled':
         this.owner.cancel(message.id);
         return;
+      case 'handover-query': {
+        const {request} = message;
+        link.send({kind: 'handover-candidate', request, ...this.owner.handover.candidacy});
+        return;
+      }
+      case 'handover-offer': {
+        const {request, term, learned} = message;
+        void this.owner.handover
+          .take({term, learned})
+          .then(reply => link.send({kind: 'handover-result', request, ...reply}));
+        return;
+      }
       case 'call':
         void this.service
           .execute(message.call, {timeoutMs: relayedCallTimeoutMs, isRelayed: true})
--- a/packages/runtime/src/dispatch/entry/entry-peers.ts
+++ b/packages/runtime/src/dispatch/entry/entry-peers.ts
@@ -168,6 +168,15 @@
       : {kind: 'refused', retryAfterSeconds: 1, reason: 'store-unreachable'};
   }
 
+  /** Sends a request to another entry; undefined when it does not reply within `timeoutMs`. */
+  ask(
+    address: string,
+    timeoutMs: number,
+    create: (request: number) => EntryRequest,
+  ): Promise<EntryResponse | undefined> {
+    return this.request(this.getLink(address), timeoutMs, create);
+  }
+
   /** Closes all links. */
   stop(): void {
     this.isStopped = true;
--- a/packages/runtime/src/dispatch/links/entry-messages.ts
+++ b/packages/runtime/src/dispatch/links/entry-messages.ts
@@ -15,6 +15,15 @@
   | {readonly kind: 'count'; readonly request: number; readonly queue: string}
   /** Notifies the owner that the store holds a cancel request for a submission. */
   | {readonly kind: 'cancelled'; readonly id: string}
+  /** Asks whether the entry would take the ownership over from an owner that is about to leave. */
+  | {readonly kind: 'handover-query'; readonly request: number}
+  /** Offers the ownership with a term; what the owner has learned is checked where it is used. */
+  | {
+      readonly kind: 'handover-offer';
+      readonly request: number;
+      readonly term: number;
+      readonly learned?: unknown;
+    }
   /** Relays a caller's call, because the store refuses the sender or does not answer it. */
   | {readonly kind: 'call'; readonly request: number; readonly call: SubmissionCall};
 
@@ -37,6 +46,21 @@
   | ({readonly kind: 'status'; readonly request: number} & SubmissionLookup)
   | {readonly kind: 'reply'; readonly request: number; readonly reply: SubmissionReply}
   | {readonly kind: 'attempt-state'; readonly request: number; readonly state: AttemptState}
+  /** Whether the entry would take the ownership over, with its processors and its round trip to the store in milliseconds. */
+  | {
+      readonly kind: 'handover-candidate';
+      readonly request: number;
+      readonly isAvailable: boolean;
+      readonly processors: number;
+      readonly roundTripMs: number;
+    }
+  /** Whether the entry has claimed the ownership that it was offered, and why not. */
+  | {
+      readonly kind: 'handover-result';
+      readonly request: number;
+      readonly isTaken: boolean;
+      readonly reason?: string;
+    }
   /** Milliseconds since an ownership ended at least; absent while it lasts. */
   | {readonly kind: 'ownership-ended'; readonly request: number; readonly agoMs?: number}
   /** Number of pending submissions of a queue; absent when the process that replied is not the owner. */
--- a/packages/runtime/src/dispatch/ownership/owner-process-options.ts
+++ b/packages/runtime/src/dispatch/ownership/owner-process-options.ts
@@ -3,6 +3,7 @@
 import type {DecisionLogger} from '../decision-logger.js';
 import type {RecordStore} from '../records/record-store.js';
 import type {AdvisorPort} from './advisor-port.js';
+import type {HandoverCalls} from './handover/handover-calls.js';
 
 /** Options of `OwnerProcess`. */
 export interface OwnerProcessOptions {
@@ -31,6 +32,10 @@
   readonly getRoundTripMs?: () => number | undefined;
   /** Asks another process how long ago in milliseconds an ownership ended; undefined when that is not known. */
   readonly askOwnershipEnd: (owner: OwnerRecord) => Promise<number | undefined>;
+  /** Calls of a planned handover; without them, an owner that drains only ends its ownership. */
+  readonly handoverCalls?: HandoverCalls;
+  /** Whether the store does not answer this process. */
+  readonly isStoreFailing?: () => boolean;
   /** Called with each owner record that is read from the store; undefined when there is no owner. */
   readonly onOwner: (owner: OwnerRecord | undefined) => void;
   /** Called when this process becomes or stops being the owner. */
--- a/packages/runtime/src/dispatch/ownership/owner-process.ts
+++ b/packages/runtime/src/dispatch/ownership/owner-process.ts
@@ -14,15 +14,13 @@
 import {Loop} from '../../loop/index.js';
 import type {SubmissionLookup} from '../links/entry-messages.js';
 import type {Link} from '../links/link.js';
-import {parseOwner} from '../records/record-parsers.js';
-import type {RecordChange, StoredRecord} from '../records/record-store.js';
-import {RecordWatch} from '../records/record-watch.js';
-import {ownerKey} from '../records/store-keys.js';
 import {DispatchCalls} from './dispatch-calls.js';
 import {ElectionCalls} from './election-calls.js';
+import {Handover} from './handover/handover.js';
 import {LeaseClock} from './lease-clock.js';
 import {getOwnerLimits, type OwnerLimits} from './owner-limits.js';
 import {OwnershipHistory} from './ownership-history.js';
+import {OwnerKeyWatch} from './owner-key-watch.js';
 import type {OwnerProcessOptions} from './owner-process-options.js';
 import {RoundScheduler} from './round-scheduler.js';
 import {StateLoader} from './state-loader.js';
@@ -53,7 +51,7 @@
   private readonly electionLoop: Loop<ElectionEvent, ElectionEffect>;
   private readonly leaseClock: LeaseClock;
   private readonly electionCalls: ElectionCalls;
-  private readonly ownerWatch: RecordWatch;
+  private readonly ownerWatch: OwnerKeyWatch;
   private readonly calls: DispatchCalls;
   private readonly agents = new Map<string, Link<AgentMessage, OwnerMessage>>();
   private workWatch: WorkWatch | undefined;
@@ -63,11 +61,16 @@
   private readonly history: OwnershipHistory;
   private readonly limits: OwnerLimits;
   private readonly loader: StateLoader;
+  /** Planned handover of the ownership between this process and others. */
+  readonly handover: Handover;
+  /** Owner named by the latest owner record, or by an entry that has taken the ownership over. */
+  private knownOwner: string | undefined;
+  private beginning: Promise<void> | undefined;
   private tickTimer: NodeJS.Timeout | undefined;
   private isStopped = false;
 
   constructor(private readonly options: OwnerProcessOptions) {
-    const {clock, store, log, timing, electionTiming, incarnation, address} = options;
+    const {clock, log, timing, electionTiming, incarnation, address} = options;
     const {linkMegabits = Number.POSITIVE_INFINITY, heapBytes = Number.POSITIVE_INFINITY} = options;
     const startBytesPerSecond = linkMegabits * bytesPerMegabit * startLinkShare;
     this.limits = getOwnerLimits(heapBytes);
@@ -90,6 +93,20 @@
       clock: this.leaseClock,
       post: event => this.electionLoop.post(event),
     });
+    this.handover = new Handover({
+      ...options,
+      loader: this.loader,
+      getElection: () => ({
+        isOwner: this.electionTerm > 0,
+        hasLease: this.election.currentLease !== undefined,
+        roundTripMs: this.electionCalls.roundTripMs,
+      }),
+      getLearned: () => undefined,
+      claim: revision => {
+        this.electionLoop.post({kind: 'take-over', revision});
+        this.scheduleTick();
+      },
+    });
     this.calls = new DispatchCalls({
       ...options,
       getTerm: () => this.dispatcher.term,
@@ -105,13 +122,9 @@
         if (this.checkOwnership()) this.loop.post({kind: 'place'});
       },
     });
-    this.ownerWatch = new RecordWatch({
-      store,
-      clock,
-      log,
-      prefix: ownerKey,
-      onList: (records, revision) => this.handleOwnerRecord(records[0], revision),
-      onChanges: changes => this.handleOwnerChange(changes.at(-1)),
+    this.ownerWatch = new OwnerKeyWatch({
+      ...options,
+      onOwner: (owner, revision) => this.observeOwner(owner, revision),
     });
   }
 
@@ -120,14 +133,38 @@
     return this.dispatcher.isOwner;
   }
 
+  /** Resolves when an ownership that has been claimed has begun or has ended; undefined when none is about to begin. */
+  get begun(): Promise<void> | undefined {
+    return this.beginning;
+  }
+
   /** Starts to take part in the election. */
   start(): void {
-    void this.ownerWatch.run();
+    this.ownerWatch.run();
     this.tick();
   }
 
-  /** Gives up the ownership and stops taking part in the election. */
-  drain(): void {
+  /**
+   * Stops taking part in the election. An ownership is offered to another entry for at most `limitMs` milliseconds, in which
+   * it goes on, and is then given up.
+   */
+  async drain(limitMs = 0): Promise<void> {
+    this.handover.refuse();
+    const term = this.electionTerm;
+    if (term === 0 || limitMs === 0) return this.stop();
+    this.electionLoop.post({kind: 'retire'});
+    const successor = await this.handover.offer(term, limitMs, () => this.electionTerm === term);
+    if (successor !== undefined && this.electionTerm === term) {
+      this.knownOwner = successor;
+      this.electionLoop.post({kind: 'deposed', reason: 'handed-over'});
+    }
+    this.stop();
+    if (successor !== undefined) await this.ownerWatch.refresh();
+  }
+
+  /** Gives up the ownership at once and stops taking part in the election. */
+  stop(): void {
+    this.handover.refuse();
     this.electionLoop.post({kind: 'drain'});
     this.isStopped = true;
     clearTimeout(this.tickTimer);
@@ -280,30 +317,33 @@
       case 'end-lease':
         return void this.options.store.endLease(effect.lease);
       case 'begin':
-        return void this.beginOwnership(effect.term, effect.generation);
+        return this.startOwnership(effect.term, effect.generation);
       case 'end':
         return this.end(effect.reason);
     }
   }
 
-  private handleOwnerRecord(record: StoredRecord | undefined, revision: number): void {
-    const owner = record && parseOwner(record.value);
+  private observeOwner(owner: OwnerRecord | undefined, revision: number): void {
     if (owner === undefined) this.electionCalls.updateClaimDelay();
-    else if (owner.address !== this.options.address) this.loader.discard();
+    this.knownOwner = owner?.address;
     this.options.onOwner(owner);
-    this.electionLoop.post({kind: 'owner-seen', owner, revision: record?.revision ?? revision});
+    this.handover.observe(owner, revision);
+    this.electionLoop.post({kind: 'owner-seen', owner, revision});
     if (this.claimWaitMs !== undefined) this.scheduleTick();
   }
 
-  private handleOwnerChange(change: RecordChange | undefined): void {
-    if (change?.kind === 'written') this.handleOwnerRecord(change.record, change.record.revision);
-    else if (change) this.handleOwnerRecord(undefined, change.revision);
+  private startOwnership(term: number, generation: number): void {
+    const beginning = this.beginOwnership(term, generation).finally(() => {
+      if (this.beginning === beginning) this.beginning = undefined;
+    });
+    this.beginning = beginning;
   }
 
   private async beginOwnership(term: number, generation: number): Promise<void> {
     const {store, log, clock} = this.options;
     this.electionTerm = term;
     log.log('ownership-claimed', {term, generation});
+    this.handover.confirm();
     const stored = await this.loader.load(term, () => this.electionTerm === term);
     this.electionLoop.post({kind: 'look'});
     if (stored === undefined || this.electionTerm !== term) return;
@@ -322,7 +362,7 @@
       clock,
       log,
       post: event => this.post(event),
-      onOwnerRecord: record => this.handleOwnerRecord(record, record.revision),
+      onOwnerRecord: record => this.ownerWatch.handle(record, record.revision),
     });
     this.workWatch.run(stored.revision);
     this.options.onOwnership(true);
@@ -342,8 +382,10 @@
     this.workWatch = undefined;
     if (!this.isOwner) return;
     this.loop.post({kind: 'end', reason});
+    const {knownOwner: address} = this;
+    const isElsewhere = address !== undefined && address !== this.options.address;
     for (const link of this.agents.values()) {
-      link.send({kind: 'elsewhere', entries: []});
+      link.send({kind: 'elsewhere', entries: [], ...(isElsewhere && {address})});
       link.end();
     }
     this.agents.clear();
