Merge the planned handover of the ownership

The evacuated data centres are read by a read of their own after the claim, since the stored state is now read before it.

--- a/packages/runtime/src/dispatch/agent/agent-node.ts
+++ b/packages/runtime/src/dispatch/agent/agent-node.ts
@@ -20,8 +20,6 @@
 const renewalRetryDelayMs = 250;
 /** The same while a worker is leaving, whose tasks wait for its end. */
 const leavingRetryDelayMs = 50;
-/** Interval of the heartbeats in milliseconds when the options state none. */
-const defaultHeartbeatIntervalMs = 1_500;
 /** Time in milliseconds within which an entry must name the owner before the next entry is dialled. */
 const entryAnswerTimeoutMs = 700;
 /** Redirections followed without a delay; entries that disagree on the owner may redirect an agent in a loop. */
@@ -168,7 +166,7 @@
   }
 
   private createPresence(): WorkerPresence {
-    const {clock, heartbeatIntervalMs = defaultHeartbeatIntervalMs} = this.options;
+    const {clock, heartbeatIntervalMs} = this.options;
     return new WorkerPresence(heartbeatIntervalMs, clock.now());
   }
 
@@ -278,6 +276,7 @@
     }
     if (evacuations) this.commands.updateEvacuations(evacuations);
     this.isAcceptedByOwner = true;
+    this.redirections = 0;
     this.term = term;
     this.token = Math.max(this.token, token);
     this.search.confirmReached();
--- a/packages/runtime/src/dispatch/agent/worker-presence.ts
+++ b/packages/runtime/src/dispatch/agent/worker-presence.ts
@@ -1,3 +1,6 @@
+/** Interval of the heartbeats in milliseconds when none is stated. */
+const defaultHeartbeatIntervalMs = 1_500;
+
 /** Consecutive refused connections after which a worker may be gone; fewer may be a restarting listener. */
 const maxRefusedConnections = 3;
 /** Time in milliseconds by which a heartbeat of a worker that is up may be late. */
@@ -19,7 +22,7 @@
 
   /** `heartbeatAt` is the time of the first heartbeat; others follow at `heartbeatIntervalMs`. */
   constructor(
-    private readonly heartbeatIntervalMs: number,
+    private readonly heartbeatIntervalMs = defaultHeartbeatIntervalMs,
     private heartbeatAt: number,
   ) {}
 
--- a/packages/runtime/src/dispatch/ownership/owner-process-options.ts
+++ b/packages/runtime/src/dispatch/ownership/owner-process-options.ts
@@ -4,6 +4,7 @@
 import type {EvacuationSource} from '../records/evacuation-source.js';
 import type {RecordStore} from '../records/record-store.js';
 import type {AdvisorPort} from './advisor-port.js';
+import type {HandoverCalls} from './handover/handover-calls.js';
 
 /** Options of `OwnerProcess`. */
 export interface OwnerProcessOptions {
@@ -30,8 +31,14 @@
   readonly electionTiming?: Partial<ElectionTiming>;
   /** Returns the number of processors of each other entry; undefined until the entries have been listed. */
   readonly getOtherProcessors: () => readonly number[] | undefined;
+  /** Returns the smallest round trip in milliseconds of all store calls of this process; undefined before the first one. */
+  readonly getRoundTripMs?: () => number | undefined;
   /** Asks another process how long ago in milliseconds an ownership ended; undefined when that is not known. */
   readonly askOwnershipEnd: (owner: OwnerRecord) => Promise<number | undefined>;
+  /** Calls of a planned handover; without them, an owner that drains only ends its ownership. */
+  readonly handoverCalls?: HandoverCalls;
+  /** Whether the store does not answer this process. */
+  readonly isStoreFailing?: () => boolean;
   /** Called with each owner record that is read from the store; undefined when there is no owner. */
   readonly onOwner: (owner: OwnerRecord | undefined) => void;
   /** Called when this process becomes or stops being the owner. */
--- a/packages/runtime/src/dispatch/ownership/owner-process.ts
+++ b/packages/runtime/src/dispatch/ownership/owner-process.ts
@@ -7,33 +7,32 @@
   type ElectionEvent,
   type EvacuationSet,
   OwnerElection,
-  type OwnerMessage,
   type OwnerRecord,
-  type ProgressWrite,
   type QueueBacklogs,
   type QueueConfiguration,
 } from '@chervilbeam/coordination';
 import {Loop} from '../../loop/index.js';
 import type {SubmissionLookup} from '../links/entry-messages.js';
-import type {Link} from '../links/link.js';
-import {ProgressWriter} from '../records/progress-writer.js';
-import {parseOwner} from '../records/record-parsers.js';
-import type {RecordChange, StoredRecord} from '../records/record-store.js';
-import {RecordWatch} from '../records/record-watch.js';
-import {ownerKey} from '../records/store-keys.js';
-import {readStoredState, readSubmission, toWriteResult} from '../records/stored-state.js';
+import {readEvacuations} from '../records/evacuation-source.js';
+import {type AgentLink, AgentLinks} from './agent-links.js';
+import {DispatchCalls} from './dispatch-calls.js';
 import {ElectionCalls} from './election-calls.js';
+import {Handover} from './handover/handover.js';
 import {LeaseClock} from './lease-clock.js';
 import {getOwnerLimits, type OwnerLimits} from './owner-limits.js';
-import type {OwnerProcessOptions} from './owner-process-options.js';
 import {OwnershipHistory} from './ownership-history.js';
+import {OwnerKeyWatch} from './owner-key-watch.js';
+import type {OwnerProcessOptions} from './owner-process-options.js';
 import {RoundScheduler} from './round-scheduler.js';
+import {StateLoader} from './state-loader.js';
 import {WorkWatch} from './work-watch.js';
 
 /** Tick interval in milliseconds of the owner. */
 const ownerTickMs = 100;
 /** Tick interval in milliseconds of a process that is not the owner. */
 const idleTickMs = 250;
+/** The same while a claim waits for its delay, which shorter round trips and the list of entries may shorten. */
+const claimTickMs = 20;
 
 const bytesPerMegabit = 125_000;
 /**
@@ -53,23 +52,30 @@
   private readonly electionLoop: Loop<ElectionEvent, ElectionEffect>;
   private readonly leaseClock: LeaseClock;
   private readonly electionCalls: ElectionCalls;
-  private readonly ownerWatch: RecordWatch;
-  private readonly progressWriter: ProgressWriter;
-  private readonly agents = new Map<string, Link<AgentMessage, OwnerMessage>>();
+  private readonly ownerWatch: OwnerKeyWatch;
+  private readonly calls: DispatchCalls;
+  private readonly agents = new AgentLinks();
   private workWatch: WorkWatch | undefined;
   /** Term of the current ownership, set before the stored state is loaded; 0 without ownership. */
   private electionTerm = 0;
   private readonly rounds: RoundScheduler;
   private readonly history: OwnershipHistory;
   private readonly limits: OwnerLimits;
+  private readonly loader: StateLoader;
+  /** Planned handover of the ownership between this process and others. */
+  readonly handover: Handover;
+  /** Owner named by the latest owner record, or by an entry that has taken the ownership over. */
+  private knownOwner: string | undefined;
+  private beginning: Promise<void> | undefined;
   private tickTimer: NodeJS.Timeout | undefined;
   private isStopped = false;
 
   constructor(private readonly options: OwnerProcessOptions) {
-    const {clock, store, log, timing, electionTiming, incarnation, address} = options;
+    const {clock, log, timing, electionTiming, incarnation, address} = options;
     const {linkMegabits = Number.POSITIVE_INFINITY, heapBytes = Number.POSITIVE_INFINITY} = options;
     const startBytesPerSecond = linkMegabits * bytesPerMegabit * startLinkShare;
     this.limits = getOwnerLimits(heapBytes);
+    this.loader = new StateLoader({...options, maxBytes: this.limits.maxLoadedBytes});
     this.dispatcher = new Dispatcher({...timing, ...this.limits, startBytesPerSecond});
     this.loop = new Loop(this.dispatcher, clock, effect => this.executeEffect(effect));
     this.election = new OwnerElection({
@@ -88,7 +94,26 @@
       clock: this.leaseClock,
       post: event => this.electionLoop.post(event),
     });
-    this.progressWriter = new ProgressWriter(store);
+    this.handover = new Handover({
+      ...options,
+      loader: this.loader,
+      getElection: () => ({
+        isOwner: this.electionTerm > 0,
+        hasLease: this.election.currentLease !== undefined,
+        roundTripMs: this.electionCalls.roundTripMs,
+      }),
+      getLearned: () => undefined,
+      claim: revision => {
+        this.electionLoop.post({kind: 'take-over', revision});
+        this.scheduleTick();
+      },
+    });
+    this.calls = new DispatchCalls({
+      ...options,
+      getTerm: () => this.dispatcher.term,
+      isCurrent: term => this.electionTerm === term,
+      post: event => this.post(event),
+    });
     this.history = new OwnershipHistory({...options, electionCalls: this.electionCalls});
     this.rounds = new RoundScheduler({
       clock,
@@ -98,13 +123,9 @@
         if (this.checkOwnership()) this.loop.post({kind: 'place', scope});
       },
     });
-    this.ownerWatch = new RecordWatch({
-      store,
-      clock,
-      log,
-      prefix: ownerKey,
-      onList: (records, revision) => this.handleOwnerRecord(records[0], revision),
-      onChanges: changes => this.handleOwnerChange(changes.at(-1)),
+    this.ownerWatch = new OwnerKeyWatch({
+      ...options,
+      onOwner: (owner, revision) => this.observeOwner(owner, revision),
     });
   }
 
@@ -113,14 +134,38 @@
     return this.dispatcher.isOwner;
   }
 
+  /** Resolves when an ownership that has been claimed has begun or has ended; undefined when none is about to begin. */
+  get begun(): Promise<void> | undefined {
+    return this.beginning;
+  }
+
   /** Starts to take part in the election. */
   start(): void {
-    void this.ownerWatch.run();
+    this.ownerWatch.run();
     this.tick();
   }
 
-  /** Gives up the ownership and stops taking part in the election. */
-  drain(): void {
+  /**
+   * Stops taking part in the election. An ownership is offered to another entry for at most `limitMs` milliseconds, in which
+   * it goes on, and is then given up.
+   */
+  async drain(limitMs = 0): Promise<void> {
+    this.handover.refuse();
+    const term = this.electionTerm;
+    if (term === 0 || limitMs === 0) return this.stop();
+    this.electionLoop.post({kind: 'retire'});
+    const successor = await this.handover.offer(term, limitMs, () => this.electionTerm === term);
+    if (successor !== undefined && this.electionTerm === term) {
+      this.knownOwner = successor;
+      this.electionLoop.post({kind: 'deposed', reason: 'handed-over'});
+    }
+    this.stop();
+    if (successor !== undefined) await this.ownerWatch.refresh();
+  }
+
+  /** Gives up the ownership at once and stops taking part in the election. */
+  stop(): void {
+    this.handover.refuse();
     this.electionLoop.post({kind: 'drain'});
     this.isStopped = true;
     clearTimeout(this.tickTimer);
@@ -141,15 +186,9 @@
    * Registers the link of an agent, replacing an older one, and sends it the term and the addresses of other entries.
    * Returns false when this process is not the owner.
    */
-  addAgent(
-    agent: string,
-    link: Link<AgentMessage, OwnerMessage>,
-    entries: readonly string[],
-  ): boolean {
+  addAgent(agent: string, link: AgentLink, entries: readonly string[]): boolean {
     if (!this.checkOwnership()) return false;
-    const previousLink = this.agents.get(agent);
-    this.agents.set(agent, link);
-    previousLink?.destroy('replaced');
+    this.agents.add(agent, link);
     const {term, token, evacuations} = this.dispatcher;
     link.send({
       kind: 'owner',
@@ -163,15 +202,13 @@
   }
 
   /** Handles a message of an agent; messages on a replaced link are ignored. */
-  receive(agent: string, link: Link<AgentMessage, OwnerMessage>, message: AgentMessage): void {
-    if (this.agents.get(agent) === link) this.post({kind: 'message', agent, message});
+  receive(agent: string, link: AgentLink, message: AgentMessage): void {
+    if (this.agents.isCurrent(agent, link)) this.post({kind: 'message', agent, message});
   }
 
   /** Removes an agent whose link has closed; ignored when a newer link has replaced it. */
-  removeAgent(agent: string, link: Link<AgentMessage, OwnerMessage>): void {
-    if (this.agents.get(agent) !== link) return;
-    this.agents.delete(agent);
-    this.post({kind: 'agent-down', agent});
+  removeAgent(agent: string, link: AgentLink): void {
+    if (this.agents.remove(agent, link)) this.post({kind: 'agent-down', agent});
   }
 
   /** Handles a cancel request that the store already holds; ignored without ownership. */
@@ -224,29 +261,44 @@
 
   private tick(): void {
     if (this.isStopped) return;
+    if (this.claimWaitMs !== undefined) this.electionCalls.updateClaimDelay();
     this.electionLoop.post({kind: 'tick'});
     if (this.isOwner) {
       this.loop.post({kind: 'tick', wallMs: this.options.clock.wallTime()});
       this.rounds.schedule();
     }
-    this.tickTimer = setTimeout(() => this.tick(), this.isOwner ? ownerTickMs : idleTickMs);
+    this.scheduleTick();
+  }
+
+  private get claimWaitMs(): number | undefined {
+    return this.election.getClaimWaitMs(this.leaseClock.now());
+  }
+
+  private scheduleTick(): void {
+    clearTimeout(this.tickTimer);
+    if (this.isStopped) return;
+    const {claimWaitMs} = this;
+    // A claim with a wait of 0 is delayed by another call.
+    const claimMs = Math.min(claimWaitMs || claimTickMs, claimTickMs);
+    const idleMs = claimWaitMs === undefined ? idleTickMs : claimMs;
+    this.tickTimer = setTimeout(() => this.tick(), this.isOwner ? ownerTickMs : idleMs);
   }
 
   private executeEffect(effect: DispatchEffect): void {
     const {log, metrics} = this.options;
     switch (effect.kind) {
       case 'send':
-        return this.agents.get(effect.agent)?.send(effect.message);
+        return this.agents.send(effect.agent, effect.message);
       case 'broadcast':
-        return this.agents.forEach(link => link.send(effect.message));
+        return this.agents.broadcast(effect.message);
       case 'write':
-        return void this.writeProgress(effect.sequence, effect.write);
+        return void this.calls.writeProgress(effect.sequence, effect.write);
       case 'recovered':
         return void this.history.forgetPredecessors(this.dispatcher.term);
       case 'load':
-        return void this.load(effect.id);
+        return void this.calls.load(effect.id);
       case 'advise':
-        return void this.advise(effect);
+        return void this.calls.advise(effect);
       case 'deposed':
         return this.electionLoop.post({kind: 'deposed', reason: effect.reason});
       case 'log':
@@ -258,36 +310,6 @@
     }
   }
 
-  private async load(id: string): Promise<void> {
-    const {store, log} = this.options;
-    const {term} = this.dispatcher;
-    const shouldContinue = () => this.electionTerm === term;
-    const stored = await readSubmission(id, {store, log, shouldContinue});
-    if (shouldContinue()) this.post({kind: 'loaded', id, ...(stored && {stored})});
-  }
-
-  private async advise({
-    step,
-    workers,
-    timeoutMs,
-  }: Extract<DispatchEffect, {kind: 'advise'}>): Promise<void> {
-    const {advisor} = this.options;
-    const reply = advisor
-      ? await advisor.advise(step, workers, timeoutMs)
-      : ({kind: 'unavailable', reason: 'no-advisor'} as const);
-    this.post({kind: 'advised', step, reply});
-  }
-
-  private async writeProgress(sequence: number, write: ProgressWrite): Promise<void> {
-    const result = await this.progressWriter.write(this.dispatcher.term, sequence, write);
-    this.post({
-      kind: 'written',
-      sequence,
-      result: toWriteResult(result),
-      ...(result.kind === 'ok' && {revision: result.revision}),
-    });
-  }
-
   private executeElectionEffect(effect: ElectionEffect): void {
     switch (effect.kind) {
       case 'open-lease':
@@ -295,45 +317,47 @@
       case 'keep-lease':
         return void this.electionCalls.renewLease(effect.lease);
       case 'claim':
+        // Only few processes claim a vacant key, so the state is not read by all of them at once.
+        void this.loader.prepare();
         return void this.electionCalls.claim(effect);
       case 'end-lease':
         return void this.options.store.endLease(effect.lease);
       case 'begin':
-        return void this.beginOwnership(effect.term, effect.generation);
+        return this.startOwnership(effect.term, effect.generation);
       case 'end':
         return this.end(effect.reason);
     }
   }
 
-  private handleOwnerRecord(record: StoredRecord | undefined, revision: number): void {
-    const owner = record && parseOwner(record.value);
+  private observeOwner(owner: OwnerRecord | undefined, revision: number): void {
     if (owner === undefined) this.electionCalls.updateClaimDelay();
+    this.knownOwner = owner?.address;
     this.options.onOwner(owner);
-    this.electionLoop.post({kind: 'owner-seen', owner, revision: record?.revision ?? revision});
+    this.handover.observe(owner, revision);
+    this.electionLoop.post({kind: 'owner-seen', owner, revision});
+    if (this.claimWaitMs !== undefined) this.scheduleTick();
   }
 
-  private handleOwnerChange(change: RecordChange | undefined): void {
-    if (change?.kind === 'written') this.handleOwnerRecord(change.record, change.record.revision);
-    else if (change) this.handleOwnerRecord(undefined, change.revision);
+  private startOwnership(term: number, generation: number): void {
+    const beginning = this.beginOwnership(term, generation).finally(() => {
+      if (this.beginning === beginning) this.beginning = undefined;
+    });
+    this.beginning = beginning;
   }
 
   private async beginOwnership(term: number, generation: number): Promise<void> {
     const {store, log, clock, evacuations} = this.options;
     this.electionTerm = term;
     log.log('ownership-claimed', {term, generation});
-    const startedAt = clock.now();
+    this.handover.confirm();
     const shouldContinue = () => this.electionTerm === term;
-    const maxBytes = this.limits.maxLoadedBytes;
-    const stored = await readStoredState({store, log, maxBytes, shouldContinue, evacuations});
+    const [stored, evacuated] = await Promise.all([
+      this.loader.load(term, shouldContinue),
+      evacuations && readEvacuations(evacuations, shouldContinue),
+    ]);
     this.electionLoop.post({kind: 'look'});
     if (stored === undefined || this.electionTerm !== term) return;
-    log.log('submissions-read', {
-      term,
-      submissions: stored.submissions.length,
-      deferred: stored.deferred.length,
-      ageMs: Math.round(clock.now() - startedAt),
-    });
-    if (stored.evacuations) this.loop.post({kind: 'evacuations', set: stored.evacuations});
+    if (evacuated) this.loop.post({kind: 'evacuations', set: evacuated});
     this.loop.post({
       kind: 'begin',
       term,
@@ -349,7 +373,7 @@
       clock,
       log,
       post: event => this.post(event),
-      onOwnerRecord: record => this.handleOwnerRecord(record, record.revision),
+      onOwnerRecord: record => this.ownerWatch.handle(record, record.revision),
     });
     this.workWatch.run(stored.revision);
     this.options.onOwnership(true);
@@ -369,11 +393,8 @@
     this.workWatch = undefined;
     if (!this.isOwner) return;
     this.loop.post({kind: 'end', reason});
-    for (const link of this.agents.values()) {
-      link.send({kind: 'elsewhere', entries: []});
-      link.end();
-    }
-    this.agents.clear();
+    const {knownOwner: address} = this;
+    this.agents.redirect(address === this.options.address ? undefined : address);
     this.options.onOwnership(false);
   }
 }
