Hand over what an owner has learned

Cause: a new owner began without the run time factors of the queues, the interference of pairs of images, the loads of serving steps, and the slowness and failures of workers. It measured all of them again. Change: the offer of an owner that drains carries them, bounded in number, with all times relative to the message, since the clocks of processes differ. The successor checks each field, leaves out what is malformed with a log line (learned-state-ignored), and uses the rest where it knows less by itself. Workers are matched by incarnation. An owner that has not begun yet passes on what it was given.

--- a/packages/coordination/src/colocation/pair-interference-model.ts
+++ b/packages/coordination/src/colocation/pair-interference-model.ts
@@ -23,6 +23,9 @@
   knownDeviation: 0.12,
 };
 
+/** Share of the prior standard deviation below which an estimate says more than the prior. */
+const learnedDeviationShare = 0.98;
+
 /** Gaussian estimate of the effect of one task of a batch workload on a service. */
 interface PairEstimate {
   mean: number;
@@ -30,6 +33,14 @@
   updatedAt: number;
 }
 
+/** Learned effect of a batch workload on a service. */
+export interface LearnedPair {
+  readonly service: string;
+  readonly workload: string;
+  readonly mean: number;
+  readonly deviation: number;
+}
+
 /** Number of running tasks of each batch workload on a host, each weighted by its processor limit. */
 export type ColocatedLoad = ReadonlyMap<string, number>;
 
@@ -98,6 +109,29 @@
     return this.getDeviation(service, workload, at) < this.options.knownDeviation;
   }
 
+  /** Returns what is known of at most `limit` pairs: of those that are known best. */
+  getLearned(at: number, limit: number): LearnedPair[] {
+    const learned: LearnedPair[] = [];
+    for (const [service, pairs] of this.pairs) {
+      for (const workload of pairs.keys()) {
+        const mean = this.getMean(service, workload, at);
+        const deviation = this.getDeviation(service, workload, at);
+        if (deviation < this.options.priorDeviation * learnedDeviationShare)
+          learned.push({service, workload, mean, deviation});
+      }
+    }
+    return learned.sort((a, b) => a.deviation - b.deviation).slice(0, limit);
+  }
+
+  /** Continues with what another process has learned of a pair, unless this one knows it as well. */
+  restore({service, workload, mean, deviation}: LearnedPair, at: number): boolean {
+    if (deviation >= this.getDeviation(service, workload, at)) return false;
+    const pair = this.getDecayedPair(service, workload, at);
+    pair.mean = mean;
+    pair.variance = deviation ** 2;
+    return true;
+  }
+
   private getDecayedPair(service: string, workload: string, at: number): PairEstimate {
     let pairs = this.pairs.get(service);
     if (!pairs) {
--- a/packages/coordination/src/dispatch/dispatch-events.ts
+++ b/packages/coordination/src/dispatch/dispatch-events.ts
@@ -3,6 +3,7 @@
 import type {AgentMessage, OwnerMessage, WorkerIncarnation} from './agent-messages.js';
 import type {LoggedDecision} from './decision-log.js';
 import type {DeferredSubmission} from './deferred-submissions.js';
+import type {LearnedState} from './learned/learned-state.js';
 import type {AdviceReply} from './placement/advice-tickets.js';
 
 /** A submission with its stored progress. */
@@ -35,6 +36,9 @@
       /** Submissions that are to be loaded once there is memory for them. */
       readonly deferred?: readonly DeferredSubmission[];
       readonly roster: readonly RosterEntry[];
+      /** What the previous owner has handed over, and when it arrived, in dispatcher time. */
+      readonly learned?: LearnedState;
+      readonly learnedAt?: number;
       /** Unix time in milliseconds. */
       readonly wallMs: number;
     }
--- a/packages/coordination/src/dispatch/dispatch-state.ts
+++ b/packages/coordination/src/dispatch/dispatch-state.ts
@@ -1,11 +1,12 @@
 import {getTaskName, type QueueConfiguration, type QueuePolicy} from '../submissions/index.js';
-import {RunTimeEstimates} from '../tasks/round/run-time-estimates.js';
+import {type Estimate, RunTimeEstimates} from '../tasks/round/run-time-estimates.js';
 import type {ActiveSubmission} from './active-submission.js';
 import type {OwnerMessage} from './agent-messages.js';
 import type {LoggedDecision} from './decision-log.js';
 import {DeferredSubmissions} from './deferred-submissions.js';
 import type {DispatchEffect} from './dispatch-events.js';
 import type {DispatchTiming} from './dispatch-timing.js';
+import type {LearnedWorker} from './learned/learned-state.js';
 import {StartBudget} from './placement/start-budget.js';
 import type {Task} from './task.js';
 import type {WorkerView} from './worker-view.js';
@@ -34,6 +35,8 @@
   readonly runTimes = new RunTimeEstimates();
   /** Keys of the queues with a learned ratio. */
   readonly learnedQueues = new Set<string>();
+  /** What another process has learned of workers that this one has not seen yet, by incarnation. */
+  readonly learnedWorkers = new Map<string, LearnedWorker>();
   /** Whether tasks may have become placeable since the last placement round. */
   isPlacementDue = false;
   /** Limits the bytes of start commands. */
@@ -69,6 +72,22 @@
     }
   }
 
+  /** Returns what is known of the run times of each queue. */
+  getLearnedRunTimes(): ReadonlyArray<Estimate & {readonly queue: string}> {
+    return [...this.learnedQueues].flatMap(queue => {
+      const estimate = this.runTimes.get(queue, allWorkloads);
+      return estimate ? [{queue, ...estimate}] : [];
+    });
+  }
+
+  /** Continues with what another process has learned of the run times of a queue, unless this one knows more. */
+  restoreRunTimes(queue: string, estimate: Estimate): boolean {
+    if (estimate.count <= this.runTimes.getCount(queue, allWorkloads)) return false;
+    this.learnedQueues.add(queue);
+    this.runTimes.set(queue, allWorkloads, estimate);
+    return true;
+  }
+
   /** Memory in bytes of all loaded submissions without their runs. */
   get loadedBytes(): number {
     let sum = 0;
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -18,6 +18,11 @@
 import {FillerPacer} from './interference/filler-pacer.js';
 import {InterferenceModel} from './interference/interference-model.js';
 import {WorkerHeadroomCache} from './interference/worker-headroom.js';
+import {
+  collectLearnedState,
+  type LearnedState,
+  restoreLearnedState,
+} from './learned/learned-state.js';
 import {AdviceTickets} from './placement/advice-tickets.js';
 import {FillerPreemption} from './placement/filler-preemption.js';
 import {runPlacementRound} from './placement/placement-round.js';
@@ -140,6 +145,11 @@
     return this.isOwner ? countPendingSubmissions(this.state, queue) : undefined;
   }
 
+  /** Returns what this owner has learned, for its successor; undefined when this process is not the owner. */
+  getLearned(at: number): LearnedState | undefined {
+    return this.isOwner ? collectLearnedState(this.state, this.interference, at) : undefined;
+  }
+
   private apply(event: DispatchEvent, at: number): void {
     switch (event.kind) {
       case 'begin':
@@ -186,6 +196,10 @@
     const previousEndAt = at + state.timing.previousOwnerMaxMs;
     this.barrier.begin(event.roster, this.getLeaseEnds(previousEndAt));
     this.hasUnknownRuns = true;
+    const {learned, learnedAt = at} = event;
+    const learnedItems = learned
+      ? restoreLearnedState(learned, state, this.interference, learnedAt)
+      : 0;
     for (const stored of event.submissions) this.add(stored, at, true);
     for (const deferred of event.deferred ?? []) this.intake.defer(deferred, at);
     state.log({
@@ -194,6 +208,7 @@
       generation: event.generation,
       submissions: event.submissions.length,
       workers: event.roster.length,
+      ...(learned && {learned: learnedItems}),
     });
     state.count('ownerships_begun');
   }
@@ -221,6 +236,7 @@
     this.state.submissions.clear();
     this.intake.clear();
     this.state.workers.clear();
+    this.state.learnedWorkers.clear();
     this.reservations.clear();
     this.tickets.clear();
     this.starvation.clear();
--- a/packages/coordination/src/dispatch/index.ts
+++ b/packages/coordination/src/dispatch/index.ts
@@ -5,6 +5,7 @@
 export * from './dispatch-timing.js';
 export * from './dispatcher.js';
 export {type DeferredSubmission} from './deferred-submissions.js';
+export * from './learned/index.js';
 export * from './submission-load.js';
 export * from './placement/index.js';
 export {RecentSet} from './recent-set.js';
--- a/packages/coordination/src/dispatch/interference/cycle-fit.ts
+++ b/packages/coordination/src/dispatch/interference/cycle-fit.ts
@@ -76,6 +76,42 @@
     return this.solve().logEvidence;
   }
 
+  /** Returns the running sums with all times relative to `at`, so that a process with another clock can continue with them. */
+  getSums(at: number): CycleSums {
+    this.decay(at);
+    const sums: CycleSums = [
+      this.weightSum,
+      this.cosineSum,
+      this.sineSum,
+      this.cosineCosineSum,
+      this.cosineSineSum,
+      this.sineSineSum,
+      this.loadSum,
+      this.loadCosineSum,
+      this.loadSineSum,
+      this.loadLoadSum,
+    ];
+    return shiftSums(sums, -at * this.frequency);
+  }
+
+  /** Continues with the sums of another fit of the same period, whose times are relative to `at`. */
+  restore(sums: CycleSums, at: number): void {
+    [
+      this.weightSum,
+      this.cosineSum,
+      this.sineSum,
+      this.cosineCosineSum,
+      this.cosineSineSum,
+      this.sineSineSum,
+      this.loadSum,
+      this.loadCosineSum,
+      this.loadSineSum,
+      this.loadLoadSum,
+    ] = shiftSums(sums, at * this.frequency);
+    this.updatedAt = at;
+    this.solution = undefined;
+  }
+
   private decay(at: number): void {
     const retention = 0.5 ** (Math.max(0, at - this.updatedAt) / halfLifeMs);
     this.updatedAt = Math.max(at, this.updatedAt);
@@ -131,6 +167,42 @@
   }
 }
 
+/** Number of running sums of a fit. */
+export const cycleSumCount = 10;
+
+/** Running sums of a fit, in the order of its fields. */
+export type CycleSums = readonly [
+  weight: number,
+  cosine: number,
+  sine: number,
+  cosineCosine: number,
+  cosineSine: number,
+  sineSine: number,
+  load: number,
+  loadCosine: number,
+  loadSine: number,
+  loadLoad: number,
+];
+
+/** Returns the sums as if all measurements had been made later by an angle in radians. */
+function shiftSums(sums: CycleSums, angle: number): CycleSums {
+  const [weight, cosine, sine, cc, cs, ss, load, loadCosine, loadSine, loadLoad] = sums;
+  const cos = Math.cos(angle);
+  const sin = Math.sin(angle);
+  return [
+    weight,
+    cosine * cos - sine * sin,
+    sine * cos + cosine * sin,
+    cc * cos * cos - 2 * cs * cos * sin + ss * sin * sin,
+    cs * (cos * cos - sin * sin) + (cc - ss) * cos * sin,
+    cc * sin * sin + 2 * cs * cos * sin + ss * cos * cos,
+    load,
+    loadCosine * cos - loadSine * sin,
+    loadSine * cos + loadCosine * sin,
+    loadLoad,
+  ];
+}
+
 interface Solution {
   readonly level: number;
   readonly cosine: number;
--- a/packages/coordination/src/dispatch/interference/interference-model.ts
+++ b/packages/coordination/src/dispatch/interference/interference-model.ts
@@ -1,10 +1,11 @@
 import {
-  PairInterferenceModel,
   type ColocatedLoad,
+  type LearnedPair,
+  PairInterferenceModel,
 } from '../../colocation/pair-interference-model.js';
 import type {Run} from '../task.js';
 import type {WorkerView} from '../worker-view.js';
-import {LoadForecasts} from './load-forecasts.js';
+import {type LearnedLoad, LoadForecasts} from './load-forecasts.js';
 
 /** Workers report the processors in use in thousandths of a core. */
 const millicoresPerCore = 1_000;
@@ -50,6 +51,12 @@
   readonly coreShare: number;
 }
 
+/** Learned pressures of pairs of images, and loads of serving steps. */
+export interface LearnedInterference {
+  readonly pairs: readonly LearnedPair[];
+  readonly loads: readonly LearnedLoad[];
+}
+
 /** Time of a worker's latest used measurement, and the fraction of its cores that each filling image used then. */
 interface Measurement {
   readonly at: number;
@@ -100,6 +107,21 @@
     return earlierPressure > this.sumPressure(group.image, colocatedLoad, at, 0) + minPressureDrop;
   }
 
+  /** Returns what is known of at most `maxPairs` pairs of images and `maxLoads` steps. */
+  getLearned(at: number, maxPairs: number, maxLoads: number): LearnedInterference {
+    return {
+      pairs: this.model.getLearned(at, maxPairs),
+      loads: this.loads.getLearned(at, maxLoads),
+    };
+  }
+
+  /** Continues with what another process had learned at `at`; returns the number of items that were used. */
+  restore({pairs, loads}: LearnedInterference, at: number): number {
+    const usedPairs = pairs.filter(pair => this.model.restore(pair, at));
+    const usedLoads = loads.filter(load => this.loads.restore(load, at));
+    return usedPairs.length + usedLoads.length;
+  }
+
   /** Forgets the loads of serving steps that have ended. */
   retain(isActive: (key: string) => boolean): void {
     this.loads.retain(isActive);
--- a/packages/coordination/src/dispatch/interference/load-forecasts.ts
+++ b/packages/coordination/src/dispatch/interference/load-forecasts.ts
@@ -1,4 +1,4 @@
-import {CycleFit} from './cycle-fit.js';
+import {CycleFit, type CycleSums, cycleSumCount} from './cycle-fit.js';
 
 /** Range in milliseconds of the candidate periods of the load, and the ratio of neighbouring candidates. */
 const shortestPeriodMs = 4_000;
@@ -28,6 +28,23 @@
 /** Time step in milliseconds at which a forecast is evaluated. */
 const forecastStepMs = 250;
 
+/** Learned load of one step, with all times relative to that of the record. */
+export interface LearnedLoad {
+  /** Key of the step. */
+  readonly key: string;
+  readonly difference: number;
+  readonly misfitVariance: number;
+  readonly noiseVariance: number;
+  /** Age of the latest measurement in milliseconds. */
+  readonly ageMs: number;
+  /** Running sums of the fits of all candidate periods. */
+  readonly sums: readonly number[];
+}
+
+/** Bounds of a plausible load and of a plausible variance of a load. */
+const maxPlausibleLoad = 20;
+const maxPlausibleVariance = 1;
+
 /** A load with its standard deviation. */
 export interface LoadEstimate {
   readonly load: number;
@@ -122,6 +139,45 @@
     return highest;
   }
 
+  /** Returns what is known of at most `limit` steps: of those measured last. */
+  getLearned(at: number, limit: number): LearnedLoad[] {
+    return [...this.series]
+      .sort(([, a], [, b]) => b.updatedAt - a.updatedAt)
+      .slice(0, limit)
+      .map(([key, {fits, difference, misfitVariance, noiseVariance, updatedAt}]) => ({
+        key,
+        difference,
+        misfitVariance,
+        noiseVariance,
+        ageMs: Math.max(0, at - updatedAt),
+        sums: fits.flatMap(fit => fit.getSums(at)),
+      }));
+  }
+
+  /**
+   * Continues with what another process has learned of a step, relative to the time `at`. Returns false when it is not
+   * plausible, or when this process has measurements of its own.
+   */
+  restore(learned: LearnedLoad, at: number): boolean {
+    const {key, difference, misfitVariance, noiseVariance, ageMs, sums} = learned;
+    if (this.series.has(key) || sums.length !== periods.length * cycleSumCount) return false;
+    const fits = periods.map((period, index) => {
+      const fit = new CycleFit(period);
+      const start = index * cycleSumCount;
+      fit.restore(sums.slice(start, start + cycleSumCount) as unknown as CycleSums, at);
+      return fit;
+    });
+    const isPlausible = fits.every(fit => {
+      const variance = fit.getVariance(at);
+      const isLoad = Math.abs(fit.getValue(at)) <= maxPlausibleLoad;
+      return isLoad && variance >= 0 && variance <= maxPlausibleVariance;
+    });
+    if (!isPlausible || Math.abs(difference) > maxPlausibleLoad) return false;
+    const updatedAt = at - ageMs;
+    this.series.set(key, {fits, difference, misfitVariance, noiseVariance, updatedAt});
+    return true;
+  }
+
   /** Forgets the loads of steps that have ended. */
   retain(isActive: (key: string) => boolean): void {
     for (const key of this.series.keys()) if (!isActive(key)) this.series.delete(key);
--- a/packages/coordination/src/dispatch/supervision/worker-evidence.ts
+++ b/packages/coordination/src/dispatch/supervision/worker-evidence.ts
@@ -13,6 +13,16 @@
   readonly maxSuspensionMs: number;
 }
 
+/** What is known of a worker's failures, with all times relative to that of the record. */
+export interface LearnedEvidence {
+  readonly failureScore: number;
+  readonly suspensions: number;
+  /** Rest of the present suspension in milliseconds; 0 when the worker is not suspended. */
+  readonly suspendedMs: number;
+  /** Age of the latest failure in milliseconds; absent without one. */
+  readonly failureAgeMs?: number;
+}
+
 const defaultOptions: WorkerEvidenceOptions = {
   // Three failures of work that succeeds elsewhere.
   suspensionThreshold: 9,
@@ -23,6 +33,9 @@
   maxSuspensionMs: 60_000,
 };
 
+/** Failure score below which nothing is handed on: less than that of one failure. */
+const minLearnedScore = 0.5;
+
 /** Prior of the failure rate, as pseudo-counts of failed runs and of all ended runs. */
 const priorFailures = 0.1;
 const priorEnds = 1;
@@ -88,6 +101,30 @@
     return true;
   }
 
+  /** Returns what is known at `at`; undefined when there is nothing against the worker. */
+  getLearned(at: number): LearnedEvidence | undefined {
+    this.decay(at);
+    if (this.failureScore < minLearnedScore && this.suspensions === 0) return undefined;
+    const {failureScore, suspensions, suspendedUntil, latestFailureAt} = this;
+    return {
+      failureScore,
+      suspensions,
+      suspendedMs: Math.max(0, suspendedUntil - at),
+      ...(Number.isFinite(latestFailureAt) && {failureAgeMs: at - latestFailureAt}),
+    };
+  }
+
+  /** Continues with what another process knew at `at`. */
+  restore(learned: LearnedEvidence, at: number): void {
+    const {suspensionThreshold, maxSuspensionMs} = this.options;
+    const {failureScore, suspensions, suspendedMs, failureAgeMs} = learned;
+    this.failureScore = Math.min(suspensionThreshold, failureScore);
+    this.updatedAt = at;
+    this.suspensions = suspensions;
+    if (suspendedMs > 0) this.suspendedUntil = at + Math.min(maxSuspensionMs, suspendedMs);
+    if (failureAgeMs !== undefined) this.latestFailureAt = at - failureAgeMs;
+  }
+
   private decay(at: number): void {
     this.failureScore *= 0.5 ** ((at - this.updatedAt) / this.options.halfLifeMs);
     this.updatedAt = at;
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -2,6 +2,7 @@
 import type {AgentMessage, RunEndRow, RunRow, WorkerDescription} from './agent-messages.js';
 import {CommandResults} from './command-results.js';
 import type {FillerPacer} from './interference/filler-pacer.js';
+import {restoreLearnedWorker} from './learned/learned-state.js';
 import type {AdviceTickets} from './placement/advice-tickets.js';
 import type {RecoveryBarrier} from './recovery-barrier.js';
 import {RunEnds, type RunEndsOptions} from './run-ends.js';
@@ -105,6 +106,7 @@
     worker.isReborn = this.usedAgents.has(agent);
     worker.token = worker.isReborn ? state.token : state.term;
     this.usedAgents.add(agent);
+    restoreLearnedWorker(worker, state, at);
     state.workers.set(agent, worker);
     this.updateLeavingTime(worker, description, at);
     for (const run of unlisted) this.carryOverRun(run, worker, at);
--- a/packages/coordination/src/tasks/round/run-time-estimates.ts
+++ b/packages/coordination/src/tasks/round/run-time-estimates.ts
@@ -4,7 +4,7 @@
 const priorWeight = 0.25;
 
 /** Running mean and sum of squared deviations of ln(actual / declared), by Welford's algorithm. */
-interface Estimate {
+export interface Estimate {
   count: number;
   mean: number;
   squaredDeviations: number;
@@ -32,6 +32,17 @@
     this.estimates.set(key, estimate);
   }
 
+  /** Returns what is known of the team and name prefix of a workload; undefined without an observation. */
+  get(team: string, workload: string): Estimate | undefined {
+    const estimate = this.estimates.get(`${team}/${getWorkloadPrefix(workload)}`);
+    return estimate && {...estimate};
+  }
+
+  /** Replaces what is known of the team and name prefix of a workload. */
+  set(team: string, workload: string, estimate: Estimate): void {
+    this.estimates.set(`${team}/${getWorkloadPrefix(workload)}`, {...estimate});
+  }
+
   /** Number of finished items observed for the team and name prefix of a workload. */
   getCount(team: string, workload: string): number {
     return this.estimates.get(`${team}/${getWorkloadPrefix(workload)}`)?.count ?? 0;
--- a/packages/runtime/src/dispatch/ownership/handover/handover.ts
+++ b/packages/runtime/src/dispatch/ownership/handover/handover.ts
@@ -1,4 +1,9 @@
-import type {OwnerRecord, SuccessorCandidate} from '@chervilbeam/coordination';
+import {
+  checkLearnedState,
+  type LearnedState,
+  type OwnerRecord,
+  type SuccessorCandidate,
+} from '@chervilbeam/coordination';
 import type {HandoverCalls, HandoverOffer, HandoverReply} from './handover-calls.js';
 import {
   HandoverReceiver,
@@ -27,20 +32,37 @@
   readonly processors: number;
   /** Returns the state of the election at this process. */
   readonly getElection: () => ElectionState;
-  /** Returns what this owner has learned. */
-  readonly getLearned: () => unknown;
+  /** Returns what this owner has learned; undefined before its ownership has begun. */
+  readonly getLearned: () => LearnedState | undefined;
+}
+
+/** What an owner has handed over, and the time of its arrival in milliseconds. */
+export interface ReceivedState {
+  readonly learned: LearnedState;
+  readonly learnedAt: number;
 }
 
+/** Age in milliseconds up to which what was handed over is used. */
+const maxLearnedAgeMs = 10_000;
+
 /** Planned handover of the ownership: offers it to another entry, or takes it over from one. */
 export class Handover {
   private readonly sender: HandoverSender | undefined;
   private readonly receiver: HandoverReceiver;
   private offeredTerm = 0;
   private isDraining = false;
+  private received: ReceivedState | undefined;
 
   constructor(private readonly options: HandoverOptions) {
     const {handoverCalls: calls} = options;
-    this.sender = calls && new HandoverSender({...options, calls});
+    this.sender =
+      calls &&
+      new HandoverSender({
+        ...options,
+        calls,
+        // An owner that has not begun yet passes on what it was given.
+        getLearned: () => options.getLearned() ?? this.received?.learned,
+      });
     this.receiver = new HandoverReceiver({
       ...options,
       getUnavailability: () => this.getUnavailability(),
@@ -70,10 +92,21 @@
 
   /** Handles the offer of an owner; resolves once the claim has taken effect or has failed. */
   take(offer: HandoverOffer): Promise<HandoverReply> {
-    if (this.receiver.isAvailable) this.offeredTerm = offer.term;
+    if (this.receiver.isAvailable) {
+      this.offeredTerm = offer.term;
+      this.receive(offer);
+    }
     return this.receiver.take(offer);
   }
 
+  /** What the previous owner has handed over; undefined when there is nothing, or when it is old. */
+  get receivedState(): ReceivedState | undefined {
+    const {received} = this;
+    if (received === undefined) return undefined;
+    const ageMs = this.options.clock.now() - received.learnedAt;
+    return ageMs <= maxLearnedAgeMs ? received : undefined;
+  }
+
   /** Records that a claim of this process has taken effect. */
   confirm(): void {
     this.receiver.confirm();
@@ -87,6 +120,15 @@
     this.receiver.cancel('replaced');
   }
 
+  private receive({term, learned: value}: HandoverOffer): void {
+    const {clock, log} = this.options;
+    this.received = undefined;
+    if (value === undefined) return;
+    const {learned, ignored} = checkLearnedState(value);
+    if (ignored > 0) log.warn('learned-state-ignored', {term, ignored});
+    this.received = {learned, learnedAt: clock.now()};
+  }
+
   private getUnavailability(): Unavailability | undefined {
     const {getElection, isStoreFailing} = this.options;
     if (this.isDraining) return 'draining';
--- a/packages/runtime/src/dispatch/ownership/owner-process.ts
+++ b/packages/runtime/src/dispatch/ownership/owner-process.ts
@@ -101,7 +101,7 @@
         hasLease: this.election.currentLease !== undefined,
         roundTripMs: this.electionCalls.roundTripMs,
       }),
-      getLearned: () => undefined,
+      getLearned: () => this.dispatcher.getLearned(clock.now()),
       claim: revision => {
         this.electionLoop.post({kind: 'take-over', revision});
         this.scheduleTick();
@@ -354,6 +354,7 @@
       submissions: stored.submissions,
       deferred: stored.deferred,
       roster: stored.roster,
+      ...this.handover.receivedState,
       wallMs: clock.wallTime(),
     });
     void this.limitRecovery(term);
--- a/packages/runtime/test/dispatch/ownership/handover/owner-handover.test.ts
+++ b/packages/runtime/test/dispatch/ownership/handover/owner-handover.test.ts
@@ -30,6 +30,7 @@
   readonly address: string;
   readonly owner: OwnerProcess;
   readonly events: () => string[];
+  readonly lines: () => ReturnType<typeof createTestLog>['lines'];
 }
 
 /** Entries that share a store and call each other without a network. */
@@ -62,7 +63,8 @@
       onOwner: () => {},
       onOwnership: () => {},
     });
-    const member = {address, owner, events: () => lines.map(({event}) => String(event))};
+    const events = () => lines.map(({event}) => String(event));
+    const member = {address, owner, events, lines: () => lines};
     this.members.push(member);
     owner.start();
     this.t.teardown(() => owner.stop());
@@ -225,3 +227,21 @@
   await second?.owner.drain(limitMs);
   t.same(await second?.owner.handover.take({term: 1}), {isTaken: false, reason: 'draining'});
 });
+
+void t.test('a successor uses what it was handed over, except what is malformed', async t => {
+  const [group, , second] = await createGroup(t, 2);
+  const {revision = 0} = group.store.records.get(ownerKey) ?? {};
+  const learned = {
+    runTimes: [
+      {queue: 'a.example/x/', count: 8, mean: Math.log(2), squaredDeviations: 0},
+      {queue: 'a.example/y/', count: -1, mean: Number.NaN, squaredDeviations: 0},
+    ],
+    workers: 'none',
+  };
+  await second?.owner.handover.take({term: revision, learned});
+  await waitUntil(() => second?.owner.isOwner ?? false);
+  const begun = second?.lines().find(({event}) => event === 'ownership-begun');
+  t.equal(begun?.learned, 1);
+  const ignored = second?.lines().find(({event}) => event === 'learned-state-ignored');
+  t.equal(ignored?.ignored, 2);
+});
