--- a/packages/runtime/src/dispatch/entry/entry-node.ts
+++ b/packages/runtime/src/dispatch/entry/entry-node.ts
@@ -77,6 +77,7 @@
       isStoreFailing: () => health.isFailing,
       handoverCalls: new PeerHandoverCalls({
         getAddresses: () => this.peers.addresses,
+        readEntries: () => this.peers.readEntries(),
         ask: (address, timeoutMs, create) => this.peers.ask(address, timeoutMs, create),
       }),
       askOwnershipEnd: owner => this.peers.askOwnershipEnd(owner),
--- a/packages/runtime/src/dispatch/entry/entry-peers.ts
+++ b/packages/runtime/src/dispatch/entry/entry-peers.ts
@@ -177,6 +177,20 @@
     return this.request(this.getLink(address), timeoutMs, create);
   }
 
+  /** Reads the list of entries from the store; after a failure the previous list is kept. */
+  async readEntries(): Promise<void> {
+    const {store, address} = this.options;
+    const result = await store.list(entryPrefix, {stale: true});
+    if (this.isStopped) return;
+    if (result.kind === 'ok') {
+      const entries = result.records.flatMap(record => this.parseRecord(record) ?? []);
+      // The list is empty after the store has lost its leases; the previous list is then more likely to be right.
+      if (entries.length > 0)
+        this.setOtherEntries(entries.filter(entry => entry.address !== address));
+      this.hasEntryList = true;
+    }
+  }
+
   /** Closes all links. */
   stop(): void {
     this.isStopped = true;
@@ -198,16 +212,8 @@
   }
 
   private async refreshEntries(): Promise<void> {
-    const {store, address} = this.options;
-    const result = await store.list(entryPrefix, {stale: true});
+    await this.readEntries();
     if (this.isStopped) return;
-    if (result.kind === 'ok') {
-      const entries = result.records.flatMap(record => this.parseRecord(record) ?? []);
-      // The list is empty after the store has lost its leases; the previous list is then more likely to be right.
-      if (entries.length > 0)
-        this.setOtherEntries(entries.filter(entry => entry.address !== address));
-      this.hasEntryList = true;
-    }
     this.listTimer = setTimeout(() => void this.refreshEntries(), entryListIntervalMs);
   }
 
