Handover: tests of store faults and of two successors; drop the state of a failed offer

Cause: an entry whose offer failed kept the records that it had read ahead. Change: they are dropped with the offer. Tests: an owner goes on until the claim of its successor has taken effect, an entry that cannot read the owner key or the submissions claims nothing, and of two entries that were offered the same ownership one gets it.

--- a/packages/runtime/src/dispatch/ownership/handover/handover-receiver.ts
+++ b/packages/runtime/src/dispatch/ownership/handover/handover-receiver.ts
@@ -61,7 +61,10 @@
       void this.prepare(term, this.finish);
     });
     if (reply.isTaken) metrics.count('handovers_taken');
-    else log.warn('handover-failed', {term, reason: reply.reason});
+    else {
+      this.options.loader.discard();
+      log.warn('handover-failed', {term, reason: reply.reason});
+    }
     return reply;
   }
 
@@ -87,10 +90,7 @@
     if (this.finish !== finish) return;
     if (owner.kind !== 'ok') return this.cancel('owner-not-read');
     if (owner.record?.revision !== term) return this.cancel('not-the-owner');
-    if (!isRead) {
-      loader.discard();
-      return this.cancel('state-not-read');
-    }
+    if (!isRead) return this.cancel('state-not-read');
     claim(term);
   }
 }
--- a/packages/runtime/test/dispatch/ownership/handover/owner-handover.test.ts
+++ b/packages/runtime/test/dispatch/ownership/handover/owner-handover.test.ts
@@ -213,6 +213,66 @@
   t.same(await group.store.getOwnerChanges(), ['written', 'written', 'written']);
 });
 
+void t.test('an owner goes on until the claim of its successor has taken effect', async t => {
+  const [group, first, second] = await createGroup(t, 2);
+  const sent = addAgent(first.owner);
+  const observed: boolean[] = [];
+  const commit = group.store.commit.bind(group.store);
+  group.store.commit = async change => {
+    if (change.writes.some(({key}) => key === ownerKey)) {
+      observed.push(
+        first.owner.isOwner,
+        sent.some(({kind}) => kind === 'elsewhere'),
+      );
+    }
+    return commit(change);
+  };
+  await first.owner.drain(limitMs);
+  await waitUntil(() => second?.owner.isOwner ?? false);
+  t.same(observed, [true, false]);
+});
+
+const storeFaults: ReadonlyArray<{
+  readonly name: string;
+  readonly break: (store: MemoryStore) => void;
+  readonly reason: string;
+}> = [
+  {
+    name: 'the list of submissions',
+    break: store => (store.list = async () => ({kind: 'refused', detail: 'test'})),
+    reason: 'state-not-read',
+  },
+  {
+    name: 'the owner key',
+    break: store => (store.read = async () => ({kind: 'unknown', detail: 'test'})),
+    reason: 'owner-not-read',
+  },
+];
+
+for (const {name, break: breakStore, reason} of storeFaults) {
+  void t.test(`an entry that cannot read ${name} claims nothing`, async t => {
+    const [group, first, second] = await createGroup(t, 2);
+    const {revision = 0} = group.store.records.get(ownerKey) ?? {};
+    breakStore(group.store);
+    const reply = await second?.owner.handover.take({term: revision});
+    t.same(reply, {isTaken: false, reason});
+    t.ok(first.owner.isOwner);
+    t.equal(group.store.records.get(ownerKey)?.revision, revision);
+  });
+}
+
+void t.test('of two entries that were offered the same ownership, one gets it', async t => {
+  const [group, first, second, third] = await createGroup(t, 3);
+  const {revision = 0} = group.store.records.get(ownerKey) ?? {};
+  const replies = await Promise.all(
+    [second, third].map(member => member?.owner.handover.take({term: revision})),
+  );
+  t.equal(replies.filter(reply => reply?.isTaken).length, 1);
+  await waitUntil(() => !first.owner.isOwner);
+  const owners = [second, third].filter(member => member?.owner.isOwner);
+  t.ok(owners.length <= 1);
+});
+
 void t.test('an offer by a process that is not the owner replaces nobody', async t => {
   const [group, first, second] = await createGroup(t, 2);
   const {revision = 0} = group.store.records.get(ownerKey) ?? {};
