--- a/packages/runtime/test/dispatch/agent/agent-node.test.ts
+++ b/packages/runtime/test/dispatch/agent/agent-node.test.ts
@@ -67,6 +67,22 @@
   },
 );
 
+void t.test('an agent follows each of several handovers without a delay', async t => {
+  const store = new MemoryStore();
+  const {agent, links} = createAgent(store);
+  t.teardown(() => agent.stop());
+  claim(store, '10.0.0.1:1');
+  agent.start();
+  await waitUntil(() => links.length === 1);
+  const handovers = 4;
+  for (let hop = 1; hop <= handovers; hop += 1) {
+    const {handlers} = links.at(-1) ?? {};
+    handlers?.message({kind: 'owner', term: 10 + hop, entries: []});
+    handlers?.message({kind: 'elsewhere', address: `10.0.0.${hop + 1}:1`, entries: []});
+    t.equal(links.at(-1)?.address, `10.0.0.${hop + 1}:1`);
+  }
+});
+
 void t.test(
   'entries that redirect an agent in a loop do not make it dial them in a busy loop',
   async t => {
