--- a/packages/runtime/src/dispatch/ownership/owner-process.ts
+++ b/packages/runtime/src/dispatch/ownership/owner-process.ts
@@ -102,7 +102,7 @@
         hasLease: this.election.currentLease !== undefined,
         roundTripMs: this.electionCalls.roundTripMs,
       }),
-      getLearned: () => undefined,
+      getLearned: () => this.dispatcher.getLearned(clock.now()),
       claim: revision => {
         this.electionLoop.post({kind: 'take-over', revision});
         this.scheduleTick();
@@ -365,6 +365,7 @@
       submissions: stored.submissions,
       deferred: stored.deferred,
       roster: stored.roster,
+      ...this.handover.receivedState,
       wallMs: clock.wallTime(),
     });
     void this.limitRecovery(term);
@@ -380,9 +381,8 @@
   }
 
   private async limitRecovery(term: number): Promise<void> {
-    const agoMs = await this.history.findPredecessorsEnd(
-      () => this.electionTerm === term && this.dispatcher.isRecovering,
-    );
+    const isRecovering = () => this.electionTerm === term && this.dispatcher.isRecovering;
+    const agoMs = await this.history.findPredecessorsEnd(isRecovering);
     if (agoMs !== undefined) this.post({kind: 'predecessors-ended', agoMs});
   }
 
--- a/packages/runtime/test/dispatch/entry/evacuations.test.ts
+++ b/packages/runtime/test/dispatch/entry/evacuations.test.ts
@@ -40,8 +40,8 @@
     metrics: new Metrics(),
     ...(source && {evacuations: source}),
   });
-  t.teardown(() => {
-    node.drain();
+  t.teardown(async () => {
+    await node.drain();
     node.stop();
   });
   await node.start();
--- a/packages/runtime/test/dispatch/ownership/handover/owner-handover.test.ts
+++ b/packages/runtime/test/dispatch/ownership/handover/owner-handover.test.ts
@@ -30,6 +30,7 @@
   readonly address: string;
   readonly owner: OwnerProcess;
   readonly events: () => string[];
+  readonly lines: () => ReturnType<typeof createTestLog>['lines'];
 }
 
 /** Entries that share a store and call each other without a network. */
@@ -62,7 +63,8 @@
       onOwner: () => {},
       onOwnership: () => {},
     });
-    const member = {address, owner, events: () => lines.map(({event}) => String(event))};
+    const events = () => lines.map(({event}) => String(event));
+    const member = {address, owner, events, lines: () => lines};
     this.members.push(member);
     owner.start();
     this.t.teardown(() => owner.stop());
@@ -211,6 +213,66 @@
   t.same(await group.store.getOwnerChanges(), ['written', 'written', 'written']);
 });
 
+void t.test('an owner goes on until the claim of its successor has taken effect', async t => {
+  const [group, first, second] = await createGroup(t, 2);
+  const sent = addAgent(first.owner);
+  const observed: boolean[] = [];
+  const commit = group.store.commit.bind(group.store);
+  group.store.commit = async change => {
+    if (change.writes.some(({key}) => key === ownerKey)) {
+      observed.push(
+        first.owner.isOwner,
+        sent.some(({kind}) => kind === 'elsewhere'),
+      );
+    }
+    return commit(change);
+  };
+  await first.owner.drain(limitMs);
+  await waitUntil(() => second?.owner.isOwner ?? false);
+  t.same(observed, [true, false]);
+});
+
+const storeFaults: ReadonlyArray<{
+  readonly name: string;
+  readonly break: (store: MemoryStore) => void;
+  readonly reason: string;
+}> = [
+  {
+    name: 'the list of submissions',
+    break: store => (store.list = async () => ({kind: 'refused', detail: 'test'})),
+    reason: 'state-not-read',
+  },
+  {
+    name: 'the owner key',
+    break: store => (store.read = async () => ({kind: 'unknown', detail: 'test'})),
+    reason: 'owner-not-read',
+  },
+];
+
+for (const {name, break: breakStore, reason} of storeFaults) {
+  void t.test(`an entry that cannot read ${name} claims nothing`, async t => {
+    const [group, first, second] = await createGroup(t, 2);
+    const {revision = 0} = group.store.records.get(ownerKey) ?? {};
+    breakStore(group.store);
+    const reply = await second?.owner.handover.take({term: revision});
+    t.same(reply, {isTaken: false, reason});
+    t.ok(first.owner.isOwner);
+    t.equal(group.store.records.get(ownerKey)?.revision, revision);
+  });
+}
+
+void t.test('of two entries that were offered the same ownership, one gets it', async t => {
+  const [group, first, second, third] = await createGroup(t, 3);
+  const {revision = 0} = group.store.records.get(ownerKey) ?? {};
+  const replies = await Promise.all(
+    [second, third].map(member => member?.owner.handover.take({term: revision})),
+  );
+  t.equal(replies.filter(reply => reply?.isTaken).length, 1);
+  await waitUntil(() => !first.owner.isOwner);
+  const owners = [second, third].filter(member => member?.owner.isOwner);
+  t.ok(owners.length <= 1);
+});
+
 void t.test('an offer by a process that is not the owner replaces nobody', async t => {
   const [group, first, second] = await createGroup(t, 2);
   const {revision = 0} = group.store.records.get(ownerKey) ?? {};
@@ -225,3 +287,21 @@
   await second?.owner.drain(limitMs);
   t.same(await second?.owner.handover.take({term: 1}), {isTaken: false, reason: 'draining'});
 });
+
+void t.test('a successor uses what it was handed over, except what is malformed', async t => {
+  const [group, , second] = await createGroup(t, 2);
+  const {revision = 0} = group.store.records.get(ownerKey) ?? {};
+  const learned = {
+    runTimes: [
+      {queue: 'a.example/x/', count: 8, mean: Math.log(2), squaredDeviations: 0},
+      {queue: 'a.example/y/', count: -1, mean: Number.NaN, squaredDeviations: 0},
+    ],
+    workers: 'none',
+  };
+  await second?.owner.handover.take({term: revision, learned});
+  await waitUntil(() => second?.owner.isOwner ?? false);
+  const begun = second?.lines().find(({event}) => event === 'ownership-begun');
+  t.equal(begun?.learned, 1);
+  const ignored = second?.lines().find(({event}) => event === 'learned-state-ignored');
+  t.equal(ignored?.ignored, 2);
+});
