Order waiting work by the cost of its delay

Cause: when capacity is short, the order by least remaining work ignores what a result is worth, so a large submission that is nearly finished waits behind fresh ones and its work is lost.

Change: with the setting `scheduling: "cost"` the owner orders waiting work by priority, then by what can still earn its full value, then by the value still obtainable for the work that is left. Preemption follows the same model and counts the work that is thrown away. The owner remembers when an entry asked for a submission before it refused it, so the objective is measured from the first attempt. Without the setting, the former rules stay in effect.

The backlogs carry the waiting work by density and the measured throughput of filling tasks; entries do not use them yet.

The experiment `cost-of-delay` compares the orders.

--- a/packages/coordination/src/dispatch/active-submission.ts
+++ b/packages/coordination/src/dispatch/active-submission.ts
@@ -17,6 +17,7 @@
   type Submission,
   type SubmissionStatus,
 } from '../submissions/index.js';
+import {getSubmissionWork} from './cost/index.js';
 import {toIdentity} from './deferred-submissions.js';
 import {Occurrence} from './occurrence.js';
 import {CrashHistory} from './supervision/crash-history.js';
@@ -41,6 +42,8 @@
   submission: Submission;
   /** Memory in bytes that it may need without its runs. */
   bytes: number;
+  /** Work of one occurrence in core-milliseconds, by the submitter's estimates. */
+  readonly work: number;
   /** Settings of the queue, from the latest configuration that contained it; undefined when they are not known. */
   queue: QueuePolicy | undefined;
   /** Time from which the age of the submission is measured. */
@@ -54,6 +57,8 @@
   /** Decided final state; callers see it only once it is stored. */
   final?: ProgressRecord['final'];
   isFinalStored = false;
+  /** Whether it could not meet its objective any more while tasks were waiting. */
+  isLate = false;
   /** Unix time in milliseconds at which the final state was decided; 0 before that. */
   endedAtMs = 0;
   /** Whether a run is known to have started or a task to have finished. */
@@ -79,6 +84,7 @@
     const {submission, progress} = options;
     this.submission = submission;
     this.bytes = getSubmissionBytes(submission);
+    this.work = getSubmissionWork(submission.steps);
     this.queue = options.queue ?? progress?.policy ?? submission.policy;
     this.arrivedAt = options.arrivedAt;
     this.isLasting = isLasting(submission);
--- a/packages/coordination/src/dispatch/admission/queue-backlogs.ts
+++ b/packages/coordination/src/dispatch/admission/queue-backlogs.ts
@@ -7,6 +7,14 @@
 } from '../../submissions/index.js';
 import type {ActiveSubmission} from '../active-submission.js';
 import type {DispatchState} from '../dispatch-state.js';
+import {
+  type CostBacklogs,
+  type CostGroup,
+  type EstimatedCores,
+  getCostBacklogs,
+  type GroupCost,
+  type QueueWorkState,
+} from './cost-backlogs.js';
 import {urgentReserveShare} from '../placement/worker-selector.js';
 
 /** Fraction of free processor time that a backlog can use; fragmentation leaves the rest idle. */
@@ -75,6 +83,12 @@
   return pending === 0 && runTimeFactor === unlearnedFactor;
 }
 
+/** Waiting work that new submissions to one queue are compared with. */
+export interface QueueCost extends GroupCost {
+  /** Undefined before any submission was seen. */
+  readonly work: QueueWorkState | undefined;
+}
+
 /**
  * The backlogs of all queues. A configuration has thousands of queues, of which few are in use at a time, so only the
  * states of these are kept, and the waits once for each group.
@@ -82,13 +96,19 @@
 export class QueueBacklogs {
   private readonly groupsByName: ReadonlyMap<string, GroupBacklog>;
   private readonly queuesByName: ReadonlyMap<string, QueueState>;
+  private readonly costsByGroup: ReadonlyMap<string, GroupCost>;
+  private readonly workByQueue: ReadonlyMap<string, QueueWorkState>;
 
   constructor(
     readonly groups: readonly GroupBacklog[],
     readonly queues: readonly QueueState[],
     /** Absent from backlogs of owners of older versions. */
     readonly memory?: AcceptedMemory,
+    /** Present when the owner schedules by what a delay costs callers. */
+    readonly cost?: CostBacklogs,
   ) {
+    this.costsByGroup = new Map(cost?.groups.map(group => [group.group, group]));
+    this.workByQueue = new Map(cost?.queues.map(queue => [queue.queue, queue]));
     this.groupsByName = new Map(groups.map(group => [group.group, group]));
     this.queuesByName = new Map(queues.map(queue => [queue.queue, queue]));
   }
@@ -101,6 +121,12 @@
     const {waitMs, fillWaitMs, cores} = group;
     return {pending, waitMs, fillWaitMs, runTimeFactor, cores};
   }
+
+  /** Returns the waiting work that new submissions to a queue are compared with, if the owner has published it. */
+  getCost(queue: Queue): QueueCost | undefined {
+    const group = this.costsByGroup.get(getQueueGroup(queue));
+    return group && {...group, work: this.workByQueue.get(queue.key)};
+  }
 }
 
 /** Returns the backlogs, in one pass over the submissions and one over the workers. */
@@ -111,15 +137,16 @@
   const waiting = collectWaitingWork(state);
   const capacities = collectCapacities(state, at);
   const groups = new Map<string, GroupBacklog>();
+  const costGroups: CostGroup[] = [];
   for (const queue of configuration.queues.values()) {
     const group = getQueueGroup(queue);
     if (groups.has(group)) continue;
-    const waits = getWaits(
-      queue,
-      waiting.levels.get(queue.service),
-      capacities.get(queue.service) ?? noCapacity,
-    );
+    const capacity = capacities.get(queue.service) ?? noCapacity;
+    const usableCores = getUsableCores(capacity);
+    const waits = getWaits(queue, waiting.levels.get(queue.service), capacity, usableCores);
     groups.set(group, {group, ...waits});
+    const {service, priority} = queue;
+    costGroups.push({group, service, priority, cores: usableCores});
   }
   const queues = new Set([...waiting.pending.keys(), ...state.learnedQueues]);
   return new QueueBacklogs(
@@ -130,6 +157,7 @@
       runTimeFactor: state.getRunTimeFactor(configuration.queues.get(queue)),
     })),
     memory,
+    ...(state.usesCost ? [getCostBacklogs(state, costGroups, at)] : []),
   );
 }
 
@@ -147,7 +175,8 @@
 function getWaits(
   {priority}: Queue,
   levels: ReadonlyMap<number, WaitingLevel> | undefined,
-  {cores, servingCores}: ServiceCapacity,
+  {cores}: ServiceCapacity,
+  usableCores: EstimatedCores,
 ): Omit<GroupBacklog, 'group'> {
   let workCoreMs = 0;
   let fillWorkCoreMs = 0;
@@ -156,17 +185,22 @@
     workCoreMs += level.workCoreMs;
     fillWorkCoreMs += level.fillWorkCoreMs;
   }
-  const serving = Math.min(cores, servingCores);
-  // Serving tasks cannot use the cores that are reserved for urgent work.
-  const usableCores = Math.max(cores * urgentReserveShare, cores - serving) * backlogUtilization;
-  const fillingCores = (cores - serving * servingUtilization) * fillingUtilization;
   return {
-    waitMs: cores > 0 ? workCoreMs / usableCores : 0,
-    fillWaitMs: cores > 0 ? fillWorkCoreMs / fillingCores : 0,
+    waitMs: cores > 0 ? workCoreMs / usableCores.reserving : 0,
+    fillWaitMs: cores > 0 ? fillWorkCoreMs / usableCores.filling : 0,
     cores,
   };
 }
 
+function getUsableCores({cores, servingCores}: ServiceCapacity): EstimatedCores {
+  const serving = Math.min(cores, servingCores);
+  return {
+    // Serving tasks cannot use the cores that are reserved for urgent work.
+    reserving: Math.max(cores * urgentReserveShare, cores - serving) * backlogUtilization,
+    filling: (cores - serving * servingUtilization) * fillingUtilization,
+  };
+}
+
 /** Returns the number of accepted, unscheduled submissions of a queue none of whose tasks has started. */
 export function countPendingSubmissions(state: DispatchState, queue: string): number {
   let pending = 0;
--- a/packages/coordination/src/dispatch/dispatch-state.ts
+++ b/packages/coordination/src/dispatch/dispatch-state.ts
@@ -1,11 +1,19 @@
-import {getTaskName, type QueueConfiguration, type QueuePolicy} from '../submissions/index.js';
+import {
+  getObjectiveMs,
+  getTaskName,
+  isTimed,
+  type QueueConfiguration,
+  type QueuePolicy,
+} from '../submissions/index.js';
 import {RunTimeEstimates} from '../tasks/round/run-time-estimates.js';
 import type {ActiveSubmission} from './active-submission.js';
 import type {OwnerMessage} from './agent-messages.js';
 import type {LoggedDecision} from './decision-log.js';
+import {FillingThroughput, QueueWork} from './cost/index.js';
 import {DeferredSubmissions} from './deferred-submissions.js';
 import type {DispatchEffect} from './dispatch-events.js';
 import type {DispatchTiming} from './dispatch-timing.js';
+import {RefusedSubmissions} from './refused-submissions.js';
 import {StartBudget} from './placement/start-budget.js';
 import type {Task} from './task.js';
 import type {WorkerView} from './worker-view.js';
@@ -34,6 +42,12 @@
   readonly runTimes = new RunTimeEstimates();
   /** Keys of the queues with a learned ratio. */
   readonly learnedQueues = new Set<string>();
+  /** Learned mean work of the submissions of each queue. */
+  readonly queueWork = new QueueWork();
+  /** Measured processors that filling tasks get. */
+  readonly fillingThroughput = new FillingThroughput();
+  /** Submissions that entries have refused. */
+  readonly refused = new RefusedSubmissions();
   /** Whether tasks may have become placeable since the last placement round. */
   isPlacementDue = false;
   /** Limits the bytes of start commands. */
@@ -69,6 +83,28 @@
     }
   }
 
+  /** Whether the order, admission and preemption follow what a delay costs callers. */
+  get usesCost(): boolean {
+    return this.timing.scheduling === 'cost';
+  }
+
+  /** Learns whether work of a submission's size is in time: when it completes, or when it has become late before. */
+  recordOutcome(active: ActiveSubmission, at: number, isLate: boolean): void {
+    const {id, queue, submission, work} = active;
+    if (!this.usesCost || active.isLate || queue === undefined || isTimed(submission)) return;
+    active.isLate = isLate;
+    const objectiveMs = getObjectiveMs(queue, submission.steps, this.getRunTimeFactor(queue));
+    const isInTime = !isLate && at - active.arrivedAt <= objectiveMs;
+    this.queueWork.recordOutcome(submission.queue, id, work, isInTime);
+  }
+
+  /** Forgets what was learned of the submissions of an ownership. */
+  clearLearned(): void {
+    this.queueWork.clear();
+    this.fillingThroughput.clear();
+    this.refused.clear();
+  }
+
   /** Memory in bytes of all loaded submissions without their runs. */
   get loadedBytes(): number {
     let sum = 0;
--- a/packages/coordination/src/dispatch/dispatch-timing.ts
+++ b/packages/coordination/src/dispatch/dispatch-timing.ts
@@ -1,4 +1,10 @@
-/** Times of the dispatcher in milliseconds, and its other limits, whose units are in their names. */
+/**
+ * Rules for the order of waiting work, for admission and for preemption. `urgency`: least remaining work first, and new work
+ * is compared with all accepted work. `cost`: by what a delay costs callers.
+ */
+export type Scheduling = 'urgency' | 'cost';
+
+/** Times of the dispatcher in milliseconds, its other limits, whose units are in their names, and its rules. */
 export interface DispatchTiming {
   /** Length of a worker's lease, which covers all its runs; the worker ends them when the lease expires. */
   readonly leaseMs: number;
@@ -37,6 +43,7 @@
   readonly maxLoadedBytes: number;
   /** Largest number of runs at a time, which tasks that need no resources would exceed. */
   readonly maxRuns: number;
+  readonly scheduling: Scheduling;
 }
 
 /** Defaults of `DispatchTiming`; a deployment's settings override the values that its platform bounds. */
@@ -61,4 +68,5 @@
   maxAcceptedBytes: Number.POSITIVE_INFINITY,
   maxLoadedBytes: Number.POSITIVE_INFINITY,
   maxRuns: Number.POSITIVE_INFINITY,
+  scheduling: 'urgency',
 };
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -23,7 +23,7 @@
 import {runPlacementRound} from './placement/placement-round.js';
 import {RoomReservations} from './placement/room-reservations.js';
 import {StarvationGuard} from './placement/starvation-guard.js';
-import {sortCandidates} from './placement/submission-order.js';
+import {type CandidateOrder, sortCandidates} from './placement/submission-order.js';
 import {WorkerSelector} from './placement/worker-selector.js';
 import {ProgressJournal} from './progress-journal.js';
 import {type LeaseEnds, RecoveryBarrier} from './recovery-barrier.js';
@@ -59,7 +59,11 @@
   private readonly workerReports: WorkerReports;
   private hasUnknownRuns = false;
 
-  constructor(timing: Partial<DispatchTiming> = {}) {
+  /** `order` replaces the order of waiting work in experiments. */
+  constructor(
+    timing: Partial<DispatchTiming> = {},
+    private readonly order?: CandidateOrder,
+  ) {
     this.state = new DispatchState({...defaultDispatchTiming, ...timing});
     this.journal = new ProgressJournal(this.state, () => this.barrier.entries);
     this.tickets = new AdviceTickets(this.state);
@@ -124,6 +128,17 @@
     return this.state.submissions.get(id)?.status ?? this.state.deferred.getStatus(id);
   }
 
+  /**
+   * Returns the state of a submission for an entry, or undefined when it is not known. An entry looks a submission up before it
+   * refuses it, so the time of an unknown one is remembered.
+   */
+  lookUp(id: string, at: number): SubmissionStatus | undefined {
+    const status = this.getStatus(id);
+    const {refused, usesCost} = this.state;
+    if (status === undefined && this.isOwner && usesCost) refused.record(id, at);
+    return status;
+  }
+
   /** Returns the key of a submission's queue, or undefined when the submission is unknown. */
   getQueueOf(id: string): string | undefined {
     const {submissions, deferred} = this.state;
@@ -220,6 +235,7 @@
   private clear(): void {
     this.state.submissions.clear();
     this.intake.clear();
+    this.state.clearLearned();
     this.state.workers.clear();
     this.reservations.clear();
     this.tickets.clear();
@@ -262,12 +278,15 @@
       queue: this.getQueue(submission),
       ...(progress && {progress}),
       // Wall clocks of different hosts disagree, so a new submission counts as just arrived.
-      arrivedAt: isRestored ? at - ageMs : at,
+      arrivedAt: isRestored ? at - ageMs : (state.refused.take(submission.id) ?? at),
       baseRunNumber: (state.generation - 1) * runNumbersPerOwner,
       isInDoubt: isRestored && progress?.final === undefined,
     });
     state.submissions.set(submission.id, active);
-    if (active.isActive) active.openDueOccurrences(at, state.getUnixMs(at));
+    if (active.isActive) {
+      active.openDueOccurrences(at, state.getUnixMs(at));
+      state.queueWork.observe(submission.queue, active.work);
+    }
     state.isPlacementDue = true;
     state.log({
       event: isRestored ? 'submission-restored' : 'submission-accepted',
@@ -319,7 +338,7 @@
     if (!state.isPlacementDue) return;
     state.isPlacementDue = false;
     this.reservations.update(at);
-    const candidates = sortCandidates(state, at);
+    const candidates = sortCandidates(state, at, this.order);
     if (candidates.length === 0) return;
     const selector = this.createSelector(at);
     const {commands, reservations, headrooms, tickets} = this;
--- a/packages/coordination/src/dispatch/index.ts
+++ b/packages/coordination/src/dispatch/index.ts
@@ -1,5 +1,6 @@
 export * from './admission/index.js';
 export * from './agent-messages.js';
+export * from './cost/index.js';
 export * from './decision-log.js';
 export * from './dispatch-events.js';
 export * from './dispatch-timing.js';
--- a/packages/coordination/src/dispatch/placement/filler-preemption.ts
+++ b/packages/coordination/src/dispatch/placement/filler-preemption.ts
@@ -1,9 +1,15 @@
+import {getStopLoss, isStopWorthwhile} from '../cost/index.js';
 import type {DispatchState} from '../dispatch-state.js';
 import type {WorkerHeadroomCache} from '../interference/worker-headroom.js';
 import type {Occurrence} from '../occurrence.js';
 import type {RunCommands} from '../run-commands.js';
 import type {Run, Task} from '../task.js';
-import {type Candidate, countRuns, getRemainingCoreMs} from './submission-order.js';
+import {
+  assessOccurrence,
+  type Candidate,
+  countRuns,
+  getRemainingCoreMs,
+} from './submission-order.js';
 
 /** Ratio of remaining work from which a submission gives way to one that is nearer to its end. */
 const minWorkRatio = 3;
@@ -19,12 +25,16 @@
   readonly occurrence: Occurrence;
   /** Remaining work of its submission in core-milliseconds. */
   readonly remainingCoreMs: number;
+  /** Value that is still obtainable for each core-millisecond that its submission needs. */
+  readonly density: number;
 }
 
 /**
  * Makes room for filling tasks of short submissions: stops runs of filling tasks whose submissions have far more work
  * left. Only runs that save checkpoints are stopped, so that no work is lost. Without it, a few tasks that take
- * minutes hold all the processors that serving tasks leave unused. Serves one placement round.
+ * minutes hold all the processors that serving tasks leave unused. When the rules follow what a delay costs, runs are
+ * stopped whose submissions earn far less for the capacity, if that is worth more than the work that is thrown away.
+ * Serves one placement round.
  */
 export class FillerPreemption {
   private victims: Victim[] | undefined;
@@ -56,8 +66,8 @@
   }
 
   private isVictim(victim: Victim, task: Task, candidate: Candidate): boolean {
-    const {run, remainingCoreMs} = victim;
-    if (remainingCoreMs < candidate.remainingCoreMs * minWorkRatio) return false;
+    const {run} = victim;
+    if (!this.isBetter(victim, task, candidate)) return false;
     // The last run of a submission keeps it from starving.
     if (countRuns(victim.occurrence, 'running') <= 1) return false;
     if (run.task.submission.service !== candidate.submission.service) return false;
@@ -67,36 +77,62 @@
     return this.headrooms.get(run.worker, this.at).canReplace(run, task.step);
   }
 
+  /** Whether a submission is worth so much more than that of a victim that the victim has to give way. */
+  private isBetter(victim: Victim, {step}: Task, candidate: Candidate): boolean {
+    const {state, at} = this;
+    if (!state.usesCost) {
+      return victim.remainingCoreMs >= candidate.remainingCoreMs * minWorkRatio;
+    }
+    const loss = getStopLoss(
+      victim.run.task.step,
+      at - victim.run.startedAt,
+      state.timing.restoreMs,
+    );
+    return isStopWorthwhile(step, candidate.density, victim.density, loss);
+  }
+
   /** Returns the runs that can be stopped, those of the submissions with the most remaining work first. */
   private collectVictims(): Victim[] {
     const {state, at} = this;
     const victims: Victim[] = [];
-    const remainingWork = new Map<Occurrence, number>();
+    const assessed = new Map<Occurrence, Pick<Victim, 'remainingCoreMs' | 'density'>>();
     let stopping = 0;
     for (const worker of state.workers.values()) {
       const isOpen = worker.canAcceptTasks(at, state.timing.unreachableMs);
       for (const run of worker.runs.values()) {
         if (!run.task.step.fills) continue;
         if (run.state === 'stopping') stopping += 1;
-        else if (isOpen && isPreemptible(run, at)) {
+        else if (isOpen && this.isPreemptible(run)) {
           const occurrence = run.task.submission.getOccurrence(run.task.occurrence);
           if (occurrence === undefined) continue;
-          const remainingCoreMs =
-            remainingWork.get(occurrence) ??
-            getRemainingCoreMs(occurrence, state.getRunTimeFactor(run.task.submission.queue));
-          remainingWork.set(occurrence, remainingCoreMs);
-          victims.push({run, occurrence, remainingCoreMs});
+          const assessment = assessed.get(occurrence) ?? this.assess(run, occurrence);
+          assessed.set(occurrence, assessment);
+          victims.push({run, occurrence, ...assessment});
         }
       }
     }
     this.endingRuns = stopping;
     this.allowedStops = Math.ceil(state.workers.size * maxStoppingShare) - stopping;
+    if (state.usesCost) return victims.sort((a, b) => a.density - b.density);
     return victims.sort((a, b) => b.remainingCoreMs - a.remainingCoreMs);
   }
-}
 
-function isPreemptible(run: Run, at: number): boolean {
-  const {checkpoints, gang, lasting} = run.task.step;
-  if (!checkpoints || gang || lasting || run.state !== 'running') return false;
-  return run.pace >= minPace && at - run.startedAt >= minRunMs;
+  private assess(run: Run, occurrence: Occurrence): Pick<Victim, 'remainingCoreMs' | 'density'> {
+    const {state, at} = this;
+    const {submission} = run.task;
+    const factor = state.getRunTimeFactor(submission.queue);
+    const remainingCoreMs = getRemainingCoreMs(occurrence, factor);
+    if (!state.usesCost) return {remainingCoreMs, density: 0};
+    const queueWork = state.queueWork.get(submission.submission.queue);
+    const {density} = assessOccurrence({submission, occurrence, factor, queueWork, at});
+    return {remainingCoreMs, density};
+  }
+
+  private isPreemptible(run: Run): boolean {
+    const {checkpoints, gang, lasting} = run.task.step;
+    if (gang || lasting || run.state !== 'running') return false;
+    if (!checkpoints && !this.state.usesCost) return false;
+    const hasRun = !checkpoints || this.at - run.startedAt >= minRunMs;
+    return run.pace >= minPace && hasRun;
+  }
 }
--- a/packages/coordination/src/dispatch/placement/submission-order.ts
+++ b/packages/coordination/src/dispatch/placement/submission-order.ts
@@ -4,6 +4,16 @@
   getStepWorkCoreMs,
   type QueuePolicy,
 } from '../../submissions/index.js';
+import {
+  compareCost,
+  expiredObjectiveMultiple,
+  getPreference,
+  getSubmissionValue,
+  getTaskWork,
+  getValueShare,
+  type OrderKey,
+  type WorkStatistics,
+} from '../cost/index.js';
 import type {ActiveSubmission} from '../active-submission.js';
 import type {DispatchState} from '../dispatch-state.js';
 import type {Occurrence} from '../occurrence.js';
@@ -11,37 +21,47 @@
 import type {RunState} from '../task.js';
 
 /** Priority of submissions whose queue is not configured; they go last. */
-const unknownQueuePriority = 1_000;
+export const unknownQueuePriority = 1_000;
 
-/** Multiple of the objective after which a result is of no use to the caller. */
-const expiredObjectiveMultiple = 3;
+/** What an occurrence still needs, and what its caller can still get. */
+export interface Assessment extends OrderKey {
+  /** Number of runs of its tasks. */
+  readonly runs: number;
+  /** Soft deadline: time by which it should be finished to meet its objective. */
+  readonly deadlineAt: number;
+  /** Value that its caller can still get, relative to the worth of its queue. */
+  readonly value: number;
+  /** Work in core-milliseconds that its unfinished tasks still need, by estimates. */
+  readonly remainingWork: number;
+}
 
 /** An occurrence with waiting tasks, and its sort keys. */
-export interface Candidate {
+export interface Candidate extends Assessment {
   readonly submission: ActiveSubmission;
   readonly occurrence: Occurrence;
   /** Steps whose predecessors are finished and that have waiting tasks. */
   readonly steps: readonly StepTasks[];
-  readonly priority: number;
-  /** `0`: can still meet its objective; `1`: late; `2`: too late to be of use to the caller. */
-  readonly lateness: 0 | 1 | 2;
-  /** Number of runs of its tasks. */
-  readonly runs: number;
   /** Time since which it has no runs. */
   readonly idleSince: number;
   /** Processor time in core-milliseconds of its unfinished tasks; serving tasks are not counted. */
   readonly remainingCoreMs: number;
-  /** Soft deadline: time by which it should be finished to meet its objective. */
-  readonly deadlineAt: number;
 }
 
+/** Compares occurrences with waiting tasks; used by experiments in place of the rules. */
+export type CandidateOrder = (candidates: Candidate[], at: number) => Candidate[];
+
 /**
- * Returns the occurrences with waiting tasks in scheduling order. Urgent work goes first, so that a flood of other work
+ * Returns the occurrences with waiting tasks in scheduling order: by what a delay costs callers if the rules say so,
+ * otherwise as follows. Urgent work goes first, so that a flood of other work
  * does not delay it. Within a priority, work that can still meet its objective goes before late work, so that a backlog
  * does not make everything late; then the work that is closest to its end goes first, so that a few submissions that
  * take minutes do not delay the many that take seconds, and started work is finished.
  */
-export function sortCandidates(state: DispatchState, at: number): Candidate[] {
+export function sortCandidates(
+  state: DispatchState,
+  at: number,
+  order?: CandidateOrder,
+): Candidate[] {
   const candidates: Candidate[] = [];
   const factors = new Map<QueuePolicy | undefined, number>();
   const getFactor = (queue: QueuePolicy | undefined) => {
@@ -54,29 +74,58 @@
     for (const occurrence of submission.occurrences) {
       const steps = occurrence.getReadySteps().filter(step => step.hasWaiting(at));
       if (steps.length === 0) continue;
-      candidates.push(
-        createCandidate({submission, occurrence, steps, factor: getFactor(submission.queue), at}),
-      );
+      const candidate = createCandidate(steps, {
+        submission,
+        occurrence,
+        factor: getFactor(submission.queue),
+        queueWork: state.queueWork.get(submission.submission.queue),
+        at,
+      });
+      if (candidate.lateness > 0) state.recordOutcome(submission, at, true);
+      candidates.push(candidate);
     }
   }
-  return candidates.sort(
-    (a, b) =>
-      a.priority - b.priority ||
-      a.lateness - b.lateness ||
-      a.remainingCoreMs - b.remainingCoreMs ||
-      a.deadlineAt - b.deadlineAt,
+  if (order !== undefined) return order(candidates, at);
+  return candidates.sort(state.usesCost ? compareCost : compareUrgency);
+}
+
+function compareUrgency(a: Candidate, b: Candidate): number {
+  return (
+    a.priority - b.priority ||
+    a.lateness - b.lateness ||
+    a.remainingCoreMs - b.remainingCoreMs ||
+    a.deadlineAt - b.deadlineAt
   );
 }
 
-function createCandidate(options: {
+/** Options of `assessOccurrence`. */
+export interface AssessmentOptions {
   readonly submission: ActiveSubmission;
   readonly occurrence: Occurrence;
-  readonly steps: readonly StepTasks[];
   /** Learned ratio of actual to estimated run times. */
   readonly factor: number;
+  /** What was learned of the work of the queue's submissions. */
+  readonly queueWork: WorkStatistics | undefined;
   readonly at: number;
-}): Candidate {
+}
+
+function createCandidate(steps: readonly StepTasks[], options: AssessmentOptions): Candidate {
   const {submission, occurrence, factor, at} = options;
+  const assessment = assessOccurrence(options);
+  occurrence.recordRuns(assessment.runs, at);
+  return {
+    ...assessment,
+    submission,
+    occurrence,
+    steps,
+    idleSince: occurrence.idleSince,
+    remainingCoreMs: getRemainingCoreMs(occurrence, factor),
+  };
+}
+
+/** Assesses an occurrence by the estimated run times and its progress. */
+export function assessOccurrence(options: AssessmentOptions): Assessment {
+  const {submission, occurrence, factor, queueWork, at} = options;
   const {queue} = submission;
   const {steps} = submission.submission;
   const objectiveMs = queue
@@ -93,21 +142,49 @@
   if (!submission.isLasting && expectedEndAt > deadlineAt) {
     lateness = expectedEndAt > occurrence.dueAt + expiredObjectiveMultiple * objectiveMs ? 2 : 1;
   }
-  const runs = countRuns(occurrence);
-  occurrence.recordRuns(runs, at);
+  const usefulUntil =
+    lateness === 0 ? deadlineAt : occurrence.dueAt + expiredObjectiveMultiple * objectiveMs;
+  const {runs, work: remainingWork} = summarizeRemaining(occurrence);
+  const value = getSubmissionValue(submission.work, queueWork) * getValueShare(lateness);
+  const preference = queueWork ? getPreference(submission.id, submission.work, queueWork) : 1;
   return {
-    submission,
-    occurrence,
-    steps: options.steps,
     runs,
-    idleSince: occurrence.idleSince,
     priority: queue?.priority ?? unknownQueuePriority,
     lateness,
-    remainingCoreMs: getRemainingCoreMs(occurrence, factor),
     deadlineAt,
+    value,
+    remainingWork,
+    density: submission.isLasting
+      ? Number.POSITIVE_INFINITY
+      : (preference * value) / Math.max(1, remainingWork),
+    slackMs: usefulUntil - expectedEndAt,
   };
 }
 
+/**
+ * Returns the number of runs of an occurrence's tasks, and the work in core-milliseconds that its unfinished tasks still
+ * need, by estimates and by the progress of the runs.
+ */
+export function summarizeRemaining(occurrence: Occurrence): {
+  readonly runs: number;
+  readonly work: number;
+} {
+  let runCount = 0;
+  let work = 0;
+  for (const {step, unfinishedCount, knownTasks} of occurrence.steps) {
+    let tasks = unfinishedCount;
+    for (const {runs, isFinished} of knownTasks) {
+      runCount += runs.length;
+      if (runs.length === 0 || isFinished) continue;
+      let percent = 0;
+      for (const run of runs) percent = Math.max(percent, run.percent);
+      tasks -= percent / 100;
+    }
+    work += tasks * getTaskWork(step);
+  }
+  return {runs: runCount, work};
+}
+
 /** Returns the number of runs of an occurrence's tasks, all of them or those in one state. */
 export function countRuns(occurrence: Occurrence, state?: RunState): number {
   let count = 0;
--- a/packages/coordination/src/dispatch/run-ends.ts
+++ b/packages/coordination/src/dispatch/run-ends.ts
@@ -1,4 +1,4 @@
-import {getSubmissionId} from '../submissions/index.js';
+import {getStepWorkCoreMs, getSubmissionId} from '../submissions/index.js';
 import type {RunEndRow} from './agent-messages.js';
 import type {DispatchState} from './dispatch-state.js';
 import type {RoomReservations} from './placement/room-reservations.js';
@@ -68,6 +68,12 @@
     this.components.ends.completeIfFinished(task.submission, at);
   }
 
+  private recordFinishedFilling({step, submission}: Task): void {
+    const {state} = this.components;
+    const coreMs = getStepWorkCoreMs(step, 1, state.getRunTimeFactor(submission.queue));
+    state.fillingThroughput.recordFinished(submission.service, coreMs);
+  }
+
   /** Keeps the room of a serving task that has ended, unless its worker is leaving or was stopped on purpose. */
   private keepRoom(task: Task, worker: WorkerView, at: number): void {
     if (task.runs.length > 0 || worker.isDraining) return;
@@ -90,6 +96,7 @@
       return !submission.isFinalStored && (how === 'done' || how === 'failed');
     }
     if (how === 'done' && !step.lasting) {
+      if (step.fills) this.recordFinishedFilling(task);
       if (run) {
         supervisor.recordRunTime(run, at);
         worker.health.recordSuccess(run.startedAt, at);
--- a/packages/coordination/src/dispatch/submission-ends.ts
+++ b/packages/coordination/src/dispatch/submission-ends.ts
@@ -116,5 +116,6 @@
     for (const task of submission.getKnownTasks()) this.commands.stopRuns(task, final, at);
     this.journal.markChanged(submission, at, true);
     this.state.count(`submissions_${final}`);
+    if (final === 'completed') this.state.recordOutcome(submission, at, false);
   }
 }
--- a/packages/lab/src/measure/registry.ts
+++ b/packages/lab/src/measure/registry.ts
@@ -6,6 +6,7 @@
 import {batchesExperiment} from './tasks/batches.js';
 import {colocationExperiment} from './tasks/colocation.js';
 import {ownershipExperiment} from './tasks/ownership.js';
+import {costOfDelayExperiment} from './tasks/cost/cost-of-delay.js';
 import {placementExperiment} from './tasks/placement.js';
 import {sharesExperiment} from './tasks/shares.js';
 import {shedCostExperiment} from './shed-cost.js';
@@ -22,4 +23,5 @@
   sharesExperiment,
   ownershipExperiment,
   placementExperiment,
+  costOfDelayExperiment,
 ];
--- a/packages/runtime/src/dispatch/ownership/owner-process.ts
+++ b/packages/runtime/src/dispatch/ownership/owner-process.ts
@@ -206,7 +206,7 @@
   /** Looks up the state of a submission. */
   lookUp(id: string): SubmissionLookup {
     if (!this.checkOwnership()) return {isOwner: false};
-    const status = this.dispatcher.getStatus(id);
+    const status = this.dispatcher.lookUp(id, this.options.clock.now());
     const queue = this.dispatcher.getQueueOf(id);
     return {isOwner: true, ...(status && {status}), ...(queue !== undefined && {queue})};
   }
