Compare new submissions only with the work that goes before them

Cause: an entry compares a new submission with the sum of all waiting work of its priority. It refuses a small submission because of large ones that would be placed after it, also while workers are free.

Change: an owner with `scheduling: "cost"` publishes the waiting work of each group by density, in at most six classes for filling and six for other work, as the optional field `cost` of the message `queue-backlogs`. Work that this entry has accepted since counts, and that of the others is estimated by the rate of this one. The capacity of filling work is measured while filling tasks wait for room. Retry-After is spread by the id. Without the field or the setting, the sum decides as before.

A message with all twelve classes of a group changed stays under 250 bytes.

--- a/packages/runtime/src/dispatch/entry/entry-node.ts
+++ b/packages/runtime/src/dispatch/entry/entry-node.ts
@@ -57,7 +57,7 @@
   private backlogTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: EntryNodeOptions) {
-    const {clock, log, metrics, heapBytes = Number.POSITIVE_INFINITY} = options;
+    const {clock, log, metrics, timing, heapBytes = Number.POSITIVE_INFINITY} = options;
     const health = new StoreHealth(clock);
     const store = new ObservedStore(options.store, health);
     this.traffic = new TrafficMeter(metrics, log);
@@ -82,6 +82,7 @@
       log,
       metrics,
       maxAcceptedBytes: getOwnerLimits(heapBytes).maxAcceptedBytes,
+      ...(timing?.scheduling && {scheduling: timing.scheduling}),
       peers: {
         askOwner: id => this.askOwner(id),
         countPending: queue => this.countPending(queue),
--- a/packages/runtime/src/dispatch/links/link-message-checks.ts
+++ b/packages/runtime/src/dispatch/links/link-message-checks.ts
@@ -66,6 +66,7 @@
     queues: rows => isRows(rows, row => isNamedRow(row, 3)),
     memory: row =>
       row === undefined || (isRows([row], isNumbers) && (row as unknown[]).length === 4),
+    cost: isOptionalCost,
   },
 };
 
@@ -135,6 +136,13 @@
   );
 }
 
+/** Whether there are rows of groups and of queues, each a name followed by any number of numbers. */
+function isOptionalCost(value: unknown): boolean {
+  if (value === undefined) return true;
+  const isRow = (row: readonly unknown[]) => isNamedRow(row, Math.max(1, row.length));
+  return isRecord(value) && isRows(value.groups, isRow) && isRows(value.queues, isRow);
+}
+
 function isNumbers(row: readonly unknown[]): boolean {
   return row.every(Number.isFinite);
 }
--- a/packages/runtime/src/dispatch/submissions/call-relays.ts
+++ b/packages/runtime/src/dispatch/submissions/call-relays.ts
@@ -125,7 +125,7 @@
 
 /** Whether an entry that refuses for a reason has read in the store that no earlier attempt was stored. */
 export function isReadRefusal(reason: RefusalReason): boolean {
-  return reason === 'backlog' || reason === 'memory';
+  return reason === 'backlog' || reason === 'displacement' || reason === 'memory';
 }
 
 /** Whether a reply is final. `no-queue` is not: the replying entry may have an older configuration. */
--- a/packages/runtime/src/dispatch/submissions/submission-calls.ts
+++ b/packages/runtime/src/dispatch/submissions/submission-calls.ts
@@ -31,6 +31,8 @@
 export type RefusalReason =
   /** The submission would not finish in time, given the work already accepted. */
   | 'backlog'
+  /** The submission would be late, and its delay of the work behind it would cost callers more than it is worth. */
+  | 'displacement'
   /** The owner has no memory for further submissions until some of the accepted ones have ended. */
   | 'memory'
   /** The entry cannot reach the store. */
--- a/packages/runtime/src/dispatch/submissions/submission-service.ts
+++ b/packages/runtime/src/dispatch/submissions/submission-service.ts
@@ -1,11 +1,10 @@
 import {
   type ValidDraft,
   type Clock,
-  decideAdmission,
-  isLasting,
   type Queue,
   type QueueConfiguration,
   type QueueBacklogs,
+  type Scheduling,
 } from '@chervilbeam/coordination';
 import type {Metrics} from '../../metrics/index.js';
 import type {DecisionLogger} from '../decision-logger.js';
@@ -15,6 +14,7 @@
 import type {RecordStore} from '../records/record-store.js';
 import type {StoreHealth} from '../records/store-health.js';
 import {cancelPrefix, progressPrefix, submissionPrefix} from '../records/store-keys.js';
+import {BacklogAdmission, type SubmissionRefusal} from './backlog-admission.js';
 import {CallRelays, getExecutionMs, isReadRefusal} from './call-relays.js';
 import {MemoryAdmission} from './memory-admission.js';
 import type {SubmissionCall, SubmissionReply} from './submission-calls.js';
@@ -24,9 +24,6 @@
 const outageRetrySeconds = 2;
 /** Delay in milliseconds before a write that got no reply is retried. */
 const writeRetryDelayMs = 150;
-/** Age in milliseconds above which the queue backlogs are too old to base admission on. */
-const maxBacklogAgeMs = 3_000;
-
 /** Age in milliseconds up to which the number of pending submissions is taken from the backlogs; callers allow 2 s. */
 const maxPendingAgeMs = 1_200;
 /** Retry-After in seconds while the owner has no memory for further submissions; large ones take some seconds to end. */
@@ -34,12 +31,6 @@
 /** Retry-After in seconds while the number of pending submissions cannot be told; an owner is elected within seconds. */
 const unknownPendingRetrySeconds = 1;
 
-/** Refusal because of what has been accepted before, and the expected wait in milliseconds if that is the reason. */
-interface SubmissionRefusal {
-  readonly reply: Extract<SubmissionReply, {kind: 'refused'}>;
-  readonly waitMs?: number;
-}
-
 /** Requests that a `SubmissionService` makes to other processes. */
 export interface SubmissionPeers {
   /** Looks up a submission at the owner; undefined when no owner replies. */
@@ -67,6 +58,8 @@
   readonly metrics: Metrics;
   /** Memory in bytes of an owner for accepted submissions; by default without limit. */
   readonly maxAcceptedBytes?: number;
+  /** Rules of admission; `urgency` by default. */
+  readonly scheduling?: Scheduling;
 }
 
 /** Timeout and origin of a call. */
@@ -83,8 +76,7 @@
   /** Latest backlogs of the owner. */
   private backlogs: QueueBacklogs | undefined;
   private backlogsReceivedAt = Number.NEGATIVE_INFINITY;
-  /** Work in core-milliseconds that this entry has accepted since it received the latest backlogs, by queue key. */
-  private readonly acceptedCoreMs = new Map<string, number>();
+  private readonly admission: BacklogAdmission;
   private readonly memory: MemoryAdmission;
   private readonly writer: SubmissionWriter;
   private readonly relays: CallRelays;
@@ -98,6 +90,10 @@
       maxBytes: options.maxAcceptedBytes ?? Number.POSITIVE_INFINITY,
       getEntryCount: () => options.peers.getEntryCount() + 1,
     });
+    this.admission = new BacklogAdmission({
+      ...(options.scheduling && {scheduling: options.scheduling}),
+      getEntryCount: () => options.peers.getEntryCount() + 1,
+    });
     this.writer = new SubmissionWriter(options);
     this.relays = new CallRelays(options);
   }
@@ -111,7 +107,7 @@
   setQueueBacklogs(backlogs: QueueBacklogs): void {
     this.backlogs = backlogs;
     this.backlogsReceivedAt = this.clock.now();
-    this.acceptedCoreMs.clear();
+    this.admission.update(backlogs, this.backlogsReceivedAt);
     if (backlogs.memory) this.memory.update(backlogs.memory);
   }
 
@@ -174,7 +170,8 @@
     context: CallContext,
   ): Promise<SubmissionReply> {
     const {id, draft} = call;
-    const refusal = this.checkBacklog(queue, draft) ?? this.checkMemory(draft);
+    const refusal =
+      this.admission.check(id, queue, draft, this.clock.now()) ?? this.checkMemory(draft);
     if (refusal !== undefined && !this.writer.isUnresolved(id)) {
       // A retry of a submission that any entry has already accepted must not be refused.
       const existence = await this.checkExistence(id);
@@ -251,26 +248,6 @@
     return this.createUnreachableReply();
   }
 
-  /**
-   * Returns a refusal when the submission would not finish in time behind the backlog, otherwise undefined; undefined
-   * also when no recent backlog is known.
-   */
-  private checkBacklog(queue: Queue, draft: ValidDraft): SubmissionRefusal | undefined {
-    const isFresh = this.clock.now() - this.backlogsReceivedAt < maxBacklogAgeMs;
-    const level = isFresh ? this.backlogs?.get(queue) : undefined;
-    const addedCoreMs = this.acceptedCoreMs.get(queue.key) ?? 0;
-    const addedWaitMs = level ? addedCoreMs / Math.max(1, level.cores) : 0;
-    const currentBacklog = level && {
-      ...level,
-      waitMs: level.waitMs + addedWaitMs,
-      fillWaitMs: level.fillWaitMs + addedWaitMs,
-    };
-    const admission = decideAdmission(queue, draft.steps, draft.repetitions > 0, currentBacklog);
-    if (admission.kind === 'accept') return undefined;
-    const {retryAfterSeconds, waitMs} = admission;
-    return {reply: {kind: 'refused', retryAfterSeconds, reason: 'backlog'}, waitMs};
-  }
-
   /** Reserves memory of the owner for the submission; returns a refusal when there is none. */
   private checkMemory(draft: ValidDraft): SubmissionRefusal | undefined {
     if (this.memory.reserve(draft)) return undefined;
@@ -286,12 +263,7 @@
   ): SubmissionReply {
     this.options.metrics.count(`submissions_${how}`);
     this.options.log.log('submission-acknowledged', {submission: id, queue: queue.name, how});
-    if (draft && !isLasting(draft)) {
-      let coreMs = this.acceptedCoreMs.get(queue.key) ?? 0;
-      for (const step of draft.steps)
-        coreMs += step.count * step.need.processors * step.estimatedMs;
-      this.acceptedCoreMs.set(queue.key, coreMs);
-    }
+    if (draft) this.admission.recordAccepted(id, queue, draft, this.clock.now());
     return {kind: 'accepted'};
   }
 
--- a/packages/runtime/test/dispatch/links/backlog-messages.test.ts
+++ b/packages/runtime/test/dispatch/links/backlog-messages.test.ts
@@ -1,9 +1,11 @@
 import {
   type AcceptedMemory,
+  type CostBacklogs,
   type GroupBacklog,
   isUnusedQueue,
   QueueBacklogs,
   type QueueState,
+  type WaitingCurve,
 } from '@chervilbeam/coordination';
 import {encode} from 'cbor-x';
 import fc from 'fast-check';
@@ -58,6 +60,61 @@
   });
 }
 
+function createCurve(points: number, wait: number): WaitingCurve {
+  return {
+    cores: 1_400,
+    urgentWaitMs: 120,
+    points: Array.from({length: points}, (_, index) => ({
+      rank: 60 + index,
+      waitMs: wait * (index + 1),
+      lossPerSecond: 1.25,
+    })),
+  };
+}
+
+function createCost(points: number, wait: number): CostBacklogs {
+  const work = {meanWork: 185_000, largeWork: 260_000, largestWork: Infinity};
+  return {
+    groups: [
+      {group: 'press/1', reserving: createCurve(points, wait), filling: createCurve(points, wait)},
+    ],
+    queues: [{queue: 'a', ...work, largeShare: 0, largestShare: 0.25}],
+  };
+}
+
+// An entry that decides by an outdated curve refuses work while workers are free.
+void t.test('waiting work by density survives any change', t => {
+  const encoder = new BacklogEncoder();
+  const decoder = new BacklogDecoder();
+  for (const cost of [createCost(6, 500), createCost(6, 900), createCost(2, 900), undefined]) {
+    const message = encoder.update(new QueueBacklogs([group], [], undefined, cost));
+    t.same(decoder.decode(message).cost, cost);
+    t.same(new BacklogDecoder().decode(encoder.getSnapshot()).cost, cost);
+  }
+  t.end();
+});
+
+void t.test('unchanged waiting work is not sent again', t => {
+  const encoder = new BacklogEncoder();
+  encoder.update(new QueueBacklogs([group], [], undefined, createCost(6, 500)));
+  const message = encoder.update(new QueueBacklogs([group], [], undefined, createCost(6, 500)));
+  t.same(message.cost, {groups: [], queues: []});
+  t.end();
+});
+
+/** Largest message in bytes for one group whose waiting work has changed. */
+const maxGroupMessageBytes = 250;
+
+void t.test('the waiting work of a group makes a small message', t => {
+  const encoder = new BacklogEncoder();
+  encoder.update(new QueueBacklogs([group], [], undefined, createCost(6, 500)));
+  const changed = {...group, waitMs: 12_345, fillWaitMs: 54_321};
+  const message = encoder.update(new QueueBacklogs([changed], [], undefined, createCost(6, 9_999)));
+  const {length} = encode(message);
+  t.ok(length <= maxGroupMessageBytes, `${length} bytes`);
+  t.end();
+});
+
 /** Largest message in bytes that a new owner sends to each of the other entries. */
 const maxFirstMessageBytes = 5_000;
 
--- a/packages/runtime/test/dispatch/submissions/submission-fixture.ts
+++ b/packages/runtime/test/dispatch/submissions/submission-fixture.ts
@@ -5,6 +5,7 @@
   type QueueConfiguration,
   getQueueGroup,
   QueueBacklogs,
+  type Scheduling,
   type SubmissionStatus,
 } from '@chervilbeam/coordination';
 import {
@@ -74,6 +75,16 @@
   [{queue: queue.key, pending: 7, runTimeFactor: 1}],
 );
 
+/** Backlogs with the same sum of waiting work, and the expected wait in milliseconds behind what is placed first. */
+export function createCostBacklogs(urgentWaitMs: number): QueueBacklogs {
+  const curve = {cores: 16, urgentWaitMs, points: []};
+  const group = getQueueGroup(queue);
+  return new QueueBacklogs(full.groups, full.queues, undefined, {
+    groups: [{group, reserving: curve, filling: curve}],
+    queues: [],
+  });
+}
+
 /** Backlogs of an owner without memory for further submissions. */
 export const withoutMemory = new QueueBacklogs([], [], {
   small: {usedBytes: 1_000, maxBytes: 1_000},
@@ -86,6 +97,7 @@
   readonly faults?: ReadonlyArray<StoreFault | undefined>;
   readonly storedKeys?: readonly string[];
   readonly backlogs?: QueueBacklogs;
+  readonly scheduling?: Scheduling;
   /** Status that the owner returns; absent when no owner replies. */
   readonly ownerStatus?: SubmissionStatus;
   readonly relayedReply?: SubmissionReply;
@@ -141,6 +153,7 @@
     clock,
     log,
     metrics: new Metrics(),
+    ...(fixture.scheduling && {scheduling: fixture.scheduling}),
     peers: {
       askOwner: async () =>
         fixture.ownerStatus && {isOwner: true, status: fixture.ownerStatus, queue: queue.key},
--- a/packages/runtime/test/dispatch/submissions/submission-service.test.ts
+++ b/packages/runtime/test/dispatch/submissions/submission-service.test.ts
@@ -2,6 +2,7 @@
 import t from 'tap';
 import type {SubmissionCall, SubmissionReply} from '../../../src/dispatch/index.js';
 import {
+  createCostBacklogs,
   execute,
   type Fixture,
   full,
@@ -107,6 +108,30 @@
     reply: {kind: 'refused', reason: 'backlog'},
     stored: false,
   },
+  {
+    name: 'work is accepted although there is a long backlog of work that goes behind it',
+    fixture: {backlogs: createCostBacklogs(0), scheduling: 'cost'},
+    reply: {kind: 'accepted'},
+    stored: true,
+  },
+  {
+    name: 'work that cannot finish in time behind what goes before it is refused at once',
+    fixture: {backlogs: createCostBacklogs(60_000), scheduling: 'cost'},
+    reply: {kind: 'refused', reason: 'backlog'},
+    stored: false,
+  },
+  {
+    name: 'the sum of the waiting work decides when an older owner publishes nothing else',
+    fixture: {backlogs: full, scheduling: 'cost'},
+    reply: {kind: 'refused', reason: 'backlog'},
+    stored: false,
+  },
+  {
+    name: 'without the setting, the sum of the waiting work decides',
+    fixture: {backlogs: createCostBacklogs(0)},
+    reply: {kind: 'refused', reason: 'backlog'},
+    stored: false,
+  },
   {
     name: 'work for which the owner has no memory is refused at once',
     fixture: {backlogs: withoutMemory},
