--- a/packages/coordination/src/dispatch/dispatch-state.ts
+++ b/packages/coordination/src/dispatch/dispatch-state.ts
@@ -1,14 +1,22 @@
 import {EvacuationView} from '../evacuation/index.js';
-import {getTaskName, type QueueConfiguration, type QueuePolicy} from '../submissions/index.js';
+import {
+  getObjectiveMs,
+  getTaskName,
+  isTimed,
+  type QueueConfiguration,
+  type QueuePolicy,
+} from '../submissions/index.js';
 import {type Estimate, RunTimeEstimates} from '../tasks/round/run-time-estimates.js';
 import type {ActiveSubmission} from './active-submission.js';
 import type {OwnerMessage} from './agent-messages.js';
 import type {LoggedDecision} from './decision-log.js';
+import {FillingThroughput, QueueWork} from './cost/index.js';
 import {DeferredSubmissions} from './deferred-submissions.js';
 import type {DispatchEffect} from './dispatch-events.js';
 import type {DispatchTiming} from './dispatch-timing.js';
 import type {LearnedWorker} from './learned/learned-state.js';
 import {type PlacementScope, placementScopes} from './placement/round-plan.js';
+import {RefusedSubmissions} from './refused-submissions.js';
 import {StartBudget} from './placement/start-budget.js';
 import type {Task} from './task.js';
 import type {WorkerView} from './worker-view.js';
@@ -43,6 +51,12 @@
   readonly learnedWorkers = new Map<string, LearnedWorker>();
   /** Scopes in which tasks may have become placeable since the last placement round of that scope. */
   private readonly duePlacements = new Set<PlacementScope>();
+  /** Learned mean work of the submissions of each queue. */
+  readonly queueWork = new QueueWork();
+  /** Measured processors that filling tasks get. */
+  readonly fillingThroughput = new FillingThroughput();
+  /** Submissions that entries have refused. */
+  readonly refused = new RefusedSubmissions();
   /** Limits the bytes of start commands. */
   readonly startBudget: StartBudget;
   private wallOffsetMs = 0;
@@ -117,6 +131,28 @@
     return true;
   }
 
+  /** Whether the order, admission and preemption follow what a delay costs callers. */
+  get usesCost(): boolean {
+    return this.timing.scheduling === 'cost';
+  }
+
+  /** Learns whether work of a submission's size is in time: when it completes, or when it has become late before. */
+  recordOutcome(active: ActiveSubmission, at: number, isLate: boolean): void {
+    const {id, queue, submission, work} = active;
+    if (!this.usesCost || active.isLate || queue === undefined || isTimed(submission)) return;
+    active.isLate = isLate;
+    const objectiveMs = getObjectiveMs(queue, submission.steps, this.getRunTimeFactor(queue));
+    const isInTime = !isLate && at - active.arrivedAt <= objectiveMs;
+    this.queueWork.recordOutcome(submission.queue, id, work, isInTime);
+  }
+
+  /** Forgets what was learned of the submissions of an ownership. */
+  clearLearned(): void {
+    this.queueWork.clear();
+    this.fillingThroughput.clear();
+    this.refused.clear();
+  }
+
   /** Memory in bytes of all loaded submissions without their runs. */
   get loadedBytes(): number {
     let sum = 0;
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -32,10 +32,10 @@
 import type {PlacementScope} from './placement/round-plan.js';
 import {RoomReservations} from './placement/room-reservations.js';
 import {StarvationGuard} from './placement/starvation-guard.js';
-import {sortCandidates} from './placement/submission-order.js';
+import {type CandidateOrder, sortCandidates} from './placement/submission-order.js';
 import {WorkerSelector} from './placement/worker-selector.js';
 import {ProgressJournal} from './progress-journal.js';
-import {type LeaseEnds, RecoveryBarrier} from './recovery-barrier.js';
+import {getLeaseEnds, RecoveryBarrier} from './recovery-barrier.js';
 import {RunCommands} from './run-commands.js';
 import {SubmissionEnds} from './submission-ends.js';
 import {SubmissionIntake} from './submission-intake.js';
@@ -69,7 +69,11 @@
   private readonly workerReports: WorkerReports;
   private hasUnknownRuns = false;
 
-  constructor(timing: Partial<DispatchTiming> = {}) {
+  /** `order` replaces the order of waiting work in experiments. */
+  constructor(
+    timing: Partial<DispatchTiming> = {},
+    private readonly order?: CandidateOrder,
+  ) {
     this.state = new DispatchState({...defaultDispatchTiming, ...timing});
     this.journal = new ProgressJournal(this.state, () => this.barrier.entries);
     this.tickets = new AdviceTickets(this.state);
@@ -144,6 +148,17 @@
     return this.state.submissions.get(id)?.status ?? this.state.deferred.getStatus(id);
   }
 
+  /**
+   * Returns the state of a submission for an entry, or undefined when it is not known. An entry looks a submission up before it
+   * refuses it, so the time of an unknown one is remembered.
+   */
+  lookUp(id: string, at: number): SubmissionStatus | undefined {
+    const status = this.getStatus(id);
+    const {refused, usesCost} = this.state;
+    if (status === undefined && this.isOwner && usesCost) refused.record(id, at);
+    return status;
+  }
+
   /** Returns the key of a submission's queue, or undefined when the submission is unknown. */
   getQueueOf(id: string): string | undefined {
     const {submissions, deferred} = this.state;
@@ -211,7 +226,7 @@
     this.journal.reset(event.roster);
     // The previous owner may grant leases until it stops.
     const previousEndAt = at + state.timing.previousOwnerMaxMs;
-    this.barrier.begin(event.roster, this.getLeaseEnds(previousEndAt));
+    this.barrier.begin(event.roster, getLeaseEnds(state.timing, previousEndAt));
     this.hasUnknownRuns = true;
     const {learned, learnedAt = at} = event;
     const learnedItems = learned
@@ -232,17 +247,10 @@
 
   private limitRecovery(agoMs: number, at: number): void {
     if (!this.isRecovering) return;
-    this.barrier.limit(this.getLeaseEnds(at - agoMs));
+    this.barrier.limit(getLeaseEnds(this.state.timing, at - agoMs));
     this.state.log({event: 'predecessors-ended', ageMs: Math.round(agoMs)});
   }
 
-  /** Returns the times at which all leases that were granted until `grantedAt` have expired, also on a slow clock. */
-  private getLeaseEnds(grantedAt: number): LeaseEnds {
-    const {leaseMs, maxLeaseMs, clockDrift} = this.state.timing;
-    const long = grantedAt + Math.max(leaseMs, maxLeaseMs) / (1 - clockDrift);
-    return {granted: grantedAt + leaseMs / (1 - clockDrift), long};
-  }
-
   private end(reason: string): void {
     this.state.log({event: 'ownership-ended', term: this.state.term, reason});
     this.clear();
@@ -252,6 +260,7 @@
   private clear(): void {
     this.state.submissions.clear();
     this.intake.clear();
+    this.state.clearLearned();
     this.state.workers.clear();
     this.state.learnedWorkers.clear();
     this.reservations.clear();
@@ -295,12 +304,15 @@
       queue: this.getQueue(submission),
       ...(progress && {progress}),
       // Wall clocks of different hosts disagree, so a new submission counts as just arrived.
-      arrivedAt: isRestored ? at - ageMs : at,
+      arrivedAt: isRestored ? at - ageMs : (state.refused.take(submission.id) ?? at),
       baseRunNumber: (state.generation - 1) * runNumbersPerOwner,
       isInDoubt: isRestored && progress?.final === undefined,
     });
     state.submissions.set(submission.id, active);
-    if (active.isActive) active.openDueOccurrences(at, state.getUnixMs(at));
+    if (active.isActive) {
+      active.openDueOccurrences(at, state.getUnixMs(at));
+      state.queueWork.observe(submission.queue, active.work);
+    }
     state.isPlacementDue = true;
     state.log({
       event: isRestored ? 'submission-restored' : 'submission-accepted',
@@ -352,7 +364,7 @@
     const {state} = this;
     if (!state.takePlacement(scope)) return;
     this.reservations.update(at);
-    const candidates = sortCandidates(state, at, scope);
+    const candidates = sortCandidates(state, at, scope, this.order);
     if (candidates.length === 0) return;
     const selector = this.createSelector(at);
     const {commands, reservations, headrooms, tickets} = this;
--- a/packages/coordination/src/dispatch/recovery-barrier.ts
+++ b/packages/coordination/src/dispatch/recovery-barrier.ts
@@ -1,4 +1,5 @@
 import type {RosterEntry} from './dispatch-events.js';
+import type {DispatchTiming} from './dispatch-timing.js';
 
 /** Times at which the leases of a previous owner's workers have expired. */
 export interface LeaseEnds {
@@ -8,6 +9,13 @@
   readonly long: number;
 }
 
+/** Returns the times at which all leases that were granted until `grantedAt` have expired, also on a slow clock. */
+export function getLeaseEnds(timing: DispatchTiming, grantedAt: number): LeaseEnds {
+  const {leaseMs, maxLeaseMs, clockDrift} = timing;
+  const long = grantedAt + Math.max(leaseMs, maxLeaseMs) / (1 - clockDrift);
+  return {granted: grantedAt + leaseMs / (1 - clockDrift), long};
+}
+
 /**
  * Prevents a new owner from starting tasks that a previous owner may already have started. It opens once every
  * worker of the previous owner has listed its runs under the new fencing token, is known to be gone, or has an
