Handle messages that arrived in a pause before starting tasks

Cause: after a pause of the owner's process, timers run before the sockets are read. A placement round whose delay had run out, and a tick that starts copies of stragglers, went ahead of an evacuation that had arrived in the pause, although the lease of the ownership was still valid.

Change: both continue in the check phase of the event loop, after the sockets have been read.

The deferral of the tick has no test of its own.

--- a/packages/runtime/src/dispatch/ownership/owner-process.ts
+++ b/packages/runtime/src/dispatch/ownership/owner-process.ts
@@ -229,7 +229,9 @@
       this.loop.post({kind: 'tick', wallMs: this.options.clock.wallTime()});
       this.rounds.schedule();
     }
-    this.tickTimer = setTimeout(() => this.tick(), this.isOwner ? ownerTickMs : idleTickMs);
+    // As for delayed rounds, messages that have arrived in a pause of the process come first.
+    const tickMs = this.isOwner ? ownerTickMs : idleTickMs;
+    this.tickTimer = setTimeout(() => setImmediate(() => this.tick()), tickMs);
   }
 
   private executeEffect(effect: DispatchEffect): void {
--- a/packages/runtime/src/dispatch/ownership/round-scheduler.ts
+++ b/packages/runtime/src/dispatch/ownership/round-scheduler.ts
@@ -35,8 +35,12 @@
     if (delayMs === 0) return this.runRound();
     this.isRoundScheduled = true;
     setTimeout(() => {
-      this.isRoundScheduled = false;
-      this.runRound();
+      // After a pause of the process, timers run before messages that have arrived meanwhile, and these may change what
+      // may be started.
+      setImmediate(() => {
+        this.isRoundScheduled = false;
+        this.runRound();
+      });
     }, delayMs);
   }
 
