--- a/packages/runtime/src/dispatch/ownership/owner-limits.ts
+++ b/packages/runtime/src/dispatch/ownership/owner-limits.ts
@@ -19,3 +19,15 @@
     maxRuns: (heapBytes * runsHeapShare) / runBytes,
   };
 }
+
+const bytesPerMegabit = 125_000;
+/**
+ * Share of the host's link that start commands may use. The rest carries leases, stops, store calls and the calls of
+ * callers, which must not wait behind starts.
+ */
+const startLinkShare = 0.4;
+
+/** Returns the bytes of start commands that an owner may send in a second on a link of a speed in megabits per second. */
+export function getStartBytesPerSecond(linkMegabits: number): number {
+  return linkMegabits * bytesPerMegabit * startLinkShare;
+}
--- a/packages/runtime/src/dispatch/ownership/owner-process.ts
+++ b/packages/runtime/src/dispatch/ownership/owner-process.ts
@@ -19,7 +19,7 @@
 import {ElectionCalls} from './election-calls.js';
 import {Handover} from './handover/handover.js';
 import {LeaseClock} from './lease-clock.js';
-import {getOwnerLimits, type OwnerLimits} from './owner-limits.js';
+import {getOwnerLimits, getStartBytesPerSecond, type OwnerLimits} from './owner-limits.js';
 import {OwnershipHistory} from './ownership-history.js';
 import {OwnerKeyWatch} from './owner-key-watch.js';
 import type {OwnerProcessOptions} from './owner-process-options.js';
@@ -34,13 +34,6 @@
 /** The same while a claim waits for its delay, which shorter round trips and the list of entries may shorten. */
 const claimTickMs = 20;
 
-const bytesPerMegabit = 125_000;
-/**
- * Share of the host's link that start commands may use. The rest carries leases, stops, store calls and the calls of
- * callers, which must not wait behind starts.
- */
-const startLinkShare = 0.4;
-
 /**
  * Takes part in the leader election among the entries. The elected entry owns the submissions and runs the
  * dispatcher.
@@ -73,7 +66,7 @@
   constructor(private readonly options: OwnerProcessOptions) {
     const {clock, log, timing, electionTiming, incarnation, address} = options;
     const {linkMegabits = Number.POSITIVE_INFINITY, heapBytes = Number.POSITIVE_INFINITY} = options;
-    const startBytesPerSecond = linkMegabits * bytesPerMegabit * startLinkShare;
+    const startBytesPerSecond = getStartBytesPerSecond(linkMegabits);
     this.limits = getOwnerLimits(heapBytes);
     this.loader = new StateLoader({...options, maxBytes: this.limits.maxLoadedBytes});
     this.dispatcher = new Dispatcher({...timing, ...this.limits, startBytesPerSecond});
@@ -281,7 +274,9 @@
     // A claim with a wait of 0 is delayed by another call.
     const claimMs = Math.min(claimWaitMs || claimTickMs, claimTickMs);
     const idleMs = claimWaitMs === undefined ? idleTickMs : claimMs;
-    this.tickTimer = setTimeout(() => this.tick(), this.isOwner ? ownerTickMs : idleMs);
+    // As for delayed rounds, messages that have arrived in a pause of the process come first.
+    const tick = () => setImmediate(() => this.tick());
+    this.tickTimer = setTimeout(tick, this.isOwner ? ownerTickMs : idleMs);
   }
 
   private executeEffect(effect: DispatchEffect): void {
--- a/packages/runtime/src/dispatch/ownership/round-scheduler.ts
+++ b/packages/runtime/src/dispatch/ownership/round-scheduler.ts
@@ -47,7 +47,9 @@
     this.timerAt = at;
     this.timer = setTimeout(() => {
       this.timerAt = Number.POSITIVE_INFINITY;
-      this.scheduleRound();
+      // After a pause of the process, timers run before messages that have arrived meanwhile, and these may change what
+      // may be started.
+      setImmediate(() => this.scheduleRound());
     }, delayMs);
   }
 
