Look at a waiting claim when the lease has been opened

Cause: a process that has just started often sees the vacant key before it has a lease. Its claim was then looked at with the next tick, up to 250 ms after the lease. Change: each outcome of a call of the election sets the next tick anew while a claim waits. There is no test for it, since only a wait gets shorter. Evidence: the tests of the ownership pass (90 assertions).

--- a/packages/runtime/src/dispatch/ownership/owner-process.ts
+++ b/packages/runtime/src/dispatch/ownership/owner-process.ts
@@ -91,7 +91,11 @@
     this.electionCalls = new ElectionCalls({
       ...options,
       clock: this.leaseClock,
-      post: event => this.electionLoop.post(event),
+      post: event => {
+        this.electionLoop.post(event);
+        // The lease of a process that has just started comes after the key has been seen vacant.
+        if (this.claimWaitMs !== undefined) this.scheduleTick();
+      },
     });
     this.handover = new Handover({
       ...options,
