Learn no run times from adopted runs

Cause: a new owner took the adoption of a run for its start. The end of the run then counted as a very short run time. In the simulation of one queue of 8 tasks of 2 s and a change of the owner each 1.5 s, the factor of the queue fell to 0.27 after the first change. Runs on time then pass for stragglers, which are moved or stopped, and the handed over estimates are spoilt. Change: adopted runs are left out of the run times, the rest of their time is estimated from the progress since the adoption, and their success counts as one from before the latest failure of the worker.

--- a/packages/coordination/src/dispatch/run-ends.ts
+++ b/packages/coordination/src/dispatch/run-ends.ts
@@ -92,7 +92,9 @@
     if (how === 'done' && !step.lasting) {
       if (run) {
         supervisor.recordRunTime(run, at);
-        worker.health.recordSuccess(run.startedAt, at);
+        // An adopted run may have started before the latest failure.
+        const isOwn = run.adoptedPercent === undefined;
+        worker.health.recordSuccess(isOwn ? run.startedAt : Number.NEGATIVE_INFINITY, at);
         submission.recordRunEnd(worker.life, false);
       }
       this.components.crashes.recordDone(task, at);
--- a/packages/coordination/src/dispatch/supervision/run-supervisor.ts
+++ b/packages/coordination/src/dispatch/supervision/run-supervisor.ts
@@ -39,11 +39,13 @@
 
   /**
    * Updates the worker's slowness, in which a ratio above 10 counts as 10, and the queue's run-time factor, from which
-   * the worker's slowness is divided out. Ignores serving, filling and resumed runs.
+   * the worker's slowness is divided out. Ignores serving, filling and resumed runs, and adopted ones, whose start is not
+   * known.
    */
   recordRunTime(run: Run, at: number): void {
     const {task, worker} = run;
     if (task.step.lasting || task.step.fills || run.checkpoint !== '') return;
+    if (run.adoptedPercent !== undefined) return;
     const {queue} = task.submission;
     const actualMs = at - run.startedAt;
     const expectedMs = this.getExpectedMs(run);
@@ -95,9 +97,13 @@
   /** Estimates the remaining run time in milliseconds, by extrapolation from `minExtrapolationPercent` on. */
   private getRemainingMs(run: Run, at: number): number {
     const elapsedMs = at - run.startedAt;
-    if (run.percent < minExtrapolationPercent)
-      return Math.max(0, this.getExpectedMs(run) - elapsedMs);
-    return (elapsedMs * (100 - run.percent)) / run.percent;
+    const {adoptedPercent = 0} = run;
+    const progress = run.percent - adoptedPercent;
+    if (progress < minExtrapolationPercent) {
+      const leftMs = (this.getExpectedMs(run) * (100 - adoptedPercent)) / 100;
+      return Math.max(0, leftMs - elapsedMs);
+    }
+    return (elapsedMs * (100 - run.percent)) / progress;
   }
 
   /** Returns the expected run time in milliseconds; at least 50, because run times are divided by it. */
--- a/packages/coordination/src/dispatch/task.ts
+++ b/packages/coordination/src/dispatch/task.ts
@@ -31,6 +31,8 @@
   isListed = false;
   /** Whether it was meant for the worker's former incarnation and is only looked for on this one. */
   isCarriedOver = false;
+  /** Progress in percent at which this owner adopted the run; undefined for a run that it has started itself. */
+  adoptedPercent?: number;
   /** Time at which the worker confirmed the start, by its answer or a list. */
   confirmedAt?: number;
 
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -220,7 +220,7 @@
 
   private applyRunRow(worker: WorkerView, row: RunRow, at: number): Run | undefined {
     const [name, number, checkpoint, percent, measurement] = row;
-    const run = worker.getRun(name, number) ?? this.adoptRun(worker, name, number, at);
+    const run = worker.getRun(name, number) ?? this.adoptRun(worker, row, at);
     if (run === undefined) return undefined;
     if (run.state === 'starting') run.state = 'running';
     // The start took effect although it had no answer; a stop has already been sent.
@@ -241,8 +241,9 @@
   }
 
   /** Adopts a run that a previous owner started, or stops it when it is unknown, a duplicate or no longer needed. */
-  private adoptRun(worker: WorkerView, name: string, number: number, at: number): Run | undefined {
+  private adoptRun(worker: WorkerView, row: RunRow, at: number): Run | undefined {
     const {state, commands} = this.components;
+    const [name, number, , percent] = row;
     const task = state.getNamedTask(name, at);
     const log = {submission: getSubmissionId(name), task: name, run: number, worker: worker.life};
     if (task === undefined) {
@@ -253,6 +254,7 @@
     }
     const run = new Run(task, number, worker, at);
     run.state = 'running';
+    run.adoptedPercent = percent;
     const isDuplicate = task.runs.length > 0 && !task.step.speculative;
     task.lastRunNumber = Math.max(task.lastRunNumber, number);
     task.hasStarted = true;
