Set the pace of adopted filling tasks that may be slowed down

Cause: a new owner took adopted filling tasks for running at full pace and sent no command for it. One that the previous owner had slowed down or paused stayed so, and was stopped later for making no progress. Change: the first pace of such a run is commanded when there is a serving task beside it or when it uses less than half of its processors. Evidence: adopted-runs.test.ts (two assertions fail without the change; runs at full pace get no command before and after); coordination/test/dispatch: 1692 assertions pass, none changed.

--- a/packages/coordination/src/dispatch/interference/filler-pacer.ts
+++ b/packages/coordination/src/dispatch/interference/filler-pacer.ts
@@ -10,6 +10,11 @@
 } from './interference-model.js';
 import type {WorkerHeadroomCache} from './worker-headroom.js';
 
+/** Workers report the processors in use in thousandths of a core. */
+const millicoresPerCore = 1_000;
+/** Share of its processors from which an adopted run without serving tasks beside it is taken to run at full pace. */
+const unpacedShare = 0.5;
+
 /** Limits of `FillerPacer`. */
 export interface FillerPacingOptions {
   /** Smallest change of pace, in percentage points, for which a command is sent. */
@@ -90,11 +95,22 @@
 
   private setPace(run: Run, pace: number): void {
     const isLimit = pace === 0 || pace === 100;
+    if (run.isPaceUnsure && this.mayBePaced(run)) {
+      this.commands.pace(run, pace, 'pace-of-previous-owner');
+      return;
+    }
     const change = Math.abs(pace - run.pace);
     if (change === 0 || (!isLimit && change < this.options.minChange)) return;
     this.commands.pace(run, pace, pace < run.pace ? 'serving-task-near-target' : 'room-to-target');
   }
 
+  /** Whether a previous owner may have slowed the run down: it is beside a serving task, or uses few of its processors. */
+  private mayBePaced(run: Run): boolean {
+    const usedCores = run.measurement / millicoresPerCore;
+    if (usedCores < run.task.step.need.processors * unpacedShare) return true;
+    return getServingGroups(run.worker).length > 0;
+  }
+
   private stopIfSlow(run: Run, at: number): void {
     const {slowPace, moveAfterMs} = this.options;
     if (run.pace >= slowPace) {
--- a/packages/coordination/src/dispatch/run-commands.ts
+++ b/packages/coordination/src/dispatch/run-commands.ts
@@ -112,6 +112,7 @@
   pace(run: Run, percent: number, reason: string): void {
     const {state} = this;
     run.pace = percent;
+    run.isPaceUnsure = false;
     run.worker.changes += 1;
     state.count('runs_paced');
     state.log({
--- a/packages/coordination/src/dispatch/task.ts
+++ b/packages/coordination/src/dispatch/task.ts
@@ -21,8 +21,10 @@
   checkpoint = '';
   /** Latest tail latency in milliseconds of a serving task, otherwise thousandths of a core in use; 0 if none. */
   measurement = 0;
-  /** Pace of a filling task in percent of full speed. */
+  /** Pace of a filling task in percent of full speed; assumed to be full for an adopted run until it has been commanded. */
   pace = 100;
+  /** Whether the worker may run it at another pace, which a previous owner has commanded. */
+  isPaceUnsure = false;
   /** Number of the latest start or stop command. */
   order = 0;
   /** Time at which the latest start or stop command was sent. */
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -255,6 +255,7 @@
     const run = new Run(task, number, worker, at);
     run.state = 'running';
     run.adoptedPercent = percent;
+    run.isPaceUnsure = task.step.fills;
     const isDuplicate = task.runs.length > 0 && !task.step.speculative;
     task.lastRunNumber = Math.max(task.lastRunNumber, number);
     task.hasStarted = true;
