--- a/packages/standins/src/process/managed-process.ts
+++ b/packages/standins/src/process/managed-process.ts
@@ -56,6 +56,11 @@
     return running.has(this.child);
   }
 
+  /** Process id; undefined when the process could not be started. */
+  get id(): number | undefined {
+    return this.child.pid;
+  }
+
   /** Sends a signal to the process. */
   signal(signal: NodeJS.Signals): void {
     this.child.kill(signal);
