Limit the memory and connections of clients on all listeners

Cause: bodies that stop short or come in small chunks, pipelined requests, endless bodies, bodies of very many short objects and large numbers of connections made an entry or an agent exceed its memory or descriptors, or ended it.

Change: * ConnectionLedger (coordination) accounts for the memory and number of all connections of a process and decides who is shed: the one that holds most for the longest time, clients before peers before agents, never a request that waits for its answer. * ConnectionGate (runtime) enforces it for all listeners, with a counter and a log line a second for each reason. * ClientConnection (platform) stands between the socket and the HTTP parser: it feeds the parser in pieces of 1 KB, stops reading while 8 requests wait, and executes the requests of one connection one after the other. * Bodies are copied into blocks that are used again. A body that is announced or found too large, or has too many parts, is answered with 413 at once; its connection is closed after at most 256 KB or 1 s of discarded data. * A request must be received within 10 s. Findings of a submission are bounded to 100. * Links: incomplete frames are put together once, what they hold is accounted for, at most 500 relayed calls are in progress. * Without memory a request is refused with 503 before its handler is called. * Metrics are formatted at most 5 times a second.

--- /dev/null
+++ b/packages/coordination/src/connections/index.ts
@@ -0,0 +1,2 @@
+export * from './connection-ledger.js';
+export * from './json-meter.js';
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -2,6 +2,7 @@
 export * from './admission/index.js';
 export * from './colocation/index.js';
 export * from './configuration/index.js';
+export * from './connections/index.js';
 export * from './dispatch/index.js';
 export * from './entry/index.js';
 export * from './findings/index.js';
--- a/packages/coordination/src/submissions/check-submission.ts
+++ b/packages/coordination/src/submissions/check-submission.ts
@@ -1,3 +1,4 @@
+import type {JsonLimits} from '../connections/index.js';
 import {isRecord, renderValue, type Finding} from '../findings/index.js';
 import type {Resources} from '../messages/identity.js';
 import {getOccurrenceCount, type Step, type Submission} from './submission.js';
@@ -15,6 +16,23 @@
 const maxTotalTasks = 1_000_000;
 const maxTotalSteps = 20_000;
 
+/** Largest number of findings of one submission; further ones are left out, since each is larger than what it is about. */
+const maxFindings = 100;
+/** Containers of a submission: itself, its list of steps, and each step with its needs and its list of earlier steps. */
+const maxContainers = 2 + 3 * maxSteps;
+/** Twice the number of fields of a step, as callers may send fields that are ignored. */
+const maxMembersPerStep = 40;
+
+/** Returns limits on the JSON of a submission of at most `maxBodyBytes` bytes that no valid submission exceeds. */
+export function getSubmissionJsonLimits(maxBodyBytes: number): JsonLimits {
+  return {
+    containers: 2 * maxContainers,
+    members: maxMembersPerStep * (maxSteps + 1),
+    // The lists of earlier steps may fill the whole body, with two bytes for each item.
+    values: Math.ceil(maxBodyBytes / 2),
+  };
+}
+
 /** Unvalidated fields of a caller's submission. */
 export interface SubmissionDraft {
   readonly spec?: unknown;
@@ -40,6 +58,7 @@
   readonly findings: Finding[] = [];
 
   reject(place: string, value: unknown, allowed: string): void {
+    if (this.findings.length >= maxFindings) return;
     this.findings.push({source: 'body', place, value: renderValue(value), allowed});
   }
 
--- /dev/null
+++ b/packages/runtime/src/buffers/index.ts
@@ -0,0 +1,1 @@
+export * from './byte-collector.js';
--- /dev/null
+++ b/packages/runtime/src/connections/index.ts
@@ -0,0 +1,1 @@
+export * from './connection-gate.js';
--- a/packages/runtime/src/dispatch/entry/entry-node.ts
+++ b/packages/runtime/src/dispatch/entry/entry-node.ts
@@ -5,6 +5,7 @@
   OwnerRecord,
   QueueConfiguration,
 } from '@chervilbeam/coordination';
+import type {ConnectionGate} from '../../connections/connection-gate.js';
 import {BacklogEncoder} from '../links/backlog-messages.js';
 import type {
   AttemptState,
@@ -21,6 +22,7 @@
 import type {SubmissionCall, SubmissionReply} from '../submissions/submission-calls.js';
 import {type CallContext, SubmissionService} from '../submissions/submission-service.js';
 import {EntryPeers} from './entry-peers.js';
+import {LinkLimit} from './link-limit.js';
 
 /** Shortest and longest interval in milliseconds at which the owner publishes the queue backlogs to the other entries. */
 const minBacklogIntervalMs = 300;
@@ -38,6 +40,8 @@
 > {
   /** Address to listen on when it differs from the address at which others reach this entry. */
   readonly listenAddress?: string;
+  /** Limits the links of others; without it, they are not limited. */
+  readonly connections?: ConnectionGate;
 }
 
 type PeerLink = Link<EntryRequest | AgentMessage, EntryResponse | OwnerMessage>;
@@ -52,6 +56,7 @@
   private readonly entryLinks = new Map<PeerLink, boolean>();
   private readonly backlogEncoder = new BacklogEncoder();
   private readonly links = new Set<PeerLink>();
+  private relayedCalls = 0;
   private ownerAddress: string | undefined;
   private server: Server | undefined;
   private backlogTimer: NodeJS.Timeout | undefined;
@@ -140,12 +145,15 @@
     let agent: string | undefined;
     const handlers: LinkHandlers<EntryRequest | AgentMessage> = {
       message: message => {
-        if (message.kind === 'agent') agent = this.acceptAgent(message.agent, link);
-        else if (agent !== undefined)
+        if (message.kind === 'agent') {
+          agent = this.acceptAgent(message.agent, link);
+          if (agent !== undefined) limit?.identifyAgent();
+        } else if (agent !== undefined)
           this.owner.receive(agent, asAgentLink(link), message as AgentMessage);
         else this.handleEntryRequest(link, message as EntryRequest);
       },
       closed: reason => {
+        limit?.close();
         this.links.delete(link);
         this.entryLinks.delete(link);
         if (agent === undefined) return;
@@ -153,8 +161,12 @@
         this.options.log.log('agent-link-closed', {agent, reason});
       },
     };
-    const link: PeerLink = new Link(socket, handlers, this.traffic);
+    const limit = this.options.connections && new LinkLimit(this.options.connections);
+    const link: PeerLink = new Link(socket, handlers, this.traffic, bytes =>
+      limit?.setHeldBytes(bytes),
+    );
     this.links.add(link);
+    limit?.open(reason => link.destroy(reason));
   }
 
   private acceptAgent(agent: string, link: PeerLink): string | undefined {
@@ -204,13 +216,28 @@
         this.owner.cancel(message.id);
         return;
       case 'call':
-        void this.service
-          .execute(message.call, {timeoutMs: relayedCallTimeoutMs, isRelayed: true})
-          .then(reply => link.send({kind: 'reply', request: message.request, reply}));
+        void this.executeRelayed(message.call).then(reply =>
+          link.send({kind: 'reply', request: message.request, reply}),
+        );
+        if (link.isBehind) link.pauseUntilRead();
         return;
     }
   }
 
+  /** Executes a call that another entry relays. When too many are in progress, it is refused without being executed. */
+  private async executeRelayed(call: SubmissionCall): Promise<SubmissionReply> {
+    if (this.relayedCalls >= maxRelayedCalls) {
+      this.options.connections?.record('busy');
+      return {kind: 'refused', retryAfterSeconds: 1, reason: 'memory'};
+    }
+    this.relayedCalls += 1;
+    try {
+      return await this.service.execute(call, {timeoutMs: relayedCallTimeoutMs, isRelayed: true});
+    } finally {
+      this.relayedCalls -= 1;
+    }
+  }
+
   private getAttempt(id: string): AttemptState {
     const state = this.service.getAttempt(id);
     return state === 'none' && this.peers.isStartRecent ? 'unresolved' : state;
@@ -257,6 +284,11 @@
   }
 }
 
+/**
+ * Largest number of relayed calls in progress. All calls of 10 entries, 12 a second, that take until their timeout are 240.
+ */
+const maxRelayedCalls = 500;
+
 /** Timeout in milliseconds of a call that another entry relayed. */
 const relayedCallTimeoutMs = 2_000;
 
--- a/packages/runtime/src/dispatch/links/link.ts
+++ b/packages/runtime/src/dispatch/links/link.ts
@@ -15,6 +15,8 @@
 const connectTimeoutMs = 1_500;
 /** Unsent bytes above which a connection is closed, because the other side does not read. */
 const maxUnsentBytes = 8 * 1024 * 1024;
+/** Unsent bytes above which a request of the other side is not read. */
+const maxUnreadBytes = 256 * 1024;
 /** Largest frame in bytes; large enough for a submission with its steps. */
 const maxFrameBytes = 1024 * 1024;
 
@@ -51,6 +53,7 @@
     private readonly socket: Socket,
     private readonly handlers: LinkHandlers<Incoming>,
     private readonly traffic?: TrafficMeter,
+    private readonly onHeldBytes?: (bytes: number) => void,
   ) {
     socket.setNoDelay(true);
     this.hasOpened = !socket.connecting && !socket.destroyed;
@@ -84,6 +87,18 @@
     setImmediate(() => this.flush());
   }
 
+  /** Whether the other side leaves so much unread that it must read before it is sent more. */
+  get isBehind(): boolean {
+    return this.socket.writableLength > maxUnreadBytes;
+  }
+
+  /** Stops to receive until the other side has read what was sent; for links whose other side reads without waiting. */
+  pauseUntilRead(): void {
+    if (this.isClosed || this.socket.isPaused()) return;
+    this.socket.pause();
+    this.socket.once('drain', () => this.socket.resume());
+  }
+
   /** Closes the connection after queued messages have been sent. */
   end(): void {
     this.flush();
@@ -93,6 +108,8 @@
   /** Closes the connection at once; queued messages are lost. */
   destroy(reason: string): void {
     this.reason = reason;
+    // The socket reports its end only after all that has arrived on other links was read.
+    this.decoder.clear();
     this.socket.destroy();
   }
 
@@ -117,12 +134,18 @@
     this.lastSentAt = performance.now();
     this.socket.write(bytes);
     if (this.socket.writableLength > maxUnsentBytes) this.destroy('not-reading');
+    this.reportHeldBytes();
+  }
+
+  private reportHeldBytes(): void {
+    if (!this.isClosed) this.onHeldBytes?.(this.socket.writableLength + this.decoder.heldBytes);
   }
 
   private receive(bytes: Buffer): void {
     this.lastReceivedAt = performance.now();
     try {
       this.decoder.push(bytes, payload => this.deliver(payload));
+      this.reportHeldBytes();
     } catch (error) {
       // An unexpected error of a handler ends this connection, not the process and its other connections.
       const isFrameError = error instanceof FrameError;
@@ -151,6 +174,7 @@
   private handleClose(): void {
     if (this.isClosed) return;
     this.isClosed = true;
+    this.decoder.clear();
     clearInterval(this.probeTimer);
     this.handlers.closed(this.reason);
   }
--- a/packages/runtime/src/framing/frame-decoder.ts
+++ b/packages/runtime/src/framing/frame-decoder.ts
@@ -1,3 +1,4 @@
+import {ByteCollector} from '../buffers/byte-collector.js';
 import {FrameError} from './frame-error.js';
 import {continuationFlag, maxFrameBytes, maxMessageBytes, prefixBytes} from './frame-limits.js';
 
@@ -6,7 +7,9 @@
  * when the message continues in the next frame.
  */
 export class FrameDecoder {
-  private remainder: Buffer | undefined;
+  /** Bytes of a frame that has not arrived completely, and how many are needed to go on. */
+  private readonly pending = new ByteCollector();
+  private neededBytes = prefixBytes;
   /** Payloads of the frames of a message whose last frame has not arrived yet. */
   private parts: Buffer[] = [];
   private partBytes = 0;
@@ -14,12 +17,22 @@
   /** Creates a decoder that refuses frames with a payload above `maxPayloadBytes`. */
   constructor(private readonly maxPayloadBytes = maxFrameBytes) {}
 
+  /** Memory in bytes that the frames of an incomplete message take. */
+  get heldBytes(): number {
+    return this.pending.heldBytes + this.partBytes;
+  }
+
   /** Adds received bytes and delivers each complete message; throws FrameError on a bad length. */
   push(received: Buffer, deliver: (payload: Buffer) => void): void {
-    const bytes =
-      this.remainder === undefined ? received : Buffer.concat([this.remainder, received]);
-    this.remainder = undefined;
+    let bytes = received;
+    if (this.pending.length > 0) {
+      this.pending.add(received);
+      // A frame in many small parts is put together only once.
+      if (this.pending.length < this.neededBytes) return;
+      bytes = this.pending.take();
+    }
     let offset = 0;
+    this.neededBytes = prefixBytes;
     while (bytes.length - offset >= prefixBytes) {
       const prefix = bytes.readUInt32BE(offset);
       const isContinued = prefix >= continuationFlag;
@@ -29,11 +42,21 @@
         throw new FrameError('frame-length', `${length} bytes`);
       }
       const end = offset + prefixBytes + length;
-      if (end > bytes.length) break;
+      if (end > bytes.length) {
+        this.neededBytes = prefixBytes + length;
+        break;
+      }
       this.addFrame(bytes.subarray(offset + prefixBytes, end), isContinued, deliver);
       offset = end;
     }
-    if (offset < bytes.length) this.remainder = bytes.subarray(offset);
+    if (offset < bytes.length) this.pending.add(bytes.subarray(offset));
+  }
+
+  /** Drops the bytes of an incomplete message. */
+  clear(): void {
+    this.pending.clear();
+    this.parts = [];
+    this.partBytes = 0;
   }
 
   private addFrame(frame: Buffer, isContinued: boolean, deliver: (payload: Buffer) => void): void {
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,5 +1,7 @@
 export * from './addresses/index.js';
 export * from './backend/index.js';
+export * from './buffers/index.js';
+export * from './connections/index.js';
 export * from './control/index.js';
 export * from './daemon/index.js';
 export * from './dispatch/index.js';
