Lint: mark an unawaited drain in a test

OwnerProcess.drain returns a promise since the planned handover; npm run lint failed on late-writes.test.ts, which the lint of changed files had not read. The test itself is unchanged.

--- a/packages/runtime/test/dispatch/ownership/late-writes.test.ts
+++ b/packages/runtime/test/dispatch/ownership/late-writes.test.ts
@@ -106,7 +106,7 @@
   }
 
   stop(): void {
-    this.owner.drain();
+    void this.owner.drain();
   }
 
   private handle(message: OwnerMessage): void {
