Serve the largest submissions at least half as often as their queue

Cause: preferred submissions are not all in time, and the measured rates lagged behind, so the largest tenth was served less than half as often. With few distinct sizes, the bound of the largest class was often the smallest size, and then there was no such class.

Change: the share of preferred submissions takes their own measured rate into account and follows the outcomes faster; the bound of a class is never the smallest size. With scheduling by cost, tasks that are started because their submission stands still get a tenth of the unused processors instead of a quarter, those that can still be in time first.

--- a/packages/coordination/src/dispatch/cost/preference.ts
+++ b/packages/coordination/src/dispatch/cost/preference.ts
@@ -6,17 +6,20 @@
  * Smallest rate at which a size class is served in time, relative to the whole queue. It is above the half that callers are
  * promised, because the measured rates lag behind.
  */
-const minRelativeRate = 0.6;
+const minRelativeRate = 0.7;
 
 /** Number of outcomes over which a rate is taken. */
-const memoryCount = 40;
+const memoryCount = 20;
 
 /** Number of outcomes from which a rate is known. */
-const minCount = 5;
+const minCount = 3;
 
 /** Factor on the density of preferred submissions; it exceeds the spread of the densities of ordinary ones. */
 const preferredFactor = 8;
 
+/** Smallest rate of preferred submissions that is compensated by preferring more; below it, preference does not help. */
+const minPreferredRate = 0.4;
+
 /** Work in core-milliseconds from which a submission is of a class, and the shares of these classes that are preferred. */
 export interface SizePreferences {
   readonly largeWork: number;
@@ -81,17 +84,20 @@
   private readonly all = new Rate();
   /** Rates of the submissions that were not preferred. */
   private readonly ordinary = {largest: new Rate(), large: new Rate()};
+  private readonly preferred = {largest: new Rate(), large: new Rate()};
 
   /** Records whether a submission was in time. */
   record(size: SizeClass, isPreferred: boolean, isInTime: boolean): void {
     this.all.record(isInTime);
-    if (size !== 'rest' && !isPreferred) this.ordinary[size].record(isInTime);
+    if (size !== 'rest') (isPreferred ? this.preferred : this.ordinary)[size].record(isInTime);
   }
 
-  /** Returns the share of a class that has to be preferred, if all preferred submissions are in time. */
+  /** Returns the share of a class that has to be preferred. */
   getShare(size: 'largest' | 'large'): number {
     const ordinary = this.ordinary[size].value;
     const wanted = this.all.value * minRelativeRate;
-    return ordinary >= wanted ? 0 : (wanted - ordinary) / (1 - ordinary);
+    if (ordinary >= wanted) return 0;
+    const preferred = Math.max(minPreferredRate, ordinary, this.preferred[size].value);
+    return Math.min(1, (wanted - ordinary) / Math.max(0.01, preferred - ordinary));
   }
 }
--- a/packages/coordination/src/dispatch/cost/queue-work.ts
+++ b/packages/coordination/src/dispatch/cost/queue-work.ts
@@ -95,10 +95,11 @@
   const meanWork = works.reduce((sum, work) => sum + work, 0) / works.length;
   const sorted = [...works].sort((a, b) => a - b);
   const getQuantile = (share: number) => {
-    const work = sorted[Math.floor(sorted.length * share)] ?? Number.POSITIVE_INFINITY;
-    // Equal sizes have no large ones.
-    const isKnown = works.length >= minCount && work > (sorted[0] ?? 0);
-    return isKnown ? work : Number.POSITIVE_INFINITY;
+    if (works.length < minCount) return Number.POSITIVE_INFINITY;
+    const work = sorted[Math.floor(sorted.length * share)] ?? 0;
+    // Submissions of the smallest size are not large, however many there are of them.
+    if (work > (sorted[0] ?? 0)) return work;
+    return sorted.find(larger => larger > work) ?? Number.POSITIVE_INFINITY;
   };
   return {meanWork, largeWork: getQuantile(belowLarge), largestWork: getQuantile(belowLargest)};
 }
--- a/packages/coordination/src/dispatch/placement/starvation-guard.ts
+++ b/packages/coordination/src/dispatch/placement/starvation-guard.ts
@@ -8,6 +8,8 @@
 const maxLaterIdleMs = 1_500;
 /** Largest fraction of the processors left by other tasks that filling tasks may get in this way. */
 const maxFillingShare = 0.25;
+/** The same when work is ordered by what its delay costs, which leaves fewer submissions behind that can still be in time. */
+const maxFillingShareByCost = 0.1;
 
 /**
  * Finds the submissions that the order of the remaining work would starve. Large ones wait behind all smaller ones, so
@@ -34,7 +36,7 @@
   *getStarving(candidates: readonly Candidate[], at: number): Generator<Candidate> {
     const starving = candidates.filter(candidate => isStarving(candidate, at));
     if (starving.length === 0) return;
-    starving.sort(compareUrgency);
+    starving.sort(this.state.usesCost ? compareCost : compareUrgency);
     const allowedCores = this.getAllowedCores();
     for (const candidate of starving) {
       const {service} = candidate.submission;
@@ -49,10 +51,11 @@
   /** Returns the processors that may still be used, by service. */
   private getAllowedCores(): Map<string, number> {
     const allowed = new Map<string, number>();
+    const share = this.state.usesCost ? maxFillingShareByCost : maxFillingShare;
     const add = (service: string, cores: number) =>
       allowed.set(service, (allowed.get(service) ?? 0) + cores);
     for (const {description, capacity, used} of this.state.workers.values()) {
-      add(description.service, (capacity.processors - used.processors) * maxFillingShare);
+      add(description.service, (capacity.processors - used.processors) * share);
     }
     for (const run of this.runs) {
       if (!run.task.runs.includes(run)) this.runs.delete(run);
@@ -71,6 +74,11 @@
   return Number(b.occurrence.hasRun) - Number(a.occurrence.hasRun) || a.idleSince - b.idleSince;
 }
 
+/** Work that can still be in time goes first, since the others have less to lose. */
+function compareCost(a: Candidate, b: Candidate): number {
+  return a.lateness - b.lateness || compareUrgency(a, b);
+}
+
 /** Returns the processors of one task of a candidate's first ready step; 0 if the task reserves its processors. */
 function getFillingCores({steps}: Candidate): number {
   const step = steps[0]?.step;
