Give the decision on admission by cost a file name of its own

Two files were called cost-admission.ts, and the bounds of the retry delay and of late work stood twice. The decision is now in cost/admission-decision.ts and the bounds in admission/admission-limits.ts. No change of behaviour; the tests of admission and cost pass.

--- a/packages/coordination/src/dispatch/admission/admission.ts
+++ b/packages/coordination/src/dispatch/admission/admission.ts
@@ -6,15 +6,13 @@
   type Queue,
   type Step,
 } from '../../submissions/index.js';
+import {
+  maxObjectiveMultiple,
+  maxRetryAfterSeconds,
+  minRetryAfterSeconds,
+} from './admission-limits.js';
 import type {QueueBacklog} from './queue-backlogs.js';
 
-/** Multiple of the objective up to which late work is accepted, because late results are still useful to callers. */
-const maxObjectiveMultiple = 2;
-
-/** Bounds in seconds of the retry delay given to a refused caller. */
-const minRetryAfterSeconds = 1;
-const maxRetryAfterSeconds = 30;
-
 /** Decision on a new submission. */
 export type AdmissionDecision =
   | {readonly kind: 'accept'}
--- a/packages/coordination/src/dispatch/cost/cost-admission.ts
+++ b/packages/coordination/src/dispatch/cost/admission-decision.ts
@@ -5,18 +5,16 @@
   type QueuePolicy,
   type Step,
 } from '../../submissions/index.js';
+import {
+  maxObjectiveMultiple,
+  maxRetryAfterSeconds,
+  minRetryAfterSeconds,
+} from '../admission/admission-limits.js';
 import {getIdFraction, getPreference} from './preference.js';
 import type {WorkStatistics} from './queue-work.js';
 import {getSubmissionValue, getSubmissionWork, lateValueShare} from './submission-value.js';
 import {getDensityRank, getLossBehind, getWaitAhead, type WaitingCurve} from './waiting-curve.js';
 
-/** Multiple of the objective up to which late work is accepted, because late results are still useful to callers. */
-const maxObjectiveMultiple = 2;
-
-/** Bounds in seconds of the retry delay given to a refused caller. */
-const minRetryAfterSeconds = 1;
-const maxRetryAfterSeconds = 30;
-
 /** Smallest range in seconds over which the retries of refused callers are spread. */
 const minSpreadSeconds = 2;
 
--- a/packages/coordination/src/dispatch/cost/index.ts
+++ b/packages/coordination/src/dispatch/cost/index.ts
@@ -1,4 +1,4 @@
-export * from './cost-admission.js';
+export * from './admission-decision.js';
 export * from './cost-order.js';
 export * from './filling-throughput.js';
 export * from './preference.js';
