Name the request for placement rounds

A setter that ignored false hid that it makes rounds of both scopes due; it is now requestPlacement(). No change of behaviour; the tests of the dispatcher and of placement pass.

--- a/packages/coordination/src/dispatch/dispatch-state.ts
+++ b/packages/coordination/src/dispatch/dispatch-state.ts
@@ -67,21 +67,13 @@
     this.startBudget = new StartBudget(timing.startBytesPerSecond);
   }
 
-  /** Whether tasks may have become placeable since the last placement round. */
-  get isPlacementDue(): boolean {
-    return this.duePlacements.size > 0;
-  }
-
-  /** Makes rounds of all scopes due; a scope is cleared by `takePlacement`. */
-  set isPlacementDue(isDue: boolean) {
-    for (const scope of placementScopes) {
-      if (isDue) this.duePlacements.add(scope);
-      else this.duePlacements.delete(scope);
-    }
+  /** Makes placement rounds of all scopes due, because tasks may have become placeable. */
+  requestPlacement(): void {
+    for (const scope of placementScopes) this.duePlacements.add(scope);
   }
 
   /** Whether tasks may have become placeable since the last round of a scope. */
-  isPlacementDueIn(scope: PlacementScope): boolean {
+  isPlacementDue(scope: PlacementScope): boolean {
     return this.duePlacements.has(scope);
   }
 
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -134,7 +134,7 @@
 
   /** Whether tasks of a scope may have become placeable since its last placement round. */
   isPlacementDue(scope: PlacementScope): boolean {
-    return this.isOwner && this.state.isPlacementDueIn(scope);
+    return this.isOwner && this.state.isPlacementDue(scope);
   }
 
   /** @inheritdoc */
@@ -284,7 +284,7 @@
       }
       this.ends.failIfExhausted(submission, at);
     }
-    state.isPlacementDue = true;
+    state.requestPlacement();
     state.log({event: 'configuration-used', version: configuration.version});
   }
 
@@ -313,7 +313,7 @@
       active.openDueOccurrences(at, state.getUnixMs(at));
       state.queueWork.observe(submission.queue, active.work);
     }
-    state.isPlacementDue = true;
+    state.requestPlacement();
     state.log({
       event: isRestored ? 'submission-restored' : 'submission-accepted',
       submission: submission.id,
@@ -340,7 +340,7 @@
       if (submission.isActive) {
         if (submission.openDueOccurrences(at, wallMs)) {
           this.ends.failIfExhausted(submission, at);
-          state.isPlacementDue = true;
+          state.requestPlacement();
         }
         if (submission.isFinished) this.ends.completeIfFinished(submission, at);
         submission.dropFinishedOccurrences();
@@ -351,7 +351,7 @@
       state.submissions.get(getSubmissionId(task))?.isActive ?? false;
     this.interference.retain(isActive);
     this.tickets.retain(isActive);
-    state.isPlacementDue = true;
+    state.requestPlacement();
     this.journal.retryIfDue(at);
   }
 
@@ -387,7 +387,7 @@
     this.hasUnknownRuns = false;
     this.intake.clearInDoubt();
     this.journal.markRosterChanged();
-    state.isPlacementDue = true;
+    state.requestPlacement();
     state.emit({kind: 'recovered'});
     state.log({event: 'recovery-finished', term: state.term, workers: state.workers.size, at});
   }
--- a/packages/coordination/src/dispatch/evacuation/evacuation-updates.ts
+++ b/packages/coordination/src/dispatch/evacuation/evacuation-updates.ts
@@ -14,7 +14,7 @@
   }
   if (update === 'same') return;
   // Workers of a data centre that has been taken back get work at once.
-  state.isPlacementDue = true;
+  state.requestPlacement();
   state.log({event: 'evacuation-changed', revision, dataCentres: dataCentres.join(',')});
   state.count('evacuation_changes');
 }
--- a/packages/coordination/src/dispatch/placement/advice-tickets.ts
+++ b/packages/coordination/src/dispatch/placement/advice-tickets.ts
@@ -101,7 +101,7 @@
     const {pending, state} = this;
     if (pending?.step !== step) return;
     this.pending = undefined;
-    state.isPlacementDue = true;
+    state.requestPlacement();
     const advice = this.getStep(step);
     if (reply.kind === 'unavailable') {
       advice.notBefore = at + retryDelayMs;
--- a/packages/coordination/src/dispatch/progress-journal.ts
+++ b/packages/coordination/src/dispatch/progress-journal.ts
@@ -185,7 +185,7 @@
     for (const submission of pending.submissions) {
       if (submission.areCrashesStored || this.changed.has(submission)) continue;
       submission.areCrashesStored = true;
-      state.isPlacementDue = true;
+      state.requestPlacement();
     }
     for (const submission of pending.finals) {
       if (submission.isFinalStored) continue;
@@ -206,7 +206,7 @@
         if (this.storedRoster.has(worker.life) && !worker.isInRoster) {
           worker.isInRoster = true;
           if (worker.isReborn) worker.requireToken(state.token);
-          state.isPlacementDue = true;
+          state.requestPlacement();
         }
       }
     }
--- a/packages/coordination/src/dispatch/run-commands.ts
+++ b/packages/coordination/src/dispatch/run-commands.ts
@@ -140,6 +140,6 @@
     run.worker.remove(run);
     run.task.remove(run);
     run.task.notBefore = Math.max(run.task.notBefore, notBefore);
-    this.state.isPlacementDue = true;
+    this.state.requestPlacement();
   }
 }
--- a/packages/coordination/src/dispatch/submission-intake.ts
+++ b/packages/coordination/src/dispatch/submission-intake.ts
@@ -94,7 +94,7 @@
       if (!workers.every(({listedAt}) => listedAt > since)) continue;
       this.unlistedSince.delete(id);
       this.state.submissions.get(id)?.clearInDoubt();
-      this.state.isPlacementDue = true;
+      this.state.requestPlacement();
     }
   }
 }
--- a/packages/coordination/src/dispatch/supervision/crash-tracker.ts
+++ b/packages/coordination/src/dispatch/supervision/crash-tracker.ts
@@ -139,7 +139,7 @@
   private markChanged(task: Task, at: number): void {
     if (task.submission.isActive) this.journal.markChanged(task.submission, at);
     if (!task.crashes.isSuspect) task.submission.suspects.delete(task);
-    this.state.isPlacementDue = true;
+    this.state.requestPlacement();
   }
 
   private remember(life: string, tasks: readonly Task[]): void {
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -193,7 +193,7 @@
   /** Handles the first list of runs on a connection: runs that it omits must be prevented from starting later. */
   private fence(worker: WorkerView, listed: ReadonlySet<Run>, at: number): void {
     worker.isReconciled = true;
-    this.components.state.isPlacementDue = true;
+    this.components.state.requestPlacement();
     for (const run of [...worker.runs.values()]) {
       if (listed.has(run)) continue;
       this.components.commands.resolveUnanswered(run, 'not-listed', at);
