--- a/packages/lab/test/known-red/known-red-list.test.ts
+++ b/packages/lab/test/known-red/known-red-list.test.ts
@@ -19,7 +19,39 @@
   '# Comment\n\ntest: packages/a/test/x.test.ts > second\ncommand: npm test, seed 3\nissue: late\n',
 );
 
+const unsteadyList = parseKnownRed(
+  'unsteady test: packages/a/test/x.test.ts > second\ncommand: npm test\nissue: memory\n',
+);
+
 const cases = [
+  {
+    name: 'an unsteady test passes',
+    text: createTapOutput(
+      createFileOutput(path, [
+        ['first', true],
+        ['second', true],
+      ]),
+    ),
+    list: unsteadyList,
+    shouldPass: true,
+  },
+  {
+    name: 'an unsteady test fails',
+    text: createTapOutput(
+      createFileOutput(path, [
+        ['first', true],
+        ['second', false],
+      ]),
+    ),
+    list: unsteadyList,
+    shouldPass: true,
+  },
+  {
+    name: 'an unsteady test did not run',
+    text: createTapOutput(createFileOutput(path, [['first', true]])),
+    list: unsteadyList,
+    shouldPass: false,
+  },
   {
     name: 'all tests pass and none is listed',
     text: createTapOutput(createFileOutput(path, [['first', true]])),
@@ -103,6 +135,7 @@
     t.same(list, [
       {
         test: 'packages/a/test/x.test.ts > second',
+        isUnsteady: false,
         details: 'command: npm test, seed 3\nissue: late',
       },
     ]);
