Compute the preference of size classes only for the orders by cost

Change: without scheduling by cost, and without an order of an experiment, candidates are assessed without statistics. Evidence: by reading; the order by urgency does not use the value. The tests of placement, cost, dispatcher and evacuation pass. The effect on rounds was not measured.

--- a/packages/coordination/src/dispatch/placement/submission-order.ts
+++ b/packages/coordination/src/dispatch/placement/submission-order.ts
@@ -65,6 +65,7 @@
   order?: CandidateOrder,
 ): Candidate[] {
   const candidates: Candidate[] = [];
+  const usesQueueWork = state.usesCost || order !== undefined;
   const factors = new Map<QueuePolicy | undefined, number>();
   const getFactor = (queue: QueuePolicy | undefined) => {
     const factor = factors.get(queue) ?? state.getRunTimeFactor(queue);
@@ -82,7 +83,8 @@
         submission,
         occurrence,
         factor: getFactor(submission.queue),
-        queueWork: state.queueWork.get(submission.submission.queue),
+        // Only the orders by cost use it, and each round would compute it for every candidate.
+        queueWork: usesQueueWork ? state.queueWork.get(submission.submission.queue) : undefined,
         at,
       });
       if (candidate.lateness > 0) state.recordOutcome(submission, at, true);
