--- a/review/13/run.mjs
+++ b/review/13/run.mjs
@@ -1,52 +1,77 @@
-// A worker fails what it starts for some seconds. Later a run of a task that lasts fails once. Is the task started again?
+// Open channels of the owner go silent, and a submission is cancelled. How long do its tasks go on to be started?
 import {join} from 'node:path';
+import {Proxy} from '../standins-3/proxy.mjs';
 import {delay, runCase, waitFor} from '../standins-3/world.mjs';
 
-const prefix = '/watch/';
+const prefix = '/proof/';
 const id = '13aa22bb33cc44dd';
-/** Longest time for which a worker of sites/legoff-registres.toml fails all that it starts, in milliseconds. */
-const errorsMs = 6_500;
-/** Times in milliseconds that RULES.md gives a task that lasts after its last run, and the calm time before it is judged. */
-const lastRunMs = 6_000;
-const idleMs = 3_000;
+/** Bounds of sites/legoff-registres.toml in milliseconds. */
+const cancelMs = 3_000;
+const contactTimeoutMs = 4_000;
+const tasks = 240;
 
 await runCase(join(import.meta.dirname, 'record.txt'), async (world, hasTrouble) => {
-  // One worker of twelve has the label that the step requires: a twelfth is below the share of 0.085.
-  const hosts = Array.from({length: 12}, (_, index) => ({
-    labels: [index === 0 ? 'b' : 'a', `r1-${Math.floor(index / 3)}`],
-    cores: 16,
-  }));
-  await world.start({entries: 2, hosts, routes: [{name: 'watch', prefix}]});
+  const storeProxies = new Map();
+  const peerProxies = new Map();
+  const hosts = Array.from({length: 4}, (_, index) => ({labels: ['a', `r1-${index}`], cores: 2}));
+  await world.start({
+    entries: 2,
+    hosts,
+    routes: [{name: 'proof', prefix}],
+    getStore: async name => {
+      if (!name.startsWith('entry')) return undefined;
+      const proxy = new Proxy(world.storeAddress);
+      const address = `127.0.3.${name.slice(-1)}:${world.ports.store}`;
+      await proxy.start(address);
+      storeProxies.set(name, proxy);
+      return address;
+    },
+    getPeerSettings: async (name, ip, peer) => {
+      const listen = `127.0.4.${name.slice(-1)}:${peer}`;
+      const proxy = new Proxy(listen);
+      await proxy.start(`${ip}:${peer}`);
+      peerProxies.set(name, proxy);
+      return {peerListen: listen};
+    },
+  });
   await world.waitUntilReady();
-  await delay(1_000);
-  const [entry] = world.entries;
-  const [special] = world.hosts;
+  await delay(1_500);
+  const {owner} = world;
+  const other = world.entries.find(entry => entry !== owner);
   const getStarts = () =>
     world.events.filter(({event, task}) => event === 'start' && task.startsWith(id));
-  if (hasTrouble) await world.troubleWorker(special, {errorsMs});
-  const calmFrom = Date.now() + errorsMs;
-  await delay(1_000);
   const body = {
-    spec: JSON.stringify({work: [{cpu: 1_000, lasts: true}]}),
-    steps: [
-      {
-        count: 1,
-        cpu: 1_000,
-        memory_request_mb: 512,
-        long_running: true,
-        requirements: 'b',
-      },
-    ],
+    spec: JSON.stringify({work: [{cpu: 1_000, ms: 400}]}),
+    steps: [{count: tasks, cpu: 1_000, memory_request_mb: 64, estimated_ms: 400}],
   };
-  const {status} = await world.call(entry, 'POST', prefix, id, body);
+  const {status} = await world.call(other, 'POST', prefix, id, body);
   if (status !== 200) throw new Error(`not accepted: ${status}`);
-  await delay(Math.max(0, calmFrom + 12_000 - Date.now()));
-  const before = getStarts().length;
-  await world.troubleWorker(special, {failRuns: true});
-  const failedAt = Date.now();
-  await waitFor('the next run', () => getStarts().length > before, 70_000);
-  const idle = getStarts()[before].t - failedAt;
-  world.note({event: 'check', starts: before, idleMs: idle});
-  // LOST: nothing has run, though the task's turn had come and its worker has room for it twice over.
-  return idle > lastRunMs + idleMs;
+  await waitFor('a start', () => getStarts().length > 0);
+  const silentAt = Date.now();
+  if (hasTrouble) {
+    const watches = storeProxies
+      .get(owner.name)
+      .silence(({latest}) => latest.includes('/kv-watch'));
+    const links = peerProxies.get(owner.name).silence(({first}) => first.includes(other.name));
+    world.note({event: 'silenced', watches, links});
+  }
+  await delay(100);
+  await waitFor('the cancel', async () => {
+    const answer = await world.call(other, 'DELETE', prefix, id);
+    return answer.status === 200;
+  });
+  const cancelledAt = Date.now();
+  await delay(9_000);
+  // The channels count as reset, so that no machine is in touch before `contactTimeoutMs` have passed.
+  const judgedFrom = Math.max(cancelledAt + cancelMs, hasTrouble ? silentAt + contactTimeoutMs : 0);
+  const late = getStarts().filter(({t}) => t > judgedFrom);
+  world.note({
+    event: 'check',
+    cancelAckMs: cancelledAt - silentAt,
+    starts: getStarts().length,
+    lateStarts: late.length,
+    latestAfterAckMs: Math.max(0, ...getStarts().map(({t}) => t - cancelledAt)),
+  });
+  for (const proxy of [...storeProxies.values(), ...peerProxies.values()]) proxy.stop();
+  return late.length > 0;
 });
--- a/review/standins-3/worker.mjs
+++ b/review/standins-3/worker.mjs
@@ -9,6 +9,7 @@
 const {id, address, control, service, zone, labels, capacity, stopMs, maxHoldMs, record} = options;
 /** Time in milliseconds after which a run fails. */
 const failAfterMs = 100;
+const defaultWork = {cpu: 0, ms: 1_000};
 const born = Date.now();
 const startedAt = performance.now();
 const runs = new Map();
@@ -34,9 +35,9 @@
 function getWork(task, spec) {
   const step = Number(task.split('.')[2]);
   try {
-    return JSON.parse(spec).work[step];
+    return JSON.parse(spec).work[step] ?? defaultWork;
   } catch {
-    return {cpu: 0, ms: 1_000};
+    return defaultWork;
   }
 }
 
@@ -110,7 +111,7 @@
   const body = await readJson(request);
   if (request.url === '/stand-in/trouble') {
     failsUntil = clockMs() + (body.errorsMs ?? 0);
-    if (body.failRuns) for (const run of [...runs.values()]) endRun(run, 'failed');
+    if (body.endRuns) for (const run of [...runs.values()]) endRun(run, body.endRuns);
     return sendJson(response, 200, {});
   }
   if (request.headers['x-chervilbeam-expected-worker'] !== id) return sendJson(response, 421, {});
--- a/review/standins-3/world.mjs
+++ b/review/standins-3/world.mjs
@@ -218,7 +218,7 @@
     this.note({event: 'worker-crashed', worker: entry.id});
   }
 
-  /** Lets a worker fail the runs that it has (`failRuns`), or all that it starts for a time (`errorsMs`). */
+  /** Lets a worker end the runs that it has (`endRuns` says how), or fail all that it starts for a time (`errorsMs`). */
   async troubleWorker(entry, trouble) {
     await callJson(entry.workerAddress, {
       method: 'POST',
