Log by which way the owner hears of a cancel

The owner hears of a cancel from its watch of the store or from the entry that acknowledged it, and its log named neither, so the hypotheses "the notice arrived late" and "the watch was late" looked the same.

Change: `cancel-received` at the owner, with `from` and, for the store, the revision.

No behaviour changes, so there is no test of its own.

--- a/packages/runtime/src/dispatch/ownership/owner-process.ts
+++ b/packages/runtime/src/dispatch/ownership/owner-process.ts
@@ -210,7 +210,9 @@
 
   /** Handles a cancel request that the store already holds; ignored without ownership. */
   cancel(id: string): void {
-    if (this.isOwner) this.post({kind: 'cancelled', id});
+    if (!this.isOwner) return;
+    this.options.log.log('cancel-received', {submission: id, from: 'entry'});
+    this.post({kind: 'cancelled', id});
   }
 
   /** Looks up the state of a submission. */
--- a/packages/runtime/src/dispatch/ownership/work-watch.ts
+++ b/packages/runtime/src/dispatch/ownership/work-watch.ts
@@ -57,7 +57,9 @@
         post({kind: 'submitted', submission});
       else log.warn('record-unreadable', {key, revision});
     } else if (key.startsWith(cancelPrefix)) {
-      post({kind: 'cancelled', id: key.slice(cancelPrefix.length)});
+      const id = key.slice(cancelPrefix.length);
+      log.log('cancel-received', {submission: id, from: 'store', revision});
+      post({kind: 'cancelled', id});
     } else if (key === ownerKey) onOwnerRecord(record);
   }
 }
