Repeat the notice of a cancel until the owner confirms it

The notice was sent once, was lost with a link that closed or fell silent, or was not sent at all while no owner was known, and nobody knew whether it had arrived. Evacuations were repeated on each new link.

It needs an owner that keeps its lease while its watch is behind, as during a long list after the store has dropped its history.

Change: the owner answers a notice with `cancel-received`. An entry whose ownership has just ended sends the notice to the next owner instead of dropping it.

The fixture of an entry and the manual clock, which two test files had each, moved to files of their own.

--- a/packages/runtime/src/dispatch/entry/entry-node.ts
+++ b/packages/runtime/src/dispatch/entry/entry-node.ts
@@ -111,8 +111,7 @@
         askOwner: id => this.askOwner(id),
         countPending: queue => this.countPending(queue),
         notifyCancelled: id => {
-          if (this.owner.isOwner) this.owner.cancel(id);
-          else this.peers.notifyCancelled(id);
+          if (!this.owner.cancel(id)) this.peers.notifyCancelled(id);
         },
         getEntryCount: () => this.peers.addresses.length,
         findAttempt: id => this.peers.findAttempt(id),
@@ -255,7 +254,7 @@
         return;
       }
       case 'cancelled':
-        this.owner.cancel(message.id);
+        if (this.owner.cancel(message.id)) link.send({kind: 'cancel-received', id: message.id});
         return;
       case 'evacuations': {
         const {revision, dataCentres} = message;
--- a/packages/runtime/src/dispatch/entry/entry-peers.ts
+++ b/packages/runtime/src/dispatch/entry/entry-peers.ts
@@ -14,6 +14,7 @@
 import {entryPrefix} from '../records/store-keys.js';
 import {UnreadableRecords} from '../records/unreadable-records.js';
 import type {SubmissionCall, SubmissionReply} from '../submissions/submission-calls.js';
+import {CancelNotices} from './cancel-notices.js';
 import {EntryLosses} from './entry-losses.js';
 
 /** Timeout in milliseconds of a query to the owner. A round trip to the farthest region takes 60 ms (30 ms each way). */
@@ -56,11 +57,13 @@
   private listTimer: NodeJS.Timeout | undefined;
   private isStopped = false;
   private readonly losses: EntryLosses;
+  private readonly cancelNotices: CancelNotices;
   private readonly unreadable: UnreadableRecords;
 
   constructor(private readonly options: EntryPeersOptions) {
     this.unreadable = new UnreadableRecords(options.log);
     this.losses = new EntryLosses(options.clock);
+    this.cancelNotices = new CancelNotices(options.clock);
   }
 
   /** Whether this entry has just started, so that it does not know what its predecessor has stored. */
@@ -143,8 +146,9 @@
     return link.closeReason === 'ECONNREFUSED' ? 0 : undefined;
   }
 
-  /** Notifies the owner of a cancelled submission; does nothing when no owner is known. */
+  /** Notifies the owner of a cancelled submission; repeated on each new link to an owner until one confirms it. */
   notifyCancelled(id: string): void {
+    this.cancelNotices.add(id);
     if (this.ownerAddress !== undefined) {
       this.getLink(this.ownerAddress).send({kind: 'cancelled', id});
     }
@@ -249,8 +253,15 @@
   private dialOwner(): void {
     clearTimeout(this.redialTimer);
     if (this.ownerAddress === undefined || this.isStopped) return;
-    this.getLink(this.ownerAddress);
+    const link = this.getLink(this.ownerAddress);
     this.sendEvacuations();
+    const {unconfirmed} = this.cancelNotices;
+    if (unconfirmed.length === 0) return;
+    for (const id of unconfirmed) link.send({kind: 'cancelled', id});
+    this.options.log.log('cancel-notices-repeated', {
+      owner: this.ownerAddress,
+      submissions: unconfirmed,
+    });
   }
 
   private getLink(address: string): EntryLink {
@@ -304,6 +315,7 @@
 
   private receive(response: EntryResponse, backlogs: BacklogDecoder): void {
     if (response.kind === 'queue-backlogs') this.options.onQueueBacklogs(backlogs.decode(response));
+    else if (response.kind === 'cancel-received') this.cancelNotices.confirm(response.id);
     else if ('request' in response) this.pending.get(response.request)?.finish(response);
   }
 }
--- a/packages/runtime/src/dispatch/links/entry-messages.ts
+++ b/packages/runtime/src/dispatch/links/entry-messages.ts
@@ -65,6 +65,8 @@
     }
   /** Milliseconds since an ownership ended at least; absent while it lasts. */
   | {readonly kind: 'ownership-ended'; readonly request: number; readonly agoMs?: number}
+  /** Confirms that the owner has received the notice of a cancelled submission. */
+  | {readonly kind: 'cancel-received'; readonly id: string}
   /** Number of pending submissions of a queue; absent when the process that replied is not the owner. */
   | {readonly kind: 'pending'; readonly request: number; readonly pending?: number}
   | BacklogMessage
--- a/packages/runtime/src/dispatch/links/link-message-checks.ts
+++ b/packages/runtime/src/dispatch/links/link-message-checks.ts
@@ -61,6 +61,7 @@
   'ownership-end': {request: 'number', nonce: 'string'},
   count: {request: 'number', queue: 'string'},
   cancelled: {id: 'string'},
+  'cancel-received': {id: 'string'},
   'handover-query': {request: 'number'},
   'handover-offer': {request: 'number', term: 'number'},
   'handover-candidate': {
--- a/packages/runtime/src/dispatch/ownership/owner-process.ts
+++ b/packages/runtime/src/dispatch/ownership/owner-process.ts
@@ -208,11 +208,12 @@
     if (this.agents.remove(agent, link)) this.post({kind: 'agent-down', agent});
   }
 
-  /** Handles a cancel request that the store already holds; ignored without ownership. */
-  cancel(id: string): void {
-    if (!this.isOwner) return;
+  /** Handles a cancel request that the store already holds; returns false without ownership, when it is ignored. */
+  cancel(id: string): boolean {
+    if (!this.checkOwnership()) return false;
     this.options.log.log('cancel-received', {submission: id, from: 'entry'});
     this.post({kind: 'cancelled', id});
+    return this.isOwner;
   }
 
   /** Looks up the state of a submission. */
--- a/packages/runtime/test/dispatch/entry/entry-peers.test.ts
+++ b/packages/runtime/test/dispatch/entry/entry-peers.test.ts
@@ -1,6 +1,6 @@
 import {once} from 'node:events';
 import type {AddressInfo, Socket} from 'node:net';
-import {type Clock, unknownEvacuations} from '@chervilbeam/coordination';
+import {unknownEvacuations} from '@chervilbeam/coordination';
 import t from 'tap';
 import {
   type AttemptState,
@@ -11,6 +11,7 @@
 import {Link, listenForLinks} from '../../../src/dispatch/links/link.js';
 import {TrafficMeter} from '../../../src/dispatch/links/traffic-meter.js';
 import {Metrics} from '../../../src/metrics/index.js';
+import {ManualClock} from '../manual-clock.js';
 import {MemoryStore} from '../records/memory-store.js';
 import {oddAddresses} from '../odd-addresses.js';
 import {createTestLog} from '../test-log.js';
@@ -20,18 +21,6 @@
 /** Time in milliseconds after which a caller repeats no attempt any more. */
 const afterRepeatsMs = 5_000;
 
-class ManualClock implements Clock {
-  timeMs = 0;
-
-  now(): number {
-    return this.timeMs;
-  }
-
-  wallTime(): number {
-    return this.timeMs;
-  }
-}
-
 /** Starts the peers of an entry beside one other entry, which answers with `state`, or not at all without one. */
 async function startPeers(state: AttemptState | undefined, oddAddress?: string) {
   const sockets: Socket[] = [];
--- a/packages/runtime/test/dispatch/entry/evacuations.test.ts
+++ b/packages/runtime/test/dispatch/entry/evacuations.test.ts
@@ -1,53 +1,17 @@
-import {once} from 'node:events';
-import {createServer, type AddressInfo} from 'node:net';
 import type {AgentMessage, EvacuationSet, OwnerMessage} from '@chervilbeam/coordination';
 import t, {type Test} from 'tap';
 import {
   dialLink,
-  EntryNode,
   type EntryRequest,
   type EntryResponse,
-  type EvacuationSource,
   type Link,
 } from '../../../src/dispatch/index.js';
-import {SystemClock} from '../../../src/loop/index.js';
-import {Metrics} from '../../../src/metrics/index.js';
 import {MemoryStore} from '../records/memory-store.js';
-import {createTestLog} from '../test-log.js';
 import {waitUntil} from '../wait-until.js';
+import {startEntry} from './entry-fixture.js';
 
 const nothing: EvacuationSet = {revision: 1, dataCentres: []};
 
-async function getFreeAddress(): Promise<string> {
-  const server = createServer().listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const {port} = server.address() as AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return `127.0.0.1:${port}`;
-}
-
-async function startEntry(t: Test, name: string, store: MemoryStore, source?: EvacuationSource) {
-  const address = await getFreeAddress();
-  const node = new EntryNode({
-    name,
-    address,
-    processors: 1,
-    incarnation: name,
-    store,
-    clock: new SystemClock(),
-    log: createTestLog().log,
-    metrics: new Metrics(),
-    ...(source && {evacuations: source}),
-  });
-  t.teardown(async () => {
-    await node.drain();
-    node.stop();
-  });
-  await node.start();
-  return {node, address};
-}
-
 /** Connects an agent and returns the sets that it receives. */
 function connectAgent(t: Test, address: string) {
   const sets: EvacuationSet[] = [];
--- a/packages/runtime/test/dispatch/links/malformed-messages.test.ts
+++ b/packages/runtime/test/dispatch/links/malformed-messages.test.ts
@@ -48,6 +48,8 @@
   {kind: 'ownership-end', request: 1, nonce: 'a-1'},
   {kind: 'ownership-ended', request: 1, agoMs: 5},
   {kind: 'attempt-state', request: 1, state: 'none'},
+  {kind: 'cancelled', id: 'a'},
+  {kind: 'cancel-received', id: 'a'},
   {kind: 'handover-query', request: 1},
   {kind: 'handover-offer', request: 1, term: 4, learned: {}},
   {kind: 'handover-candidate', request: 1, isAvailable: true, processors: 1, roundTripMs: 4},
