Notice a vacant owner key within the lease beside a silent watch

Each entry's watch of the owner key was given up 5.2 s after it was sent, later than the owner's lease of 3 s.

Change: the wait of this watch follows from the lease, so that a silent call is given up and sent again before the key of a dead owner is vacant. The agents' search for the owner stays: it starts a new watch when its link to the owner closes.

Test: silent-watch.test.ts, "a silent watch does not delay a takeover beyond the lease" failed before ("the watch fails after 5200 ms").

--- a/packages/runtime/src/dispatch/ownership/owner-key-watch.ts
+++ b/packages/runtime/src/dispatch/ownership/owner-key-watch.ts
@@ -1,8 +1,13 @@
-import type {Clock, OwnerRecord} from '@chervilbeam/coordination';
+import {
+  type Clock,
+  defaultElectionTiming,
+  type ElectionTiming,
+  type OwnerRecord,
+} from '@chervilbeam/coordination';
 import type {DecisionLogger} from '../decision-logger.js';
 import {parseOwner} from '../records/record-parsers.js';
 import type {RecordChange, RecordStore, StoredRecord} from '../records/record-store.js';
-import {RecordWatch} from '../records/record-watch.js';
+import {getBoundedWaitMs, RecordWatch} from '../records/record-watch.js';
 import {ownerKey} from '../records/store-keys.js';
 
 /** Options of `OwnerKeyWatch`. */
@@ -10,6 +15,7 @@
   readonly store: RecordStore;
   readonly clock: Clock;
   readonly log: DecisionLogger;
+  readonly electionTiming?: Partial<ElectionTiming>;
   /** Called with each owner record, and the revision of the key, or of the store when the key is absent. */
   readonly onOwner: (owner: OwnerRecord | undefined, revision: number) => void;
 }
@@ -19,9 +25,12 @@
   private readonly watch: RecordWatch;
 
   constructor(private readonly options: OwnerKeyWatchOptions) {
+    const {leaseTtlMs} = {...defaultElectionTiming, ...options.electionTiming};
     this.watch = new RecordWatch({
       ...options,
       prefix: ownerKey,
+      // A watch that has gone silent delays a takeover no longer than the lease of the former owner does.
+      getWaitMs: () => getBoundedWaitMs(leaseTtlMs),
       onList: (records, revision) => this.handle(records[0], revision),
       onChanges: changes => this.handleChange(changes.at(-1)),
     });
--- a/packages/runtime/test/dispatch/ownership/silent-watch.test.ts
+++ b/packages/runtime/test/dispatch/ownership/silent-watch.test.ts
@@ -16,7 +16,11 @@
   /** Time in milliseconds until the silent watch has failed; undefined before it was sent. */
   silentMs: number | undefined;
 
-  constructor(private readonly silentPrefix: string) {
+  /** `change` changes the store while the watch is silent. */
+  constructor(
+    private readonly silentPrefix: string,
+    private readonly change: (store: SilentWatchStore) => void,
+  ) {
     super();
   }
 
@@ -27,8 +31,7 @@
     const result = await super.watch(prefix, after, 0);
     if (result.kind === 'ok' && result.changes.length > 0) return result;
     this.silentMs = waitMs + watchGraceMs;
-    // What is written meanwhile is found only by the next watch.
-    this.put(`work/cancel/${id}`, '{}');
+    this.change(this);
     return {kind: 'unknown', detail: 'timeout'};
   }
 }
@@ -68,7 +71,7 @@
 for (const {name, cancelBoundMs, boundMs} of cases) {
   // Tasks of a cancelled submission were started for 5 s, because the silent watch was given up only then.
   void t.test(`an owner hears of a cancel in time beside a silent watch: ${name}`, async t => {
-    const store = new SilentWatchStore('work/');
+    const store = new SilentWatchStore('work/', changed => changed.put(`work/cancel/${id}`, '{}'));
     const {lines} = startOwner(t, store, cancelBoundMs);
     await waitUntil(() => lines.some(line => line.event === 'cancel-received'));
     t.match(
@@ -79,3 +82,17 @@
     t.ok(silentMs + repeatMs <= boundMs, `the watch fails after ${silentMs} ms`);
   });
 }
+
+/** Lease in milliseconds of an owner, after whose end another process takes over. */
+const leaseMs = 3_000;
+const formerOwner = JSON.stringify({name: 'entry-2', address: '10.0.0.2:1', nonce: 'two-1'});
+
+// A takeover came 4.6 s after the end of the owner, because the key's watch had gone silent and was given up after 5.2 s.
+void t.test('a silent watch does not delay a takeover beyond the lease', async t => {
+  const store = new SilentWatchStore('work/owner', changed => void changed.endLease('lease'));
+  store.put('work/owner', formerOwner, 'lease');
+  const {owner} = startOwner(t, store);
+  await waitUntil(() => owner.isOwner);
+  const {silentMs = Number.POSITIVE_INFINITY} = store;
+  t.ok(silentMs + repeatMs <= leaseMs, `the watch fails after ${silentMs} ms`);
+});
