Bound the log line of repeated notices

Cause: `cancel-notices-repeated` had the ids of all unconfirmed cancels, thousands after a wave of cancels beside a broken link. Change: the number, and the first 20 ids. Behaviour is otherwise the same; cancel-notices.test.ts passes.

--- a/packages/runtime/src/dispatch/entry/entry-peers.ts
+++ b/packages/runtime/src/dispatch/entry/entry-peers.ts
@@ -24,6 +24,9 @@
 /** Interval in milliseconds at which the list of entries is read from the store. */
 const entryListIntervalMs = 5_000;
 
+/** Largest number of submission ids in one log line. */
+const maxLoggedIds = 20;
+
 /** Options of `EntryPeers`. */
 export interface EntryPeersOptions {
   readonly name: string;
@@ -260,7 +263,8 @@
     for (const id of unconfirmed) link.send({kind: 'cancelled', id});
     this.options.log.log('cancel-notices-repeated', {
       owner: this.ownerAddress,
-      submissions: unconfirmed,
+      count: unconfirmed.length,
+      submissions: unconfirmed.slice(0, maxLoggedIds),
     });
   }
 
