--- a/packages/runtime/test/dispatch/entry/cancel-notices.test.ts
+++ b/packages/runtime/test/dispatch/entry/cancel-notices.test.ts
@@ -71,6 +71,13 @@
   readonly nextOwner: Owner;
 }
 
+/** Makes an entry with a known owner notify it; resolves when the owner has handled that. */
+async function notifyOwner({peers, owner}: Fixture): Promise<void> {
+  peers.setOwner(owner.address);
+  peers.notifyCancelled(id);
+  await peers.askOwner(id);
+}
+
 /** Closes the newest link of an owner; resolves when a further one is open and has been used. */
 async function replaceLink({peers, owner}: Fixture): Promise<void> {
   const count = owner.links.length;
@@ -95,10 +102,7 @@
     name: 'a notice that is not confirmed is sent again on the next link',
     confirms: false,
     act: async fixture => {
-      const {peers, owner} = fixture;
-      peers.setOwner(owner.address);
-      peers.notifyCancelled(id);
-      await peers.askOwner(id);
+      await notifyOwner(fixture);
       await replaceLink(fixture);
     },
     expected: [[1, 1], []],
@@ -107,10 +111,7 @@
     name: 'a confirmed notice is not repeated',
     confirms: true,
     act: async fixture => {
-      const {peers, owner} = fixture;
-      peers.setOwner(owner.address);
-      peers.notifyCancelled(id);
-      await peers.askOwner(id);
+      await notifyOwner(fixture);
       await replaceLink(fixture);
     },
     expected: [[1, 0], []],
@@ -128,10 +129,9 @@
   {
     name: 'a notice that a former owner has not confirmed is sent to the next one',
     confirms: false,
-    act: async ({peers, owner, nextOwner}) => {
-      peers.setOwner(owner.address);
-      peers.notifyCancelled(id);
-      await peers.askOwner(id);
+    act: async fixture => {
+      const {peers, nextOwner} = fixture;
+      await notifyOwner(fixture);
       peers.setOwner(nextOwner.address);
       await peers.askOwner(id);
     },
@@ -141,11 +141,8 @@
     name: 'a notice is not repeated any more when the owner has read the cancel from the store',
     confirms: false,
     act: async fixture => {
-      const {peers, owner, clock} = fixture;
-      peers.setOwner(owner.address);
-      peers.notifyCancelled(id);
-      await peers.askOwner(id);
-      clock.timeMs += afterNoticeMs;
+      await notifyOwner(fixture);
+      fixture.clock.timeMs += afterNoticeMs;
       await replaceLink(fixture);
     },
     expected: [[1, 0], []],
--- a/packages/runtime/test/dispatch/entry/entry-fixture.ts
+++ b/packages/runtime/test/dispatch/entry/entry-fixture.ts
@@ -7,7 +7,8 @@
 import type {MemoryStore} from '../records/memory-store.js';
 import {createTestLog} from '../test-log.js';
 
-async function getFreeAddress(): Promise<string> {
+/** Returns an address on loopback whose port is free. */
+export async function getFreeAddress(): Promise<string> {
   const server = createServer().listen(0, '127.0.0.1');
   await once(server, 'listening');
   const {port} = server.address() as AddressInfo;
--- a/packages/runtime/test/dispatch/entry/entry-handover.test.ts
+++ b/packages/runtime/test/dispatch/entry/entry-handover.test.ts
@@ -1,5 +1,3 @@
-import {once} from 'node:events';
-import {type AddressInfo, createServer} from 'node:net';
 import type {AgentMessage, OwnerMessage} from '@chervilbeam/coordination';
 import t, {type Test} from 'tap';
 import {EntryNode} from '../../../src/dispatch/index.js';
@@ -9,19 +7,11 @@
 import {MemoryStore} from '../records/memory-store.js';
 import {createTestLog} from '../test-log.js';
 import {waitUntil} from '../wait-until.js';
+import {getFreeAddress} from './entry-fixture.js';
 
 /** Time in milliseconds in which an owner may hand over. */
 const limitMs = 2_000;
 
-async function findFreeAddress(): Promise<string> {
-  const server = createServer().listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const {port} = server.address() as AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return `127.0.0.1:${port}`;
-}
-
 async function startEntry(t: Test, name: string, store: MemoryStore, address: string) {
   const {log, lines} = createTestLog();
   const clock = new SystemClock();
@@ -54,10 +44,10 @@
 
 void t.test('an agent is sent to the successor, which accepts it at once', async t => {
   const store = new MemoryStore();
-  const address = await findFreeAddress();
+  const address = await getFreeAddress();
   // An entry reads the list of entries at its start, and again only after some seconds.
   store.put('entry/entry-2', JSON.stringify({address, processors: 1}));
-  const first = await startEntry(t, 'entry-1', store, await findFreeAddress());
+  const first = await startEntry(t, 'entry-1', store, await getFreeAddress());
   await waitUntil(() => first.node.isOwner);
   const second = await startEntry(t, 'entry-2', store, address);
   await waitUntil(() => store.records.get('entry/entry-2')?.lease !== undefined);
