--- a/packages/coordination/test/dispatch/fleet/crashing-fleet.ts
+++ b/packages/coordination/test/dispatch/fleet/crashing-fleet.ts
@@ -1,9 +1,15 @@
 import {createQueue, VirtualFleet, type VirtualFleetOptions} from './virtual-fleet.js';
 import type {VirtualWorker} from './virtual-worker.js';
 
-/** Time in milliseconds until the agent of a crashed worker reports it, and until the worker is back. */
-const noticeMs = 600;
-const returnMs = 2_500;
+/** Times of a crash in milliseconds. */
+export interface CrashTimes {
+  /** Time until the agent reports the crash. */
+  readonly noticeMs: number;
+  /** Time until the worker is back. */
+  readonly returnMs: number;
+}
+
+const defaultTimes: CrashTimes = {noticeMs: 600, returnMs: 2_500};
 /** Length of a simulation step in milliseconds. */
 const stepMs = 25;
 
@@ -49,7 +55,8 @@
   }
 
   /** Crashes the worker of an agent; it comes back as another incarnation. */
-  crash(agent: string): void {
+  crash(agent: string, times: Partial<CrashTimes> = {}): void {
+    const {noticeMs, returnMs} = {...defaultTimes, ...times};
     const worker = this.workers.get(agent);
     if (worker === undefined) return;
     this.workers.delete(agent);
