Log how a crash is known, how long before it happened, and the age of a run that is blamed

From the log of an owner it could not be told whether a task that was given up had been on its worker when that crashed: worker-crashed had neither the way in which the crash became known nor the time at which the worker stopped answering, and task-given-up no age of the run. Nothing is decided in another way.

--- a/packages/coordination/src/dispatch/supervision/crash-blame.ts
+++ b/packages/coordination/src/dispatch/supervision/crash-blame.ts
@@ -15,6 +15,8 @@
 export interface CrashVerdict {
   readonly task: Task;
   readonly timing: CrashTiming;
+  /** Age in milliseconds of its run at the crash. */
+  readonly ageMs: number;
   /** Whether the task must not be started again. */
   readonly isGivenUp: boolean;
 }
@@ -48,9 +50,10 @@
     timing === 'early'
       ? crashes.earlyCount + 1 >= limit
       : isAlone && crashes.count + 1 >= maxLateCrashes;
-  const verdicts: CrashVerdict[] = suspects.map(({task, timing}) => ({
+  const verdicts: CrashVerdict[] = suspects.map(({task, timing, ageMs}) => ({
     task,
     timing,
+    ageMs,
     // Serving tasks are started again however they end.
     isGivenUp: !task.step.lasting && hasCausedAll(task, timing),
   }));
@@ -58,8 +61,8 @@
   if (verdicts.some(({timing, isGivenUp}) => isGivenUp && timing === 'early')) {
     return verdicts.filter(({isGivenUp, timing}) => isGivenUp && timing === 'early');
   }
-  for (const {task, timing} of others) {
-    verdicts.push({task, timing: suspects.length > 0 ? 'late' : timing, isGivenUp: false});
+  for (const {task, timing, ageMs} of others) {
+    verdicts.push({task, timing: suspects.length > 0 ? 'late' : timing, ageMs, isGivenUp: false});
   }
   return verdicts;
 }
--- a/packages/coordination/src/dispatch/supervision/crash-tracker.ts
+++ b/packages/coordination/src/dispatch/supervision/crash-tracker.ts
@@ -17,6 +17,16 @@
   readonly runs: readonly CrashedRun[];
 }
 
+/** A crash, and how it has become known. */
+interface Crash {
+  readonly life: string;
+  readonly runs: readonly CrashedRun[];
+  readonly reason: string;
+  readonly at: number;
+  /** Time at which the worker stopped answering its agent, when that is known. */
+  readonly silentAt?: number | undefined;
+}
+
 /** How a worker has ended. */
 export interface WorkerEnd {
   readonly reason: string;
@@ -53,7 +63,8 @@
       this.silentWorkers.delete(worker.agent);
       return;
     }
-    this.recordCrash(worker.life, getCrashedRuns(worker, silentAt), at);
+    const {life} = worker;
+    this.recordCrash({life, runs: getCrashedRuns(worker, silentAt), reason, at, silentAt});
   }
 
   /** Records that a worker was silent until its lease ended; its runs are still known. */
@@ -66,8 +77,9 @@
   recordPresence(agent: string, life: string, at: number): void {
     const silent = this.silentWorkers.get(agent);
     this.silentWorkers.delete(agent);
-    if (silent !== undefined && silent.life !== life)
-      this.recordCrash(silent.life, silent.runs, at);
+    if (silent !== undefined && silent.life !== life) {
+      this.recordCrash({...silent, reason: 'silent', at});
+    }
     for (const task of this.tasksByLife.get(life) ?? []) {
       if (task.crashes.delete(life)) this.markChanged(task, at);
     }
@@ -90,7 +102,7 @@
     if (task.crashes.clear()) this.markCleared(task, at);
   }
 
-  private recordCrash(life: string, runs: readonly CrashedRun[], at: number): void {
+  private recordCrash({life, runs, reason, at, silentAt}: Crash): void {
     const {state} = this;
     const active = runs.filter(({run: {task}}) => !task.isFinished && task.submission.isActive);
     const verdicts = blameCrash(active);
@@ -115,8 +127,10 @@
       runs: runs.length,
       recorded: verdicts.length,
       suspects: suspects.length,
+      reason,
+      ...(silentAt !== undefined && {silentMs: Math.round(at - silentAt)}),
     });
-    for (const {task, isGivenUp} of verdicts) {
+    for (const {task, ageMs, isGivenUp} of verdicts) {
       if (!isGivenUp || !task.submission.isActive) continue;
       state.log({
         event: 'task-given-up',
@@ -125,6 +139,7 @@
         worker: life,
         reason: 'crashes',
         crashes: task.crashes.count,
+        ageMs: Math.round(ageMs),
       });
       this.ends.fail(task.submission, at);
     }
