Date the crash of a worker by the time at which it stopped answering

Cause: a crash was held against the runs that the owner believed to be on the worker when it heard of the crash, with ages by the latest report. A run that was sent to a worker that had been dead for 1.6 s counted as one that had crashed it 47 ms after its start. Of workers that are replaced by their next incarnation within two seconds the owner did not know at all when they had crashed, so runs that had worked for up to a second passed for young ones (30 suspects of 40 runs in the traced crash). Class: evidence dated by its arrival instead of by the event.

Change: the agent tells with the next incarnation when the former one stopped answering, as it did with worker-gone. An unconfirmed run counts only if it was sent before that time; without that time, unconfirmed runs do not count, and a confirmed one is as old as it can have been. The runs of a worker whose lease has ended are judged in the same way when its next incarnation appears. Older agents send no such field.

--- a/packages/coordination/src/dispatch/agent-messages.ts
+++ b/packages/coordination/src/dispatch/agent-messages.ts
@@ -84,6 +84,13 @@
   /** The worker has not answered; the command may still be executed. */
   | {readonly kind: 'unknown'};
 
+/** An incarnation of a worker that another one has replaced. */
+export interface FormerWorker {
+  readonly life: WorkerIncarnation;
+  /** Time in milliseconds since it stopped answering its agent; absent if the agent has not noticed that. */
+  readonly silentMs?: number;
+}
+
 /** Messages from an agent to the dispatching entry. */
 export type AgentMessage =
   /** First message on a connection: identifies the agent. */
@@ -94,7 +101,12 @@
       readonly incarnation: number;
     }
   /** Current description of the agent's worker. */
-  | {readonly kind: 'worker'; readonly worker: WorkerDescription}
+  | {
+      readonly kind: 'worker';
+      readonly worker: WorkerDescription;
+      /** The incarnation before this one; absent if there was none, and from older agents. */
+      readonly former?: FormerWorker;
+    }
   /** The agent regards the worker incarnation as ended. */
   | {
       readonly kind: 'worker-gone';
--- a/packages/coordination/src/dispatch/supervision/crash-tracker.ts
+++ b/packages/coordination/src/dispatch/supervision/crash-tracker.ts
@@ -11,30 +11,30 @@
 /** Time in milliseconds from a start command after which a report of the worker would list the run. */
 const unlistedStartMs = 500;
 
-/** The runs of a worker that fell silent until its lease ended. */
+/** A worker that fell silent until its lease ended, with its runs at that time. */
 interface SilentWorker {
   readonly life: string;
-  readonly runs: readonly CrashedRun[];
+  readonly runs: readonly Run[];
 }
 
-/** A crash, and how it has become known. */
-interface Crash {
-  readonly life: string;
-  readonly runs: readonly CrashedRun[];
-  readonly reason: string;
-  readonly at: number;
-  /** Time at which the worker stopped answering its agent, when that is known. */
-  readonly silentAt?: number | undefined;
-}
+/** A crash, with the runs that its worker had. */
+interface Crash extends SilentWorker, WorkerEnd {}
 
 /** How a worker has ended. */
 export interface WorkerEnd {
   readonly reason: string;
+  /** Time at which the end has become known. */
   readonly at: number;
   /** Time at which it stopped answering its agent, when that is known. */
   readonly silentAt: number | undefined;
 }
 
+/** An incarnation that another one has replaced, and the time at which it stopped answering its agent, when that is known. */
+export interface ReplacedWorker {
+  readonly life: string;
+  readonly silentAt: number | undefined;
+}
+
 /**
  * Records under which tasks workers crash, and fails submissions with a task that crashes one worker after another. A
  * worker crashes when it ends without a farewell; one that leaves, or is only silent, does not.
@@ -63,22 +63,22 @@
       this.silentWorkers.delete(worker.agent);
       return;
     }
-    const {life} = worker;
-    this.recordCrash({life, runs: getCrashedRuns(worker, silentAt), reason, at, silentAt});
+    this.recordCrash({life: worker.life, runs: [...worker.runs.values()], reason, at, silentAt});
   }
 
   /** Records that a worker was silent until its lease ended; its runs are still known. */
   recordSilence(worker: WorkerView): void {
     if (worker.isDraining || worker.runs.size === 0) return;
-    this.silentWorkers.set(worker.agent, {life: worker.life, runs: getCrashedRuns(worker)});
+    this.silentWorkers.set(worker.agent, {life: worker.life, runs: [...worker.runs.values()]});
   }
 
   /** Records that an agent has a worker incarnation: a silent one before it has crashed, and this one has not. */
-  recordPresence(agent: string, life: string, at: number): void {
+  recordPresence(agent: string, life: string, at: number, former?: ReplacedWorker): void {
     const silent = this.silentWorkers.get(agent);
     this.silentWorkers.delete(agent);
     if (silent !== undefined && silent.life !== life) {
-      this.recordCrash({...silent, reason: 'silent', at});
+      const silentAt = former?.life === silent.life ? former.silentAt : undefined;
+      this.recordCrash({...silent, reason: 'silent', at, silentAt});
     }
     for (const task of this.tasksByLife.get(life) ?? []) {
       if (task.crashes.delete(life)) this.markChanged(task, at);
@@ -104,7 +104,9 @@
 
   private recordCrash({life, runs, reason, at, silentAt}: Crash): void {
     const {state} = this;
-    const active = runs.filter(({run: {task}}) => !task.isFinished && task.submission.isActive);
+    const active = runs
+      .filter(({task}) => !task.isFinished && task.submission.isActive)
+      .flatMap(run => getCrashedRun(run, at, silentAt) ?? []);
     const verdicts = blameCrash(active);
     for (const {task, timing} of verdicts) {
       task.crashes.add(life, timing);
@@ -167,23 +169,25 @@
 }
 
 /**
- * Whether a run may have been on its worker when that crashed. One without an answer, on a worker that went on to report
- * without it, was not; nor was one that is only looked for on the next incarnation.
+ * Returns a run with its age at the crash of its worker, which is known since `at`; undefined when it was not on the worker.
+ * Unless the worker is known to have stopped answering at `silentAt`, it may have crashed at any time until `at`.
  */
-function mayHaveRun({confirmedAt, isCarriedOver, startedAt, worker}: Run): boolean {
-  if (confirmedAt !== undefined) return true;
-  return !isCarriedOver && worker.lastReportAt - startedAt < unlistedStartMs;
+function getCrashedRun(run: Run, at: number, silentAt: number | undefined): CrashedRun | undefined {
+  const {confirmedAt, confirmedAgeMs, startedAt} = run;
+  const crashedAt = silentAt ?? at;
+  if (confirmedAt !== undefined) {
+    return {run, ageMs: Math.max(confirmedAgeMs, crashedAt - confirmedAt)};
+  }
+  return silentAt !== undefined && mayHaveBegun(run, silentAt)
+    ? {run, ageMs: silentAt - startedAt}
+    : undefined;
 }
 
-/** Returns the runs of a worker with their ages at its crash, or at its latest report when that time is not known. */
-function getCrashedRuns(worker: WorkerView, crashedAt?: number): CrashedRun[] {
-  return [...worker.runs.values()].filter(mayHaveRun).map(run => {
-    const {confirmedAt, confirmedAgeMs} = run;
-    // An unconfirmed run may just have begun.
-    const ageMs =
-      crashedAt === undefined || confirmedAt === undefined
-        ? confirmedAgeMs
-        : Math.max(confirmedAgeMs, crashedAt - confirmedAt);
-    return {run, ageMs};
-  });
+/**
+ * Whether a start without an answer may have been executed by a worker that stopped answering at `silentAt`. One that was
+ * sent later was not, nor was one that the worker has reported without, or that is only looked for on the next incarnation.
+ */
+function mayHaveBegun({isCarriedOver, startedAt, worker}: Run, silentAt: number): boolean {
+  if (isCarriedOver || startedAt >= silentAt) return false;
+  return worker.lastReportAt - startedAt < unlistedStartMs;
 }
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -57,12 +57,11 @@
       case 'agent':
         return;
       case 'worker':
-        return this.registerWorker(agent, message.worker, at);
+        return this.registerWorker(agent, message, at);
       case 'worker-gone':
         this.components.barrier.markAccounted(message.life);
         if (worker?.life === message.life) {
-          const silentAt = message.silentMs === undefined ? undefined : at - message.silentMs;
-          this.removeWorker(worker, message.reason, at, silentAt);
+          this.removeWorker(worker, message.reason, at, getSilentAt(message, at));
         }
         return;
       case 'report':
@@ -88,10 +87,15 @@
     }
   }
 
-  private registerWorker(agent: string, description: WorkerDescription, at: number): void {
+  private registerWorker(
+    agent: string,
+    {worker: description, former}: Extract<AgentMessage, {kind: 'worker'}>,
+    at: number,
+  ): void {
     const {state, barrier, journal, crashes} = this.components;
     const currentWorker = state.workers.get(agent);
-    crashes.recordPresence(agent, description.life, at);
+    const formerEnd = former && {life: former.life, silentAt: getSilentAt(former, at)};
+    crashes.recordPresence(agent, description.life, at, formerEnd);
     if (currentWorker?.life === description.life) {
       this.updateDescription(currentWorker, description, at);
       return;
@@ -99,7 +103,10 @@
     const unlisted = currentWorker
       ? [...currentWorker.runs.values()].filter(run => !run.isListed)
       : [];
-    if (currentWorker) this.removeWorker(currentWorker, 'replaced', at);
+    if (currentWorker) {
+      const silentAt = formerEnd?.life === currentWorker.life ? formerEnd.silentAt : undefined;
+      this.removeWorker(currentWorker, 'replaced', at, silentAt);
+    }
     barrier.markReplaced(agent, description.life);
     const worker = new WorkerView(agent, description, at);
     worker.isInRoster = journal.isInStoredRoster(description.life);
@@ -329,3 +336,8 @@
     state.log({event: 'worker-gone', worker: worker.life, reason});
   }
 }
+
+/** Returns the time at which a worker stopped answering its agent; undefined when the agent does not tell it. */
+function getSilentAt({silentMs}: {readonly silentMs?: number}, at: number): number | undefined {
+  return silentMs === undefined ? undefined : at - Math.max(0, silentMs);
+}
--- a/packages/coordination/test/dispatch/fleet/crashing-fleet.ts
+++ b/packages/coordination/test/dispatch/fleet/crashing-fleet.ts
@@ -22,6 +22,8 @@
   readonly getCrashDelayMs?: (task: string) => number | undefined;
   /** Whether the agents report crashed workers; otherwise only the next incarnation shows the crash. */
   readonly areCrashesReported?: boolean;
+  /** Whether the agents notice that a worker has stopped answering before its next incarnation does; true by default. */
+  readonly isSilenceKnown?: boolean;
 }
 
 /** A fleet with tasks that crash their workers. */
@@ -68,7 +70,7 @@
         this.post({kind: 'message', agent, message});
       });
     }
-    this.plan(returnMs, () => this.bringBack(worker));
+    this.plan(returnMs, () => this.bringBack(worker, returnMs));
   }
 
   /** Calls an action after a delay in milliseconds. */
@@ -76,11 +78,13 @@
     this.pending.push({at: this.now + delayMs, action});
   }
 
-  private bringBack(worker: VirtualWorker): void {
+  private bringBack(worker: VirtualWorker, silentMs: number): void {
     const {agent} = worker.options;
     this.workers.set(agent, worker);
     this.lives += 1;
-    this.replace(agent, `${agent}-life-${this.lives}`);
+    const isSilenceKnown = this.crashingOptions.isSilenceKnown ?? true;
+    const life = `${agent}-life-${this.lives}`;
+    this.replace(agent, life, () => {}, isSilenceKnown ? silentMs : undefined);
   }
 
   private step(): void {
--- a/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
@@ -4,6 +4,7 @@
   type DispatchEffect,
   type DispatchEvent,
   type DispatchTiming,
+  type FormerWorker,
   type LoggedDecision,
   type OwnerMessage,
   type ProgressWrite,
@@ -138,27 +139,15 @@
     this.post({kind: 'configuration', configuration: createConfiguration(queues)});
   }
 
-  /** Connects the agent of a worker, which describes the worker and then lists its runs. */
-  connect(worker: VirtualWorker): void {
-    const {agent, life, cores, rack} = worker.options;
+  /** Connects the agent of a worker, which describes the worker and the one before it, and then lists its runs. */
+  connect(worker: VirtualWorker, former?: FormerWorker): void {
+    const {agent} = worker.options;
     this.post({kind: 'agent-up', agent});
     worker.evacuations.update(this.dispatcher.evacuations);
     this.post({
       kind: 'message',
       agent,
-      message: {
-        kind: 'worker',
-        worker: {
-          life,
-          id: life,
-          service: 'service',
-          dataCentre: worker.dataCentre,
-          rack,
-          labels: ['a', rack],
-          capacity: {processors: cores, memoryMb: 64_000, accelerators: 0, slots: 0},
-          state: 'ready',
-        },
-      },
+      message: {kind: 'worker', worker: worker.describe(), ...(former && {former})},
     });
     // The first list is a separate message, so the dispatcher can make decisions before it arrives.
     this.settle();
@@ -166,18 +155,23 @@
     this.report(worker);
   }
 
-  /** Replaces a worker with a new incarnation; `prepare` acts on it before its agent reports it. */
+  /**
+   * Replaces a worker with a new incarnation; `prepare` acts on it before its agent reports it. The agent tells that the previous
+   * one has not answered for `silentMs` milliseconds.
+   */
   replace(
     agent: string,
     life: string,
     prepare: (worker: VirtualWorker) => void = () => {},
+    silentMs?: number,
   ): VirtualWorker {
     const previous = this.workers.get(agent);
     if (previous === undefined) throw new RangeError(`no worker of ${agent}`);
     const worker = new VirtualWorker({...previous.options, life}, this.world);
     this.workers.set(agent, worker);
     prepare(worker);
-    this.connect(worker);
+    const former = {life: previous.options.life, ...(silentMs !== undefined && {silentMs})};
+    this.connect(worker, former);
     return worker;
   }
 
--- a/packages/coordination/test/dispatch/fleet/virtual-worker.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-worker.ts
@@ -4,6 +4,7 @@
   RunOutcome,
   RunRow,
   StartRefusal,
+  WorkerDescription,
 } from '../../../src/dispatch/index.js';
 import {EvacuationView} from '../../../src/evacuation/index.js';
 import type {SeededRandom} from '../../../src/routing/seeded-random.js';
@@ -99,6 +100,21 @@
     this.isHung = options.isHung ?? false;
   }
 
+  /** Returns its description of itself. */
+  describe(): WorkerDescription {
+    const {life, cores, rack} = this.options;
+    return {
+      life,
+      id: life,
+      service: 'service',
+      dataCentre: this.dataCentre,
+      rack,
+      labels: ['a', rack],
+      capacity: {processors: cores, memoryMb, accelerators: 0, slots: 0},
+      state: 'ready',
+    };
+  }
+
   /** Its data centre. */
   get dataCentre(): string {
     return this.options.dataCentre ?? 'dc';
--- a/packages/coordination/test/dispatch/supervision/crash-tracker.test.ts
+++ b/packages/coordination/test/dispatch/supervision/crash-tracker.test.ts
@@ -49,3 +49,58 @@
     },
   );
 }
+
+const notices: ReadonlyArray<{
+  readonly name: string;
+  /** Age in milliseconds of the run when its worker crashes. */
+  readonly ageMs: number;
+  readonly areCrashesReported?: boolean;
+  /** Whether the agent has noticed that the worker stopped answering. */
+  readonly isSilenceKnown?: boolean;
+  readonly expected: 'early' | 'late';
+}> = [
+  {name: 'reported by its agent', ageMs: 100, expected: 'early'},
+  {name: 'reported by its agent', ageMs: 400, expected: 'late'},
+  {
+    name: 'shown by the next incarnation',
+    ageMs: 100,
+    areCrashesReported: false,
+    expected: 'early',
+  },
+  {
+    name: 'shown by the next incarnation',
+    ageMs: 400,
+    areCrashesReported: false,
+    expected: 'late',
+  },
+  {
+    name: 'shown by the next incarnation, at an unknown time',
+    ageMs: 100,
+    areCrashesReported: false,
+    isSilenceKnown: false,
+    expected: 'late',
+  },
+];
+
+for (const {name, ageMs, areCrashesReported, isSilenceKnown, expected} of notices) {
+  void t.test(
+    `a crash ${name}, ${ageMs} ms after the start of a run, counts as ${expected}`,
+    async t => {
+      const fleet = new CrashingFleet({
+        workerCount: 1,
+        areCrashesReported: areCrashesReported ?? true,
+        isSilenceKnown: isSilenceKnown ?? true,
+      });
+      // No list of the worker shows how long the run has worked.
+      const firstReportMs = 1_000;
+      fleet.run(firstReportMs);
+      fleet.submit(createSubmission(id, queue.key, [createStep({estimatedMs: 5_000})]));
+      fleet.run(firstReportMs + ageMs);
+      fleet.crash('w0', {returnMs: 1_000});
+      fleet.run(firstReportMs + ageMs + 1_500);
+      const [row] = fleet.progress.get(id)?.crashes ?? [];
+      const [early = [], late = []] = row?.slice(3) ?? [];
+      t.same([early, late], expected === 'early' ? [['w0-life'], []] : [[], ['w0-life']]);
+    },
+  );
+}
--- a/packages/runtime/src/dispatch/agent/agent-node.ts
+++ b/packages/runtime/src/dispatch/agent/agent-node.ts
@@ -6,7 +6,9 @@
 } from '@chervilbeam/coordination';
 import {dialLink, type Link, type LinkHandlers} from '../links/link.js';
 import {TrafficMeter} from '../links/traffic-meter.js';
+import {AcknowledgementPause} from './acknowledgement-pause.js';
 import type {AgentNodeOptions} from './agent-node-options.js';
+import {FormerIncarnation} from './former-incarnation.js';
 import {OwnerSearch} from './owner-search.js';
 import {RunReports} from './run-reports.js';
 import {WorkerCommands} from './worker-commands.js';
@@ -25,12 +27,6 @@
 /** Redirections followed without a delay; entries that disagree on the owner may redirect an agent in a loop. */
 const maxRedirections = 2;
 
-/**
- * Delay in milliseconds between renewals while ends of runs wait to be stored. A worker does not hold back its reply
- * while it lists an unacknowledged end, so renewals without a delay would form a busy loop.
- */
-export const unacknowledgedEndsPauseMs = 80;
-
 type OwnerAcceptance = Extract<OwnerMessage, {kind: 'owner'}>;
 
 type OwnerLink = Link<OwnerMessage, AgentMessage>;
@@ -55,6 +51,7 @@
   /** Whether the worker has answered as the known incarnation since the latest call that failed. */
   private isIncarnationSure = false;
   private worker: WorkerDescription | undefined;
+  private former: FormerIncarnation | undefined;
   /** Whether the worker has restarted under the same id and the new incarnation has not sent a heartbeat yet. */
   private isWorkerReplaced = false;
   /** End of the worker's lease, in milliseconds on its clock: until then the owner allows its runs to continue. */
@@ -65,8 +62,7 @@
   private presence: WorkerPresence;
   /** Generation of the current renewal loop; a loop ends once this number has changed. */
   private renewalGeneration = 0;
-  /** Ends the pause in `waitForAcknowledgement`. */
-  private onAcknowledged: (() => void) | undefined;
+  private readonly acknowledgementPause = new AcknowledgementPause();
   private isStopped = false;
 
   constructor(private readonly options: AgentNodeOptions) {
@@ -126,12 +122,13 @@
     this.presence.recordHeartbeat(this.options.clock.now());
     if (JSON.stringify(former) === JSON.stringify(worker)) return;
     if (former.state !== 'draining') this.logDraining(worker);
-    this.send({kind: 'worker', worker});
+    this.sendWorker();
   }
 
   /** Takes an incarnation for the worker on this host; resets the lease deadline and the acknowledged ends. */
   private adoptWorker(worker: WorkerDescription): void {
     const former = this.worker;
+    if (former) this.former = new FormerIncarnation(former.life, this.presence.silentAt);
     this.confirmation.clear();
     this.worker = worker;
     this.isWorkerReplaced = false;
@@ -142,7 +139,7 @@
     this.presence = this.createPresence();
     this.options.log.log('worker-up', {worker: worker.life, former: former?.life});
     this.logDraining(worker);
-    this.send({kind: 'worker', worker});
+    this.sendWorker();
     this.startRenewalLoop();
   }
 
@@ -162,7 +159,7 @@
     // Its runs end with its process, which may go on for a while; until then it gets no more of them.
     this.presence.recordFarewell();
     this.worker = {...worker, state: 'draining', remainingMs: 0};
-    this.send({kind: 'worker', worker: this.worker});
+    this.sendWorker();
   }
 
   private createPresence(): WorkerPresence {
@@ -178,10 +175,19 @@
     const silentMs = this.presence.getSilentMs(clock.now());
     log.log('worker-gone', {worker: worker.life, reason, silentMs: Math.round(silentMs)});
     this.send({kind: 'worker-gone', life: worker.life, reason, silentMs});
+    this.former = new FormerIncarnation(worker.life, this.presence.silentAt);
     this.worker = undefined;
     this.renewalGeneration += 1;
   }
 
+  /** Describes the worker to the owner. */
+  private sendWorker(): void {
+    const {worker, former} = this;
+    if (worker === undefined) return;
+    const at = this.options.clock.now();
+    this.send({kind: 'worker', worker, ...(former && {former: former.toMessage(at)})});
+  }
+
   private send(message: AgentMessage): void {
     if (this.isAcceptedByOwner) this.link?.send(message);
   }
@@ -246,7 +252,7 @@
         this.raiseToken(message.token);
         if (message.acknowledged <= this.acknowledged) return;
         this.acknowledged = message.acknowledged;
-        this.onAcknowledged?.();
+        this.acknowledgementPause.end();
         return;
       case 'evacuations':
         return this.commands.updateEvacuations(message);
@@ -284,7 +290,7 @@
     this.reports.reset();
     this.confirmation.resume();
     if (this.worker) {
-      this.send({kind: 'worker', worker: this.worker});
+      this.sendWorker();
       this.startRenewalLoop();
     }
   }
@@ -331,7 +337,8 @@
         this.presence.recordAnswer();
         const report = this.reports.create(worker, {term, token}, reply, this.options.clock.now());
         this.send(report);
-        if (reply.ends.some(end => end[0] > this.acknowledged)) await this.waitForAcknowledgement();
+        const hasUnstoredEnds = reply.ends.some(end => end[0] > this.acknowledged);
+        if (hasUnstoredEnds) await this.acknowledgementPause.wait();
       } else {
         const failure = reply.kind === 'listed' ? this.markWorkerReplaced() : reply;
         if (!(await this.handleRenewalFailure(failure))) return;
@@ -339,18 +346,6 @@
     }
   }
 
-  /** Waits until the owner acknowledges ends, at most for `unacknowledgedEndsPauseMs`. */
-  private async waitForAcknowledgement(): Promise<void> {
-    await new Promise<void>(resolve => {
-      const timer = setTimeout(resolve, unacknowledgedEndsPauseMs);
-      this.onAcknowledged = () => {
-        clearTimeout(timer);
-        resolve();
-      };
-    });
-    this.onAcknowledged = undefined;
-  }
-
   /**
    * Resets the lease deadline and the acknowledged ends after the worker has restarted under the same id: both
    * belong to the previous incarnation.
--- a/packages/runtime/src/dispatch/agent/index.ts
+++ b/packages/runtime/src/dispatch/agent/index.ts
@@ -1,3 +1,4 @@
+export * from './acknowledgement-pause.js';
 export * from './agent-node.js';
 export * from './owner-search.js';
 export * from './worker-commands.js';
--- a/packages/runtime/src/dispatch/agent/worker-presence.ts
+++ b/packages/runtime/src/dispatch/agent/worker-presence.ts
@@ -59,6 +59,11 @@
     this.refusedConnections = isRefused ? this.refusedConnections + 1 : 0;
   }
 
+  /** Time of the first of the consecutive calls that failed; undefined while the worker answers. */
+  get silentAt(): number | undefined {
+    return this.silentSince;
+  }
+
   /** Returns the time in milliseconds since the worker stopped answering. */
   getSilentMs(at: number): number {
     return this.silentSince === undefined ? 0 : at - this.silentSince;
--- a/packages/runtime/src/dispatch/links/link-message-checks.ts
+++ b/packages/runtime/src/dispatch/links/link-message-checks.ts
@@ -8,7 +8,7 @@
 /** Required fields of each kind of message on a `Link`. Other fields are optional or ignored. */
 const fieldChecksByKind: Readonly<Record<string, FieldChecks>> = {
   agent: {agent: 'string', dataCentre: 'string', incarnation: 'number'},
-  worker: {worker: isWorker},
+  worker: {worker: isWorker, former: isOptionalFormerWorker},
   'worker-gone': {
     life: 'string',
     reason: 'string',
@@ -112,6 +112,11 @@
   );
 }
 
+function isOptionalFormerWorker(value: unknown): boolean {
+  if (value === undefined) return true;
+  return isRecord(value) && typeof value.life === 'string' && isOptionalNumber(value.silentMs);
+}
+
 function isAmount(value: unknown): boolean {
   return typeof value === 'number' && Number.isFinite(value) && value >= 0;
 }
--- a/packages/runtime/test/dispatch/agent/agent-node.test.ts
+++ b/packages/runtime/test/dispatch/agent/agent-node.test.ts
@@ -291,6 +291,30 @@
   );
 }
 
+for (const {name, fail} of failures) {
+  // Without that time, the owner cannot tell which runs were on the worker when it crashed.
+  void t.test(
+    `the owner is told when a worker that ${name} stopped answering before its next incarnation`,
+    async t => {
+      const worker = new AnsweringWorker();
+      const {agent, sent, getWorkers} = await createOwnedAgent(t, worker);
+      agent.updateWorker(createDescription('w@1000'));
+      await waitUntil(() => sent.some(message => message.kind === 'report'));
+      t.equal(getWorkers().at(-1)?.former, undefined);
+      fail(worker, true);
+      const count = worker.holds.length;
+      await waitUntil(() => worker.holds.length >= count + 2);
+      worker.life = 'w@2000';
+      fail(worker, false);
+      agent.updateWorker(createDescription('w@2000'));
+      await waitUntil(() => getWorkers().at(-1)?.worker.life === 'w@2000');
+      const former = getWorkers().at(-1)?.former;
+      t.equal(former?.life, 'w@1000');
+      t.ok((former?.silentMs ?? 0) > 0, 'since the first failed call');
+    },
+  );
+}
+
 void t.test(
   'a report names the token that the worker had seen, and a higher one is sent at once',
   async t => {
--- a/packages/runtime/test/dispatch/links/malformed-messages.test.ts
+++ b/packages/runtime/test/dispatch/links/malformed-messages.test.ts
@@ -26,6 +26,7 @@
 const agentMessages: ReadonlyArray<Readonly<Record<string, unknown>>> = [
   {kind: 'agent', agent: 'a', dataCentre: 'north', incarnation: 1},
   {kind: 'worker', worker},
+  {kind: 'worker', worker, former: {life: 'w@0', silentMs: 700}},
   {
     kind: 'report',
     life,
