Give a task up only after three crashes soon after its starts

Cause: two crashes within 250 ms of the starts of a task counted as proof. Class: a decision that cannot be taken back on too few observations.

Change: the third such crash ends the submission when no other one can have caused it, else the fourth. A task that crashes its workers is still given up within the stated limit of five crashes (crashing-tasks.test.ts, unchanged: three or four crashes now).

Tests: 'a task is started again after two crashes soon after its starts' failed before.

--- a/packages/coordination/src/dispatch/supervision/crash-blame.ts
+++ b/packages/coordination/src/dispatch/supervision/crash-blame.ts
@@ -1,10 +1,15 @@
 import {getCrashTiming, type CrashTiming} from './crash-history.js';
 import type {Run, Task} from '../task.js';
 
-/** Number of crashes from which a suspect is given up although other tasks may have caused the latest one. */
-const maxCrashes = 3;
-/** The same when no other task can have caused the latest one. */
-const maxDecisiveCrashes = 2;
+/**
+ * Number of crashes soon after the start of a run from which a suspect is given up, although other tasks may have caused the
+ * latest one.
+ */
+const maxEarlyCrashes = 4;
+/** The same when no other task can have caused the latest one. Two crashes in a row also meet tasks that crash nothing. */
+const maxDecisiveCrashes = 3;
+/** Number of crashes, early or late, from which a suspect is given up when the latest one came soon after the start of the run. */
+const maxCrashes = 5;
 /**
  * Number of crashes from which a suspect is given up when the latest one did not come soon after the start of the run, as
  * crashes with other causes do; and only if it came while no other task can have caused it.
@@ -44,11 +49,11 @@
   const others = candidates.filter(candidate => !suspects.includes(candidate));
   const possibleCauses = [...suspects, ...others.filter(({timing}) => timing === 'early')];
   const isDecisive = new Set(possibleCauses.map(({task}) => task.submission)).size === 1;
-  const limit = isDecisive ? maxDecisiveCrashes : maxCrashes;
+  const limit = isDecisive ? maxDecisiveCrashes : maxEarlyCrashes;
   const isAlone = new Set(candidates.map(({task}) => task.submission)).size === 1;
   const hasCausedAll = ({crashes}: Task, timing: CrashTiming) =>
     timing === 'early'
-      ? crashes.earlyCount + 1 >= limit
+      ? crashes.earlyCount + 1 >= limit || crashes.count + 1 >= maxCrashes
       : isAlone && crashes.count + 1 >= maxLateCrashes;
   const verdicts: CrashVerdict[] = suspects.map(({task, timing, ageMs}) => ({
     task,
--- a/packages/coordination/test/dispatch/supervision/crash-tracker.test.ts
+++ b/packages/coordination/test/dispatch/supervision/crash-tracker.test.ts
@@ -104,3 +104,15 @@
     },
   );
 }
+
+void t.test('a task is started again after two crashes soon after its starts', async t => {
+  const fleet = new CrashingFleet({workerCount: 1});
+  fleet.submit(createSubmission(id, queue.key, [createStep({estimatedMs: 2_000})]));
+  for (let crashes = 0; crashes < 2; crashes += 1) {
+    while (fleet.countRuns(task) === 0) fleet.run(fleet.now + 25);
+    fleet.run(fleet.now + 150);
+    fleet.crash('w0', {returnMs: 1_000});
+  }
+  fleet.run(fleet.now + 20_000);
+  t.equal(fleet.progress.get(id)?.final, 'completed');
+});
