Log what decided that a submission failed

What callers saw: submissions that were accepted ended as failed, and the owner's log did not tell which task decided it, whether by failed runs or by crashed workers, and with which limit.

Change: `submission-ended` has the cause: `attempts` with the task, its failed runs and the limit, `crashes` with the task and the number of crashed workers, or `cancel`. `chervilbeam explain` says it. No decision changes.

--- a/packages/command/src/explain/submission-story.ts
+++ b/packages/command/src/explain/submission-story.ts
@@ -109,6 +109,8 @@
       const findings = [
         age === undefined ? `It ended as ${reason}.` : `It ended as ${reason} after ${age} ms.`,
       ];
+      const cause = describeCause(end);
+      if (cause !== undefined) findings.push(cause);
       const lastRun = this.get('run-ended').at(-1);
       if (reason === 'completed' && lastRun !== undefined) {
         const storedMs = Math.round(end.stamp - lastRun.stamp);
@@ -179,6 +181,23 @@
   }
 }
 
+/** Returns a sentence about what decided the end of a submission; undefined when its line does not say. */
+function describeCause(end: LogLine): string | undefined {
+  const task = getText(end, 'task') ?? '?';
+  switch (getText(end, 'cause')) {
+    case 'attempts': {
+      const attempts = `${getNumber(end, 'maxAttempts')} attempts`;
+      return `Task ${task} decided that: ${getNumber(end, 'failedRuns')} of its runs failed, of ${attempts}.`;
+    }
+    case 'crashes':
+      return `Task ${task} decided that: ${getNumber(end, 'crashes')} workers crashed under it.`;
+    case 'cancel':
+      return 'A caller cancelled it.';
+    default:
+      return undefined;
+  }
+}
+
 /** Returns how often each text occurs, the most frequent first. */
 function countBy(lines: readonly LogLine[], getName: (line: LogLine) => string): string {
   const counts = new Map<string, number>();
--- a/packages/command/test/explain/submission-story.test.ts
+++ b/packages/command/test/explain/submission-story.test.ts
@@ -107,6 +107,23 @@
     lines: [createLine(0, 'entry-1', 'call-unresolved', {submission: id, call: 'submit'})],
     findings: ['One call ended with 504: the store or another entry did not answer in time.'],
   },
+  ...[
+    {
+      fields: {cause: 'attempts', task: `${id}.0.0.0`, failedRuns: 2, maxAttempts: 2},
+      finding: `Task ${id}.0.0.0 decided that: 2 of its runs failed, of 2 attempts.`,
+    },
+    {
+      fields: {cause: 'crashes', task: `${id}.0.0.0`, crashes: 3},
+      finding: `Task ${id}.0.0.0 decided that: 3 workers crashed under it.`,
+    },
+    {fields: {cause: 'cancel'}, finding: 'A caller cancelled it.'},
+  ].map(({fields, finding}) => ({
+    name: `an end with the cause ${fields.cause}`,
+    lines: [
+      createLine(9, 'entry-2', 'submission-ended', {submission: id, reason: 'failed', ...fields}),
+    ],
+    findings: ['It ended as failed.', finding],
+  })),
   {
     name: 'runs that were stopped for others',
     lines: [
--- a/packages/coordination/src/dispatch/active-submission.ts
+++ b/packages/coordination/src/dispatch/active-submission.ts
@@ -19,6 +19,7 @@
 } from '../submissions/index.js';
 import {getSubmissionWork} from './cost/index.js';
 import {toIdentity} from './deferred-submissions.js';
+import type {EndCause} from './end-cause.js';
 import {Occurrence} from './occurrence.js';
 import {CrashHistory} from './supervision/crash-history.js';
 import type {Task} from './task.js';
@@ -56,6 +57,8 @@
   private readonly earlyOccurrences = new Set<Occurrence>();
   /** Decided final state; callers see it only once it is stored. */
   final?: ProgressRecord['final'];
+  /** What decided the final state; undefined for a completed submission and for one that a previous owner has ended. */
+  endCause?: EndCause;
   isFinalStored = false;
   /** Whether it could not meet its objective any more while tasks were waiting. */
   isLate = false;
@@ -137,13 +140,13 @@
     return former === undefined || !isSamePolicy(former, queue);
   }
 
-  /** Whether a task has failed too often to be started again. */
-  hasExhaustedTask(maxAttempts: number): boolean {
+  /** Returns a task that has failed too often to be started again, or undefined when there is none. */
+  findExhaustedTask(maxAttempts: number): Task | undefined {
     for (const task of this.getKnownTasks()) {
       const {isFinished, failedRuns, step} = task;
-      if (!isFinished && !step.lasting && failedRuns.size >= maxAttempts) return true;
+      if (!isFinished && !step.lasting && failedRuns.size >= maxAttempts) return task;
     }
-    return false;
+    return undefined;
   }
 
   /** Opens the occurrences that have become due; returns whether tasks may start because of that. */
--- a/packages/coordination/src/dispatch/progress-journal.ts
+++ b/packages/coordination/src/dispatch/progress-journal.ts
@@ -197,6 +197,7 @@
         reason: submission.final,
         ageMs: Math.round(at - submission.arrivedAt),
         queue: submission.queue?.name,
+        ...submission.endCause,
       });
     }
     if (pending.rosterLives) {
--- a/packages/coordination/src/dispatch/submission-ends.ts
+++ b/packages/coordination/src/dispatch/submission-ends.ts
@@ -1,5 +1,6 @@
 import {ActiveSubmission} from './active-submission.js';
 import type {DispatchState} from './dispatch-state.js';
+import type {EndCause} from './end-cause.js';
 import type {ProgressJournal} from './progress-journal.js';
 import type {RunCommands} from './run-commands.js';
 import type {Task} from './task.js';
@@ -30,7 +31,7 @@
     if (!submission.isActive) return;
     this.state.log({event: 'submission-cancelled', submission: id});
     this.state.count('submissions_cancelled');
-    this.end(submission, 'cancelled', at);
+    this.end(submission, 'cancelled', at, {cause: 'cancel'});
   }
 
   /** Removes the early cancel of a submission; returns whether there was one. */
@@ -52,15 +53,14 @@
     if (task.step.lasting) return;
     task.failedRuns.add(run);
     if (!submission.isActive) return;
-    if (task.failedRuns.size >= this.getMaxAttempts(submission)) this.end(submission, 'failed', at);
+    if (task.failedRuns.size >= this.getMaxAttempts(submission)) this.failExhausted(task, at);
   }
 
   /** Fails a submission with a task that has used all its attempts, by settings that were not known when it failed. */
   failIfExhausted(submission: ActiveSubmission, at: number): void {
     if (!submission.isActive) return;
-    if (submission.hasExhaustedTask(this.getMaxAttempts(submission))) {
-      this.end(submission, 'failed', at);
-    }
+    const task = submission.findExhaustedTask(this.getMaxAttempts(submission));
+    if (task !== undefined) this.failExhausted(task, at);
   }
 
   /** Returns a deferred submission, without its tasks, which are not needed any more; undefined when it is not deferred. */
@@ -82,9 +82,11 @@
     return this.state.configuration === undefined ? Number.POSITIVE_INFINITY : defaultMaxAttempts;
   }
 
-  /** Fails a submission with a task that must not be started again. */
-  fail(submission: ActiveSubmission, at: number): void {
-    if (submission.isActive) this.end(submission, 'failed', at);
+  /** Fails the submission of a task that must not be started again, because it crashes its workers. */
+  failCrashing(task: Task, at: number): void {
+    const {submission, name, crashes} = task;
+    if (!submission.isActive) return;
+    this.end(submission, 'failed', at, {cause: 'crashes', task: name, crashes: crashes.count});
   }
 
   /** Completes a submission when all its tasks are finished. */
@@ -106,12 +108,23 @@
     this.journal.markForgotten(submission.id);
   }
 
+  private failExhausted({submission, name, failedRuns}: Task, at: number): void {
+    this.end(submission, 'failed', at, {
+      cause: 'attempts',
+      task: name,
+      failedRuns: failedRuns.size,
+      maxAttempts: this.getMaxAttempts(submission),
+    });
+  }
+
   private end(
     submission: ActiveSubmission,
     final: 'completed' | 'failed' | 'cancelled',
     at: number,
+    cause?: EndCause,
   ): void {
     submission.final = final;
+    if (cause !== undefined) submission.endCause = cause;
     submission.endedAtMs = Math.round(this.state.getUnixMs(at));
     for (const task of submission.getKnownTasks()) this.commands.stopRuns(task, final, at);
     this.journal.markChanged(submission, at, true);
--- a/packages/coordination/src/dispatch/supervision/crash-tracker.ts
+++ b/packages/coordination/src/dispatch/supervision/crash-tracker.ts
@@ -126,7 +126,7 @@
         reason: 'crashes',
         crashes: task.crashes.count,
       });
-      this.ends.fail(task.submission, at);
+      this.ends.failCrashing(task, at);
     }
   }
 
