Return the reasons of the placement's checks

What callers saw: the checks that keep a task from being started answered with yes or no, so no log could tell which of them a waiting task failed.

Change: `Task.getHold`, `WorkerView.getClosure`, `WorkerSelector.getClosure` and `WorkerSelector.getRefusal` return the reason, or undefined; `isWaiting` and `canAcceptTasks` ask them. The selection for gangs and for steps on trial moves to step-selection.ts, and the start budget can be read without being changed. The order of the checks stays, but for the free processors, which are compared before the reserve with the same result. No decision changes.

Tests: worker-refusal.test.ts has a case for each reason, and that the selection follows it.

--- a/packages/coordination/src/dispatch/interference/worker-headroom.ts
+++ b/packages/coordination/src/dispatch/interference/worker-headroom.ts
@@ -111,6 +111,11 @@
   }
 }
 
+/** Returns the headroom of workers. */
+export interface HeadroomSource {
+  get(worker: WorkerView, at: number): WorkerHeadroom;
+}
+
 interface CachedHeadroom {
   readonly headroom: WorkerHeadroom;
   readonly changes: number;
@@ -118,7 +123,12 @@
 }
 
 /** Caches the headroom of workers until their runs or measurements change, or for `validMs`. */
-export class WorkerHeadroomCache {
+export class WorkerHeadroomCache implements HeadroomSource {
+  /** The headroom that was used last, however old; reading it does not change what a placement finds. */
+  readonly latest: HeadroomSource = {
+    get: (worker, at) =>
+      this.cache.get(worker)?.headroom ?? new WorkerHeadroom(this.interference, worker, at),
+  };
   private readonly cache = new WeakMap<WorkerView, CachedHeadroom>();
 
   constructor(private readonly interference: InterferenceModel) {}
--- a/packages/coordination/src/dispatch/placement/placement-round.ts
+++ b/packages/coordination/src/dispatch/placement/placement-round.ts
@@ -2,11 +2,11 @@
 import type {DispatchState} from '../dispatch-state.js';
 import type {RunCommands} from '../run-commands.js';
 import type {Task} from '../task.js';
-import type {WorkerView} from '../worker-view.js';
 import type {AdviceTickets} from './advice-tickets.js';
 import type {FillerPreemption} from './filler-preemption.js';
 import type {RoomReservations} from './room-reservations.js';
 import type {StarvationGuard} from './starvation-guard.js';
+import {findTrialTask, selectGangWorkers} from './step-selection.js';
 import type {Candidate} from './submission-order.js';
 import type {WorkerSelector} from './worker-selector.js';
 
@@ -105,11 +105,9 @@
   at: number,
 ): void {
   const {commands, selector} = options;
-  const tasks = [...group.knownTasks];
-  if (tasks.some(task => task.runs.length > 0)) return;
-  const task = tasks.find(task => task.crashes.isSuspect && task.isWaiting(at));
-  const worker = task && selector.selectWorker(task, group, candidate.priority);
+  const task = findTrialTask(group, at);
   if (task === undefined) return;
+  const worker = selector.selectWorker(task, group, candidate.priority);
   if (worker === undefined) return makeRoom(task, candidate, group, options, at);
   commands.start(task, worker, at);
   selector.recordPlacement(worker);
@@ -124,16 +122,8 @@
 ): void {
   const {selector, commands} = options;
   if (!group.areAllWaiting(at)) return;
-  const placements: Array<{readonly task: Task; readonly worker: WorkerView}> = [];
-  for (let index = 0; index < group.count; index += 1) {
-    const task = group.getTask(index);
-    const worker = selector.selectWorker(task, group, candidate.priority);
-    if (worker === undefined) break;
-    placements.push({task, worker});
-    worker.reserve(task.step, 1);
-  }
-  for (const {worker} of placements) worker.reserve(group.step, -1);
-  if (placements.length < group.count) {
+  const placements = selectGangWorkers(group, candidate.priority, selector);
+  if (placements.length === 0) {
     requestTickets(group, options, at);
     return;
   }
--- a/packages/coordination/src/dispatch/placement/start-budget.ts
+++ b/packages/coordination/src/dispatch/placement/start-budget.ts
@@ -17,15 +17,19 @@
   /** Whether a start may be sent now. */
   isOpen(at: number): boolean {
     if (this.bytesPerSecond === Number.POSITIVE_INFINITY) return true;
-    const elapsedMs = Math.min(maxAccumulationMs, Math.max(0, at - this.updatedAt));
+    this.availableBytes = this.getAvailableBytes(at);
     this.updatedAt = at;
-    this.availableBytes = Math.min(
-      this.capacityBytes,
-      this.availableBytes + (elapsedMs / 1_000) * this.bytesPerSecond,
-    );
     return this.availableBytes > 0;
   }
 
+  /** Returns the number of bytes that may be sent now, without changing the budget; negative when it is overdrawn. */
+  getAvailableBytes(at: number): number {
+    if (this.bytesPerSecond === Number.POSITIVE_INFINITY) return Number.POSITIVE_INFINITY;
+    const elapsedMs = Math.min(maxAccumulationMs, Math.max(0, at - this.updatedAt));
+    const accumulated = this.availableBytes + (elapsedMs / 1_000) * this.bytesPerSecond;
+    return Math.min(this.capacityBytes, accumulated);
+  }
+
   /** Records a start of `bytes` bytes. */
   take(bytes: number): void {
     if (this.bytesPerSecond !== Number.POSITIVE_INFINITY) this.availableBytes -= bytes;
--- a/packages/coordination/src/dispatch/placement/worker-selector.ts
+++ b/packages/coordination/src/dispatch/placement/worker-selector.ts
@@ -4,8 +4,8 @@
 import type {InterferenceModel} from '../interference/interference-model.js';
 import {
   getImagePairKey,
+  type HeadroomSource,
   type WorkerHeadroom,
-  type WorkerHeadroomCache,
 } from '../interference/worker-headroom.js';
 import type {Task} from '../task.js';
 import type {WorkerView} from '../worker-view.js';
@@ -14,6 +14,7 @@
 import {SuspectIsolation} from './suspect-isolation.js';
 import {UnplaceableNeeds} from './unplaceable-needs.js';
 import {WorkerRanking} from './worker-ranking.js';
+import type {WorkerClosure, WorkerRefusal} from './worker-refusal.js';
 
 /** Tolerance for rounding errors in sums of cores. */
 const coreTolerance = 1e-6;
@@ -65,7 +66,7 @@
 export interface WorkerSelectorOptions {
   readonly state: DispatchState;
   readonly interference: InterferenceModel;
-  readonly headrooms: WorkerHeadroomCache;
+  readonly headrooms: HeadroomSource;
   readonly reservations: RoomReservations;
   readonly tickets: AdviceTickets;
   /** Time of the placement round. */
@@ -92,7 +93,7 @@
 
   private readonly state: DispatchState;
   private readonly interference: InterferenceModel;
-  private readonly headrooms: WorkerHeadroomCache;
+  private readonly headrooms: HeadroomSource;
   private readonly reservations: RoomReservations;
   private readonly tickets: AdviceTickets;
   private readonly at: number;
@@ -107,7 +108,7 @@
     this.isolation = new SuspectIsolation(this.state);
     for (const worker of this.state.workers.values()) {
       this.runCount += worker.runs.size;
-      if (!this.isOpen(worker)) continue;
+      if (this.getClosure(worker) !== undefined) continue;
       const {service} = worker.description;
       const workers = this.openWorkers.get(service);
       if (workers) workers.push(worker);
@@ -120,6 +121,11 @@
     return this.openWorkers.size > 0;
   }
 
+  /** Whether no more tasks may run at a time. */
+  get isRunLimitReached(): boolean {
+    return this.runCount >= this.state.timing.maxRuns;
+  }
+
   /** Records that a task was placed on a worker. */
   recordPlacement(worker: WorkerView): void {
     this.runCount += 1;
@@ -131,7 +137,7 @@
   /** Returns the worker with the lowest cost, or undefined when none is eligible. */
   selectWorker(task: Task, group: StepTasks, priority: number): WorkerView | undefined {
     const {service} = task.submission;
-    if (this.runCount >= this.state.timing.maxRuns) return undefined;
+    if (this.isRunLimitReached) return undefined;
     // Which workers have tickets differs from step to step.
     if (this.tickets.isNeeded(task)) return this.findBest(task, group, priority);
     if (this.unplaceableNeeds.has(service, task.step, priority)) return undefined;
@@ -146,6 +152,43 @@
     return best;
   }
 
+  /** Returns why a worker gets no new tasks, or undefined when it is open for them. */
+  getClosure(worker: WorkerView): WorkerClosure | undefined {
+    const {at, state} = this;
+    const closure = worker.getClosure(at, state.timing.unreachableMs);
+    if (closure !== undefined) return closure;
+    if (state.isEvacuated(worker)) return 'evacuated';
+    if (worker.health.isSuspended(at)) return 'suspended';
+    return this.isProbationUsed(worker) ? 'probation' : undefined;
+  }
+
+  /** Returns why an open worker is not eligible for a task, or undefined when it is. */
+  getRefusal(
+    worker: WorkerView,
+    task: Task,
+    group: StepTasks,
+    priority: number,
+  ): WorkerRefusal | undefined {
+    const {description, capacity, used} = worker;
+    const {step} = task;
+    if (worker.runs.size >= maxWorkerRuns) return 'too-many-runs';
+    if (step.label !== undefined && !description.labels.includes(step.label)) return 'label';
+    if (task.runs.some(run => run.worker === worker)) return 'own-run';
+    if (!this.hasTicket(task, worker)) return 'no-ticket';
+    if (!this.isolation.isAllowed(worker, task)) return 'isolation';
+    if (used.memoryMb + step.need.memoryMb > capacity.memoryMb) return 'memory';
+    if (used.accelerators + step.need.accelerators > capacity.accelerators) return 'accelerators';
+    const refusal = step.fills
+      ? this.getFillingRefusal(worker, step)
+      : this.getReservingRefusal(worker, task, priority);
+    if (refusal !== undefined) return refusal;
+    if (!this.reservations.fits(worker, task)) return 'reservation';
+    if (step.spreadLimit !== undefined && countRuns(worker, group) >= step.spreadLimit) {
+      return 'spread-limit';
+    }
+    return this.isProbationUsed(worker) ? 'probation' : undefined;
+  }
+
   /** Returns the workers on which a task would fit if they were empty. */
   getCandidates(task: Task, group: StepTasks): WorkerView[] {
     const {step} = task;
@@ -157,14 +200,6 @@
     );
   }
 
-  private isOpen(worker: WorkerView): boolean {
-    const {at, state} = this;
-    if (!worker.canAcceptTasks(at, state.timing.unreachableMs)) return false;
-    if (state.isEvacuated(worker)) return false;
-    if (worker.health.isSuspended(at)) return false;
-    return !worker.health.isOnProbation(at) || !hasFiniteRuns(worker);
-  }
-
   private getOpenWorkers(task: Task): readonly WorkerView[] {
     return this.openWorkers.get(task.submission.service) ?? [];
   }
@@ -189,37 +224,35 @@
     priority: number,
   ): number | undefined {
     this.examinedCount += 1;
-    if (!this.isEligible(worker, task, group, priority)) return undefined;
+    if (this.getRefusal(worker, task, group, priority) !== undefined) return undefined;
     return this.getCost(worker, task, group);
   }
 
-  private isEligible(worker: WorkerView, task: Task, group: StepTasks, priority: number): boolean {
-    const {description, capacity, used} = worker;
+  private getFillingRefusal(worker: WorkerView, step: Step): WorkerRefusal | undefined {
+    const headroom = this.headrooms.get(worker, this.at);
+    if (headroom.unusedCores < step.need.processors * minUnusedShare) return 'unused-processors';
+    if (headroom.getHeadroomUse(step) > 1) return 'headroom';
+    return this.isPairProbed(headroom, step.image) ? 'image-pair' : undefined;
+  }
+
+  private getReservingRefusal(
+    {capacity, used}: WorkerView,
+    task: Task,
+    priority: number,
+  ): WorkerRefusal | undefined {
     const {step} = task;
-    if (worker.runs.size >= maxWorkerRuns) return false;
-    if (step.label !== undefined && !description.labels.includes(step.label)) return false;
-    if (task.runs.some(run => run.worker === worker)) return false;
-    if (!this.hasTicket(task, worker) || !this.isolation.isAllowed(worker, task)) return false;
-    if (used.memoryMb + step.need.memoryMb > capacity.memoryMb) return false;
-    if (used.accelerators + step.need.accelerators > capacity.accelerators) return false;
     const freeCores = capacity.processors - used.processors + coreTolerance;
-    if (step.fills) {
-      const headroom = this.headrooms.get(worker, this.at);
-      if (headroom.unusedCores < step.need.processors * minUnusedShare) return false;
-      if (headroom.getHeadroomUse(step) > 1) return false;
-      if (this.isPairProbed(headroom, step.image)) return false;
-    } else {
-      // A serving task that restarts has had its share before; leaving the reserve would keep it from its own room.
-      const isRestart = this.reservations.canReserve(task);
-      const shouldLeaveReserve = !isRestart && (priority > 0 || step.lasting);
-      const reserveCores = shouldLeaveReserve ? capacity.processors * urgentReserveShare : 0;
-      if (freeCores - reserveCores < step.need.processors) return false;
-    }
-    if (!this.reservations.fits(worker, task)) return false;
-    if (step.spreadLimit !== undefined) {
-      if (countRuns(worker, group) >= step.spreadLimit) return false;
-    }
-    return !worker.health.isOnProbation(this.at) || !hasFiniteRuns(worker);
+    if (freeCores < step.need.processors) return 'processors';
+    // A serving task that restarts has had its share before; leaving the reserve would keep it from its own room.
+    const isRestart = this.reservations.canReserve(task);
+    const shouldLeaveReserve = !isRestart && (priority > 0 || step.lasting);
+    const reserveCores = shouldLeaveReserve ? capacity.processors * urgentReserveShare : 0;
+    return freeCores - reserveCores < step.need.processors ? 'reserve' : undefined;
+  }
+
+  /** Whether a worker has the one finite task that it gets on probation. */
+  private isProbationUsed(worker: WorkerView): boolean {
+    return worker.health.isOnProbation(this.at) && hasFiniteRuns(worker);
   }
 
   private hasTicket(task: Task, worker: WorkerView): boolean {
--- a/packages/coordination/src/dispatch/step-tasks.ts
+++ b/packages/coordination/src/dispatch/step-tasks.ts
@@ -1,7 +1,7 @@
 import type {ItemSet} from '../tasks/ledger/item-set.js';
 import type {Step} from '../submissions/index.js';
 import type {Occurrence} from './occurrence.js';
-import {Task} from './task.js';
+import {Task, type TaskHold} from './task.js';
 
 const noTasks: ReadonlyMap<number, Task> = new Map();
 
@@ -53,6 +53,13 @@
     return false;
   }
 
+  /** Index of the first unfinished task; `count` when all are finished. */
+  get firstUnfinishedIndex(): number {
+    let index = 0;
+    while (index < this.count && this.finished.has(index)) index += 1;
+    return index;
+  }
+
   /** Tasks with an object: all that have runs, and unfinished ones of which something is known. */
   get knownTasks(): Iterable<Task> {
     return this.known.values();
@@ -81,22 +88,34 @@
 
   /** Whether a task may be started. */
   hasWaiting(at: number): boolean {
-    if (this.canStartFresh && this.hasFresh) return true;
+    if (this.freshHold === undefined && this.freshCount > 0) return true;
     for (const task of this.known.values()) if (task.isWaiting(at)) return true;
     return false;
   }
 
   /** Whether every task may be started. */
   areAllWaiting(at: number): boolean {
-    if (this.finishedCount > 0 || (!this.canStartFresh && this.hasFresh)) return false;
+    if (this.finishedCount > 0 || (this.freshHold !== undefined && this.freshCount > 0))
+      return false;
     for (const task of this.known.values()) if (!task.isWaiting(at)) return false;
     return true;
   }
 
+  /** Returns how many of the unfinished tasks may not be started, by reason. */
+  countHolds(at: number): Map<TaskHold, number> {
+    const counts = new Map<TaskHold, number>();
+    const add = (hold: TaskHold | undefined, count: number) => {
+      if (hold !== undefined && count > 0) counts.set(hold, (counts.get(hold) ?? 0) + count);
+    };
+    add(this.freshHold, this.freshCount);
+    for (const task of this.known.values()) if (!task.isFinished) add(task.getHold(at), 1);
+    return counts;
+  }
+
   /** Yields the tasks that may be started: those that have been started before, then the others by index. */
   *getWaiting(at: number): Generator<Task> {
     for (const task of [...this.known.values()]) if (task.isWaiting(at)) yield task;
-    if (!this.canStartFresh) return;
+    if (this.freshHold !== undefined) return;
     for (; this.firstFresh < this.count; this.firstFresh += 1) {
       if (this.finished.has(this.firstFresh) || this.known.has(this.firstFresh)) continue;
       yield this.getTask(this.firstFresh);
@@ -135,16 +154,17 @@
     (this.known as Map<number, Task>).set(task.index, task);
   }
 
-  /** Whether a task without an object may be started. */
-  private get canStartFresh(): boolean {
+  /** Why tasks without an object may not be started; undefined when they may. */
+  private get freshHold(): TaskHold | undefined {
     const {submission, isDue} = this.occurrence;
-    return isDue && !submission.isInDoubt;
+    if (submission.isInDoubt) return 'in-doubt';
+    return isDue ? undefined : 'not-due';
   }
 
-  /** Whether an unfinished task has no object. */
-  private get hasFresh(): boolean {
+  /** Number of unfinished tasks without an object. */
+  private get freshCount(): number {
     let unfinished = this.unfinishedCount;
     for (const task of this.known.values()) if (!task.isFinished) unfinished -= 1;
-    return unfinished > 0;
+    return Math.max(0, unfinished);
   }
 }
--- a/packages/coordination/src/dispatch/task.ts
+++ b/packages/coordination/src/dispatch/task.ts
@@ -10,6 +10,18 @@
  */
 export type RunState = 'starting' | 'running' | 'stopping' | 'unresolved';
 
+/** Reasons for which no run of a task may be started. */
+export type TaskHold =
+  | 'finished'
+  /** A previous owner may have started it on a worker that has not reported yet. */
+  | 'in-doubt'
+  | 'not-due'
+  | 'has-run'
+  /** The store does not have all crashes of a suspect. */
+  | 'crashes-not-stored'
+  /** It is not started again before a certain time. */
+  | 'delayed';
+
 /** One run of a task on a worker. */
 export class Run {
   state: RunState = 'starting';
@@ -115,11 +127,18 @@
 
   /** Whether the task's next run may be started. */
   isWaiting(at: number): boolean {
-    const {isDue} = this.group.occurrence;
-    if (this.isFinished || this.isInDoubt || !isDue || this.runs.length > 0) return false;
+    return this.getHold(at) === undefined;
+  }
+
+  /** Returns why the task's next run may not be started, or undefined when it may. */
+  getHold(at: number): TaskHold | undefined {
+    if (this.isFinished) return 'finished';
+    if (this.isInDoubt) return 'in-doubt';
+    if (!this.group.occurrence.isDue) return 'not-due';
+    if (this.runs.length > 0) return 'has-run';
     // A crash that the next owner does not know of would not count.
-    if (this.crashes.isSuspect && !this.submission.areCrashesStored) return false;
-    return at >= this.notBefore;
+    if (this.crashes.isSuspect && !this.submission.areCrashesStored) return 'crashes-not-stored';
+    return at < this.notBefore ? 'delayed' : undefined;
   }
 
   /** Adds a run. */
--- a/packages/coordination/src/dispatch/worker-view.ts
+++ b/packages/coordination/src/dispatch/worker-view.ts
@@ -4,6 +4,7 @@
 import type {RunEndRow, WorkerDescription} from './agent-messages.js';
 import type {DispatchTiming} from './dispatch-timing.js';
 import {EndCursor} from './end-cursor.js';
+import type {WorkerClosure} from './placement/worker-refusal.js';
 import {RecentSet} from './recent-set.js';
 import {WorkerEvidence} from './supervision/worker-evidence.js';
 import type {Run} from './task.js';
@@ -155,14 +156,17 @@
 
   /** Whether new tasks may be sent to the worker. */
   canAcceptTasks(at: number, unreachableMs: number): boolean {
-    return (
-      this.isConnected &&
-      this.isReconciled &&
-      this.isInRoster &&
-      !this.isDraining &&
-      at - this.lastContactAt < unreachableMs &&
-      at >= this.blockedUntil
-    );
+    return this.getClosure(at, unreachableMs) === undefined;
+  }
+
+  /** Returns why no new tasks may be sent to the worker, or undefined when they may. */
+  getClosure(at: number, unreachableMs: number): WorkerClosure | undefined {
+    if (!this.isConnected) return 'disconnected';
+    if (!this.isReconciled) return 'not-listed';
+    if (!this.isInRoster) return 'not-in-roster';
+    if (this.isDraining) return 'draining';
+    if (at - this.lastContactAt >= unreachableMs) return 'unreachable';
+    return at < this.blockedUntil ? 'blocked' : undefined;
   }
 
   /** Adds a run and its resources. */
