Log why nothing of a submission runs

What callers saw: submissions were accepted, and nothing of them ran. The log told why runs were stopped, but not why a waiting task was not placed.

Change: from 3 s after its turn came without a run, the owner logs `task-waiting` for a submission: the task, the reason and what decided it, such as the number of workers and how many would not take it by which reason. At most 5 lines a second, each submission's after growing pauses of 5 to 60 s. The reasons come from the predicates of the placement and are computed for the logged submissions only. Counters `submissions_stalled` and `submissions_stalled_ended`, histogram `submission_stall`. `chervilbeam explain` sums the lines up. No decision changes.

Tests: wait-reasons.test.ts plays a fleet for each reason, those of which nothing must be logged, and 1,000 waiting submissions; stalled-submissions.test.ts has the metrics, and that explaining starts nothing.

--- a/packages/command/src/explain/submission-story.ts
+++ b/packages/command/src/explain/submission-story.ts
@@ -59,6 +59,7 @@
       ...this.explainAnswers(),
       ...this.explainEnd(),
       ...this.explainWait(),
+      ...this.explainStalls(),
       ...this.explainAdvice(),
       ...this.explainRuns(),
       ...this.explainOwners(),
@@ -130,6 +131,21 @@
     return [`The first run was placed ${Math.round(placed.stamp - accepted.stamp)} ms later.`];
   }
 
+  private explainStalls(): string[] {
+    const waiting = this.get('task-waiting');
+    const last = waiting.at(-1);
+    if (last === undefined) return [];
+    const reasons = countBy(waiting, line => getText(line, 'reason') ?? '?');
+    const longestMs = Math.max(...waiting.map(line => getNumber(line, 'waitMs') ?? 0));
+    const findings = [`Nothing of it ran for up to ${longestMs} ms: ${reasons}.`];
+    const refusals = getText(last, 'refusals');
+    if (refusals) {
+      const counts = refusals.replaceAll(' ', ', ').replaceAll(':', ' ');
+      findings.push(`Workers that would not take it, of ${getNumber(last, 'workers')}: ${counts}.`);
+    }
+    return findings;
+  }
+
   private explainAdvice(): string[] {
     const received = this.get('advice-received');
     const unavailable = this.get('advice-unavailable');
--- a/packages/command/test/explain/submission-story.test.ts
+++ b/packages/command/test/explain/submission-story.test.ts
@@ -102,6 +102,29 @@
     lines: accepted,
     findings: ['It was accepted, and no log tells its end.', 'No run of it was placed.'],
   },
+  {
+    name: 'a submission of which nothing ran for a while',
+    lines: [
+      ...accepted,
+      createLine(4_000, 'entry-2', 'task-waiting', {
+        ...{submission: id, task: `${id}.0.0.0`, reason: 'in-doubt', holds: 'in-doubt:1'},
+        waitMs: 4_000,
+      }),
+      ...[9_000, 19_000].map(at =>
+        createLine(at, 'entry-2', 'task-waiting', {
+          ...{submission: id, task: `${id}.0.0.0`, reason: 'no-room', waitMs: at, workers: 5},
+          refusals: 'processors:3 draining:2',
+        }),
+      ),
+      createLine(19_000, 'entry-2', 'task-waiting', {submission: other, reason: 'no-worker'}),
+    ],
+    findings: [
+      'It was accepted, and no log tells its end.',
+      'No run of it was placed.',
+      'Nothing of it ran for up to 19000 ms: 2 no-room, 1 in-doubt.',
+      'Workers that would not take it, of 5: processors 3, draining 2.',
+    ],
+  },
   {
     name: 'a caller that was left unsure',
     lines: [createLine(0, 'entry-1', 'call-unresolved', {submission: id, call: 'submit'})],
--- a/packages/coordination/src/dispatch/decision-log.ts
+++ b/packages/coordination/src/dispatch/decision-log.ts
@@ -21,6 +21,7 @@
   | 'run-paced'
   | 'run-moved'
   | 'room-reserved'
+  | 'task-waiting'
   | 'advice-received'
   | 'advice-unavailable'
   | 'worker-up'
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -20,7 +20,8 @@
 import {updateEvacuations} from './evacuation/evacuation-updates.js';
 import {FillerPacer} from './interference/filler-pacer.js';
 import {InterferenceModel} from './interference/interference-model.js';
-import {WorkerHeadroomCache} from './interference/worker-headroom.js';
+import {type HeadroomSource, WorkerHeadroomCache} from './interference/worker-headroom.js';
+import {isKeptWithoutOwnership} from './kept-events.js';
 import {
   collectLearnedState,
   type LearnedState,
@@ -41,6 +42,7 @@
 import {SubmissionIntake} from './submission-intake.js';
 import {CrashTracker} from './supervision/crash-tracker.js';
 import {RunSupervisor} from './supervision/run-supervisor.js';
+import {StalledSubmissions} from './waiting/index.js';
 import {WorkerReports} from './worker-reports.js';
 
 /** Size of the range of run numbers reserved for each owner, so that the numbers of different owners do not overlap. */
@@ -62,6 +64,7 @@
   private readonly reservations: RoomReservations;
   private readonly starvation: StarvationGuard;
   private readonly supervisor: RunSupervisor;
+  private readonly stalled: StalledSubmissions;
   private readonly evacuationMoves: EvacuationMoves;
   private readonly ends: SubmissionEnds;
   private readonly crashes: CrashTracker;
@@ -81,6 +84,9 @@
     this.reservations = new RoomReservations(this.state, this.commands);
     this.starvation = new StarvationGuard(this.state);
     this.supervisor = new RunSupervisor(this.state, this.commands, at => this.createSelector(at));
+    this.stalled = new StalledSubmissions(this.state, at =>
+      this.createSelector(at, this.headrooms.latest),
+    );
     this.evacuationMoves = new EvacuationMoves({
       state: this.state,
       commands: this.commands,
@@ -189,7 +195,7 @@
       case 'predecessors-ended':
         return this.limitRecovery(event.agoMs, at);
       case 'configuration':
-        return this.configure(event.configuration, at);
+        return this.configure(event, at);
       case 'evacuations':
         return updateEvacuations(this.state, event.set);
       case 'submitted':
@@ -268,15 +274,13 @@
     this.starvation.clear();
     this.crashes.clear();
     this.workerReports.clear();
+    this.stalled.clear();
     this.journal.reset([]);
   }
 
-  private configure(
-    configuration: Extract<DispatchEvent, {kind: 'configuration'}>['configuration'],
-    at: number,
-  ): void {
+  private configure(event: Extract<DispatchEvent, {kind: 'configuration'}>, at: number): void {
     const {state} = this;
-    state.configuration = configuration;
+    state.configuration = event.configuration;
     for (const submission of state.submissions.values()) {
       const queue = this.getQueue(submission.submission);
       if (queue !== undefined && submission.setQueue(queue) && submission.isActive) {
@@ -285,7 +289,7 @@
       this.ends.failIfExhausted(submission, at);
     }
     state.requestPlacement();
-    state.log({event: 'configuration-used', version: configuration.version});
+    state.log({event: 'configuration-used', version: event.configuration.version});
   }
 
   private getQueue(submission: Submission): QueuePolicy | undefined {
@@ -346,6 +350,7 @@
         submission.dropFinishedOccurrences();
       } else this.ends.removeExpired(submission, at);
     }
+    this.stalled.check(at);
     this.ends.expireEarlyCancels(at);
     const isActive = (task: string) =>
       state.submissions.get(getSubmissionId(task))?.isActive ?? false;
@@ -377,8 +382,8 @@
     if (selector.examinedCount > 0) state.count('workers_examined', selector.examinedCount);
   }
 
-  private createSelector(at: number): WorkerSelector {
-    const {state, interference, headrooms, reservations, tickets} = this;
+  private createSelector(at: number, headrooms: HeadroomSource = this.headrooms): WorkerSelector {
+    const {state, interference, reservations, tickets} = this;
     return new WorkerSelector({state, interference, headrooms, reservations, tickets, at});
   }
 
@@ -392,8 +397,3 @@
     state.log({event: 'recovery-finished', term: state.term, workers: state.workers.size, at});
   }
 }
-
-/** Whether an event changes what a process knows also while it is not the owner. */
-function isKeptWithoutOwnership({kind}: DispatchEvent): boolean {
-  return kind === 'begin' || kind === 'configuration' || kind === 'evacuations';
-}
--- /dev/null
+++ b/packages/coordination/src/dispatch/waiting/index.ts
@@ -0,0 +1,2 @@
+export * from './stalled-submissions.js';
+export * from './wait-explanation.js';
