--- a/packages/command/src/explain/submission-story.ts
+++ b/packages/command/src/explain/submission-story.ts
@@ -59,6 +59,7 @@
       ...this.explainAnswers(),
       ...this.explainEnd(),
       ...this.explainWait(),
+      ...this.explainStalls(),
       ...this.explainAdvice(),
       ...this.explainRuns(),
       ...this.explainOwners(),
@@ -109,6 +110,8 @@
       const findings = [
         age === undefined ? `It ended as ${reason}.` : `It ended as ${reason} after ${age} ms.`,
       ];
+      const cause = describeCause(end);
+      if (cause !== undefined) findings.push(cause);
       const lastRun = this.get('run-ended').at(-1);
       if (reason === 'completed' && lastRun !== undefined) {
         const storedMs = Math.round(end.stamp - lastRun.stamp);
@@ -128,6 +131,21 @@
     return [`The first run was placed ${Math.round(placed.stamp - accepted.stamp)} ms later.`];
   }
 
+  private explainStalls(): string[] {
+    const waiting = this.get('task-waiting');
+    const last = waiting.at(-1);
+    if (last === undefined) return [];
+    const reasons = countBy(waiting, line => getText(line, 'reason') ?? '?');
+    const longestMs = Math.max(...waiting.map(line => getNumber(line, 'waitMs') ?? 0));
+    const findings = [`Nothing of it ran for up to ${longestMs} ms: ${reasons}.`];
+    const refusals = getText(last, 'refusals');
+    if (refusals) {
+      const counts = refusals.replaceAll(' ', ', ').replaceAll(':', ' ');
+      findings.push(`Workers that would not take it, of ${getNumber(last, 'workers')}: ${counts}.`);
+    }
+    return findings;
+  }
+
   private explainAdvice(): string[] {
     const received = this.get('advice-received');
     const unavailable = this.get('advice-unavailable');
@@ -179,6 +197,23 @@
   }
 }
 
+/** Returns a sentence about what decided the end of a submission; undefined when its line does not say. */
+function describeCause(end: LogLine): string | undefined {
+  const task = getText(end, 'task') ?? '?';
+  switch (getText(end, 'cause')) {
+    case 'attempts': {
+      const attempts = `${getNumber(end, 'maxAttempts')} attempts`;
+      return `Task ${task} decided that: ${getNumber(end, 'failedRuns')} of its runs failed, of ${attempts}.`;
+    }
+    case 'crashes':
+      return `Task ${task} decided that: ${getNumber(end, 'crashes')} workers crashed under it.`;
+    case 'cancel':
+      return 'A caller cancelled it.';
+    default:
+      return undefined;
+  }
+}
+
 /** Returns how often each text occurs, the most frequent first. */
 function countBy(lines: readonly LogLine[], getName: (line: LogLine) => string): string {
   const counts = new Map<string, number>();
--- a/packages/command/test/explain/submission-story.test.ts
+++ b/packages/command/test/explain/submission-story.test.ts
@@ -102,11 +102,51 @@
     lines: accepted,
     findings: ['It was accepted, and no log tells its end.', 'No run of it was placed.'],
   },
+  {
+    name: 'a submission of which nothing ran for a while',
+    lines: [
+      ...accepted,
+      createLine(4_000, 'entry-2', 'task-waiting', {
+        ...{submission: id, task: `${id}.0.0.0`, reason: 'in-doubt', holds: 'in-doubt:1'},
+        waitMs: 4_000,
+      }),
+      ...[9_000, 19_000].map(at =>
+        createLine(at, 'entry-2', 'task-waiting', {
+          ...{submission: id, task: `${id}.0.0.0`, reason: 'no-room', waitMs: at, workers: 5},
+          refusals: 'processors:3 draining:2',
+        }),
+      ),
+      createLine(19_000, 'entry-2', 'task-waiting', {submission: other, reason: 'no-worker'}),
+    ],
+    findings: [
+      'It was accepted, and no log tells its end.',
+      'No run of it was placed.',
+      'Nothing of it ran for up to 19000 ms: 2 no-room, 1 in-doubt.',
+      'Workers that would not take it, of 5: processors 3, draining 2.',
+    ],
+  },
   {
     name: 'a caller that was left unsure',
     lines: [createLine(0, 'entry-1', 'call-unresolved', {submission: id, call: 'submit'})],
     findings: ['One call ended with 504: the store or another entry did not answer in time.'],
   },
+  ...[
+    {
+      fields: {cause: 'attempts', task: `${id}.0.0.0`, failedRuns: 2, maxAttempts: 2},
+      finding: `Task ${id}.0.0.0 decided that: 2 of its runs failed, of 2 attempts.`,
+    },
+    {
+      fields: {cause: 'crashes', task: `${id}.0.0.0`, crashes: 3},
+      finding: `Task ${id}.0.0.0 decided that: 3 workers crashed under it.`,
+    },
+    {fields: {cause: 'cancel'}, finding: 'A caller cancelled it.'},
+  ].map(({fields, finding}) => ({
+    name: `an end with the cause ${fields.cause}`,
+    lines: [
+      createLine(9, 'entry-2', 'submission-ended', {submission: id, reason: 'failed', ...fields}),
+    ],
+    findings: ['It ended as failed.', finding],
+  })),
   {
     name: 'runs that were stopped for others',
     lines: [
--- a/packages/coordination/src/dispatch/supervision/crash-tracker.ts
+++ b/packages/coordination/src/dispatch/supervision/crash-tracker.ts
@@ -143,7 +143,7 @@
         crashes: task.crashes.count,
         ageMs: Math.round(ageMs),
       });
-      this.ends.fail(task.submission, at);
+      this.ends.failCrashing(task, at);
     }
   }
 
