Dispatch: pause filling tasks before they have harmed a serving task for too long

Users of a serving task waited longer than its latency target allows for 4 s on end, because of a filling task that was placed beside it.

Cause: the pacer slowed filling tasks down by a forecast and paused them by the median latency of a step's tasks on the worker. One of three or more tasks could be over its target for any time, and nothing followed from a task that stayed over it in spite of the pacing. The bound that the platform states for this did not reach the scheduler.

Evidence: the pace went from 77 to 56 to 35 percent while the task was over its target; each of these commands requires a median below nine tenths of the target. In the simulation a task of three is over its target until the simulation ends.

Each serving task is watched by its own latency; the filling tasks beside it are paused in time for the command and for the queued requests to drain, also when lists are late, and none is placed there meanwhile.

The shared loads are now simulated with the bound.

--- a/packages/coordination/src/dispatch/dispatch-timing.ts
+++ b/packages/coordination/src/dispatch/dispatch-timing.ts
@@ -37,6 +37,8 @@
   readonly clockDrift: number;
   /** Time in which an evacuated data centre is to become empty; finite runs that take longer are moved. */
   readonly evacuationMs: number;
+  /** Maximum time for which filling tasks may keep a serving task on the same worker over its latency target. */
+  readonly maxOverTargetMs: number;
   /** Factor by which runs on a cold worker may take longer without being too slow. */
   readonly coldOverage: number;
   /** Bytes of start commands that may be sent in a second, so that other messages do not wait behind them. */
@@ -69,6 +71,7 @@
   restoreMs: 250,
   clockDrift: 0.02,
   evacuationMs: Number.POSITIVE_INFINITY,
+  maxOverTargetMs: Number.POSITIVE_INFINITY,
   coldOverage: 1,
   startBytesPerSecond: Number.POSITIVE_INFINITY,
   maxAcceptedBytes: Number.POSITIVE_INFINITY,
--- a/packages/coordination/src/dispatch/interference/filler-pacer.ts
+++ b/packages/coordination/src/dispatch/interference/filler-pacer.ts
@@ -8,6 +8,7 @@
   type InterferenceModel,
   type ServingGroup,
 } from './interference-model.js';
+import {TargetWatch} from './target-watch.js';
 import type {WorkerHeadroomCache} from './worker-headroom.js';
 
 /** Workers report the processors in use in thousandths of a core. */
@@ -44,6 +45,7 @@
  */
 export class FillerPacer {
   private readonly options: FillerPacingOptions;
+  private readonly targetWatch: TargetWatch;
   private readonly slowSinceByRun = new WeakMap<Run, number>();
 
   constructor(
@@ -54,13 +56,19 @@
     options: Partial<FillerPacingOptions> = {},
   ) {
     this.options = {...defaultOptions, ...options};
+    this.targetWatch = new TargetWatch(state.timing);
   }
 
   /** Adjusts the pace of each filling task on a worker to the worker's latest measurements. */
   update(worker: WorkerView, at: number): void {
     this.interference.observe(worker, at);
-    const fillers = getFillers(worker).filter(run => run.state === 'running');
+    this.targetWatch.observe(worker, at);
+    const fillers = getRunningFillers(worker);
     if (fillers.length === 0) return;
+    if (worker.mustPauseFillers(at)) {
+      this.pauseFillers(worker, at);
+      return;
+    }
     const groups = getServingGroups(worker);
     const budgets = new Map(groups.map(group => [group, this.getBudget(group, at)]));
     fillers.sort((a, b) => b.percent - a.percent || a.startedAt - b.startedAt);
@@ -84,6 +92,15 @@
     }
   }
 
+  /** Pauses the filling tasks on a worker when its serving tasks have been over their targets for too long. */
+  pauseFillers(worker: WorkerView, at: number): void {
+    if (!worker.mustPauseFillers(at)) return;
+    for (const run of getRunningFillers(worker)) {
+      if (run.pace > 0) this.commands.pace(run, 0, 'serving-task-over-target');
+      this.stopIfSlow(run, at);
+    }
+  }
+
   private getBudget(group: ServingGroup, at: number): number {
     if (group.tailMs >= group.targetMs * this.options.pauseTargetShare) return 0;
     return this.interference.getPressureBudget(group, at);
@@ -139,3 +156,7 @@
     return false;
   }
 }
+
+function getRunningFillers(worker: WorkerView): Run[] {
+  return getFillers(worker).filter(run => run.state === 'running');
+}
--- a/packages/coordination/src/dispatch/interference/interference-model.ts
+++ b/packages/coordination/src/dispatch/interference/interference-model.ts
@@ -14,7 +14,7 @@
 /** Assumed utilization of a serving task's reserved processors until its load has been measured. */
 const assumedUtilization = 0.6;
 /** Tail latency, as a fraction of the target, up to which filling tasks may push a serving task. */
-const maxTargetShare = 0.85;
+export const maxTargetShare = 0.85;
 /** Load above which the tail latency no longer shows how overloaded a task is. */
 const saturatedLoad = 0.93;
 /** Forecast horizon in milliseconds for pacing; slowing down a filling task takes less time than this. */
@@ -24,8 +24,11 @@
 const reportLagMs = 100;
 /** Minimum time in milliseconds between two used measurements of a worker, so that their windows hardly overlap. */
 const minObservationIntervalMs = 400;
-/** Time in milliseconds in which queued requests drain, and the drop in pressure after which a queue is assumed. */
-const drainMs = 1_500;
+/** Maximum age in milliseconds of the latencies from which a reported measurement was made. */
+export const measurementAgeMs = measurementWindowMs + reportLagMs;
+/** Time in milliseconds in which queued requests drain. */
+export const drainMs = 1_500;
+/** Drop in pressure after which a queue is assumed. */
 const minPressureDrop = 0.1;
 /** Safety margin: number of standard deviations added to the mean of a pressure. */
 const margin = 0.25;
@@ -228,12 +231,17 @@
   return `${submission.id}.${occurrence}.${stepIndex}`;
 }
 
+/** Returns the runs of serving tasks with a latency target on a worker. */
+export function getServingRuns(worker: WorkerView): Run[] {
+  return [...worker.runs.values()].filter(({task: {step}}) => {
+    return step.lasting && !step.fills && step.tailTargetMs !== undefined;
+  });
+}
+
 /** Returns the serving tasks with a latency target on a worker, by step. */
 export function getServingGroups(worker: WorkerView): ServingGroup[] {
   const groups = new Map<string, Run[]>();
-  for (const run of worker.runs.values()) {
-    const {step} = run.task;
-    if (!step.lasting || step.fills || step.tailTargetMs === undefined) continue;
+  for (const run of getServingRuns(worker)) {
     const key = getServingStepKey(run);
     const group = groups.get(key);
     if (group) group.push(run);
--- a/packages/coordination/src/dispatch/interference/worker-headroom.ts
+++ b/packages/coordination/src/dispatch/interference/worker-headroom.ts
@@ -74,6 +74,7 @@
     freed?: FillingLoad,
   ): number {
     const {interference, worker, at} = this;
+    if (worker.mustPauseFillers(at)) return Number.POSITIVE_INFINITY;
     let maxUse = 0;
     for (const group of this.groups) {
       if (group.tailMs >= group.targetMs * noHeadroomTargetShare) return Number.POSITIVE_INFINITY;
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -84,6 +84,7 @@
         continue;
       }
       this.renew(worker, at);
+      this.components.pacer.pauseFillers(worker, at);
       if (worker.isReconciled) this.commandResults.resolveOverdue(worker, at);
     }
   }
--- a/packages/coordination/src/dispatch/worker-view.ts
+++ b/packages/coordination/src/dispatch/worker-view.ts
@@ -67,6 +67,8 @@
   leavesAt = Number.POSITIVE_INFINITY;
   /** Time until which the worker is slow because it was idle for a while. */
   coldUntil = Number.NEGATIVE_INFINITY;
+  /** Time from which its filling tasks have to be paused, because a serving task has been over its latency target. */
+  pauseFillersAt = Number.POSITIVE_INFINITY;
   /** Moving average of the ratio of actual to expected run times on this worker; decays to 1. */
   slowness = 1;
   private clockMs = 0;
@@ -103,6 +105,11 @@
     return at < this.coldUntil;
   }
 
+  /** Whether its filling tasks have to be paused, because they may keep a serving task over its latency target. */
+  mustPauseFillers(at: number): boolean {
+    return at >= this.pauseFillersAt;
+  }
+
   /** Records a reading of the worker's clock, in milliseconds, that arrived at `at`. */
   recordClock(clockMs: number, at: number): void {
     this.clockMs = clockMs;
--- a/packages/coordination/test/dispatch/fleet/shared-load.ts
+++ b/packages/coordination/test/dispatch/fleet/shared-load.ts
@@ -105,6 +105,8 @@
   /** Share of the batches that take `longBatchFactor` times as long as the others. */
   readonly longBatchShare: number;
   readonly scheduling: Scheduling;
+  /** Bound in milliseconds of the time for which filling tasks may keep a serving task over its target. */
+  readonly maxOverTargetMs: number;
 }
 
 /** Factor on the run times of a long batch. */
@@ -123,6 +125,7 @@
   fillingImages: 9,
   longBatchShare: 0,
   scheduling: 'urgency',
+  maxOverTargetMs: 4_000,
 };
 
 /** A load on seven times as many workers as by default. */
@@ -156,7 +159,7 @@
   };
   const fleet = new VirtualFleet({
     seed,
-    timing: {scheduling: load.scheduling},
+    timing: {scheduling: load.scheduling, maxOverTargetMs: load.maxOverTargetMs},
     queues: Object.values(sharedQueues),
     workers: Array.from({length: load.workers}, (_, index) => ({
       agent: `w${index}`,
--- a/packages/coordination/test/dispatch/fleet/virtual-fleet-options.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-fleet-options.ts
@@ -11,7 +11,7 @@
   readonly queues: readonly Queue[];
   readonly workers: readonly VirtualWorkerOptions[];
   readonly getBehaviour?: (task: string, submission: Submission) => Partial<TaskBehaviour>;
-  readonly getLoad?: (submission: Submission, at: number) => number;
+  readonly getLoad?: (submission: Submission, at: number, task: string) => number;
   readonly getPressure?: (serving: string, filling: string) => number;
   readonly timing?: Partial<DispatchTiming>;
 }
--- a/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-fleet.ts
@@ -90,7 +90,7 @@
     const world: SimulatedWorld = {
       random: this.random,
       getBehaviour: task => this.getBehaviour(task),
-      getLoad: (task, at) => options.getLoad?.(this.getSubmission(task), at) ?? 0.3,
+      getLoad: (task, at) => options.getLoad?.(this.getSubmission(task), at, task) ?? 0.3,
       getPressure: options.getPressure ?? (() => 0),
     };
     this.world = world;
--- a/packages/coordination/test/dispatch/fleet/virtual-worker.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-worker.ts
@@ -52,6 +52,8 @@
   readonly dataCentre?: string;
   /** Factor by which run times are multiplied. */
   readonly slowness?: number;
+  /** Ratio of the listed to the actual tail latencies of serving tasks. */
+  readonly latencyFactor?: number;
   /** Whether every run fails. */
   readonly isFailing?: boolean;
   /** Whether runs make no progress. */
@@ -214,7 +216,9 @@
   }
 
   private takeMeasurement(run: VirtualRun): number {
-    const average = run.measuredMs > 0 ? run.measurementSum / run.measuredMs : 0;
+    const {latencyFactor = 1} = this.options;
+    const factor = run.behaviour.step.lasting ? latencyFactor : 1;
+    const average = run.measuredMs > 0 ? (run.measurementSum * factor) / run.measuredMs : 0;
     run.measurementSum = 0;
     run.measuredMs = 0;
     return Math.round(average * (0.95 + this.world.random.next() * 0.1));
