Dispatch: pause a filling task again that works on after its pause

Beside a serving task over its latency target, a filling task without checkpoints worked on for as long as it ran when its pause was lost.

Cause: a pace command has no result. The owner takes the task to be paused from the moment it sends the command, and never repeated it.

Evidence: found while reading the pacer; not seen in a log. In the simulation with lost commands, the two new cases of filler-pacer.test.ts are over the target for longer than the bound without the change.

--- a/packages/coordination/src/dispatch/interference/filler-pacer.ts
+++ b/packages/coordination/src/dispatch/interference/filler-pacer.ts
@@ -6,9 +6,10 @@
   getFillers,
   getServingGroups,
   type InterferenceModel,
+  measurementAgeMs,
   type ServingGroup,
 } from './interference-model.js';
-import {TargetWatch} from './target-watch.js';
+import {commandMs, TargetWatch} from './target-watch.js';
 import type {WorkerHeadroomCache} from './worker-headroom.js';
 
 /** Workers report the processors in use in thousandths of a core. */
@@ -20,7 +21,7 @@
 export interface FillerPacingOptions {
   /** Smallest change of pace, in percentage points, for which a command is sent. */
   readonly minChange: number;
-  /** Lowest nonzero pace in percent; a lower value is set to 0. */
+  /** Lowest nonzero pace in percent; a lower value is set to 0, and a task that uses less is taken to be paused. */
   readonly minPace: number;
   /** Tail latency of a serving task, as a fraction of its target, from which all filling tasks beside it are paused. */
   readonly pauseTargetShare: number;
@@ -87,7 +88,7 @@
         const used = (this.interference.getPressure(group, filling, at) * pace) / 100;
         budgets.set(group, Math.max(0, budget - used));
       }
-      this.setPace(run, pace);
+      this.setPace(run, pace, at);
       this.stopIfSlow(run, at);
     }
   }
@@ -96,7 +97,8 @@
   pauseFillers(worker: WorkerView, at: number): void {
     if (!worker.mustPauseFillers(at)) return;
     for (const run of getRunningFillers(worker)) {
-      if (run.pace > 0) this.commands.pace(run, 0, 'serving-task-over-target');
+      if (run.pace > 0) this.commands.pace(run, 0, 'serving-task-over-target', at);
+      else this.repeatPause(run, at);
       this.stopIfSlow(run, at);
     }
   }
@@ -110,15 +112,26 @@
     return pace < this.options.minPace ? 0 : Math.round(pace);
   }
 
-  private setPace(run: Run, pace: number): void {
+  private setPace(run: Run, pace: number, at: number): void {
     const isLimit = pace === 0 || pace === 100;
     if (run.isPaceUnsure && this.mayBePaced(run)) {
-      this.commands.pace(run, pace, 'pace-of-previous-owner');
+      this.commands.pace(run, pace, 'pace-of-previous-owner', at);
       return;
     }
     const change = Math.abs(pace - run.pace);
+    if (pace === 0 && change === 0) this.repeatPause(run, at);
     if (change === 0 || (!isLimit && change < this.options.minChange)) return;
-    this.commands.pace(run, pace, pace < run.pace ? 'serving-task-near-target' : 'room-to-target');
+    const reason = pace < run.pace ? 'serving-task-near-target' : 'room-to-target';
+    this.commands.pace(run, pace, reason, at);
+  }
+
+  /** Pauses a filling task again that works on after a pause: pace commands have no result, so one may be lost. */
+  private repeatPause(run: Run, at: number): void {
+    const {worker, pacedAt, measurement, task} = run;
+    if (worker.listedAt - pacedAt < commandMs + measurementAgeMs) return;
+    const usedCores = measurement / millicoresPerCore;
+    if (usedCores * 100 < task.step.need.processors * this.options.minPace) return;
+    this.commands.pace(run, 0, 'pause-without-effect', at);
   }
 
   /** Whether a previous owner may have slowed the run down: it is beside a serving task, or uses few of its processors. */
--- a/packages/coordination/src/dispatch/interference/target-watch.ts
+++ b/packages/coordination/src/dispatch/interference/target-watch.ts
@@ -4,7 +4,7 @@
 import {drainMs, getServingRuns, maxTargetShare, measurementAgeMs} from './interference-model.js';
 
 /** Time in milliseconds from the decision to pause filling tasks until the worker has paused them. */
-const commandMs = 300;
+export const commandMs = 300;
 
 /**
  * Watches for how long each serving task has been over its latency target without a break, by its own tail latency:
--- a/packages/coordination/src/dispatch/run-commands.ts
+++ b/packages/coordination/src/dispatch/run-commands.ts
@@ -109,9 +109,10 @@
   }
 
   /** Sets the pace of a filling task's run, in percent of full speed. */
-  pace(run: Run, percent: number, reason: string): void {
+  pace(run: Run, percent: number, reason: string, at: number): void {
     const {state} = this;
     run.pace = percent;
+    run.pacedAt = at;
     run.isPaceUnsure = false;
     run.worker.changes += 1;
     state.count('runs_paced');
--- a/packages/coordination/src/dispatch/task.ts
+++ b/packages/coordination/src/dispatch/task.ts
@@ -23,6 +23,8 @@
   measurement = 0;
   /** Pace of a filling task in percent of full speed; assumed to be full for an adopted run until it has been commanded. */
   pace = 100;
+  /** Time of the latest pace command. */
+  pacedAt = Number.NEGATIVE_INFINITY;
   /** Whether the worker may run it at another pace, which a previous owner has commanded. */
   isPaceUnsure = false;
   /** Number of the latest start or stop command. */
--- a/packages/coordination/test/dispatch/fleet/virtual-worker.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-worker.ts
@@ -54,6 +54,8 @@
   readonly slowness?: number;
   /** Ratio of the listed to the actual tail latencies of serving tasks. */
   readonly latencyFactor?: number;
+  /** Number of pace commands, from the first, that have no effect. */
+  readonly lostPaces?: number;
   /** Whether every run fails. */
   readonly isFailing?: boolean;
   /** Whether runs make no progress. */
@@ -91,6 +93,7 @@
   slowness: number;
   isFailing: boolean;
   isHung: boolean;
+  private remainingLostPaces: number;
 
   constructor(
     readonly options: VirtualWorkerOptions,
@@ -99,6 +102,7 @@
     this.slowness = options.slowness ?? 1;
     this.isFailing = options.isFailing ?? false;
     this.isHung = options.isHung ?? false;
+    this.remainingLostPaces = options.lostPaces ?? 0;
   }
 
   /** Its data centre. */
@@ -175,6 +179,10 @@
 
   /** Sets the pace of a run. */
   pace(task: string, run: number, percent: number): void {
+    if (this.remainingLostPaces > 0) {
+      this.remainingLostPaces -= 1;
+      return;
+    }
     const present = this.runs.get(task);
     if (present?.run === run) present.pace = percent;
   }
--- a/packages/coordination/test/dispatch/interference/filler-pacer.test.ts
+++ b/packages/coordination/test/dispatch/interference/filler-pacer.test.ts
@@ -28,16 +28,17 @@
   readonly getLoad?: (at: number) => number;
   readonly bound?: number;
   readonly latencyFactor?: number;
+  readonly lostPaces?: number;
 }
 
 /** Creates a worker with serving tasks of one step, beside which filling tasks are started at `fillingAt`. */
 function createFleet(options: FleetOptions): VirtualFleet {
-  const {servingTasks, checkpoints = true, latencyFactor = 1} = options;
+  const {servingTasks, checkpoints = true, latencyFactor = 1, lostPaces = 0} = options;
   const getLoad = options.getLoad ?? (at => (at > fillingAt ? busyLoad : usualLoad));
   const fleet = new VirtualFleet({
     seed: 1,
     queues: Object.values(sharedQueues),
-    workers: createWorkers(1).map(worker => ({...worker, latencyFactor})),
+    workers: createWorkers(1).map(worker => ({...worker, latencyFactor, lostPaces})),
     timing: {maxOverTargetMs: options.bound ?? maxOverTargetMs},
     getLoad: (_, at, task) => (task === busyTask ? getLoad(at) : usualLoad),
     getPressure: () => 0.6,
@@ -94,6 +95,7 @@
   readonly servingTasks: number;
   readonly checkpoints?: boolean;
   readonly latencyFactor?: number;
+  readonly lostPaces?: number;
   readonly getLoad?: (at: number) => number;
   /** Changes the fleet once, this long after the submission of the filling tasks. */
   readonly event?: {readonly afterMs: number; readonly act: (fleet: VirtualFleet) => void};
@@ -101,6 +103,18 @@
   {name: 'alone in its step', servingTasks: 1},
   {name: 'one of three of its step', servingTasks: 3},
   {name: 'one of three, beside tasks without checkpoints', servingTasks: 3, checkpoints: false},
+  {
+    name: 'alone, beside a task without checkpoints whose pause is lost',
+    servingTasks: 1,
+    checkpoints: false,
+    lostPaces: 1,
+  },
+  {
+    name: 'one of three, beside tasks without checkpoints whose pauses are lost',
+    servingTasks: 3,
+    checkpoints: false,
+    lostPaces: 5,
+  },
   {
     name: 'one of three, slightly over its target and listed as under it',
     servingTasks: 3,
