Tests: simulate serving tasks of one step with unequal loads

The simulation of shared loads gave all tasks of a step the same load, so it could not show a task that is hidden by the median of its step. It takes factors of the loads now. The four new cases of shared-load.test.ts fail with the watch of the targets disabled.

--- a/packages/coordination/test/dispatch/fleet/shared-load.ts
+++ b/packages/coordination/test/dispatch/fleet/shared-load.ts
@@ -101,6 +101,8 @@
   readonly watches: number;
   readonly watchTasks: number;
   readonly servingImages: number;
+  /** Factors on the loads of the tasks of a serving step, in turn. */
+  readonly servingLoadFactors: readonly number[];
   readonly fillingImages: number;
   /** Share of the batches that take `longBatchFactor` times as long as the others. */
   readonly longBatchShare: number;
@@ -122,6 +124,7 @@
   watches: 9,
   watchTasks: 5,
   servingImages: 5,
+  servingLoadFactors: [1],
   fillingImages: 9,
   longBatchShare: 0,
   scheduling: 'urgency',
@@ -177,9 +180,11 @@
       longestMs.set(submission.id, stepMaxMs);
       return {durationMs, faultyRuns: random.next() < 0.03 ? 1 : 0};
     },
-    getLoad: (submission, at) => {
+    getLoad: (submission, at, task) => {
+      const factors = load.servingLoadFactors;
+      const factor = factors[Number(task.split('.')[3]) % factors.length] ?? 1;
       const phase = Number.parseInt(submission.id.slice(-2), 16) / 40;
-      return 0.45 * (1 + 0.5 * Math.sin((2 * Math.PI * at) / 14_000 + phase));
+      return factor * 0.45 * (1 + 0.5 * Math.sin((2 * Math.PI * at) / 14_000 + phase));
     },
     getPressure: (serving, filling) => {
       const key = `${serving} ${filling}`;
--- a/packages/coordination/test/dispatch/shared-load.test.ts
+++ b/packages/coordination/test/dispatch/shared-load.test.ts
@@ -19,6 +19,25 @@
   );
 }
 
+/** Factors of the loads of serving tasks, with which none of them is over its target by itself. */
+const servingLoadFactors = [1, 0.85, 1.15, 0.75, 1.1, 1.15, 0.9];
+
+for (const [seed, batchesPerSecond, burst] of [
+  [5, 0.5, 1],
+  [5, 0.8, 2.2],
+  [16, 0.8, 2.2],
+  [27, 0.8, 2.2],
+] as const) {
+  void t.test(
+    `nor those whose load is higher than that of others, seed ${seed}, burst ${burst}`,
+    async t => {
+      const load = {batchesPerSecond, burst, servingLoadFactors};
+      const {longestOverTargetMs} = simulateSharedLoad(seed, load);
+      t.ok(longestOverTargetMs < maxOverTargetMs, `${longestOverTargetMs} ms above the target`);
+    },
+  );
+}
+
 const loads = [
   {name: 'a load within capacity', batchesPerSecond: 0.5, burst: 1, batchesInTime: 0.8},
   {name: 'a burst of batches', batchesPerSecond: 0.8, burst: 2.2, batchesInTime: 0.4},
