--- a/packages/coordination/src/dispatch/interference/filler-pacer.ts
+++ b/packages/coordination/src/dispatch/interference/filler-pacer.ts
@@ -6,8 +6,10 @@
   getFillers,
   getServingGroups,
   type InterferenceModel,
+  measurementAgeMs,
   type ServingGroup,
 } from './interference-model.js';
+import {commandMs, TargetWatch} from './target-watch.js';
 import type {WorkerHeadroomCache} from './worker-headroom.js';
 
 /** Workers report the processors in use in thousandths of a core. */
@@ -19,7 +21,7 @@
 export interface FillerPacingOptions {
   /** Smallest change of pace, in percentage points, for which a command is sent. */
   readonly minChange: number;
-  /** Lowest nonzero pace in percent; a lower value is set to 0. */
+  /** Lowest nonzero pace in percent; a lower value is set to 0, and a task that uses less is taken to be paused. */
   readonly minPace: number;
   /** Tail latency of a serving task, as a fraction of its target, from which all filling tasks beside it are paused. */
   readonly pauseTargetShare: number;
@@ -44,6 +46,7 @@
  */
 export class FillerPacer {
   private readonly options: FillerPacingOptions;
+  private readonly targetWatch: TargetWatch;
   private readonly slowSinceByRun = new WeakMap<Run, number>();
 
   constructor(
@@ -54,13 +57,19 @@
     options: Partial<FillerPacingOptions> = {},
   ) {
     this.options = {...defaultOptions, ...options};
+    this.targetWatch = new TargetWatch(state.timing);
   }
 
   /** Adjusts the pace of each filling task on a worker to the worker's latest measurements. */
   update(worker: WorkerView, at: number): void {
     this.interference.observe(worker, at);
-    const fillers = getFillers(worker).filter(run => run.state === 'running');
+    this.targetWatch.observe(worker, at);
+    const fillers = getRunningFillers(worker);
     if (fillers.length === 0) return;
+    if (worker.mustPauseFillers(at)) {
+      this.pauseFillers(worker, at);
+      return;
+    }
     const groups = getServingGroups(worker);
     const budgets = new Map(groups.map(group => [group, this.getBudget(group, at)]));
     fillers.sort((a, b) => b.percent - a.percent || a.startedAt - b.startedAt);
@@ -79,7 +88,17 @@
         const used = (this.interference.getPressure(group, filling, at) * pace) / 100;
         budgets.set(group, Math.max(0, budget - used));
       }
-      this.setPace(run, pace);
+      this.setPace(run, pace, at);
+      this.stopIfSlow(run, at);
+    }
+  }
+
+  /** Pauses the filling tasks on a worker when its serving tasks have been over their targets for too long. */
+  pauseFillers(worker: WorkerView, at: number): void {
+    if (!worker.mustPauseFillers(at)) return;
+    for (const run of getRunningFillers(worker)) {
+      if (run.pace > 0) this.commands.pace(run, 0, 'serving-task-over-target', at);
+      else this.repeatPause(run, at);
       this.stopIfSlow(run, at);
     }
   }
@@ -93,15 +112,26 @@
     return pace < this.options.minPace ? 0 : Math.round(pace);
   }
 
-  private setPace(run: Run, pace: number): void {
+  private setPace(run: Run, pace: number, at: number): void {
     const isLimit = pace === 0 || pace === 100;
     if (run.isPaceUnsure && this.mayBePaced(run)) {
-      this.commands.pace(run, pace, 'pace-of-previous-owner');
+      this.commands.pace(run, pace, 'pace-of-previous-owner', at);
       return;
     }
     const change = Math.abs(pace - run.pace);
+    if (pace === 0 && change === 0) this.repeatPause(run, at);
     if (change === 0 || (!isLimit && change < this.options.minChange)) return;
-    this.commands.pace(run, pace, pace < run.pace ? 'serving-task-near-target' : 'room-to-target');
+    const reason = pace < run.pace ? 'serving-task-near-target' : 'room-to-target';
+    this.commands.pace(run, pace, reason, at);
+  }
+
+  /** Pauses a filling task again that works on after a pause: pace commands have no result, so one may be lost. */
+  private repeatPause(run: Run, at: number): void {
+    const {worker, pacedAt, measurement, task} = run;
+    if (worker.listedAt - pacedAt < commandMs + measurementAgeMs) return;
+    const usedCores = measurement / millicoresPerCore;
+    if (usedCores * 100 < task.step.need.processors * this.options.minPace) return;
+    this.commands.pace(run, 0, 'pause-without-effect', at);
   }
 
   /** Whether a previous owner may have slowed the run down: it is beside a serving task, or uses few of its processors. */
@@ -139,3 +169,7 @@
     return false;
   }
 }
+
+function getRunningFillers(worker: WorkerView): Run[] {
+  return getFillers(worker).filter(run => run.state === 'running');
+}
--- a/packages/coordination/test/dispatch/fleet/virtual-worker.ts
+++ b/packages/coordination/test/dispatch/fleet/virtual-worker.ts
@@ -53,6 +53,10 @@
   readonly dataCentre?: string;
   /** Factor by which run times are multiplied. */
   readonly slowness?: number;
+  /** Ratio of the listed to the actual tail latencies of serving tasks. */
+  readonly latencyFactor?: number;
+  /** Number of pace commands, from the first, that have no effect. */
+  readonly lostPaces?: number;
   /** Whether every run fails. */
   readonly isFailing?: boolean;
   /** Whether runs make no progress. */
@@ -90,6 +94,7 @@
   slowness: number;
   isFailing: boolean;
   isHung: boolean;
+  private remainingLostPaces: number;
 
   constructor(
     readonly options: VirtualWorkerOptions,
@@ -98,6 +103,7 @@
     this.slowness = options.slowness ?? 1;
     this.isFailing = options.isFailing ?? false;
     this.isHung = options.isHung ?? false;
+    this.remainingLostPaces = options.lostPaces ?? 0;
   }
 
   /** Returns its description of itself. */
@@ -189,6 +195,10 @@
 
   /** Sets the pace of a run. */
   pace(task: string, run: number, percent: number): void {
+    if (this.remainingLostPaces > 0) {
+      this.remainingLostPaces -= 1;
+      return;
+    }
     const present = this.runs.get(task);
     if (present?.run === run) present.pace = percent;
   }
@@ -230,7 +240,9 @@
   }
 
   private takeMeasurement(run: VirtualRun): number {
-    const average = run.measuredMs > 0 ? run.measurementSum / run.measuredMs : 0;
+    const {latencyFactor = 1} = this.options;
+    const factor = run.behaviour.step.lasting ? latencyFactor : 1;
+    const average = run.measuredMs > 0 ? (run.measurementSum * factor) / run.measuredMs : 0;
     run.measurementSum = 0;
     run.measuredMs = 0;
     return Math.round(average * (0.95 + this.world.random.next() * 0.1));
