Take a run for stalled only by lists of its worker

Cause: progress is known from the lists of a worker, but its age was measured against the latest message of any kind. A reconnect, a heartbeat or a refusal of the agent counted as a sign that the run stood still. Class: evidence dated by the arrival of another message.

--- a/packages/coordination/src/dispatch/supervision/run-supervisor.ts
+++ b/packages/coordination/src/dispatch/supervision/run-supervisor.ts
@@ -121,7 +121,8 @@
   private isStalled(run: Run, worker: WorkerView): boolean {
     if (run.pace === 0) return false;
     const limit = run.task.step.fills ? fillerStallMs : stallMs;
-    return worker.lastContactAt - run.progressAt >= limit;
+    // Only lists show progress; other messages prove that the worker can be reached, not that the run stands still.
+    return worker.listedAt - run.progressAt >= limit;
   }
 
   private recordStall(run: Run, worker: WorkerView, at: number): void {
