Count a run as old as it may be when its worker crashes

Callers could still see a submission end as failed although none of its runs had failed.

The age was counted from the arrival of the answer or from the adoption.

Change: the age at a crash is counted from the start command; an adopted run is not held responsible, as its age is not known; what a run has certainly outlived is cleared before a crash is judged; a crash after the end of the lease, or at an unknown time after a silence, is held against no run.

--- a/packages/coordination/src/dispatch/supervision/crash-blame.ts
+++ b/packages/coordination/src/dispatch/supervision/crash-blame.ts
@@ -29,8 +29,10 @@
 /** A run that was on a worker when it crashed. */
 export interface CrashedRun {
   readonly run: Run;
-  /** Time in milliseconds for which the run had certainly worked. */
+  /** Time in milliseconds for which the run may have worked. */
   readonly ageMs: number;
+  /** Time in milliseconds for which it has certainly worked. */
+  readonly workedMs: number;
 }
 
 /**
@@ -38,7 +40,7 @@
  * runs become suspects only when there is none of these. A submission fails as a whole, so a crash is decisive when all
  * tasks that can have caused it belong to the same one.
  */
-export function blameCrash(runs: readonly CrashedRun[]): CrashVerdict[] {
+export function blameCrash(runs: ReadonlyArray<Pick<CrashedRun, 'run' | 'ageMs'>>): CrashVerdict[] {
   const candidates = runs.flatMap(({run, ageMs}) => {
     const timing = getCrashTiming(ageMs);
     return timing === undefined ? [] : [{task: run.task, timing, ageMs}];
--- a/packages/coordination/src/dispatch/supervision/crash-tracker.ts
+++ b/packages/coordination/src/dispatch/supervision/crash-tracker.ts
@@ -15,10 +15,12 @@
 interface SilentWorker {
   readonly life: string;
   readonly runs: readonly Run[];
+  /** Time by which its lease, and with it all runs, had ended. */
+  readonly leaseEndedAt: number;
 }
 
 /** A crash, with the runs that its worker had. */
-interface Crash extends SilentWorker, WorkerEnd {}
+interface Crash extends Pick<SilentWorker, 'life' | 'runs'>, WorkerEnd {}
 
 /** How a worker has ended. */
 export interface WorkerEnd {
@@ -67,9 +69,9 @@
   }
 
   /** Records that a worker was silent until its lease ended; its runs are still known. */
-  recordSilence(worker: WorkerView): void {
-    if (worker.isDraining || worker.runs.size === 0) return;
-    this.silentWorkers.set(worker.agent, {life: worker.life, runs: [...worker.runs.values()]});
+  recordSilence({agent, life, runs, isDraining}: WorkerView, leaseEndedAt: number): void {
+    if (isDraining || runs.size === 0) return;
+    this.silentWorkers.set(agent, {life, runs: [...runs.values()], leaseEndedAt});
   }
 
   /** Records that an agent has a worker incarnation: a silent one before it has crashed, and this one has not. */
@@ -77,8 +79,11 @@
     const silent = this.silentWorkers.get(agent);
     this.silentWorkers.delete(agent);
     if (silent !== undefined && silent.life !== life) {
+      const {leaseEndedAt} = silent;
       const silentAt = former?.life === silent.life ? former.silentAt : undefined;
-      this.recordCrash({...silent, reason: 'silent', at, silentAt});
+      const hadRuns = silentAt !== undefined && silentAt <= leaseEndedAt;
+      const runs = hadRuns ? silent.runs : [];
+      this.recordCrash({life: silent.life, runs, reason: 'silent', at, silentAt});
     }
     for (const task of this.tasksByLife.get(life) ?? []) {
       if (task.crashes.delete(life)) this.markChanged(task, at);
@@ -107,6 +112,9 @@
     const active = runs
       .filter(({task}) => !task.isFinished && task.submission.isActive)
       .flatMap(run => getCrashedRun(run, at, silentAt) ?? []);
+    for (const {run, workedMs} of active) {
+      if (run.task.crashes.clearOutlived(workedMs)) this.markCleared(run.task, at);
+    }
     const verdicts = blameCrash(active);
     for (const {task, timing} of verdicts) {
       task.crashes.add(life, timing);
@@ -169,17 +177,20 @@
 }
 
 /**
- * Returns a run with its age at the crash of its worker, which is known since `at`; undefined when it was not on the worker.
- * Unless the worker is known to have stopped answering at `silentAt`, it may have crashed at any time until `at`.
+ * Returns a run with its age at the crash of its worker, which is known since `at`; undefined when it was not on the worker, or
+ * when its age is not known, as that of an adopted run. Unless the worker is known to have stopped answering at `silentAt`, it
+ * may have crashed at any time until `at`. The answer to a start may arrive late, so the age is counted from the command.
  */
 function getCrashedRun(run: Run, at: number, silentAt: number | undefined): CrashedRun | undefined {
-  const {confirmedAt, confirmedAgeMs, startedAt} = run;
-  const crashedAt = silentAt ?? at;
+  const {adoptedPercent, confirmedAt, confirmedAgeMs, startedAt} = run;
+  if (adoptedPercent !== undefined) return undefined;
   if (confirmedAt !== undefined) {
-    return {run, ageMs: Math.max(confirmedAgeMs, crashedAt - confirmedAt)};
+    const ageMs = Math.max(confirmedAgeMs, (silentAt ?? at) - startedAt);
+    const workedMs = Math.max(confirmedAgeMs, (silentAt ?? confirmedAt) - confirmedAt);
+    return {run, ageMs, workedMs};
   }
   return silentAt !== undefined && mayHaveBegun(run, silentAt)
-    ? {run, ageMs: silentAt - startedAt}
+    ? {run, ageMs: silentAt - startedAt, workedMs: 0}
     : undefined;
 }
 
--- a/packages/coordination/src/dispatch/worker-reports.ts
+++ b/packages/coordination/src/dispatch/worker-reports.ts
@@ -322,7 +322,7 @@
 
   /** Declares all runs on an unreachable worker lost, because its lease has expired. */
   private expireLease(worker: WorkerView, at: number): void {
-    this.components.crashes.recordSilence(worker);
+    this.components.crashes.recordSilence(worker, at);
     for (const run of [...worker.runs.values()])
       this.commandResults.removeLost(run, 'lease-expired');
     if (!worker.isConnected) this.removeWorker(worker, 'lease-expired', at);
--- a/packages/coordination/test/dispatch/supervision/crash-tracker.test.ts
+++ b/packages/coordination/test/dispatch/supervision/crash-tracker.test.ts
@@ -1,5 +1,10 @@
 import t from 'tap';
-import {CrashingFleet, type CrashTimes, queue} from '../fleet/crashing-fleet.js';
+import {
+  CrashingFleet,
+  type CrashingFleetOptions,
+  type CrashTimes,
+  queue,
+} from '../fleet/crashing-fleet.js';
 import {createStep, createSubmission} from '../fleet/shared-load.js';
 
 const id = '00000000000000b1';
@@ -105,6 +110,87 @@
   );
 }
 
+/** Runs the fleet until the task runs; returns the agent of its worker. */
+function findAgent(fleet: CrashingFleet): string {
+  for (; fleet.now < 120_000; fleet.run(fleet.now + 25)) {
+    for (const [agent, {runs}] of fleet.workers) if (runs.has(task)) return agent;
+  }
+  throw new Error('the task does not run');
+}
+
+const chances: ReadonlyArray<{
+  readonly name: string;
+  readonly options?: CrashingFleetOptions;
+  readonly estimatedMs: number;
+  readonly rounds: number;
+  /** Crashes the worker of the task, in a way that does not show for how long the task has worked. */
+  readonly crash: (fleet: CrashingFleet, agent: string, round: number) => void;
+}> = [
+  {
+    name: 'the answers to its starts are read late',
+    options: {workerCount: 1},
+    estimatedMs: 4_000,
+    rounds: 3,
+    crash: (fleet, agent) => {
+      fleet.ownerPausedUntil = fleet.now + 1_500;
+      fleet.run(fleet.now + 800);
+      fleet.crash(agent);
+    },
+  },
+  {
+    name: 'another owner has adopted its runs',
+    options: {workerCount: 4},
+    estimatedMs: 25_000,
+    rounds: 5,
+    crash: (fleet, agent) => {
+      fleet.run(fleet.now + 6_000);
+      fleet.startOwner();
+      fleet.run(fleet.now + 5_000);
+      fleet.crash(agent);
+    },
+  },
+  {
+    name: 'runs that are never listed outlive the time of a crash in between',
+    options: {workerCount: 1, areCrashesReported: false},
+    estimatedMs: 2_000,
+    rounds: 5,
+    crash: (fleet, agent, round) => {
+      const ageMs = round % 2 === 0 ? 100 : 375;
+      fleet.run(fleet.now + ageMs);
+      fleet.crash(agent, {returnMs: 1_500 - ageMs});
+    },
+  },
+  {
+    name: 'its runs have ended with the leases of the workers before',
+    options: {workerCount: 4, areCrashesReported: false},
+    estimatedMs: 4_500,
+    rounds: 5,
+    crash: (fleet, agent) => {
+      fleet.run(fleet.now + 200);
+      fleet.post({kind: 'agent-down', agent});
+      fleet.silences.set(agent, 'both');
+      fleet.run(fleet.now + 6_100);
+      fleet.crash(agent, {returnMs: 100});
+      fleet.run(fleet.now + 50);
+      fleet.silences.delete(agent);
+    },
+  },
+];
+
+for (const {name, options, estimatedMs, rounds, crash} of chances) {
+  void t.test(`a task is not given up after ${rounds} crashes although ${name}`, async t => {
+    const fleet = new CrashingFleet(options);
+    fleet.run(275);
+    fleet.submit(createSubmission(id, queue.key, [createStep({estimatedMs})]));
+    for (let round = 0; round < rounds; round += 1) {
+      crash(fleet, findAgent(fleet), round);
+      fleet.run(fleet.now + 1_000);
+    }
+    fleet.run(fleet.now + 60_000);
+    t.equal(fleet.progress.get(id)?.final, 'completed');
+  });
+}
+
 void t.test('a task is started again after two crashes soon after its starts', async t => {
   const fleet = new CrashingFleet({workerCount: 1});
   fleet.submit(createSubmission(id, queue.key, [createStep({estimatedMs: 2_000})]));
