--- a/packages/coordination/test/dispatch/crashing-tasks.test.ts
+++ b/packages/coordination/test/dispatch/crashing-tasks.test.ts
@@ -62,6 +62,24 @@
   });
 }
 
+for (const delayMs of [200, 400]) {
+  void t.test(
+    `a task that crashes its workers after ${delayMs} ms is given up in time beside young work of others`,
+    async t => {
+      const getCrashDelayMs = (task: string) => getDelay(task, delayMs);
+      const fleet = new CrashingFleet({getCrashDelayMs});
+      fleet.submit(createSubmission(deadlyId, queue.key, [createStep({estimatedMs: 5_000})]));
+      const step = createStep({count: 20, estimatedMs: 1_500});
+      for (let count = 1; fleet.now < 30_000; count += 1) {
+        fleet.submit(createSubmission(count.toString(16).padStart(16, '0'), queue.key, [step]));
+        fleet.run(fleet.now + 300);
+      }
+      const crashes = fleet.crashes.get(`${deadlyId}.0.0.0`) ?? 0;
+      t.ok(crashes <= maxCrashes, `${crashes} workers have crashed`);
+    },
+  );
+}
+
 // A serving task has no limit of attempts, so a worker's crash cannot end its submission either.
 void t.test(
   'a serving task that crashes its workers is not given up, and harms no other',
